core: identifiers, machine, assertions, bundle types

Cause: every later package needs the same names for hosts, targets, requests and executors, one way to drive a decision, and one way to check an invariant in the running program. Ruled out: one big types package (it would make every package depend on all domains); untyped names (a malformed name must be refused where it enters). Conclusion: the frame the cores are written against.

--- /dev/null
+++ b/core/btassert/btassert.go
@@ -0,0 +1,52 @@
+// Package btassert checks invariants inside the running program.
+//
+// A production process counts and logs a violation and goes on; a test's sink
+// panics, so that a randomised run ends at the first one.
+package btassert
+
+import "fmt"
+
+// Name names an invariant; docs/INVARIANTS.md lists them all.
+type Name string
+
+// Violation is one failed assertion.
+type Violation struct {
+	Name   Name
+	Detail string
+}
+
+// Error describes the violation.
+func (v Violation) Error() string { return "invariant " + string(v.Name) + " violated: " + v.Detail }
+
+// Sink receives violations.
+type Sink interface {
+	Violated(v Violation)
+}
+
+// SinkFunc makes a function a Sink.
+type SinkFunc func(v Violation)
+
+// Violated calls the function.
+func (f SinkFunc) Violated(v Violation) { f(v) }
+
+// Panic is the sink for tests: the first violation panics with the Violation.
+func Panic() Sink {
+	return SinkFunc(func(v Violation) { panic(v) })
+}
+
+// Asserter checks invariants and reports failures to its sink.
+type Asserter struct {
+	sink Sink
+}
+
+// New returns an asserter that reports to sink.
+func New(sink Sink) *Asserter { return &Asserter{sink: sink} }
+
+// That reports a violation of the named invariant unless holds is true. It
+// returns holds, so that the caller can refuse to act on a violated state.
+func (a *Asserter) That(holds bool, name Name, format string, args ...any) bool {
+	if !holds {
+		a.sink.Violated(Violation{Name: name, Detail: fmt.Sprintf(format, args...)})
+	}
+	return holds
+}
--- /dev/null
+++ b/core/btbundle/btbundle.go
@@ -0,0 +1,198 @@
+// Package btbundle holds the bundle: the one versioned document by which
+// operators describe services, targets, client accounts and policy, sign it,
+// and roll it out.
+package btbundle
+
+import (
+	"net/netip"
+	"time"
+
+	"bilberrytide/core/btid"
+)
+
+// MaxBytes is the largest bundle accepted: the platform's configuration
+// service holds values of up to a megabyte.
+const MaxBytes = 1 << 20
+
+// Span is a duration that is written in TOML as Go writes durations: "30s".
+type Span struct {
+	time.Duration
+}
+
+// Bundle is the decoded document. Slices keep the document's order.
+type Bundle struct {
+	Version     btid.BundleVersion `toml:"version" json:"version"`
+	Parent      Digest             `toml:"parent,omitempty" json:"parent"`
+	Created     time.Time          `toml:"created" json:"created"`
+	Timeouts    Timeouts           `toml:"timeouts" json:"timeouts"`
+	Idempotency Idempotency        `toml:"idempotency" json:"idempotency"`
+	Retry       Retry              `toml:"retry" json:"retry"`
+	Ejection    Ejection           `toml:"ejection" json:"ejection"`
+	Placement   Placement          `toml:"placement" json:"placement"`
+	DataCentres []DataCentre       `toml:"data_centres" json:"data_centres"`
+	Entries     []Entry            `toml:"entries" json:"entries"`
+	Services    []Service          `toml:"services" json:"services"`
+	Targets     []Target           `toml:"targets" json:"targets"`
+	Groups      []Group            `toml:"groups" json:"groups"`
+	Accounts    []Account          `toml:"accounts" json:"accounts"`
+	// DestroyedHosts lists hosts of which a person states that they are gone
+	// for good, which a lagging host list can't prove.
+	DestroyedHosts []btid.Host `toml:"destroyed_hosts,omitempty" json:"destroyed_hosts"`
+}
+
+// Timeouts bounds waiting.
+type Timeouts struct {
+	// Request is the deadline of a request whose caller names none.
+	Request Span `toml:"request" json:"request"`
+	// RequestMax is the longest deadline a caller may ask for.
+	RequestMax Span `toml:"request_max" json:"request_max"`
+	// Heartbeat is the interval at which agents report to those who watch them.
+	Heartbeat Span `toml:"heartbeat" json:"heartbeat"`
+	// TargetLease is how long an entry gives a target new work after its last
+	// heartbeat.
+	TargetLease Span `toml:"target_lease" json:"target_lease"`
+	// Drain is the longest that a planned stop waits for requests in flight.
+	Drain Span `toml:"drain" json:"drain"`
+}
+
+// Idempotency states how long keys are remembered.
+type Idempotency struct {
+	// Retention is how long a key is remembered; an older one is refused.
+	Retention Span `toml:"retention" json:"retention"`
+	// ClockError is the largest difference between any two clocks, callers'
+	// included, that key times are trusted to.
+	ClockError Span `toml:"clock_error" json:"clock_error"`
+	// Lease is how long a key home may grant after a majority confirmed it.
+	Lease Span `toml:"lease" json:"lease"`
+}
+
+// Retry bounds retries by the entry.
+type Retry struct {
+	// BudgetShare is the share of recent requests that may be retries, 0 to 1.
+	BudgetShare float64 `toml:"budget_share" json:"budget_share"`
+	// MaxAttempts counts the first attempt too.
+	MaxAttempts int `toml:"max_attempts" json:"max_attempts"`
+	// Backoff is the mean wait before the first retry; it doubles each time.
+	Backoff Span `toml:"backoff" json:"backoff"`
+}
+
+// Ejection bounds how targets are put out of rotation for failing or slowness.
+type Ejection struct {
+	// MaxShare is the largest share of a service's targets out at once, 0 to 1.
+	MaxShare float64 `toml:"max_share" json:"max_share"`
+	// Failures is how many failures in a row put a target out.
+	Failures int `toml:"failures" json:"failures"`
+	// SlowFactor puts out a target this many times slower than the median.
+	SlowFactor float64 `toml:"slow_factor" json:"slow_factor"`
+	// Duration is the first time out; it doubles with each in a row.
+	Duration Span `toml:"duration" json:"duration"`
+}
+
+// Placement weighs even steps against the cost of moving experts.
+type Placement struct {
+	// SkewWeight is the value of one second of step time saved.
+	SkewWeight float64 `toml:"skew_weight" json:"skew_weight"`
+	// MoveWeight is the price of one second of weight transfer or stall.
+	MoveWeight float64 `toml:"move_weight" json:"move_weight"`
+	// Interval is the time between two considerations of the map.
+	Interval Span `toml:"interval" json:"interval"`
+	// Horizon is how long a new map is expected to stay good.
+	Horizon Span `toml:"horizon" json:"horizon"`
+}
+
+// DataCentre places a data centre in its region.
+type DataCentre struct {
+	Name   btid.DataCentre `toml:"name" json:"name"`
+	Region string          `toml:"region" json:"region"`
+}
+
+// Entry is one entry process's place.
+type Entry struct {
+	Name       btid.Entry      `toml:"name" json:"name"`
+	Host       btid.Host       `toml:"host" json:"host"`
+	DataCentre btid.DataCentre `toml:"data_centre" json:"data_centre"`
+	// Address is where other processes of the system reach it, over UDP.
+	Address netip.AddrPort `toml:"address" json:"address"`
+}
+
+// Kind tells what a service's targets are.
+type Kind string
+
+const (
+	// Model is a service whose targets are model engines.
+	Model Kind = "model"
+	// Plain is a service whose targets are application instances.
+	Plain Kind = "plain"
+)
+
+// Service is what callers ask for by name.
+type Service struct {
+	Name btid.Service `toml:"name" json:"name"`
+	Kind Kind         `toml:"kind" json:"kind"`
+	// MaxBody is the largest request body in bytes.
+	MaxBody int64 `toml:"max_body" json:"max_body"`
+	// KeyRequired refuses POST, PUT, PATCH and DELETE without Idempotency-Key.
+	KeyRequired bool `toml:"key_required,omitempty" json:"key_required"`
+	// Epochs lists the sets of key homes, oldest first, the last in force;
+	// earlier ones stay listed until the retention has passed.
+	Epochs []HomeEpoch `toml:"epochs" json:"epochs"`
+}
+
+// HomeEpoch is a numbered set of key homes of one service.
+type HomeEpoch struct {
+	Number uint64        `toml:"number" json:"number"`
+	Since  time.Time     `toml:"since" json:"since"`
+	Homes  []btid.Target `toml:"homes" json:"homes"`
+}
+
+// Target is one engine or application instance and the agent beside it.
+type Target struct {
+	Name       btid.Target     `toml:"name" json:"name"`
+	Service    btid.Service    `toml:"service" json:"service"`
+	Host       btid.Host       `toml:"host" json:"host"`
+	DataCentre btid.DataCentre `toml:"data_centre" json:"data_centre"`
+	// Address is where the agent listens, over UDP.
+	Address netip.AddrPort `toml:"address" json:"address"`
+	// Endpoint is where the target itself serves HTTP, reached by its agent.
+	Endpoint netip.AddrPort `toml:"endpoint" json:"endpoint"`
+	// Slots is how many requests the target runs at a time.
+	Slots int `toml:"slots" json:"slots"`
+	// Queue is how many more its agent holds waiting.
+	Queue int `toml:"queue" json:"queue"`
+	// ChecksFencing tells whether the target refuses an order with an old
+	// fencing number. Safety never rests on it.
+	ChecksFencing bool `toml:"checks_fencing,omitempty" json:"checks_fencing"`
+}
+
+// Group is a set of ranks that step together on one expert map.
+type Group struct {
+	Name    btid.Group   `toml:"name" json:"name"`
+	Service btid.Service `toml:"service" json:"service"`
+	// Ranks lists the targets by rank number.
+	Ranks   []btid.Target `toml:"ranks" json:"ranks"`
+	Layers  int           `toml:"layers" json:"layers"`
+	Experts int           `toml:"experts" json:"experts"`
+	// SlotsPerRank is how many expert replicas of one layer a rank holds.
+	SlotsPerRank int `toml:"slots_per_rank" json:"slots_per_rank"`
+	// ExpertBytes is the size of one expert's weights in one layer.
+	ExpertBytes int64 `toml:"expert_bytes" json:"expert_bytes"`
+	// Barrier tells whether engines can hold at a step boundary when armed.
+	Barrier bool `toml:"barrier,omitempty" json:"barrier"`
+}
+
+// Account is one client account.
+type Account struct {
+	Name btid.Account `toml:"name" json:"name"`
+	// KeyHashes are SHA-256 digests of the bearer keys, in hexadecimal.
+	KeyHashes []Digest `toml:"key_hashes" json:"-"`
+	// Services lists what the account may ask for; empty means all.
+	Services []btid.Service `toml:"services,omitempty" json:"services"`
+	// Rate is requests a second over all entries together.
+	Rate float64 `toml:"rate" json:"rate"`
+	// Burst is how many requests may come at once.
+	Burst int `toml:"burst" json:"burst"`
+	// Concurrency is how many requests may run at once over all entries.
+	Concurrency int `toml:"concurrency" json:"concurrency"`
+	// Weight is the account's share when capacity is short.
+	Weight float64 `toml:"weight" json:"weight"`
+}
--- /dev/null
+++ b/core/btrendezvous/btrendezvous.go
@@ -0,0 +1,59 @@
+// Package btrendezvous orders members by highest random weight, so that every
+// process that knows the same members computes the same order with no message,
+// and a change of one member moves only that member's share of the keys.
+package btrendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Order returns the members, best first, for the key. Members must be distinct.
+// It does not change its argument.
+func Order[M ~string](key string, members []M) []M {
+	type weighted struct {
+		member M
+		weight uint64
+	}
+	list := make([]weighted, len(members))
+	for i, m := range members {
+		list[i] = weighted{member: m, weight: weight(key, string(m))}
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		if c := cmp.Compare(b.weight, a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.member, b.member)
+	})
+	order := make([]M, len(list))
+	for i, w := range list {
+		order[i] = w.member
+	}
+	return order
+}
+
+// First returns the best member for the key, or false where there is none. It
+// is Order's first without the sort.
+func First[M ~string](key string, members []M) (M, bool) {
+	var best M
+	var bestWeight uint64
+	for i, m := range members {
+		w := weight(key, string(m))
+		if i == 0 || w > bestWeight || w == bestWeight && m < best {
+			best = m
+			bestWeight = w
+		}
+	}
+	return best, len(members) > 0
+}
+
+func weight(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
