Stand-ins for the platform, plain services, engines and lock-step groups

Cause: tests and the demo need the published protocols, with their limits and failures, without the systems themselves. Ruled out: a simulator of engine speed, as no figure taken here may stand for a real engine; accepting two spellings of one field; reading request bodies only to the end of the JSON value, as net/http may then miss a closed connection; working out replicas for each rank at each step. Left: KV export and import, effects of load orders, a test of the command line.

--- /dev/null
+++ b/io/btstandin/engine.go
@@ -0,0 +1,181 @@
+package btstandin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"bilberrytide/core/btid"
+)
+
+// PriorityHeader carries a request's priority as a whole number; requests with
+// a higher one get a slot first. Without it the priority is zero.
+const PriorityHeader = "X-Priority"
+
+// Defaults of an engine's options.
+const (
+	DefaultSlots             = 16
+	DefaultPrefillRate       = 20000
+	DefaultDecodeRate        = 200
+	DefaultPrefixCacheBlocks = 1024
+)
+
+// controlPrefix starts the paths that tests use.
+const controlPrefix = "/control/"
+
+// EngineOptions sets up an Engine. Zero numbers stand for the defaults.
+type EngineOptions struct {
+	Name  btid.Target
+	Clock Clock
+	// Slots is how many requests run at a time.
+	Slots int
+	// PrefillRate is the prompt tokens worked through in a second.
+	PrefillRate float64
+	// DecodeRate is the tokens of each answer made in a second.
+	DecodeRate float64
+	// PrefixCacheBlocks is how many blocks of prompts stay cached.
+	PrefixCacheBlocks int
+	// LoadLag is how late load reports are; zero means not at all.
+	LoadLag time.Duration
+	// CacheFault is how late and full of gaps cache events are.
+	CacheFault CacheFault
+	// ChecksFencing makes the engine refuse orders with an old number.
+	ChecksFencing bool
+	// Seed fixes which requests meet a failing share.
+	Seed uint64
+}
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	o.Slots = orDefault(o.Slots, DefaultSlots)
+	o.PrefillRate = orDefault(o.PrefillRate, DefaultPrefillRate)
+	o.DecodeRate = orDefault(o.DecodeRate, DefaultDecodeRate)
+	o.PrefixCacheBlocks = orDefault(o.PrefixCacheBlocks, DefaultPrefixCacheBlocks)
+	return o
+}
+
+func (o EngineOptions) validate() error {
+	if err := checkTarget(o.Name, o.Clock); err != nil {
+		return err
+	}
+	if o.Slots < 0 || o.PrefillRate < 0 || o.DecodeRate < 0 || o.PrefixCacheBlocks < 0 || o.LoadLag < 0 {
+		return fmt.Errorf("%w: engine %s has a negative number", ErrOptions, o.Name)
+	}
+	return nil
+}
+
+// Engine stands in for a model engine. It is safe for concurrent use.
+type Engine struct {
+	name        btid.Target
+	clock       Clock
+	prefillRate float64
+	faults      *faults
+	executions  *executions
+	slots       *slots
+	cache       *prefixCache
+	load        *loadMeter
+	orders      *orderDesk
+	streams     *streamTable
+	pacer       pacer
+	mux         *http.ServeMux
+
+	// lifeMutex lets one change of life go on at a time.
+	lifeMutex sync.Mutex
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	life  context.Context
+	kill  context.CancelCauseFunc
+}
+
+var _ http.Handler = (*Engine)(nil)
+
+// NewEngine returns a running engine. The error wraps ErrOptions.
+func NewEngine(o EngineOptions) (*Engine, error) {
+	o = o.withDefaults()
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	period := time.Duration(float64(time.Second) / o.DecodeRate)
+	return newEngine(o, &clockPacer{clock: o.Clock, period: period}, anyOrder{}), nil
+}
+
+// newEngine returns an engine whose tokens come at the pace of the pacer and
+// whose orders go to the executor. The options must be checked.
+func newEngine(o EngineOptions, p pacer, x executor) *Engine {
+	e := &Engine{
+		name:        o.Name,
+		clock:       o.Clock,
+		prefillRate: o.PrefillRate,
+		faults:      newFaults(o.Seed),
+		executions:  newExecutions(),
+		cache:       newPrefixCache(o.Clock, o.PrefixCacheBlocks, o.CacheFault),
+		load:        newLoadMeter(o.Clock, o.LoadLag, o.PrefixCacheBlocks*BlockBytes/tokenBytes),
+		orders:      newOrderDesk(o.ChecksFencing, x),
+		streams:     newStreamTable(),
+		pacer:       p,
+	}
+	e.slots = newSlots(o.Slots, e.load.setRequests)
+	e.life, e.kill = context.WithCancelCause(context.Background())
+	e.mux = e.routes()
+	return e
+}
+
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveResume)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /cache/events", e.cache.serveEvents)
+	mux.HandleFunc("POST /orders", e.orders.servePost)
+	mux.HandleFunc("GET /orders", e.orders.serveGet)
+	mux.HandleFunc("PUT /control/fault", e.faults.control)
+	mux.HandleFunc("PUT /control/cache", e.cache.control)
+	mux.HandleFunc("PUT /control/life", e.controlLife)
+	mux.HandleFunc("GET /control/executions", e.executions.control)
+	mux.HandleFunc("GET /control/orders", e.orders.control)
+	return mux
+}
+
+// ServeHTTP answers the engine's protocol and the controls. While the engine is
+// killed it closes every connection, but for the controls'.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, controlPrefix) {
+		e.mux.ServeHTTP(w, r)
+		return
+	}
+	life := e.currentLife()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(life, func() { cancel(errKilled) })
+	defer stop()
+	if life.Err() == nil {
+		e.mux.ServeHTTP(w, r.WithContext(ctx))
+	}
+	if life.Err() != nil {
+		closeConnection()
+	}
+}
+
+// Executions returns what the engine ran so far, earlier lives included.
+func (e *Engine) Executions() Executions { return e.executions.snapshot() }
+
+// Orders returns the orders that the engine accepted, earlier lives included.
+func (e *Engine) Orders() OrderLog { return e.orders.orders() }
+
+// SetFault puts the fault in force. The error wraps ErrInput.
+func (e *Engine) SetFault(f TargetFault) error { return e.faults.set(f) }
+
+// SetCacheFault changes how cache events go wrong.
+func (e *Engine) SetCacheFault(f CacheFault) { e.cache.setFault(f) }
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	load := e.load.report()
+	steps, last := e.pacer.progress()
+	load.Steps = steps
+	load.StepMillis = millis(last)
+	writeJSON(w, http.StatusOK, load)
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/io/btstandin/group_member.go
@@ -0,0 +1,165 @@
+package btstandin
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"bilberrytide/core/btid"
+)
+
+// GroupState is the body of GET /group: how one rank stands.
+type GroupState struct {
+	// MapDigest is the map in use, empty for none.
+	MapDigest string `json:"map_digest"`
+	// StagedDigest is the map whose weights are all here, empty for none.
+	StagedDigest string `json:"staged_digest"`
+	// StagingDigest is the map whose weights are being pulled, empty for none.
+	StagingDigest string `json:"staging_digest"`
+	// Armed tells that the rank starts no further step until commit or abort.
+	Armed bool `json:"armed"`
+	// Paused tells that the rank starts no further step until resume.
+	Paused bool `json:"paused"`
+	// Ballot is the highest ballot that an order carried.
+	Ballot uint64 `json:"ballot"`
+	// Step counts the steps since this engine's start.
+	Step uint64 `json:"step"`
+	// Counts holds the tokens that this rank served, since its engine's start,
+	// for each layer and in it each expert.
+	Counts [][]uint64 `json:"counts"`
+	// StepMillis is how long this rank worked on the last step, in milliseconds.
+	StepMillis float64 `json:"step_ms"`
+	// GroupStepMillis is how long the whole group took.
+	GroupStepMillis float64 `json:"group_step_ms"`
+}
+
+// member is one rank of a group. The group's mutex guards its state.
+type member struct {
+	group  *Group
+	rank   int
+	engine *Engine
+
+	alive bool
+	// inUse is nil from a restart until the first switch.
+	inUse   *ExpertMap
+	staged  *ExpertMap
+	staging *staging
+	armed   bool
+	paused  bool
+	ballot  uint64
+	steps   uint64
+	counts  [][]float64
+	last    time.Duration
+}
+
+var (
+	_ executor = (*member)(nil)
+	_ pacer    = (*member)(nil)
+)
+
+func newMember(g *Group, rank int, o GroupOptions, initial *ExpertMap) *member {
+	m := &member{group: g, rank: rank, alive: true, inUse: initial, counts: zeroCounts(o.Shape)}
+	options := o.Engine
+	options.Name = btid.Target(fmt.Sprintf("%s-%d", o.Name, rank))
+	options.Seed = o.Engine.Seed + uint64(rank)
+	m.engine = newEngine(options, m, m)
+	g.addRoutes(m.engine.mux, m)
+	return m
+}
+
+func zeroCounts(s GroupShape) [][]float64 {
+	counts := make([][]float64, s.Layers)
+	for l := range counts {
+		counts[l] = make([]float64, s.Experts)
+	}
+	return counts
+}
+
+// ready tells whether the member would start a step.
+func (m *member) ready() bool { return m.alive && m.inUse != nil && !m.armed && !m.paused }
+
+func (m *member) killed() {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.alive = false
+	m.endStaging()
+}
+
+func (m *member) restarted() {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.alive = true
+	m.inUse = nil
+	m.staged = nil
+	m.armed = false
+	m.paused = false
+	m.ballot = 0
+	m.steps = 0
+	m.counts = zeroCounts(m.group.shape)
+	m.group.wake()
+}
+
+// await returns at the end of the group's next step; how slow the rank is shows
+// in the step itself.
+func (m *member) await(ctx context.Context, _ float64) error {
+	m.group.mutex.Lock()
+	stepped := m.group.stepped
+	m.group.mutex.Unlock()
+	select {
+	case <-stepped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *member) progress() (uint64, time.Duration) {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	return m.steps, m.last
+}
+
+func (m *member) state() GroupState {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	counts := make([][]uint64, len(m.counts))
+	for l, layer := range m.counts {
+		counts[l] = make([]uint64, len(layer))
+		for x, tokens := range layer {
+			counts[l][x] = uint64(math.Round(tokens))
+		}
+	}
+	return GroupState{
+		MapDigest:       m.inUse.digest(),
+		StagedDigest:    m.staged.digest(),
+		StagingDigest:   m.staging.target(),
+		Armed:           m.armed,
+		Paused:          m.paused,
+		Ballot:          m.ballot,
+		Step:            m.steps,
+		Counts:          counts,
+		StepMillis:      millis(m.last),
+		GroupStepMillis: millis(m.group.record.last),
+	}
+}
+
+func (m *member) serveState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, m.state())
+}
+
+// serveMap answers with the map in use, or with ?staged=1 the staged one.
+func (m *member) serveMap(w http.ResponseWriter, r *http.Request) {
+	m.group.mutex.Lock()
+	shown := m.inUse
+	if r.URL.Query().Get("staged") == "1" {
+		shown = m.staged
+	}
+	m.group.mutex.Unlock()
+	if shown == nil {
+		writeError(w, http.StatusNotFound, "no map")
+		return
+	}
+	writeJSON(w, http.StatusOK, shown)
+}
--- /dev/null
+++ b/io/btstandin/group_test.go
@@ -0,0 +1,208 @@
+package btstandin_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/io/btstandin"
+)
+
+// Two maps of two ranks that hold four experts of one layer.
+const (
+	mapA = `{"digest":"aa","layers":[[[0,1],[2,3]]]}`
+	mapB = `{"digest":"bb","layers":[[[0,2],[1,3]]]}`
+)
+
+func newGroup(t *testing.T, o btstandin.GroupOptions) *btstandin.Group {
+	t.Helper()
+	o.Name = "g"
+	o.Shape = btstandin.GroupShape{Ranks: 2, Layers: 1, Experts: 4, SlotsPerRank: 2}
+	o.Engine.Clock = btstandin.SystemClock{}
+	g, err := btstandin.NewGroup(o)
+	assert.NilError(t, err)
+	return g
+}
+
+// order sends an order with the rank's next fencing number.
+func order(t *testing.T, g *btstandin.Group, rank int, fields string) int {
+	t.Helper()
+	last := decode[btstandin.Fencing](t, call(g.Rank(rank), http.MethodGet, "/orders", "")).Fencing
+	body := fmt.Sprintf(`{"fencing":%d,%s}`, last+1, fields)
+	return call(g.Rank(rank), http.MethodPost, "/orders", body).Code
+}
+
+func mustOrder(t *testing.T, g *btstandin.Group, rank int, fields string) {
+	t.Helper()
+	assert.Equal(t, order(t, g, rank, fields), http.StatusOK, "rank %d: %s", rank, fields)
+}
+
+func state(t *testing.T, g *btstandin.Group, rank int) btstandin.GroupState {
+	t.Helper()
+	return decode[btstandin.GroupState](t, call(g.Rank(rank), http.MethodGet, "/group", ""))
+}
+
+func TestSwitchWithoutBarrierIsSeenAsMixed(t *testing.T) {
+	g := newGroup(t, btstandin.GroupOptions{})
+	for r := range g.Ranks() {
+		mustOrder(t, g, r, `"op":"stage","map":`+mapB)
+	}
+	before, stepped := g.Step()
+	assert.Assert(t, stepped && !before.Mixed)
+	mustOrder(t, g, 0, `"op":"switch","digest":"bb"`)
+	between, _ := g.Step()
+	assert.Assert(t, between.Mixed)
+	assert.Assert(t, between.Digests[0] == "bb" && between.Digests[1] != "bb")
+	mustOrder(t, g, 1, `"op":"switch","digest":"bb"`)
+	after, _ := g.Step()
+	assert.Assert(t, !after.Mixed)
+	assert.Equal(t, g.Totals().MixedSteps, uint64(1))
+	assert.Equal(t, g.Totals().Steps, uint64(3))
+}
+
+// roundOps are the orders of a round, each given to all ranks before the next.
+type roundOps []string
+
+// mixedSteps runs rounds that change the map to and fro, gives the orders of a phase
+// to the ranks in random order and lets the group step at random in between. It
+// returns how many steps were mixed.
+func mixedSteps(t *testing.T, barrier bool, ops roundOps, seed uint64) uint64 {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 1))
+	g := newGroup(t, btstandin.GroupOptions{Barrier: barrier})
+	for round := range 20 {
+		digest, next := "aa", mapA
+		if round%2 == 1 {
+			digest, next = "bb", mapB
+		}
+		for _, op := range append(roundOps{"stage"}, ops...) {
+			for _, r := range random.Perm(g.Ranks()) {
+				mustOrder(t, g, r, fmt.Sprintf(`"op":%q,"digest":%q,"map":%s`, op, digest, next))
+				for random.IntN(2) == 0 {
+					g.Step()
+				}
+			}
+		}
+	}
+	assert.Assert(t, g.Totals().Steps > 0)
+	return g.Totals().MixedSteps
+}
+
+func TestRoundsAreMixedOnlyWithoutABarrier(t *testing.T) {
+	for seed := range uint64(20) {
+		assert.Equal(t, mixedSteps(t, true, roundOps{"arm", "commit"}, seed), uint64(0), "seed %d", seed)
+		assert.Equal(t, mixedSteps(t, false, roundOps{"pause", "switch", "resume"}, seed), uint64(0), "seed %d", seed)
+		assert.Assert(t, mixedSteps(t, false, roundOps{"switch"}, seed) > 0, "seed %d", seed)
+	}
+}
+
+func TestArmedRankHoldsTheGroup(t *testing.T) {
+	g := newGroup(t, btstandin.GroupOptions{Barrier: true})
+	assert.Equal(t, order(t, g, 0, `"op":"arm","digest":"bb"`), http.StatusUnprocessableEntity)
+	mustOrder(t, g, 0, `"op":"stage","ballot":3,"map":`+mapB)
+	assert.Equal(t, order(t, g, 0, `"op":"commit","digest":"bb"`), http.StatusUnprocessableEntity)
+	mustOrder(t, g, 0, `"op":"arm","digest":"bb"`)
+	_, stepped := g.Step()
+	assert.Assert(t, !stepped)
+	got := state(t, g, 0)
+	assert.Assert(t, got.Armed && got.StagedDigest == "bb" && got.Ballot == 3)
+	mustOrder(t, g, 0, `"op":"abort","digest":"bb"`)
+	mustOrder(t, g, 0, `"op":"abort","digest":"bb"`)
+	record, stepped := g.Step()
+	assert.Assert(t, stepped && !record.Mixed)
+	assert.Equal(t, state(t, g, 0).StagedDigest, "")
+
+	plain := newGroup(t, btstandin.GroupOptions{})
+	mustOrder(t, plain, 0, `"op":"stage","map":`+mapB)
+	assert.Equal(t, order(t, plain, 0, `"op":"arm","digest":"bb"`), http.StatusUnprocessableEntity)
+	assert.Equal(t, order(t, plain, 0, `"op":"stage","map":{"digest":"cc","layers":[[[0],[1]]]}`), http.StatusUnprocessableEntity)
+}
+
+func TestRestartedRankHoldsUntilItHasAMap(t *testing.T) {
+	g := newGroup(t, btstandin.GroupOptions{Barrier: true})
+	g.Rank(1).Kill()
+	_, stepped := g.Step()
+	assert.Assert(t, !stepped)
+	g.Rank(1).Restart()
+	_, stepped = g.Step()
+	assert.Assert(t, !stepped)
+	assert.Equal(t, state(t, g, 1).MapDigest, "")
+	assert.Equal(t, order(t, g, 1, `"op":"resume"`), http.StatusUnprocessableEntity)
+	for _, op := range []string{"stage", "arm", "commit"} {
+		for r := range g.Ranks() {
+			mustOrder(t, g, r, fmt.Sprintf(`"op":%q,"digest":"bb","map":%s`, op, mapB))
+		}
+	}
+	record, stepped := g.Step()
+	assert.Assert(t, stepped && !record.Mixed)
+	assert.Equal(t, record.Digests[1], "bb")
+}
+
+func TestStepTimeIsTheSlowestRanks(t *testing.T) {
+	g := newGroup(t, btstandin.GroupOptions{TokensPerStep: 1000})
+	even, _ := g.Step()
+	control(t, g.Rank(1), "/control/fault", `{"slow":10}`)
+	slow, _ := g.Step()
+	assert.Assert(t, slow.Duration > 5*even.Duration)
+	assert.Assert(t, slow.Skew > even.Skew)
+	assert.Assert(t, state(t, g, 1).StepMillis > state(t, g, 0).StepMillis)
+	assert.Equal(t, state(t, g, 0).GroupStepMillis, state(t, g, 1).StepMillis)
+	var served uint64
+	for r := range g.Ranks() {
+		for _, tokens := range state(t, g, r).Counts[0] {
+			served += tokens
+		}
+	}
+	assert.Assert(t, served >= 1996 && served <= 2004, "two steps of 1000 tokens, rounded: %d", served)
+}
+
+func TestPopularityDrifts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, btstandin.GroupOptions{DriftPeriod: time.Minute, ZipfExponent: 2})
+		var skews []float64
+		for range 5 {
+			record, _ := g.Step()
+			skews = append(skews, record.Skew)
+			time.Sleep(time.Minute)
+		}
+		first := skews[0]
+		changed := false
+		for _, skew := range skews {
+			changed = changed || skew != first
+		}
+		assert.Assert(t, changed, "%v", skews)
+	})
+}
+
+func TestRunningGroupMakesATokenAStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, btstandin.GroupOptions{})
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan error)
+		go func() { stopped <- g.Run(ctx) }()
+		answer := decode[wholeAnswer](t, call(g.Rank(1), http.MethodPost, chatPath, chatBody("x", 3, false)))
+		want, err := btstandin.Answer([]byte(chatBody("x", 3, false)))
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Choices[0].Message.Content, want)
+		assert.Assert(t, g.Totals().Steps >= 3)
+
+		mustOrder(t, g, 0, `"op":"pause"`)
+		time.Sleep(time.Second)
+		steps := g.Totals().Steps
+		time.Sleep(time.Second)
+		assert.Equal(t, g.Totals().Steps, steps)
+		assert.Assert(t, g.Totals().HeldMillis > 1900)
+		mustOrder(t, g, 0, `"op":"resume"`)
+		time.Sleep(time.Second)
+		assert.Assert(t, g.Totals().Steps > steps)
+		assert.Assert(t, g.Totals().HeldMillis <= 2000)
+		cancel()
+		assert.NilError(t, <-stopped)
+	})
+}
--- /dev/null
+++ b/io/btstandin/orders.go
@@ -0,0 +1,179 @@
+package btstandin
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+)
+
+// maxOrders is how many accepted orders an engine remembers for tests.
+const maxOrders = 1024
+
+// ErrOrder is wrapped by the error of an order that makes no sense now.
+var ErrOrder = errors.New("order refused")
+
+// OrderOp names what an order asks for. An engine outside a group accepts any.
+type OrderOp string
+
+// The orders that a member of a group knows.
+const (
+	OpStage  OrderOp = "stage"
+	OpArm    OrderOp = "arm"
+	OpCommit OrderOp = "commit"
+	OpAbort  OrderOp = "abort"
+	OpPause  OrderOp = "pause"
+	OpSwitch OrderOp = "switch"
+	OpResume OrderOp = "resume"
+)
+
+// Order is the body of POST /orders.
+type Order struct {
+	// Fencing is higher than that of any order before.
+	Fencing uint64     `json:"fencing"`
+	Op      OrderOp    `json:"op"`
+	Map     *ExpertMap `json:"map,omitempty"`
+	Digest  string     `json:"digest,omitempty"`
+	Ballot  uint64     `json:"ballot,omitempty"`
+}
+
+// Validate reports an order without an operation.
+func (o Order) Validate() error {
+	if o.Op == "" {
+		return fmt.Errorf("%w: op: none", ErrInput)
+	}
+	return nil
+}
+
+// Fencing is the body of GET /orders and of every answer to an order: the
+// highest number accepted since the engine's start, zero for none.
+type Fencing struct {
+	Fencing uint64 `json:"fencing"`
+}
+
+// OrderLog is the body of GET /control/orders.
+type OrderLog struct {
+	// Accepted lists the last orders accepted, oldest first, without their maps.
+	Accepted []Order `json:"accepted"`
+	// Stale counts orders with a number not above the last, whether or not they
+	// were refused for it.
+	Stale int `json:"stale"`
+}
+
+// executor carries out orders that passed the check of fencing numbers, and
+// hears of its engine's lives.
+type executor interface {
+	// execute does what an order asks for at once, and returns what takes long,
+	// nil for nothing, as a function to call without a lock.
+	execute(o Order) (finish func() error, err error)
+	killed()
+	// restarted comes before the new life takes requests.
+	restarted()
+}
+
+// anyOrder accepts every order and does nothing.
+type anyOrder struct{}
+
+var _ executor = anyOrder{}
+
+func (anyOrder) execute(Order) (func() error, error) { return nil, nil }
+
+func (anyOrder) killed() {}
+
+func (anyOrder) restarted() {}
+
+// orderDesk receives an engine's orders, checks their fencing numbers and has
+// them executed one at a time in the order in which they were accepted.
+type orderDesk struct {
+	checks   bool
+	executor executor
+
+	mutex sync.Mutex
+	last  uint64
+	log   OrderLog
+}
+
+func newOrderDesk(checks bool, x executor) *orderDesk {
+	return &orderDesk{checks: checks, executor: x}
+}
+
+// take executes the order; false where the engine refuses its number as old.
+func (d *orderDesk) take(o Order) (finish func() error, accepted bool, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.accept(o) {
+		return nil, false, nil
+	}
+	finish, err = d.executor.execute(o)
+	return finish, true, err
+}
+
+// accept records the order's number. The mutex must be held.
+func (d *orderDesk) accept(o Order) bool {
+	if o.Fencing <= d.last {
+		d.log.Stale++
+		if d.checks {
+			return false
+		}
+	}
+	d.last = max(d.last, o.Fencing)
+	if len(d.log.Accepted) == maxOrders {
+		d.log.Accepted = d.log.Accepted[1:]
+	}
+	o.Map = nil
+	d.log.Accepted = append(d.log.Accepted, o)
+	return true
+}
+
+// reset forgets the last number, as a restart does; the log for tests stays.
+func (d *orderDesk) reset() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.last = 0
+}
+
+func (d *orderDesk) fencing() Fencing {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return Fencing{Fencing: d.last}
+}
+
+func (d *orderDesk) orders() OrderLog {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return OrderLog{Accepted: append([]Order{}, d.log.Accepted...), Stale: d.log.Stale}
+}
+
+// servePost answers 200 once the order is carried out, 409 to an old number
+// and 422 to an order that makes no sense now.
+func (d *orderDesk) servePost(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	if err := order.Validate(); err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	finish, accepted, err := d.take(order)
+	if !accepted {
+		writeJSON(w, http.StatusConflict, d.fencing())
+		return
+	}
+	if finish != nil {
+		err = finish()
+	}
+	if err != nil {
+		writeError(w, http.StatusUnprocessableEntity, "%s: %v", order.Op, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, d.fencing())
+}
+
+func (d *orderDesk) serveGet(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, d.fencing())
+}
+
+func (d *orderDesk) control(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, d.orders())
+}
--- /dev/null
+++ b/io/btstandin/platform_control.go
@@ -0,0 +1,184 @@
+package btstandin
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bilberrytide/core/btbundle"
+)
+
+// PlatformMode is how the platform fails.
+type PlatformMode string
+
+const (
+	// PlatformSound is the mode without a fault.
+	PlatformSound PlatformMode = "none"
+	// PlatformDown answers every read with 503, or closes the connection.
+	PlatformDown PlatformMode = "down"
+	// PlatformStale answers every read with what held when the fault was set.
+	PlatformStale PlatformMode = "stale"
+	// PlatformSlow delays every read.
+	PlatformSlow PlatformMode = "slow"
+)
+
+// PlatformFault is the body of PUT /control/fault. It stays in force until the
+// next one.
+type PlatformFault struct {
+	Mode PlatformMode `json:"mode"`
+	// Delay is how long slow reads wait.
+	Delay btbundle.Span `json:"delay"`
+	// Close makes a service that is down close the connection instead of
+	// answering 503.
+	Close bool `json:"close"`
+	// Age is how long before the fault was set the stale state held.
+	Age btbundle.Span `json:"age"`
+}
+
+// Validate reports an unknown mode.
+func (f PlatformFault) Validate() error {
+	switch f.Mode {
+	case PlatformSound, PlatformDown, PlatformStale, PlatformSlow:
+		return nil
+	}
+	return fmt.Errorf("%w: mode %q is none of none, down, stale, slow", ErrInput, f.Mode)
+}
+
+// platformFault is the fault in force with the time that a stale service shows.
+type platformFault struct {
+	PlatformFault
+	frozen time.Time
+}
+
+// PlatformCounts is the body of GET /control/counts.
+type PlatformCounts struct {
+	// ConfigReads counts every read and watch, refused ones included.
+	ConfigReads uint64 `json:"config_reads"`
+	// ConfigRefused counts those answered 429.
+	ConfigRefused uint64 `json:"config_refused"`
+	HostReads     uint64 `json:"host_reads"`
+	// WeightReads counts every read of weights, refused ones included.
+	WeightReads uint64 `json:"weight_reads"`
+	// WeightRefused counts those answered 429.
+	WeightRefused uint64 `json:"weight_refused"`
+	// WeightBytes counts the bytes that the store allowed.
+	WeightBytes int64 `json:"weight_bytes"`
+}
+
+// Counts returns the calls counted so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.counts
+}
+
+// SetFault puts the fault in force and lets every waiting watch see it. The
+// error wraps ErrInput.
+func (p *Platform) SetFault(f PlatformFault) error {
+	if err := f.Validate(); err != nil {
+		return err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fault = platformFault{PlatformFault: f, frozen: p.clock.Now().Add(-f.Age.Duration)}
+	p.wake()
+	return nil
+}
+
+func (p *Platform) count(add func(c *PlatformCounts)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	add(&p.counts)
+}
+
+// admit applies the fault in force to a read; it answers and returns false
+// where the read fails.
+func (p *Platform) admit(w http.ResponseWriter, r *http.Request) bool {
+	p.mutex.Lock()
+	f := p.fault
+	p.mutex.Unlock()
+	if f.Mode == PlatformSlow && sleep(r.Context(), p.clock, f.Delay.Duration) != nil {
+		return false
+	}
+	if p.down() {
+		p.writeDown(w)
+		return false
+	}
+	return true
+}
+
+func (p *Platform) down() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.fault.Mode == PlatformDown
+}
+
+func (p *Platform) writeDown(w http.ResponseWriter) {
+	p.mutex.Lock()
+	closing := p.fault.Close
+	p.mutex.Unlock()
+	if closing {
+		closeConnection()
+	}
+	writeRetryAfter(w, http.StatusServiceUnavailable, time.Second, "platform down")
+}
+
+// asOf returns the time whose state readers see. The mutex must be held.
+func (p *Platform) asOf() time.Time {
+	if p.fault.Mode == PlatformStale {
+		return p.fault.frozen
+	}
+	return p.clock.Now()
+}
+
+// stamp returns the time to record a change at: now, but never at the very time
+// that a stale service shows, so that it stays hidden. The mutex must be held.
+func (p *Platform) stamp() time.Time {
+	now := p.clock.Now()
+	if p.fault.Mode == PlatformStale && !now.After(p.fault.frozen) {
+		return p.fault.frozen.Add(time.Nanosecond)
+	}
+	return now
+}
+
+func (p *Platform) controlConfig(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, MaxConfigBytes)
+	if !ok {
+		return
+	}
+	revision, err := p.PutConfig(r.PathValue("key"), body)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	w.Header().Set(RevisionHeader, strconv.FormatUint(revision, 10))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) controlHosts(w http.ResponseWriter, r *http.Request) {
+	var list HostList
+	if readJSON(w, r, &list) {
+		finishControl(w, p.PutHosts(list))
+	}
+}
+
+func (p *Platform) controlFault(w http.ResponseWriter, r *http.Request) {
+	var fault PlatformFault
+	if readJSON(w, r, &fault) {
+		finishControl(w, p.SetFault(fault))
+	}
+}
+
+func (p *Platform) controlCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.Counts())
+}
+
+// finishControl answers 204, or 400 with the error.
+func finishControl(w http.ResponseWriter, err error) {
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/io/btstandin/slots.go
@@ -0,0 +1,125 @@
+package btstandin
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+)
+
+// slots lets a bounded number of requests run; the others wait, the highest
+// priority first and within one priority the oldest.
+type slots struct {
+	mutex   sync.Mutex
+	free    int
+	running int
+	waiting waiters
+	next    uint64
+	// changed is called under the mutex with the new numbers.
+	changed func(running, waiting int)
+}
+
+// waiter is one request that waits for a slot.
+type waiter struct {
+	priority int
+	order    uint64
+	index    int
+	granted  chan struct{}
+}
+
+func newSlots(count int, changed func(running, waiting int)) *slots {
+	return &slots{free: count, changed: changed}
+}
+
+// acquire waits for a slot or the end of the context, whose error it returns.
+func (s *slots) acquire(ctx context.Context, priority int) error {
+	w := s.enter(priority)
+	select {
+	case <-w.granted:
+		return nil
+	case <-ctx.Done():
+		s.giveUp(w)
+		return ctx.Err()
+	}
+}
+
+func (s *slots) enter(priority int) *waiter {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.next++
+	w := &waiter{priority: priority, order: s.next, granted: make(chan struct{})}
+	heap.Push(&s.waiting, w)
+	s.grant()
+	return w
+}
+
+// giveUp takes the waiter out, or returns the slot that it got meanwhile.
+func (s *slots) giveUp(w *waiter) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-w.granted:
+		s.running--
+		s.free++
+	default:
+		heap.Remove(&s.waiting, w.index)
+	}
+	s.grant()
+}
+
+// release returns a slot.
+func (s *slots) release() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running--
+	s.free++
+	s.grant()
+}
+
+// grant hands free slots to those first in line. The mutex must be held.
+func (s *slots) grant() {
+	for s.free > 0 && len(s.waiting) > 0 {
+		w := heap.Pop(&s.waiting).(*waiter)
+		close(w.granted)
+		s.free--
+		s.running++
+	}
+	s.changed(s.running, len(s.waiting))
+}
+
+// waiters is a heap with the next to be granted first.
+type waiters []*waiter
+
+var _ heap.Interface = (*waiters)(nil)
+
+// Len returns how many wait.
+func (w waiters) Len() int { return len(w) }
+
+// Less tells whether waiter i goes before waiter j.
+func (w waiters) Less(i, j int) bool {
+	if w[i].priority != w[j].priority {
+		return w[i].priority > w[j].priority
+	}
+	return w[i].order < w[j].order
+}
+
+// Swap exchanges two waiters.
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index = i
+	w[j].index = j
+}
+
+// Push appends a waiter.
+func (w *waiters) Push(x any) {
+	entry := x.(*waiter)
+	entry.index = len(*w)
+	*w = append(*w, entry)
+}
+
+// Pop removes the last waiter.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	entry := (*w)[last]
+	*w = (*w)[:last]
+	return entry
+}
--- /dev/null
+++ b/io/btstandin/staging_test.go
@@ -0,0 +1,71 @@
+package btstandin_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/io/btstandin"
+)
+
+// handlerTransport is an HTTP client's way to a handler without a socket.
+type handlerTransport struct {
+	handler http.Handler
+}
+
+// RoundTrip has the handler answer the request.
+func (h handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	h.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func newPuller(t *testing.T, p *btstandin.Platform, size int64) *btstandin.WeightPuller {
+	t.Helper()
+	w, err := btstandin.NewWeightPuller(btstandin.WeightPullerOptions{
+		Clock:       btstandin.SystemClock{},
+		Client:      &http.Client{Transport: handlerTransport{handler: p}},
+		Platform:    netip.MustParseAddrPort("127.0.0.1:1"),
+		Model:       "m",
+		ExpertBytes: size,
+	})
+	assert.NilError(t, err)
+	return w
+}
+
+func TestStagingPullsWhatIsMissingAtTheStoresRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform(t, btstandin.PlatformOptions{WeightBytesPerSecond: 1000})
+		g := newGroup(t, btstandin.GroupOptions{Weights: newPuller(t, p, 1000)})
+		for r := range g.Ranks() {
+			mustOrder(t, g, r, `"op":"stage","map":`+mapA)
+		}
+		// Experts are dealt in turn at the start, so that each rank lacks one.
+		assert.Equal(t, p.Counts().WeightBytes, int64(2000))
+		start := time.Now()
+		mustOrder(t, g, 0, `"op":"stage","map":`+mapA)
+		assert.Equal(t, time.Since(start), time.Duration(0), "staged before")
+	})
+}
+
+func TestAbortBreaksOffStaging(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform(t, btstandin.PlatformOptions{})
+		g := newGroup(t, btstandin.GroupOptions{Barrier: true, Weights: newPuller(t, p, 1000)})
+		assert.NilError(t, p.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformDown}))
+		staged := make(chan int)
+		go func() { staged <- order(t, g, 0, `"op":"stage","map":`+mapA) }()
+		synctest.Wait()
+		assert.Equal(t, state(t, g, 0).StagingDigest, "aa")
+		mustOrder(t, g, 0, `"op":"abort","digest":"aa"`)
+		assert.Equal(t, <-staged, http.StatusUnprocessableEntity)
+		assert.Equal(t, state(t, g, 0).StagedDigest, "")
+		_, stepped := g.Step()
+		assert.Assert(t, stepped)
+	})
+}
