Bundle, register, settings and their commands

Cause: processes need one signed bundle, whole and never reverting, without a store of our own. Left: compression at 830 targets.

--- /dev/null
+++ b/commands/btbundlecmd/new.go
@@ -0,0 +1,95 @@
+package btbundlecmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btbundle/btdraft"
+)
+
+const newHelp = `Make the next version of a bundle.
+
+Stamps version, parent and time into a draft, which is the edited text, and
+keeps the key homes' epochs: where a home is gone, a new epoch is appended;
+epochs past their memory are left out. Everything else stays as written.
+
+  bilberrytide bundle new --from inforce.toml --draft edited.toml --out next.toml
+  bilberrytide bundle new --draft first.toml --out version1.toml`
+
+type newCommand struct {
+	out   io.Writer
+	from  string
+	draft string
+	path  string
+}
+
+func registerNew(bundle *kingpin.CmdClause, out io.Writer) {
+	c := &newCommand{out: out}
+	command := bundle.Command("new", newHelp).Action(c.run)
+	command.Flag("from", "The bundle in force, signed or not; none for a first version.").StringVar(&c.from)
+	command.Flag("draft", "The edited text; the bundle in force itself where none is given.").StringVar(&c.draft)
+	command.Flag("out", "File to write, which must not exist.").Required().StringVar(&c.path)
+	command.Validate(func(*kingpin.CmdClause) error {
+		if c.from == "" && c.draft == "" {
+			return errors.New("give --from, --draft or both")
+		}
+		return nil
+	})
+}
+
+func (c *newCommand) run(*kingpin.ParseContext) error {
+	parent, draft, err := c.read()
+	if err != nil {
+		return err
+	}
+	next, err := btdraft.Next(parent, draft, time.Now())
+	if err != nil {
+		return refused(c.source(), err)
+	}
+	if err := writeNew(c.path, next, 0o644); err != nil {
+		return err
+	}
+	b, err := btbundle.Decode(next)
+	if err != nil {
+		return refused(c.path, err)
+	}
+	_, err = fmt.Fprintf(c.out, "%s: version %d, digest %s\n", c.path, b.Version, btbundle.DigestOf(next))
+	return err
+}
+
+// source returns the file that the text comes from.
+func (c *newCommand) source() string {
+	if c.draft != "" {
+		return c.draft
+	}
+	return c.from
+}
+
+// read returns the parent's document, or nil, and the draft's text.
+func (c *newCommand) read() (parent, draft []byte, err error) {
+	if c.from != "" {
+		signed, _, err := readBundle(c.from)
+		if err != nil {
+			return nil, nil, err
+		}
+		parent = signed.Document
+	}
+	if c.draft == "" {
+		return parent, parent, nil
+	}
+	text, err := os.ReadFile(c.draft)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	signed, err := btbundle.ParseSigned(text)
+	if err != nil {
+		return nil, nil, refused(c.draft, err)
+	}
+	return parent, signed.Document, nil
+}
--- /dev/null
+++ b/core/btbundle/span.go
@@ -0,0 +1,26 @@
+package btbundle
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrSpan is wrapped by the error of every malformed duration.
+var ErrSpan = errors.New("malformed duration")
+
+// MarshalText writes the duration as Go does: "1m30s".
+func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a duration that is not negative. The error wraps ErrSpan.
+func (s *Span) UnmarshalText(text []byte) error {
+	duration, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf(`%w: %q: write it as "250ms", "30s" or "24h"`, ErrSpan, text)
+	}
+	if duration < 0 {
+		return fmt.Errorf("%w: %q is negative", ErrSpan, text)
+	}
+	s.Duration = duration
+	return nil
+}
--- /dev/null
+++ b/core/btbundle/successor_test.go
@@ -0,0 +1,151 @@
+package btbundle_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btbundle/btdraft"
+	"bilberrytide/core/btid"
+)
+
+func decode(t *testing.T, document []byte) *btbundle.Bundle {
+	t.Helper()
+	b, err := btbundle.Decode(document)
+	assert.NilError(t, err)
+	return b
+}
+
+// fourth is a target that may stand in for one that goes.
+const fourth = `[[targets]]
+name = "t4"
+service = "lookup"
+host = "h4"
+data_centre = "aarhus"
+address = "127.0.0.1:7104"
+endpoint = "127.0.0.1:7204"
+slots = 4
+queue = 8
+
+`
+
+// replaced is the small bundle with target t2 replaced by t4.
+func replaced() string {
+	text := edited("[[accounts]]", fourth+"[[accounts]]")
+	at := strings.Index(text, "[[targets]]\nname = \"t2\"")
+	end := strings.Index(text, "[[targets]]\nname = \"t3\"")
+	return text[:at] + text[end:]
+}
+
+func TestDraftAppendsAndPrunesEpochs(t *testing.T) {
+	now := start.Add(time.Hour)
+	second, err := btdraft.Next([]byte(small), []byte(replaced()), now)
+	assert.NilError(t, err)
+	old := decode(t, []byte(small))
+	next := decode(t, second)
+	assert.Equal(t, next.Version, btid.BundleVersion(2))
+	assert.Equal(t, next.Parent, btbundle.DigestOf([]byte(small)))
+	assert.Assert(t, next.Created.Equal(now))
+	assert.Equal(t, len(next.Services[0].Epochs), 2)
+	assert.DeepEqual(t, next.Services[0].Current().Homes, []btid.Target{"t1", "t3", "t4"})
+	assert.Equal(t, len(btbundle.CheckSuccessor(old, next.Parent, next)), 0)
+
+	memory := next.Idempotency.EpochMemory()
+	third, err := btdraft.Next(second, second, now.Add(memory))
+	assert.NilError(t, err)
+	assert.Equal(t, len(decode(t, third).Services[0].Epochs), 2, "still remembered")
+	third, err = btdraft.Next(second, second, now.Add(memory+time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, len(decode(t, third).Services[0].Epochs), 1)
+	assert.Equal(t, len(btbundle.CheckSuccessor(next, btbundle.DigestOf(second), decode(t, third))), 0)
+
+	hasty := strings.Replace(string(third), now.Add(memory+time.Second).Format(time.RFC3339), now.Format(time.RFC3339), 1)
+	problems := btbundle.CheckSuccessor(next, btbundle.DigestOf(second), decode(t, []byte(hasty)))
+	assert.Assert(t, cmp.Contains(problems.Error(), "epoch 1 is left out"))
+	edited := strings.Replace(string(second), `homes = ["t1", "t2", "t3"]`, `homes = ["t1"]`, 1)
+	problems = btbundle.CheckSuccessor(old, btbundle.DigestOf([]byte(small)), decode(t, []byte(edited)))
+	assert.Assert(t, cmp.Contains(problems.Error(), "epoch 1 has other homes"))
+}
+
+func TestDraftKeepsEverythingElse(t *testing.T) {
+	const blocks = "[[services.epochs]]\nnumber = 1\nsince = 2026-01-31T12:00:00Z\nhomes = [\"t1\", \"t2\", \"t3\"]\n"
+	inline := strings.Replace(replaced(), "\n"+blocks, "epochs = [ # homes\n{number = 1, since = 2026-01-31T12:00:00Z, homes = [\"t1\", \"t2\"]}]\n", 1)
+	for name, draft := range map[string]string{
+		"tables":  "# first line\n" + strings.Replace(replaced(), "slots = 4", "slots = 4 # four", 1),
+		"inline":  inline,
+		"missing": strings.Replace(edited(blocks, ""), "version = 1\ncreated = 2026-01-31T12:00:00Z\n", "# nothing stamped\n", 1),
+		"no end":  strings.TrimSuffix(small, "\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			next, err := btdraft.Next([]byte(small), []byte(draft), start.Add(time.Hour))
+			assert.NilError(t, err)
+			kept := 0
+			for line := range strings.Lines(draft) {
+				if strings.Contains(string(next), strings.TrimSpace(line)) {
+					kept++
+				}
+			}
+			total := strings.Count(strings.TrimSuffix(draft, "\n"), "\n") + 1
+			assert.Assert(t, kept >= total-4, "%d of %d lines kept:\n%s", kept, total, next)
+			assert.Equal(t, decode(t, next).Version, btid.BundleVersion(2))
+		})
+	}
+	_, err := btdraft.Next([]byte(small), []byte("colour = 1\n"), start)
+	assert.ErrorContains(t, err, "line 1: colour: unknown key")
+	first, err := btdraft.Next(nil, []byte(small), start)
+	assert.NilError(t, err)
+	assert.Equal(t, string(first), small)
+}
+
+func TestDiffSpeaksInOutcomes(t *testing.T) {
+	old := decode(t, []byte(small))
+	second, err := btdraft.Next([]byte(small), []byte(replaced()), start)
+	assert.NilError(t, err)
+	text := strings.Replace(string(second), "rate = 10.0", "rate = 20.0", 1)
+	text = strings.Replace(text, `budget_share = 0.2`, `budget_share = 0.1`, 1)
+	text = strings.Replace(text, "created = ", "destroyed_hosts = [\"h9\"]\ncreated = ", 1)
+	var lines []string
+	for _, c := range btbundle.Diff(old, decode(t, []byte(text))) {
+		lines = append(lines, fmt.Sprintf("%s %s", c.Kind, c))
+	}
+	share := btbundle.MovedShare([]btid.Target{"t1", "t2", "t3"}, []btid.Target{"t1", "t3", "t4"})
+	assert.Assert(t, share > 0.3 && share < 0.6, "%v", share)
+	assert.DeepEqual(t, lines, []string{
+		"added target t4: takes work of service lookup in data centre aarhus, 4 requests at a time",
+		"removed target t2: gets no new work of service lookup; what is in flight ends",
+		fmt.Sprintf("keys_move service lookup: about %.0f%% of idempotency keys move to another home (epoch 2: [t1 t3 t4], was [t1 t2 t3])", 100*share),
+		"changed client account desk: requests a second becomes 20, was 10",
+		"added destroyed host h9: what only it could tell is taken as lost for good: approve only if it can't come back",
+		"changed retry: budget_share becomes 0.1, was 0.2",
+	})
+	assert.Equal(t, len(btbundle.Diff(old, old)), 1, "the version must grow")
+}
+
+func TestReaderPolicyBoundsReadersAndFailsOver(t *testing.T) {
+	policy := btbundle.DefaultReaderPolicy()
+	readers := func(after time.Duration, lastRead func(i int) time.Time) int {
+		var members []btbundle.Reader
+		for i := range 50 {
+			members = append(members, btbundle.Reader{Name: name(i), LastRead: lastRead(i)})
+		}
+		count := 0
+		for _, m := range members {
+			if policy.Reads(start.Add(after), start, m.Name, members) {
+				count++
+			}
+		}
+		return count
+	}
+	never := func(int) time.Time { return time.Time{} }
+	recent := func(int) time.Time { return start.Add(time.Hour) }
+	assert.Equal(t, readers(0, never), policy.Count)
+	assert.Equal(t, readers(policy.Silence, never), policy.Count+1, "one steps in")
+	assert.Equal(t, readers(time.Hour, never), policy.Most, "bounded however long the service is silent")
+	assert.Equal(t, readers(time.Hour, recent), policy.Count)
+	assert.Assert(t, !policy.Reads(start, start, "agent/stranger", nil))
+}
--- /dev/null
+++ b/io/btsettings/btsettings.go
@@ -0,0 +1,95 @@
+// Package btsettings reads what a process must know before it has a bundle:
+// its own name and place, where it listens, where the platform is, and whom it
+// trusts.
+//
+// Settings are TOML, read once at the start. Everything that may change while a
+// process runs stands in the bundle instead; a change of settings takes a
+// restart, but for the files that the tls table names.
+package btsettings
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+)
+
+// Entry holds the settings of an entry process. Its doc tags are the printed
+// reference.
+type Entry struct {
+	Name       btid.Entry      `toml:"name" json:"name" required:"true" doc:"The entry's name, as the bundle and its certificate (entry/<name>) have it."`
+	Host       btid.Host       `toml:"host" json:"host" required:"true" doc:"The host that the process runs on."`
+	DataCentre btid.DataCentre `toml:"data_centre" json:"data_centre" required:"true" doc:"The data centre that the host stands in."`
+	Listen     netip.AddrPort  `toml:"listen" json:"listen" required:"true" doc:"Where callers reach the entry, over HTTP. Port 0 takes a free one, which the log tells."`
+	PeerListen netip.AddrPort  `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
+	// BalancerLag is how long the listener stays open after readiness is false.
+	BalancerLag btbundle.Span      `toml:"balancer_lag" json:"balancer_lag" doc:"How long a stopping entry still takes callers after /readyz turned false: the time that the balancer needs to notice."`
+	Watch       int                `toml:"watch" json:"watch" doc:"How many processes' heartbeats this one hears at the most."`
+	Platform    Platform           `toml:"platform" json:"platform"`
+	Approvers   btbundle.Approvers `toml:"approvers" json:"approvers"`
+	TLS         TLS                `toml:"tls" json:"tls"`
+	Log         Log                `toml:"log" json:"log"`
+	Status      Status             `toml:"status" json:"status"`
+}
+
+// Agent holds the settings of the process beside one target. Its doc tags are
+// the printed reference.
+type Agent struct {
+	Target     btid.Target        `toml:"target" json:"target" required:"true" doc:"The target's name, as the bundle and the certificate (agent/<target>) have it."`
+	Host       btid.Host          `toml:"host" json:"host" required:"true" doc:"The host that the process runs on."`
+	DataCentre btid.DataCentre    `toml:"data_centre" json:"data_centre" required:"true" doc:"The data centre that the host stands in."`
+	PeerListen netip.AddrPort     `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
+	Drain      btbundle.Span      `toml:"drain" json:"drain" doc:"The longest that a stopping agent waits for requests in flight; 0s takes the bundle's timeouts.drain."`
+	Watch      int                `toml:"watch" json:"watch" doc:"How many processes' heartbeats this one hears at the most."`
+	Platform   Platform           `toml:"platform" json:"platform"`
+	Approvers  btbundle.Approvers `toml:"approvers" json:"approvers"`
+	TLS        TLS                `toml:"tls" json:"tls"`
+	Log        Log                `toml:"log" json:"log"`
+	Status     Status             `toml:"status" json:"status"`
+}
+
+// Platform tells where the platform's services are.
+type Platform struct {
+	Address   netip.AddrPort `toml:"address" json:"address" required:"true" doc:"Where the platform answers HTTP: configuration, hosts and weights."`
+	BundleKey string         `toml:"bundle_key" json:"bundle_key" doc:"The configuration service's key that holds the signed bundle."`
+}
+
+// TLS names the files for mutual TLS between processes, in PEM. A path that
+// isn't absolute starts at the settings file's directory.
+type TLS struct {
+	CA   string `toml:"ca" json:"ca" required:"true" doc:"The certificate of the operator's CA, which signs every process's certificate."`
+	Cert string `toml:"cert" json:"cert" required:"true" doc:"This process's certificate. The tls files are read again when they change."`
+	Key  string `toml:"key" json:"key" required:"true" doc:"This process's private key."`
+}
+
+// Log says what is logged, to standard error.
+type Log struct {
+	Level  slog.Level `toml:"level" json:"level" doc:"The least severe level logged: debug, info, warn or error."`
+	Format LogFormat  `toml:"format" json:"format" doc:"How lines are written: text or json."`
+}
+
+// Status is where a process tells operators of itself.
+type Status struct {
+	Listen netip.AddrPort `toml:"listen" json:"listen" doc:"Where /metrics, /status, /healthz and /readyz answer, on loopback only. Port 0 takes a free one, which the log tells."`
+}
+
+// LogFormat is how log lines are written.
+type LogFormat string
+
+// The two formats of log lines.
+const (
+	Text LogFormat = "text"
+	JSON LogFormat = "json"
+)
+
+// UnmarshalText reads one of the two formats.
+func (f *LogFormat) UnmarshalText(text []byte) error {
+	format := LogFormat(text)
+	if format != Text && format != JSON {
+		return fmt.Errorf("%q must be %q or %q", text, Text, JSON)
+	}
+	*f = format
+	return nil
+}
--- /dev/null
+++ b/io/btsettings/load.go
@@ -0,0 +1,144 @@
+package btsettings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"bilberrytide/core/btbundle/bttoml"
+	"bilberrytide/core/btid"
+)
+
+// ErrRead is wrapped by the error of a settings file that can't be read.
+var ErrRead = errors.New("settings file can't be read")
+
+// Error lists every fault of a settings file.
+type Error struct {
+	File     string          `json:"file"`
+	Problems bttoml.Problems `json:"problems"`
+}
+
+// Error writes one fault a line: "file: line 7: key: text".
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = e.File + ": " + p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults.
+func (e *Error) Unwrap() error { return e.Problems }
+
+// LoadEntry reads an entry's settings file. The error wraps ErrRead or is an
+// *Error with every fault.
+func LoadEntry(path string) (*Entry, error) {
+	s := DefaultEntry()
+	err := load(path, &s, func(c *bttoml.Checker) {
+		s.check(c)
+		s.TLS.resolve(path)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// LoadAgent reads an agent's settings file. The error wraps ErrRead or is an
+// *Error with every fault.
+func LoadAgent(path string) (*Agent, error) {
+	s := DefaultAgent()
+	err := load(path, &s, func(c *bttoml.Checker) {
+		s.check(c)
+		s.TLS.resolve(path)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// load decodes the file into settings and checks them where every value could
+// be decoded.
+func load(path string, settings any, check func(c *bttoml.Checker)) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrRead, err)
+	}
+	positions, problems := bttoml.Decode(data, settings)
+	if problems.UnknownOnly() {
+		c := bttoml.NewChecker(positions)
+		requireKeys(c, settings)
+		check(c)
+		problems = append(problems, c.Problems()...)
+	}
+	var listed bttoml.Problems
+	if errors.As(problems.Err(), &listed) {
+		return &Error{File: path, Problems: listed}
+	}
+	return nil
+}
+
+func (s *Entry) check(c *bttoml.Checker) {
+	c.Require(s.BalancerLag.Duration >= 0, "balancer_lag", "must not be negative")
+	checkWatch(c, s.Watch)
+	s.Platform.check(c)
+	checkApprovers(c, s.Approvers.Validate())
+	s.Status.check(c)
+	taken := s.Status.Listen == s.Listen && s.Listen.Port() != 0
+	c.Require(!taken, "status.listen", "%s is already listen", s.Status.Listen)
+}
+
+func (s *Agent) check(c *bttoml.Checker) {
+	checkWatch(c, s.Watch)
+	s.Platform.check(c)
+	checkApprovers(c, s.Approvers.Validate())
+	s.Status.check(c)
+}
+
+func checkWatch(c *bttoml.Checker, watch int) {
+	c.Require(watch >= 1, "watch", "%d must be 1 or more", watch)
+}
+
+func checkApprovers(c *bttoml.Checker, err error) {
+	if err != nil {
+		c.Require(false, "approvers", "%v", err)
+	}
+}
+
+func (p *Platform) check(c *bttoml.Checker) {
+	if p.Address.IsValid() {
+		c.Require(p.Address.Port() != 0, "platform.address", "%s needs a port over 0", p.Address)
+	}
+	err := btid.CheckName(p.BundleKey)
+	c.Require(err == nil, "platform.bundle_key", "%v", err)
+}
+
+func (s *Status) check(c *bttoml.Checker) {
+	c.Require(s.Listen.Addr().IsLoopback(), "status.listen", "%s is not on loopback: it tells of client accounts and takes no key", s.Listen)
+}
+
+// resolve makes paths start at the settings file's directory.
+func (t *TLS) resolve(path string) {
+	for _, file := range []*string{&t.CA, &t.Cert, &t.Key} {
+		if *file != "" && !filepath.IsAbs(*file) {
+			*file = filepath.Join(filepath.Dir(path), *file)
+		}
+	}
+}
+
+// CheckFiles reports the files that can't be read.
+func (t *TLS) CheckFiles() error {
+	var errs []error
+	for _, file := range []string{t.CA, t.Cert, t.Key} {
+		f, err := os.Open(file)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%w: %w", ErrRead, err))
+			continue
+		}
+		errs = append(errs, f.Close())
+	}
+	return errors.Join(errs...)
+}
