--- /dev/null
+++ b/io/btpeer/btbackoff/btbackoff.go
@@ -0,0 +1,34 @@
+// Package btbackoff spaces out attempts that keep failing.
+package btbackoff
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy is an exponential backoff with jitter: each wait is drawn evenly from
+// the upper half of a span that doubles from First up to Last.
+type Policy struct {
+	// First is the span after one failure.
+	First time.Duration
+	// Last is the longest span.
+	Last time.Duration
+}
+
+// Wait returns the wait after so many failures in a row, counted from 1. The
+// source of randomness may be nil for the process's own.
+func (p Policy) Wait(failures int, random *rand.Rand) time.Duration {
+	span := p.First
+	for i := 1; i < failures && span < p.Last; i++ {
+		span *= 2
+	}
+	span = min(span, p.Last)
+	half := span / 2
+	if half <= 0 {
+		return span
+	}
+	if random == nil {
+		return half + rand.N(half)
+	}
+	return half + time.Duration(random.Int64N(int64(half)))
+}
--- /dev/null
+++ b/io/bttarget/client.go
@@ -0,0 +1,206 @@
+package bttarget
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Defaults of Options.
+const (
+	// DefaultDialTimeout bounds connecting to a target on the same host.
+	DefaultDialTimeout = time.Second
+	// DefaultConnections is how many idle connections are kept.
+	DefaultConnections = 256
+	// DefaultIdleTimeout is how long an idle connection is kept.
+	DefaultIdleTimeout = time.Minute
+	// DefaultMaxAnswer is the size limit of answers of the target's own
+	// protocol, in bytes; it doesn't bound callers' answers.
+	DefaultMaxAnswer = 4 << 20
+	// DefaultMaxHeader is the size limit of the fields of an answer, in bytes.
+	DefaultMaxHeader = 64 << 10
+)
+
+// Names of the counters.
+const (
+	MetricRequests = "target.requests"
+	MetricNotSent  = "target.not_sent"
+	MetricLost     = "target.lost"
+)
+
+// Options are a Client's dependencies and limits. Zero values mean the
+// defaults.
+type Options struct {
+	// Endpoint is where the target serves HTTP.
+	Endpoint netip.AddrPort
+	// Registry may be nil.
+	Registry    metrics.Registry
+	DialTimeout time.Duration
+	IdleTimeout time.Duration
+	Connections int
+	MaxAnswer   int64
+}
+
+// Client speaks with one target. It is safe for concurrent use.
+type Client struct {
+	options   Options
+	transport *http.Transport
+	requests  metrics.Counter
+	notSent   metrics.Counter
+	lost      metrics.Counter
+}
+
+// New returns a client; it connects with the first request.
+func New(o Options) *Client {
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
+	dialler := &net.Dialer{Timeout: o.DialTimeout}
+	return &Client{
+		options: o,
+		transport: &http.Transport{
+			DialContext:            dialler.DialContext,
+			MaxIdleConns:           o.Connections,
+			MaxIdleConnsPerHost:    o.Connections,
+			IdleConnTimeout:        o.IdleTimeout,
+			MaxResponseHeaderBytes: DefaultMaxHeader,
+			DisableCompression:     true,
+		},
+		requests: metrics.GetOrRegisterCounter(MetricRequests, o.Registry),
+		notSent:  metrics.GetOrRegisterCounter(MetricNotSent, o.Registry),
+		lost:     metrics.GetOrRegisterCounter(MetricLost, o.Registry),
+	}
+}
+
+func setDefault[T ~int | ~int64](value *T, fallback T) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do sends the request once and returns when the head of the answer is there.
+// The context governs the whole exchange, the body included. Redirects are
+// answers like any other.
+//
+// Errors: ErrRequest (nothing was sent), ErrNotSent, ErrLost.
+func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := c.request(httptrace.WithClientTrace(ctx, trace), r)
+	if err != nil {
+		return nil, err
+	}
+	c.requests.Inc(1)
+	// RoundTrip rather than http.Client: it follows no redirects, and keeps no
+	// cookies.
+	answer, err := c.transport.RoundTrip(request)
+	if err != nil && !connected.Load() {
+		c.notSent.Inc(1)
+		return nil, fmt.Errorf("%w: %s %s: %w", ErrNotSent, r.Method, r.URI, err)
+	}
+	if err != nil {
+		c.lost.Inc(1)
+		return nil, fmt.Errorf("%w: %s %s: %w", ErrLost, r.Method, r.URI, err)
+	}
+	return &Response{
+		Status:    answer.StatusCode,
+		Header:    endToEnd(answer.Header),
+		Length:    answer.ContentLength,
+		Delimited: delimited(r.Method, answer),
+		Body:      &body{from: answer.Body, lost: c.lost},
+	}, nil
+}
+
+func delimited(method string, answer *http.Response) bool {
+	if answer.ContentLength >= 0 || method == http.MethodHead {
+		return true
+	}
+	for _, coding := range answer.TransferEncoding {
+		if coding == "chunked" {
+			return true
+		}
+	}
+	return false
+}
+
+// request builds a request that net/http never sends again by itself. It does
+// that, on a connection that breaks, to requests that look repeatable and
+// whose body it can rewind. None here can be rewound, and none carries the key
+// in the spelling that net/http looks for.
+func (c *Client) request(ctx context.Context, r Request) (*http.Request, error) {
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return nil, fmt.Errorf("%w: method %s is not passed on", ErrRequest, r.Method)
+	}
+	if len(r.URI) == 0 || r.URI[0] != '/' {
+		return nil, fmt.Errorf("%w: %q does not start with a slash", ErrRequest, r.URI)
+	}
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.options.Endpoint.String()+r.URI, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRequest, err)
+	}
+	request.Header = outgoing(r.Header)
+	request.GetBody = nil
+	switch {
+	case len(r.Body) > 0:
+		request.Body = io.NopCloser(bytes.NewReader(r.Body))
+		request.ContentLength = int64(len(r.Body))
+	case looksRepeatable(r.Method):
+		// net/http finds out that this is empty, and sends no body, but takes it
+		// for one that can't be rewound.
+		request.Body = io.NopCloser(eof{})
+	default:
+		request.Body = http.NoBody
+	}
+	return request, nil
+}
+
+func looksRepeatable(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+type eof struct{}
+
+func (eof) Read([]byte) (int, error) { return 0, io.EOF }
+
+// body converts the errors of an answer's body.
+type body struct {
+	from io.ReadCloser
+	lost metrics.Counter
+}
+
+// Read reads from the target. The error is io.EOF or wraps ErrLost.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	if !errors.Is(err, context.Canceled) {
+		b.lost.Inc(1)
+	}
+	return n, fmt.Errorf("%w: answer: %w", ErrLost, err)
+}
+
+// Close ends the exchange; before the body's end it cancels it at the target.
+func (b *body) Close() error {
+	if err := b.from.Close(); err != nil {
+		return fmt.Errorf("%w: close: %w", ErrLost, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/bttarget/engine.go
@@ -0,0 +1,239 @@
+package bttarget
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+)
+
+const (
+	uriLoad        = "/load"
+	uriCacheEvents = "/cache/events?after="
+	uriOrders      = "/orders"
+	uriGroup       = "/group"
+	uriStreams     = "/v1/streams/"
+
+	headerContentType = "Content-Type"
+	contentJSON       = "application/json"
+)
+
+// Load is what an engine says of itself; it lags.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// KVUsed is the share of cache memory in use, 0 to 1.
+	KVUsed float64 `json:"kv_used"`
+	Steps  uint64  `json:"steps"`
+	// StepMillis is the time of a step in milliseconds.
+	StepMillis float64 `json:"step_ms"`
+}
+
+// StepTime returns the time of a step.
+func (l Load) StepTime() time.Duration { return millis(l.StepMillis) }
+
+// Validate reports a load that can't be one.
+func (l Load) Validate() error {
+	if l.Running < 0 || l.Waiting < 0 || l.StepMillis < 0 || !(l.KVUsed >= 0 && l.KVUsed <= 1) {
+		return fmt.Errorf("load out of range: %+v", l)
+	}
+	return nil
+}
+
+// CacheOp tells what happened to a cached prefix.
+type CacheOp string
+
+const (
+	// Stored prefixes are in the cache from now on.
+	Stored CacheOp = "stored"
+	// Evicted prefixes are not any more.
+	Evicted CacheOp = "evicted"
+)
+
+// CacheEvent is one change of an engine's prefix cache. Events come late, and
+// a gap between two sequence numbers is one in the engine's own report.
+type CacheEvent struct {
+	Sequence uint64          `json:"seq"`
+	Op       CacheOp         `json:"op"`
+	Prefix   btbundle.Digest `json:"prefix"`
+}
+
+type cacheEvents struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// Validate reports an event that can't be one.
+func (c cacheEvents) Validate() error {
+	for i, e := range c.Events {
+		if e.Op != Stored && e.Op != Evicted {
+			return fmt.Errorf("events[%d]: op %q", i, e.Op)
+		}
+	}
+	return nil
+}
+
+// Op names an order.
+type Op string
+
+// The orders of a group member. Stage loads a map's weights and changes no
+// step. Engines with a barrier then take Arm, Commit and Abort; the others
+// Pause, Switch and Resume.
+const (
+	Stage  Op = "stage"
+	Arm    Op = "arm"
+	Commit Op = "commit"
+	Abort  Op = "abort"
+	Pause  Op = "pause"
+	Switch Op = "switch"
+	Resume Op = "resume"
+)
+
+// Order is one order to the target. Whether the target checks the fencing
+// number differs; safety must not rest on it.
+type Order struct {
+	Fencing uint64 `json:"fencing"`
+	Op      Op     `json:"op"`
+	// Map is the expert map of a Stage, as JSON.
+	Map json.RawMessage `json:"map,omitempty"`
+	// MapDigest names the map that the order is about.
+	MapDigest string `json:"map_digest,omitempty"`
+}
+
+type fencing struct {
+	Fencing uint64 `json:"fencing"`
+}
+
+func (fencing) Validate() error { return nil }
+
+// GroupState is what an engine knows of its place in a group.
+type GroupState struct {
+	// MapDigest is the map of the current step.
+	MapDigest string `json:"map_digest"`
+	// StagedDigest is empty where nothing is staged.
+	StagedDigest string `json:"staged_digest"`
+	Armed        bool   `json:"armed"`
+	Step         uint64 `json:"step"`
+	// Counts holds, by layer, the tokens that each expert got.
+	Counts [][]float64 `json:"counts"`
+	// StepMillis is this rank's own part of a step in milliseconds.
+	StepMillis float64 `json:"step_ms"`
+}
+
+// StepTime returns this rank's own part of a step.
+func (g GroupState) StepTime() time.Duration { return millis(g.StepMillis) }
+
+// Validate reports a state that can't be one.
+func (g GroupState) Validate() error {
+	if g.StepMillis < 0 {
+		return fmt.Errorf("step_ms %v", g.StepMillis)
+	}
+	for i, layer := range g.Counts {
+		for e, count := range layer {
+			if !(count >= 0) {
+				return fmt.Errorf("counts[%d][%d] is %v", i, e, count)
+			}
+		}
+	}
+	return nil
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Load reads the engine's load. Errors: ErrNotSent, ErrLost, ErrStatus,
+// ErrMalformed, ErrTooLarge.
+func (c *Client) Load(ctx context.Context) (Load, error) { return get[Load](ctx, c, uriLoad) }
+
+// CacheEvents reads the changes of the prefix cache after a sequence number.
+// Errors are those of Load.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
+	answer, err := get[cacheEvents](ctx, c, uriCacheEvents+strconv.FormatUint(after, 10))
+	return answer.Events, err
+}
+
+// Group reads the engine's place in its group. Errors are those of Load.
+func (c *Client) Group(ctx context.Context) (GroupState, error) {
+	return get[GroupState](ctx, c, uriGroup)
+}
+
+// Fencing reads the highest fencing number that the target has seen. Errors
+// are those of Load.
+func (c *Client) Fencing(ctx context.Context) (uint64, error) {
+	answer, err := get[fencing](ctx, c, uriOrders)
+	return answer.Fencing, err
+}
+
+// Order gives the target an order, once. Errors are those of Load and
+// *FencedError. After ErrLost the order may have been carried out.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("%w: order %s: %w", ErrRequest, o.Op, err)
+	}
+	header := http.Header{headerContentType: {contentJSON}}
+	response, err := c.Do(ctx, Request{Method: http.MethodPost, URI: uriOrders, Header: header, Body: data})
+	if err != nil {
+		return err
+	}
+	defer closeBody(response.Body)
+	if response.Status == http.StatusConflict {
+		last, err := decode[fencing](c, response, uriOrders)
+		if err != nil {
+			return err
+		}
+		return &FencedError{Last: last.Fencing}
+	}
+	return expectOK(response, uriOrders)
+}
+
+// ResumeRequest returns the request that continues a stream of the engine after
+// so many events.
+func ResumeRequest(id btid.Request, after uint64) Request {
+	uri := uriStreams + id.String() + "?after=" + strconv.FormatUint(after, 10)
+	return Request{Method: http.MethodGet, URI: uri}
+}
+
+func get[T interface{ Validate() error }](ctx context.Context, c *Client, uri string) (T, error) {
+	var none T
+	response, err := c.Do(ctx, Request{Method: http.MethodGet, URI: uri})
+	if err != nil {
+		return none, err
+	}
+	defer closeBody(response.Body)
+	if err := expectOK(response, uri); err != nil {
+		return none, err
+	}
+	return decode[T](c, response, uri)
+}
+
+func expectOK(response *Response, uri string) error {
+	if response.Status != http.StatusOK {
+		return fmt.Errorf("%w: %s: %d", ErrStatus, uri, response.Status)
+	}
+	return nil
+}
+
+func decode[T interface{ Validate() error }](c *Client, response *Response, uri string) (T, error) {
+	var value T
+	data, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxAnswer+1))
+	if err != nil {
+		return value, fmt.Errorf("%s: %w", uri, err)
+	}
+	if int64(len(data)) > c.options.MaxAnswer {
+		return value, fmt.Errorf("%w: %s: over %d bytes", ErrTooLarge, uri, c.options.MaxAnswer)
+	}
+	if err := json.Unmarshal(data, &value); err != nil {
+		return value, fmt.Errorf("%w: %s: %w", ErrMalformed, uri, err)
+	}
+	if err := value.Validate(); err != nil {
+		return value, fmt.Errorf("%w: %s: %w", ErrMalformed, uri, err)
+	}
+	return value, nil
+}
+
+func closeBody(b io.Closer) { _ = b.Close() }
