Admission, limits and membership

Cause: a leaving or dead target must get nothing new, limits must hold over entries without shared state, a large account must not starve a small one.

--- /dev/null
+++ b/core/btmember/event.go
@@ -0,0 +1,123 @@
+package btmember
+
+import (
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btrequest"
+)
+
+// Event is what a Member hears: one of the types of this file.
+type Event interface{ memberEvent() }
+
+// Heard is a heartbeat that arrived, already validated.
+type Heard struct{ Heartbeat Heartbeat }
+
+// Summarised is a summary that arrived, already validated.
+type Summarised struct{ Summary Summary }
+
+// HostWord is what the platform's list says of one host.
+type HostWord struct {
+	Host    btid.Host
+	Leaving bool
+}
+
+// HostList is a new reading of the platform's list. A host that it doesn't
+// name keeps its last word: the list lags.
+type HostList struct{ Hosts []HostWord }
+
+// Place is where a target stands.
+type Place struct {
+	Target     btid.Target
+	Host       btid.Host
+	DataCentre btid.DataCentre
+}
+
+// Bundle is a bundle that came into force. One that isn't higher by version
+// and digest than the last changes nothing.
+type Bundle struct {
+	Version btid.BundleVersion
+	Digest  btbundle.Digest
+	Targets []Place
+}
+
+// Tick is the passing of time, due at least every Settings.PauseLimit.
+type Tick struct{}
+
+func (Heard) memberEvent()      {}
+func (Summarised) memberEvent() {}
+func (HostList) memberEvent()   {}
+func (Bundle) memberEvent()     {}
+func (Tick) memberEvent()       {}
+
+// Effect is what the entry is told: one of Joined, Left, NewerBundle, AskReset
+// and Ignored.
+type Effect interface{ memberEffect() }
+
+// Joined says that a target may be given work.
+type Joined struct{ Executor btid.Executor }
+
+// Left says that a target may not be given work any more.
+type Left struct {
+	Executor btid.Executor
+	Cause    Cause
+}
+
+// NewerBundle says that an agent has a bundle higher than the one in force.
+type NewerBundle struct {
+	From    btid.Target
+	Version btid.BundleVersion
+	Digest  btbundle.Digest
+}
+
+// AskReset asks a peer to start its summaries anew, since some were lost.
+type AskReset struct {
+	To     btid.Entry
+	Origin btid.DataCentre
+}
+
+// Ignored says why a message was not believed.
+type Ignored struct {
+	Target btid.Target
+	Reason btrequest.Reason
+}
+
+func (Joined) memberEffect()      {}
+func (Left) memberEffect()        {}
+func (NewerBundle) memberEffect() {}
+func (AskReset) memberEffect()    {}
+func (Ignored) memberEffect()     {}
+
+// Cause names why a target gets no new work.
+type Cause string
+
+// The causes, in the order in which they are named when several hold.
+const (
+	CauseBundle   Cause = "bundle_removed"
+	CauseHostList Cause = "host_leaving"
+	CauseDraining Cause = "agent_draining"
+	CauseStopped  Cause = "agent_stopped"
+	CauseEngine   Cause = "engine_leaving"
+	CauseLease    Cause = "lease_expired"
+	CausePause    Cause = "entry_paused"
+	CauseReplaced Cause = "agent_restarted"
+)
+
+// The reasons for which a message is not believed.
+const (
+	ReasonUnlisted       btrequest.Reason = "heartbeat_unlisted"
+	ReasonOldIncarnation btrequest.Reason = "heartbeat_old_incarnation"
+	ReasonRepeated       btrequest.Reason = "heartbeat_repeated"
+	ReasonLate           btrequest.Reason = "heartbeat_late"
+	ReasonClock          btrequest.Reason = "heartbeat_clock"
+	ReasonAfterLeaving   btrequest.Reason = "heartbeat_after_leaving"
+	ReasonSummaryOld     btrequest.Reason = "summary_old"
+	ReasonSummaryGap     btrequest.Reason = "summary_gap"
+)
+
+// Reasons lists every reason, for counters that are made beforehand.
+func Reasons() []btrequest.Reason {
+	return []btrequest.Reason{
+		ReasonUnlisted, ReasonOldIncarnation, ReasonRepeated, ReasonLate, ReasonClock,
+		ReasonAfterLeaving, ReasonSummaryOld, ReasonSummaryGap,
+	}
+}
--- /dev/null
+++ b/core/btqueue/btqueue.go
@@ -0,0 +1,319 @@
+// Package btqueue decides at the agent which requests its target runs: it
+// holds the target's slots and a bounded queue before them, and has the last
+// word on admission.
+//
+// Client accounts share a busy target by weighted fair queueing, and a full
+// queue by giving up the newest request of the account that holds most for its
+// weight, so a large account can starve a small one neither of slots nor of
+// places. Within an account a higher priority goes first.
+//
+// A request is refused at once when its expected wait and run would pass its
+// deadline, when the queue is full or when the target drains; a refusal
+// carries the time at which a place is likely, from the measured drain rate.
+//
+// A planned stop starts nothing more: what runs is finished, and what waits is
+// refused as not run so that it moves to another target at once. To run the
+// queue out instead would give a leaving target new work for as long as the
+// queue is deep.
+package btqueue
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btcore"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btrequest"
+)
+
+// The invariants that a Queue asserts.
+const (
+	// SlotsBound: nothing starts while as many requests run as there are slots.
+	SlotsBound btassert.Name = "queue_slots_bound"
+	// NoStartAfterRefuse: a request that was refused is never started.
+	NoStartAfterRefuse btassert.Name = "queue_no_start_after_refuse"
+	// DrainNoNewWork: nothing starts after a planned stop began.
+	DrainNoNewWork btassert.Name = "drain_no_new_work"
+)
+
+// Settings are the sizes and first guesses of a Queue.
+type Settings struct {
+	// Slots is how many requests run at a time.
+	Slots int
+	// Queue is how many more may wait.
+	Queue int
+	// FirstEstimate is the time that a request of cost 1 is thought to hold a
+	// slot before any has finished.
+	FirstEstimate time.Duration
+	// RetryAfterMax bounds the time that refused requests are told to wait,
+	// jitter of a tenth apart. A longer backlog than it can't be told truly.
+	RetryAfterMax time.Duration
+}
+
+// DefaultSettings returns the settings for a target of the given sizes.
+func DefaultSettings(slots, queue int) Settings {
+	return Settings{
+		Slots:         slots,
+		Queue:         queue,
+		FirstEstimate: time.Second,
+		RetryAfterMax: time.Minute,
+	}
+}
+
+// Queue is the admission machine of one target.
+type Queue struct {
+	settings Settings
+	random   *rand.Rand
+	asserter *btassert.Asserter
+
+	now         time.Time
+	slots       int
+	room        int
+	draining    bool
+	idle        bool
+	serial      uint64
+	queue       *fair
+	waiting     map[btid.Request]*item
+	running     map[btid.Request]*item
+	runningCost float64
+	deadline    time.Time
+	refused     refusals
+	estimate    estimate
+	effects     []Effect
+}
+
+var _ btcore.Machine[Event, Effect] = (*Queue)(nil)
+
+// New returns an empty queue. Jitter is drawn from random.
+func New(settings Settings, random *rand.Rand, asserter *btassert.Asserter) *Queue {
+	return &Queue{
+		settings: settings,
+		random:   random,
+		asserter: asserter,
+		slots:    max(settings.Slots, 0),
+		room:     max(settings.Queue, 0),
+		queue:    newFair(),
+		waiting:  map[btid.Request]*item{},
+		running:  map[btid.Request]*item{},
+		refused:  newRefusals(),
+		estimate: newEstimate(max(settings.FirstEstimate, time.Microsecond)),
+	}
+}
+
+// Step applies one event.
+func (q *Queue) Step(now time.Time, event Event) []Effect {
+	if now.After(q.now) {
+		q.now = now
+	}
+	q.effects = nil
+	q.expire(q.now)
+	switch e := event.(type) {
+	case Arrived:
+		q.arrived(q.now, e.normal())
+	case Finished:
+		q.finished(q.now, e)
+	case Cancelled:
+		q.cancelled(e)
+	case Drain:
+		q.drain()
+	case Policy:
+		q.resize(q.now, e)
+	case Tick:
+		q.queue.forget()
+	}
+	q.dispatch(q.now)
+	q.settle()
+	return q.effects
+}
+
+func (q *Queue) arrived(now time.Time, a Arrived) {
+	if q.waiting[a.ID] != nil || q.running[a.ID] != nil {
+		return
+	}
+	if reason, ok := q.refused.reason(a.ID); ok {
+		q.refuse(a.ID, reason, q.after(now, reason, a.Cost))
+		return
+	}
+	if reason, ok := q.admit(now, a); !ok {
+		q.refuse(a.ID, reason, q.after(now, reason, a.Cost))
+		return
+	}
+	q.serial++
+	i := &item{Arrived: a, serial: q.serial}
+	q.waiting[a.ID] = i
+	q.queue.push(i)
+	q.noteDeadline(a.Deadline)
+}
+
+// admit tells whether the request may wait or start, and makes room for it.
+func (q *Queue) admit(now time.Time, a Arrived) (btrequest.Reason, bool) {
+	if q.draining {
+		return ReasonDraining, false
+	}
+	if !a.Deadline.After(now) {
+		return ReasonDeadline, false
+	}
+	if len(q.running) < q.slots && q.queue.count == 0 {
+		// A free slot runs it whatever the estimate says; its run mends a wrong
+		// estimate, which refusals alone never would.
+		return "", true
+	}
+	run := seconds(a.Cost * q.unit(now))
+	if now.Add(q.wait(now, q.queue.ahead(a)) + run).After(a.Deadline) {
+		return ReasonWait, false
+	}
+	if q.queue.count < q.room {
+		return "", true
+	}
+	return q.makeRoom(now, a)
+}
+
+// makeRoom gives up the place of a request that a full queue owes less than
+// the one that arrived.
+func (q *Queue) makeRoom(now time.Time, a Arrived) (btrequest.Reason, bool) {
+	if q.room == 0 {
+		return ReasonFull, false
+	}
+	w := q.queue.byName[q.queue.heaviest(a)]
+	if w == nil {
+		return ReasonFull, false
+	}
+	last := w.last()
+	if w.account == a.Account && last.Priority >= a.Priority {
+		return ReasonFull, false
+	}
+	q.drop(last, ReasonDisplaced, q.retryAfter(now, last.Cost))
+	return "", true
+}
+
+func (q *Queue) finished(now time.Time, e Finished) {
+	i := q.running[e.ID]
+	if i == nil {
+		return
+	}
+	delete(q.running, e.ID)
+	q.runningCost -= i.Cost
+	if len(q.running) == 0 {
+		q.runningCost = 0
+	}
+	q.estimate.finished(e.Took, i.Cost)
+	q.estimate.progress = now
+}
+
+func (q *Queue) cancelled(e Cancelled) {
+	if i := q.waiting[e.ID]; i != nil {
+		q.drop(i, ReasonCancelled, 0)
+	}
+}
+
+func (q *Queue) drain() {
+	q.draining = true
+	for _, i := range q.inOrder() {
+		q.drop(i, ReasonDraining, 0)
+	}
+}
+
+func (q *Queue) resize(now time.Time, e Policy) {
+	q.slots = max(e.Slots, 0)
+	q.room = max(e.Queue, 0)
+	waiting := q.inOrder()
+	for len(waiting) > q.room {
+		last := waiting[len(waiting)-1]
+		waiting = waiting[:len(waiting)-1]
+		q.drop(last, ReasonFull, q.retryAfter(now, last.Cost))
+	}
+}
+
+// expire refuses what waited past its deadline.
+func (q *Queue) expire(now time.Time) {
+	if q.deadline.IsZero() || q.deadline.After(now) {
+		return
+	}
+	q.deadline = time.Time{}
+	for _, i := range q.inOrder() {
+		if !i.Deadline.After(now) {
+			q.drop(i, ReasonDeadline, q.retryAfter(now, i.Cost))
+			continue
+		}
+		q.noteDeadline(i.Deadline)
+	}
+}
+
+func (q *Queue) noteDeadline(deadline time.Time) {
+	if q.deadline.IsZero() || deadline.Before(q.deadline) {
+		q.deadline = deadline
+	}
+}
+
+// inOrder returns what waits by order of arrival.
+func (q *Queue) inOrder() []*item {
+	items := make([]*item, 0, len(q.waiting))
+	for _, i := range q.waiting {
+		items = append(items, i)
+	}
+	slices.SortFunc(items, func(a, b *item) int { return cmp.Compare(a.serial, b.serial) })
+	return items
+}
+
+// dispatch starts what fits into free slots.
+func (q *Queue) dispatch(now time.Time) {
+	for !q.draining && len(q.running) < q.slots {
+		i := q.queue.pop()
+		if i == nil {
+			return
+		}
+		delete(q.waiting, i.ID)
+		q.start(now, i)
+	}
+}
+
+func (q *Queue) start(now time.Time, i *item) {
+	_, refused := q.refused.reason(i.ID)
+	ok := q.asserter.That(len(q.running) < q.slots, SlotsBound, "%d of %d slots held", len(q.running), q.slots)
+	ok = q.asserter.That(!refused, NoStartAfterRefuse, "%s", i.ID) && ok
+	ok = q.asserter.That(!q.draining, DrainNoNewWork, "%s", i.ID) && ok
+	if !ok {
+		q.refuse(i.ID, ReasonFull, q.retryAfter(now, i.Cost))
+		return
+	}
+	i.started = now
+	q.running[i.ID] = i
+	q.runningCost += i.Cost
+	q.estimate.progress = now
+	q.effects = append(q.effects, Start{ID: i.ID})
+}
+
+// drop refuses a request that waits.
+func (q *Queue) drop(i *item, reason btrequest.Reason, after time.Duration) {
+	delete(q.waiting, i.ID)
+	q.queue.remove(i)
+	q.refuse(i.ID, reason, after)
+}
+
+func (q *Queue) refuse(id btid.Request, reason btrequest.Reason, after time.Duration) {
+	q.refused.add(id, reason)
+	q.effects = append(q.effects, Refuse{ID: id, Reason: reason, RetryAfter: after})
+}
+
+// after is the time to come back after a refusal for the reason.
+func (q *Queue) after(now time.Time, reason btrequest.Reason, cost float64) time.Duration {
+	if reason == ReasonDraining || reason == ReasonCancelled {
+		return 0
+	}
+	return q.retryAfter(now, cost)
+}
+
+// settle notes the end of a busy period and of a drain.
+func (q *Queue) settle() {
+	if len(q.running) > 0 || q.queue.count > 0 {
+		return
+	}
+	q.queue.reset()
+	if q.draining && !q.idle {
+		q.idle = true
+		q.effects = append(q.effects, Idle{})
+	}
+}
--- /dev/null
+++ b/core/btqueue/event.go
@@ -0,0 +1,135 @@
+package btqueue
+
+import (
+	"math"
+	"time"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btrequest"
+)
+
+// Event is what happens at the target: one of the types of this file.
+type Event interface{ queueEvent() }
+
+// Arrived is a request that asks to run. An identity that is already waiting
+// or running changes nothing; one that was refused lately is refused again.
+type Arrived struct {
+	ID      btid.Request
+	Account btid.Account
+	// Weight is the account's share when capacity is short; 1 where it is not
+	// a positive number.
+	Weight   float64
+	Priority btrequest.Priority
+	// Deadline is when the whole answer is due.
+	Deadline time.Time
+	// Cost is the expected work in any unit that the target's requests share,
+	// such as tokens; 1 where it is not a positive number.
+	Cost float64
+}
+
+// Finished is the end of a started request: done, failed or cancelled. Its
+// slot is free.
+type Finished struct {
+	ID btid.Request
+	// Took is the time that the target worked on it.
+	Took time.Duration
+}
+
+// Cancelled is a request that its caller gave up. One that waits leaves the
+// queue; one that runs keeps its slot until its Finished.
+type Cancelled struct {
+	ID btid.Request
+}
+
+// Drain is the start of a planned stop. A second one changes nothing.
+type Drain struct{}
+
+// Tick is the passing of time; see Queue.NextDeadline.
+type Tick struct{}
+
+// Policy replaces the sizes. Fewer slots cut off nothing that runs; a shorter
+// queue refuses what no longer fits.
+type Policy struct {
+	Slots int
+	Queue int
+}
+
+func (Arrived) queueEvent()   {}
+func (Finished) queueEvent()  {}
+func (Cancelled) queueEvent() {}
+func (Drain) queueEvent()     {}
+func (Tick) queueEvent()      {}
+func (Policy) queueEvent()    {}
+
+// Effect is what the agent has to do: one of Start, Refuse and Idle. Each
+// request that arrived ends in exactly one Start or one first Refuse.
+type Effect interface{ queueEffect() }
+
+// Start gives the request to the target.
+type Start struct {
+	ID btid.Request
+}
+
+// Refuse answers the request with not_run: it was never given to the target
+// and never will be.
+type Refuse struct {
+	ID     btid.Request
+	Reason btrequest.Reason
+	// RetryAfter is how long to wait before the request is likely to be taken
+	// here. Zero, for ReasonDraining and ReasonCancelled, means that waiting
+	// for this target is of no use: try another at once.
+	RetryAfter time.Duration
+}
+
+// Idle says that a draining target has nothing left in flight. It is given
+// once.
+type Idle struct{}
+
+func (Start) queueEffect()  {}
+func (Refuse) queueEffect() {}
+func (Idle) queueEffect()   {}
+
+// The reasons for which a request is refused.
+const (
+	// ReasonFull: the queue has no room, and the account holds its share of it.
+	ReasonFull btrequest.Reason = "queue_full"
+	// ReasonDisplaced: the account held more than its share of a full queue,
+	// and a request of another account or of higher priority took the place.
+	ReasonDisplaced btrequest.Reason = "queue_displaced"
+	// ReasonWait: the expected wait and run would pass the deadline.
+	ReasonWait btrequest.Reason = "queue_wait_past_deadline"
+	// ReasonDeadline: the deadline passed before the request started.
+	ReasonDeadline btrequest.Reason = "deadline_passed"
+	// ReasonDraining: the target is leaving.
+	ReasonDraining btrequest.Reason = "draining"
+	// ReasonCancelled: the caller gave the request up before it started.
+	ReasonCancelled btrequest.Reason = "cancelled_in_queue"
+)
+
+// Reasons lists every reason, for counters that are made beforehand.
+func Reasons() []btrequest.Reason {
+	return []btrequest.Reason{
+		ReasonFull, ReasonDisplaced, ReasonWait, ReasonDeadline, ReasonDraining, ReasonCancelled,
+	}
+}
+
+const (
+	largestCost    = 1e9
+	smallestWeight = 1e-6
+	largestWeight  = 1e6
+)
+
+// normal returns the event with every number in its range, so that no message
+// can upset the order of others.
+func (a Arrived) normal() Arrived {
+	if !(a.Cost > 0) {
+		a.Cost = 1
+	}
+	a.Cost = math.Min(a.Cost, largestCost)
+	if !(a.Weight > 0) {
+		a.Weight = 1
+	}
+	a.Weight = math.Max(smallestWeight, math.Min(a.Weight, largestWeight))
+	a.Priority = max(btrequest.Low, min(a.Priority, btrequest.High))
+	return a
+}
--- /dev/null
+++ b/core/btqueue/load.go
@@ -0,0 +1,33 @@
+package btqueue
+
+import "time"
+
+// Load is the target's real load, told with heartbeats and refusals.
+type Load struct {
+	Slots   int `cbor:"slots" json:"slots"`
+	Running int `cbor:"running" json:"running"`
+	Queue   int `cbor:"queue" json:"queue"`
+	Waiting int `cbor:"waiting" json:"waiting"`
+	// Wait is the expected time until all that waits now has started.
+	Wait     time.Duration `cbor:"wait" json:"wait"`
+	Draining bool          `cbor:"draining" json:"draining"`
+}
+
+// Load returns the load at the time of the last step.
+func (q *Queue) Load() Load {
+	return Load{
+		Slots:    q.slots,
+		Running:  len(q.running),
+		Queue:    q.room,
+		Waiting:  q.queue.count,
+		Wait:     q.wait(q.now, q.queue.cost),
+		Draining: q.draining,
+	}
+}
+
+// NextDeadline returns when the next waiting request is to be refused unless it
+// starts first; a Tick is due then. It may be early, never late. False where
+// nothing waits.
+func (q *Queue) NextDeadline() (time.Time, bool) {
+	return q.deadline, !q.deadline.IsZero() && q.queue.count > 0
+}
