--- a/cmd/bilberrytide-standin/main.go
+++ b/cmd/bilberrytide-standin/main.go
@@ -38,10 +38,14 @@
 		"engine":   newEngineCommand(app),
 		"group":    newGroupCommand(app),
 	}
+	registerPorts(app)
 	name, err := app.Parse(args)
 	if err != nil {
 		return err
 	}
+	if commands[name] == nil {
+		return nil
+	}
 	listeners, err := commands[name].listeners()
 	if err != nil {
 		return err
--- /dev/null
+++ b/commands/btruncmd/btruncmd.go
@@ -0,0 +1,195 @@
+// Package btruncmd adds the commands that run a process: "entry" and "agent".
+package btruncmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"golang.org/x/sync/errgroup"
+
+	"bilberrytide/io/btagent"
+	"bilberrytide/io/btentry"
+	"bilberrytide/io/btkeys"
+	"bilberrytide/io/btprocess"
+	"bilberrytide/io/btsettings"
+)
+
+// ErrSettings is wrapped by the error of settings that a process can't start
+// with; a process ends with code 1 for it.
+var ErrSettings = errors.New("cannot start")
+
+const entryHelp = `Run an entry: the process that takes callers' requests.
+
+  bilberrytide entry --settings entry.toml
+
+SIGTERM stops it without cutting off a request: /readyz fails first, the
+listener closes after balancer_lag, and the process ends when the last answer is
+out. A second SIGTERM changes nothing.
+
+Exit codes: 0 stopped as planned, 1 could not start or failed, 2 wrong usage.`
+
+const agentHelp = `Run an agent: the process beside one target.
+
+  bilberrytide agent --settings agent.toml
+
+SIGTERM stops it without cutting off a request: it refuses new work at once,
+what runs is finished, and the process ends. A second SIGTERM changes nothing.
+
+Exit codes: 0 stopped as planned, 1 could not start or failed, 2 wrong usage.`
+
+// Register adds the commands to the application; log lines go to logs.
+func Register(app *kingpin.Application, logs io.Writer) {
+	entry := &runCommand{logs: logs}
+	entry.register(app.Command("entry", entryHelp), entry.runEntry)
+	agent := &runCommand{logs: logs}
+	agent.register(app.Command("agent", agentHelp), agent.runAgent)
+}
+
+type runCommand struct {
+	logs     io.Writer
+	settings string
+}
+
+func (c *runCommand) register(command *kingpin.CmdClause, run kingpin.Action) {
+	command.Flag("settings", "The process's settings file, in TOML.").Required().StringVar(&c.settings)
+	command.Action(run)
+}
+
+func (c *runCommand) runEntry(*kingpin.ParseContext) error {
+	s, err := btsettings.LoadEntry(c.settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrSettings, err)
+	}
+	runtime, err := btprocess.NewRuntime(btkeys.Entry, commonOfEntry(s), c.logs)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrSettings, c.settings, err)
+	}
+	defer runtime.Close()
+	listener, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return fmt.Errorf("%w: %s: listen: %w", ErrSettings, c.settings, err)
+	}
+	entry := btentry.New(btentry.Options{
+		Name:        s.Name,
+		DataCentre:  s.DataCentre,
+		Listener:    listener,
+		BalancerLag: s.BalancerLag.Duration,
+		Node:        runtime.Node,
+		Bundles:     runtime.Bundles,
+		Platform:    runtime.Platform,
+		Meter:       runtime.Meter,
+		Decisions:   runtime.Decisions,
+		Log:         runtime.Log,
+		Clock:       runtime.Clock,
+		Assert:      runtime.Assert,
+		Random:      runtime.Random,
+	})
+	runtime.Log.Info("entry started", "listen", listener.Addr(), "peer_listen", runtime.Node.Address(), "status", runtime.StatusListener.Addr())
+	return run(runtime, entry)
+}
+
+func (c *runCommand) runAgent(*kingpin.ParseContext) error {
+	s, err := btsettings.LoadAgent(c.settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrSettings, err)
+	}
+	runtime, err := btprocess.NewRuntime(btkeys.Agent, commonOfAgent(s), c.logs)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrSettings, c.settings, err)
+	}
+	defer runtime.Close()
+	agent := btagent.New(btagent.Options{
+		Target:     s.Target,
+		DataCentre: s.DataCentre,
+		Node:       runtime.Node,
+		Bundles:    runtime.Bundles,
+		Meter:      runtime.Meter,
+		Decisions:  runtime.Decisions,
+		Log:        runtime.Log,
+		Clock:      runtime.Clock,
+		Assert:     runtime.Assert,
+		Random:     runtime.Random,
+	})
+	runtime.Log.Info("agent started", "peer_listen", runtime.Node.Address(), "status", runtime.StatusListener.Addr())
+	return run(runtime, agent)
+}
+
+// process is what an entry and an agent have in common.
+type process interface {
+	Run(ctx context.Context) error
+	Stop() *btprocess.Stop
+	Ready() bool
+	Status() btprocess.Status
+}
+
+var (
+	_ process = (*btentry.Entry)(nil)
+	_ process = (*btagent.Agent)(nil)
+)
+
+// run works until the planned stop that SIGTERM or SIGINT begins is complete.
+func run(runtime *btprocess.Runtime, p process) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		return p.Run(ctx)
+	})
+	group.Go(func() error {
+		pages := btprocess.Pages(runtime.Meter, p.Ready, p.Status)
+		return runtime.ServeStatus(ctx, pages)
+	})
+	group.Go(func() error { return runtime.Keys.Run(ctx, 0) })
+	group.Go(func() error {
+		stopOn(ctx, signals, p.Stop())
+		return nil
+	})
+	return group.Wait()
+}
+
+// stopOn begins the planned stop with each signal; all but the first change
+// nothing.
+func stopOn(ctx context.Context, signals <-chan os.Signal, stop *btprocess.Stop) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			stop.Terminate()
+		}
+	}
+}
+
+func commonOfEntry(s *btsettings.Entry) btprocess.Common {
+	return btprocess.Common{
+		DataCentre: s.DataCentre,
+		PeerListen: s.PeerListen,
+		Platform:   s.Platform,
+		Approvers:  s.Approvers,
+		TLS:        s.TLS,
+		Log:        s.Log,
+		Status:     s.Status,
+	}
+}
+
+func commonOfAgent(s *btsettings.Agent) btprocess.Common {
+	return btprocess.Common{
+		DataCentre: s.DataCentre,
+		PeerListen: s.PeerListen,
+		Platform:   s.Platform,
+		Approvers:  s.Approvers,
+		TLS:        s.TLS,
+		Log:        s.Log,
+		Status:     s.Status,
+	}
+}
--- /dev/null
+++ b/core/btretry/decide.go
@@ -0,0 +1,111 @@
+package btretry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bilberrytide/core/btrequest"
+)
+
+// Attempt is what is known when an attempt has ended without a whole answer.
+type Attempt struct {
+	// Outcome is the evidence on this attempt, not yet the caller's answer.
+	Outcome btrequest.Outcome
+	// Keyed tells that the request may run at most once.
+	Keyed bool
+	// Number counts attempts, from 1.
+	Number int
+	// Deadline is the request's.
+	Deadline time.Time
+	// Needed is the least time that another attempt takes to answer, such as
+	// the best target's expected time to the first token.
+	Needed time.Duration
+	// FirstByteSent tells that a part of the answer went out to the caller.
+	FirstByteSent bool
+	// Resumable tells that the target can continue the answer at an offset.
+	Resumable bool
+}
+
+// Decision says whether to try again, and why or why not.
+type Decision struct {
+	Retry bool
+	// Resume tells to continue the answer at the target that ran it.
+	Resume bool
+	// At is when to try again.
+	At     time.Time
+	Reason btrequest.Reason
+}
+
+// Decider applies the rules and the budget. It is not safe for concurrent use.
+type Decider struct {
+	config Config
+	budget *Budget
+	random *rand.Rand
+}
+
+// New returns a decider that takes its retries from the budget and its jitter
+// from the source.
+func New(c Config, budget *Budget, source rand.Source) *Decider {
+	return &Decider{config: c, budget: budget, random: rand.New(source)}
+}
+
+// Configure puts another configuration in force, for the budget too.
+func (d *Decider) Configure(now time.Time, c Config) {
+	d.config = c
+	d.budget.Configure(now, c)
+}
+
+// Decide returns what to do after a failed attempt. It takes from the budget
+// only if it returns a retry.
+func (d *Decider) Decide(now time.Time, a Attempt) Decision {
+	if reason, refused := d.forbidden(a); refused {
+		return Decision{Reason: reason}
+	}
+	at := now.Add(d.wait(a))
+	if at.Add(a.Needed).After(a.Deadline) {
+		return Decision{Reason: RefusedDeadline}
+	}
+	if !d.budget.Take(now) {
+		return Decision{Reason: RefusedBudget}
+	}
+	decision := Decision{Retry: true, At: at, Reason: RetryUnknown}
+	switch {
+	case a.FirstByteSent:
+		decision.Resume, decision.Reason = true, RetryResume
+	case a.Outcome == btrequest.NotRun:
+		decision.Reason = RetryNotRun
+	}
+	return decision
+}
+
+// forbidden returns the rule that a retry would break, whatever the budget.
+func (d *Decider) forbidden(a Attempt) (btrequest.Reason, bool) {
+	switch {
+	case a.Outcome == btrequest.Done:
+		return RefusedDone, true
+	case a.FirstByteSent && !a.Resumable:
+		return RefusedFirstByte, true
+	case a.Keyed && a.Outcome != btrequest.NotRun && !a.FirstByteSent:
+		return RefusedKeyed, true
+	case a.Number >= d.config.MaxAttempts:
+		return RefusedAttempts, true
+	}
+	return "", false
+}
+
+// wait returns a uniform part of twice the mean wait, which doubles with each
+// attempt. A refusal is retried elsewhere at once the first time: the refusing
+// target is not asked again, so there is nothing to wait for.
+func (d *Decider) wait(a Attempt) time.Duration {
+	if a.Outcome == btrequest.NotRun && a.Number <= 1 {
+		return 0
+	}
+	mean := d.config.Backoff
+	for range a.Number - 1 {
+		mean = min(2*mean, d.config.BackoffMax)
+	}
+	if mean <= 0 {
+		return 0
+	}
+	return time.Duration(d.random.Int64N(int64(2 * mean)))
+}
--- /dev/null
+++ b/core/btserve/btserve.go
@@ -0,0 +1,155 @@
+// Package btserve holds the messages by which an entry has a request served by
+// the agent beside a target, and by which the agent answers.
+//
+// The entry opens one stream a request, sends one Request, and reads one Head.
+// An accepted request's Head is followed by frames of package btanswer; a
+// refused one's Head is the whole answer.
+package btserve
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btrequest"
+)
+
+// ErrMessage is wrapped by the error of every malformed message.
+var ErrMessage = errors.New("malformed serve message")
+
+const (
+	maxMethodBytes = 16
+	maxPathBytes   = 8 << 10
+	maxHeaders     = 128
+)
+
+// Header is the part of an HTTP header that is passed through, keys in
+// canonical form.
+type Header map[string][]string
+
+// Request asks an agent to have its target serve one request.
+type Request struct {
+	// ID is this attempt's own identity, so that no frame of an earlier attempt
+	// can pass for one of this.
+	ID btid.Request `cbor:"id"`
+	// First is the identity of the first attempt: the one that the caller is
+	// told and by which an engine knows a stream that it is asked to resume.
+	First   btid.Request `cbor:"first"`
+	Service btid.Service `cbor:"service"`
+	Account btid.Account `cbor:"account"`
+	// Weight is the account's share when capacity is short.
+	Weight   float64            `cbor:"weight"`
+	Priority btrequest.Priority `cbor:"priority"`
+	// Remaining is the time left until the deadline when the message was sent;
+	// clocks of entry and agent need not agree.
+	Remaining time.Duration `cbor:"remaining"`
+	Method    string        `cbor:"method"`
+	// Path is the escaped path and query as the target is to see it.
+	Path   string `cbor:"path"`
+	Header Header `cbor:"header"`
+	Body   []byte `cbor:"body"`
+	// Stream tells that the caller wants server-sent events.
+	Stream bool `cbor:"stream"`
+	// Resume asks the engine for the rest of a stream of which the caller has
+	// this many events; zero for a new request.
+	Resume uint64 `cbor:"resume,omitempty"`
+	// Grant is the at-most-once grant, encoded, for a request with an
+	// idempotency key; empty otherwise.
+	Grant cbor.RawMessage `cbor:"grant,omitempty"`
+}
+
+// Validate reports a request that no entry sends.
+func (r Request) Validate() error {
+	if err := r.ID.Validate(); err != nil {
+		return fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	if err := r.First.Validate(); err != nil {
+		return fmt.Errorf("%w: first: %w", ErrMessage, err)
+	}
+	if err := btid.CheckName(string(r.Service)); err != nil {
+		return fmt.Errorf("%w: service: %w", ErrMessage, err)
+	}
+	if err := btid.CheckName(string(r.Account)); err != nil {
+		return fmt.Errorf("%w: account: %w", ErrMessage, err)
+	}
+	if !r.Priority.Valid() {
+		return fmt.Errorf("%w: priority %d", ErrMessage, r.Priority)
+	}
+	if r.Method == "" || len(r.Method) > maxMethodBytes {
+		return fmt.Errorf("%w: method of %d bytes", ErrMessage, len(r.Method))
+	}
+	if r.Path == "" || r.Path[0] != '/' || len(r.Path) > maxPathBytes {
+		return fmt.Errorf("%w: path of %d bytes", ErrMessage, len(r.Path))
+	}
+	if len(r.Header) > maxHeaders {
+		return fmt.Errorf("%w: %d headers", ErrMessage, len(r.Header))
+	}
+	if !(r.Weight > 0) {
+		return fmt.Errorf("%w: weight %v", ErrMessage, r.Weight)
+	}
+	return nil
+}
+
+// Verdict is an agent's first word on a request.
+type Verdict string
+
+const (
+	// Accepted means that the target has the request and its answer follows.
+	Accepted Verdict = "accepted"
+	// Refused means that this is the whole answer.
+	Refused Verdict = "refused"
+	// Replayed means that the saved answer of an earlier run follows.
+	Replayed Verdict = "replayed"
+)
+
+// Head is the agent's first message of an answer.
+type Head struct {
+	ID       btid.Request      `cbor:"id"`
+	Executor btid.Executor     `cbor:"executor"`
+	Verdict  Verdict           `cbor:"verdict"`
+	Outcome  btrequest.Outcome `cbor:"outcome,omitempty"`
+	Reason   btrequest.Reason  `cbor:"reason,omitempty"`
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
+	// Status and Header are the target's, for an accepted request.
+	Status int    `cbor:"status,omitempty"`
+	Header Header `cbor:"header,omitempty"`
+	// Load is the agent's load report, encoded.
+	Load cbor.RawMessage `cbor:"load,omitempty"`
+	// Sealed is the proof, encoded, that a granted request never will run here.
+	Sealed cbor.RawMessage `cbor:"sealed,omitempty"`
+}
+
+// Validate reports a head that no agent sends.
+func (h Head) Validate() error {
+	if err := h.ID.Validate(); err != nil {
+		return fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	if err := h.Executor.Validate(); err != nil {
+		return fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	switch h.Verdict {
+	case Accepted, Replayed:
+		return validStatus(h.Status)
+	case Refused:
+		if h.Outcome != btrequest.NotRun && h.Outcome != btrequest.Unknown {
+			return fmt.Errorf("%w: refusal with outcome %q", ErrMessage, h.Outcome)
+		}
+		if h.Reason == "" {
+			return fmt.Errorf("%w: refusal without a reason", ErrMessage)
+		}
+		return nil
+	}
+	return fmt.Errorf("%w: verdict %q", ErrMessage, h.Verdict)
+}
+
+func validStatus(status int) error {
+	if status < http.StatusOK || status > 599 {
+		return fmt.Errorf("%w: status %d", ErrMessage, status)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/btagent/relay.go
@@ -0,0 +1,94 @@
+package btagent
+
+import (
+	"errors"
+	"io"
+
+	"bilberrytide/core/btanswer"
+	"bilberrytide/core/btserve"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/bttarget"
+)
+
+const (
+	// relayBytes is the most that one read of a target's answer takes.
+	relayBytes = 32 << 10
+	// keptAnswerBytes is the longest answer that is kept for a repeat.
+	keptAnswerBytes = 1 << 20
+)
+
+// keeper gathers an answer that a repeat of the request may ask for.
+type keeper struct {
+	limit int
+	data  []byte
+	whole bool
+}
+
+func (k *keeper) add(data []byte) {
+	if k == nil || len(k.data) > k.limit {
+		return
+	}
+	k.data = append(k.data, data...)
+}
+
+func (k *keeper) finish() {
+	if k != nil {
+		k.whole = true
+	}
+}
+
+// relay sends the target's answer to the entry. Where kept is set, the answer
+// is gathered to its end even if the entry goes away.
+func (v *serving) relay(response *bttarget.Response, kept *keeper) error {
+	head := v.head(btserve.Accepted)
+	head.Status = response.Status
+	head.Header = btserve.Header(response.Header)
+	sendErr := btpeer.Send(v.stream, head)
+	cutter := btanswer.NewCutter(v.request.ID)
+	buffer := make([]byte, relayBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			kept.add(buffer[:n])
+			if sendErr == nil {
+				sendErr = btpeer.Send(v.stream, cutter.Next(buffer[:n]))
+			}
+		}
+		if sendErr != nil && kept == nil {
+			return sendErr
+		}
+		if err != nil {
+			return v.finish(cutter, errors.Is(err, io.EOF) && response.Delimited, kept, sendErr)
+		}
+	}
+}
+
+// finish sends the end of the answer: whole only where the target said so.
+func (v *serving) finish(cutter *btanswer.Cutter, whole bool, kept *keeper, sendErr error) error {
+	if whole {
+		kept.finish()
+	}
+	if sendErr != nil {
+		return sendErr
+	}
+	return btpeer.Send(v.stream, cutter.Last(!whole))
+}
+
+// replay sends a kept answer.
+func (v *serving) replay(saved answer) error {
+	head := v.head(btserve.Replayed)
+	head.Status = saved.status
+	head.Header = saved.header
+	if err := btpeer.Send(v.stream, head); err != nil {
+		return err
+	}
+	cutter := btanswer.NewCutter(v.request.ID)
+	for rest := saved.body; len(rest) > 0; {
+		size := min(len(rest), relayBytes)
+		if err := btpeer.Send(v.stream, cutter.Next(rest[:size])); err != nil {
+			return err
+		}
+		rest = rest[size:]
+	}
+	return btpeer.Send(v.stream, cutter.Last(false))
+}
--- /dev/null
+++ b/io/btagent/serve.go
@@ -0,0 +1,239 @@
+package btagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberrytide/core/btclaim"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btqueue"
+	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btserve"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/bttarget"
+)
+
+// serving is one attempt of a request at this agent.
+type serving struct {
+	agent    *Agent
+	stream   *btpeer.Stream
+	request  btserve.Request
+	place    place
+	deadline time.Time
+	// grant is set for a request that may run only once.
+	grant *btclaim.Grant
+}
+
+// serve takes one attempt from an entry and answers it.
+func (a *Agent) serve(ctx context.Context, from btpeer.Identity, s *btpeer.Stream) error {
+	request, err := btpeer.Receive[btserve.Request](s)
+	if err != nil {
+		return err
+	}
+	if from.Role != btpeer.Entry || from.Name != string(request.ID.Entry) {
+		return fmt.Errorf("request of entry %s from %s", request.ID.Entry, from)
+	}
+	v := &serving{
+		agent:    a,
+		stream:   s,
+		request:  request,
+		deadline: a.options.Clock().Add(request.Remaining),
+	}
+	a.stop.Began(request.ID, v.deadline)
+	defer a.stop.Ended(request.ID)
+	return v.serve(ctx)
+}
+
+func (v *serving) serve(ctx context.Context) error {
+	p, ready := v.agent.place()
+	if !ready || p.service != v.request.Service {
+		return v.refuse(btrequest.NotRun, ReasonWrongService, 0, nil)
+	}
+	v.place = p
+	if err := v.readGrant(); err != nil {
+		return v.refuse(btrequest.Unknown, ReasonGrantMalformed, 0, nil)
+	}
+	if refusal := p.admission.admit(ctx, v.arrived()); refusal != nil {
+		return v.turnAway(refusal)
+	}
+	began := v.agent.options.Clock()
+	defer func() { p.admission.finish(v.request.ID, v.agent.options.Clock().Sub(began)) }()
+	if v.grant != nil {
+		return v.serveOnce(ctx)
+	}
+	return v.serveAny(ctx)
+}
+
+func (v *serving) readGrant() error {
+	if len(v.request.Grant) == 0 {
+		return nil
+	}
+	var grant btclaim.Grant
+	if err := cbor.Unmarshal(v.request.Grant, &grant); err != nil {
+		return fmt.Errorf("grant: %w", err)
+	}
+	if err := grant.Validate(); err != nil {
+		return err
+	}
+	if grant.Claim.Service != v.request.Service || grant.Claim.Account != v.request.Account {
+		return fmt.Errorf("grant of %s for a request of %s", grant.Claim.Account, v.request.Account)
+	}
+	v.grant = &grant
+	return nil
+}
+
+func (v *serving) arrived() btqueue.Arrived {
+	return btqueue.Arrived{
+		ID:       v.request.ID,
+		Account:  v.request.Account,
+		Weight:   v.request.Weight,
+		Priority: v.request.Priority,
+		Deadline: v.deadline,
+		Cost:     1,
+	}
+}
+
+// turnAway answers a refusal of the queue. A granted request is sealed first,
+// so that it may run elsewhere.
+func (v *serving) turnAway(refusal *btqueue.Refuse) error {
+	if v.grant == nil {
+		return v.refuse(btrequest.NotRun, refusal.Reason, refusal.RetryAfter, nil)
+	}
+	word := v.place.ledger.ask(btclaim.SealAsked{Grant: *v.grant, Reason: refusal.Reason})
+	refused, ok := word.(btclaim.Refused)
+	if !ok {
+		return v.answerWord(word)
+	}
+	refused.RetryAfter = refusal.RetryAfter
+	return v.refuseClaim(refused)
+}
+
+// serveAny runs a request that may be repeated.
+func (v *serving) serveAny(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, v.deadline)
+	defer cancel()
+	response, err := v.place.client.Do(ctx, v.toTarget())
+	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
+		return v.refuse(btrequest.NotRun, ReasonTargetUnreachable, 0, nil)
+	}
+	if err != nil {
+		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
+	}
+	defer response.Body.Close()
+	return v.relay(response, nil)
+}
+
+// serveOnce runs a request that may run only once, under its grant. The run
+// goes on when the entry goes away, so that its answer is there for a repeat.
+func (v *serving) serveOnce(ctx context.Context) error {
+	word := v.place.ledger.ask(btclaim.RunAsked{Grant: *v.grant})
+	if _, start := word.(btclaim.Start); !start {
+		return v.answerWord(word)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), v.deadline)
+	defer cancel()
+	lost := func() { v.place.ledger.ask(btclaim.RunLost{Claim: v.grant.Claim}) }
+	response, err := v.place.client.Do(ctx, v.toTarget())
+	if err != nil {
+		lost()
+		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
+	}
+	defer response.Body.Close()
+	kept := &keeper{limit: keptAnswerBytes}
+	err = v.relay(response, kept)
+	if !kept.whole {
+		lost()
+		return err
+	}
+	v.place.ledger.keep(v.grant.Claim, answer{
+		status: response.Status,
+		header: btserve.Header(response.Header),
+		body:   kept.data,
+	})
+	return err
+}
+
+// answerWord answers a claim that the ledger does not start.
+func (v *serving) answerWord(word btclaim.LedgerEffect) error {
+	switch e := word.(type) {
+	case btclaim.Replay:
+		saved, found := v.place.ledger.saved(e.Grant.Claim)
+		if !found {
+			return v.refuse(btrequest.Unknown, btclaim.AnswerDropped, 0, nil)
+		}
+		return v.replay(saved)
+	case btclaim.InProgress:
+		return v.refuse(btrequest.Unknown, btclaim.InProgressElsewhere, inProgressWait, nil)
+	case btclaim.Refused:
+		return v.refuseClaim(e)
+	}
+	return v.refuse(btrequest.Unknown, ReasonGrantMalformed, 0, nil)
+}
+
+// inProgressWait is when a caller should ask again for a running request.
+const inProgressWait = time.Second
+
+// refuseClaim carries the ledger's refusal, with its seal, to the entry.
+func (v *serving) refuseClaim(refused btclaim.Refused) error {
+	data, err := cbor.Marshal(refused)
+	if err != nil {
+		return err
+	}
+	return v.refuse(btrequest.Unknown, refused.Reason, refused.RetryAfter, data)
+}
+
+// lostReason tells a deadline that passed from a target that went away.
+func (v *serving) lostReason(ctx context.Context) btrequest.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return ReasonDeadline
+	}
+	return ReasonTargetLost
+}
+
+// toTarget returns the request as the target is to see it.
+func (v *serving) toTarget() bttarget.Request {
+	r := v.request
+	if r.Resume > 0 {
+		return bttarget.ResumeRequest(r.First, r.Resume)
+	}
+	header := http.Header(r.Header).Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(headerRequestID, r.First.String())
+	return bttarget.Request{Method: r.Method, URI: r.Path, Header: header, Body: r.Body}
+}
+
+// headerRequestID names a stream at the engine, by which it can be resumed.
+const headerRequestID = "X-Request-Id"
+
+// refuse answers that this agent gives no answer of the target.
+func (v *serving) refuse(outcome btrequest.Outcome, reason btrequest.Reason, after time.Duration, refused cbor.RawMessage) error {
+	v.agent.refused(reason)
+	head := v.head(btserve.Refused)
+	head.Outcome = outcome
+	head.Reason = reason
+	head.RetryAfter = after
+	head.Sealed = refused
+	return btpeer.Send(v.stream, head)
+}
+
+// head returns the start of an answer, with the load that it left behind.
+func (v *serving) head(verdict btserve.Verdict) btserve.Head {
+	load, err := cbor.Marshal(v.agent.report())
+	if err != nil {
+		// A report is plain numbers and always encodes.
+		panic(err)
+	}
+	return btserve.Head{
+		ID:       v.request.ID,
+		Executor: btid.Executor(v.agent.self),
+		Verdict:  verdict,
+		Load:     load,
+	}
+}
--- /dev/null
+++ b/io/btentry/attempt.go
@@ -0,0 +1,222 @@
+package btentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberrytide/core/btanswer"
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btclaim"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btserve"
+	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/btprocess"
+)
+
+// attempt is how one attempt at one agent ended.
+type attempt struct {
+	// outcome is Done when the whole answer went out to the caller.
+	outcome    btrequest.Outcome
+	reason     btrequest.Reason
+	retryAfter time.Duration
+	// refused is the executor's word on a claim that it doesn't run.
+	refused *btclaim.Refused
+	// load is the agent's report, encoded.
+	load cbor.RawMessage
+	// atFault tells that the target or the way to it failed.
+	atFault bool
+	// status is the target's, where it answered.
+	status int
+}
+
+// order is what an attempt sends where.
+type order struct {
+	pick   pick
+	grant  *btclaim.Grant
+	resume uint64
+	// lastly tells that an error of the target's own is passed on rather than
+	// tried elsewhere.
+	lastly bool
+}
+
+// sender carries attempts to agents and relays their answers.
+type sender struct {
+	entry *Entry
+}
+
+// send makes one attempt.
+func (s *sender) send(ctx context.Context, x *exchange, o order) attempt {
+	id := s.entry.nextID()
+	x.attempts++
+	x.target = o.pick.executor.Target
+	endpoint, found := btprocess.AgentEndpoint(x.bundle.Index, o.pick.executor.Target)
+	if !found {
+		return attempt{outcome: btrequest.NotRun, reason: ReasonAgentUnreachable}
+	}
+	stream, err := s.entry.options.Node.Open(ctx, endpoint, btprocess.KindServe)
+	if err != nil {
+		return s.failed(ctx, x, err, ReasonAgentUnreachable)
+	}
+	defer stream.Close()
+	message, err := s.message(x, id, o)
+	if err != nil {
+		return attempt{outcome: btrequest.NotRun, reason: ReasonAgentUnreachable}
+	}
+	if err := btpeer.Send(stream, message); err != nil {
+		return s.failed(ctx, x, err, ReasonAgentLost)
+	}
+	head, err := btpeer.Receive[btserve.Head](stream)
+	if err != nil {
+		return s.failed(ctx, x, err, ReasonAgentLost)
+	}
+	if head.ID != id || head.Executor.Target != o.pick.executor.Target {
+		s.entry.options.Meter.Refused(btanswer.ReasonForeignFrame)
+		return attempt{outcome: btrequest.Unknown, reason: ReasonAgentLost, atFault: true}
+	}
+	return s.take(ctx, x, o, stream, head)
+}
+
+func (s *sender) message(x *exchange, id btid.Request, o order) (btserve.Request, error) {
+	r := btserve.Request{
+		ID:        id,
+		First:     x.id,
+		Service:   x.service.Name,
+		Account:   x.account.Name,
+		Weight:    x.account.Weight,
+		Priority:  x.call.Priority,
+		Remaining: x.deadline.Sub(s.entry.options.Clock()),
+		Method:    x.call.Method,
+		Path:      x.call.Path,
+		Header:    btserve.Header(x.call.Header),
+		Body:      x.call.Body,
+		Stream:    x.call.Stream,
+		Resume:    o.resume,
+	}
+	if o.grant == nil {
+		return r, nil
+	}
+	data, err := cbor.Marshal(*o.grant)
+	r.Grant = data
+	return r, err
+}
+
+// take goes on from the agent's first word.
+func (s *sender) take(ctx context.Context, x *exchange, o order, stream *btpeer.Stream, head btserve.Head) attempt {
+	if head.Verdict == btserve.Refused {
+		return s.refused(head)
+	}
+	result := attempt{load: head.Load, status: head.Status}
+	if targetFailed(head.Status) && !o.lastly && !x.answer.Started() {
+		result.outcome = btrequest.Unknown
+		result.reason = ReasonTargetError
+		result.atFault = true
+		return result
+	}
+	if head.Verdict == btserve.Replayed {
+		x.writer.Header().Set(bthttp.HeaderReplayed, "true")
+	}
+	x.answer.Begin(head.Status, http.Header(head.Header))
+	s.relay(ctx, x, o, stream, head.ID, &result)
+	return result
+}
+
+func (s *sender) refused(head btserve.Head) attempt {
+	result := attempt{outcome: head.Outcome, reason: head.Reason, retryAfter: head.RetryAfter, load: head.Load}
+	if len(head.Sealed) == 0 {
+		result.atFault = head.Outcome == btrequest.Unknown
+		return result
+	}
+	var refused btclaim.Refused
+	if err := cbor.Unmarshal(head.Sealed, &refused); err == nil && refused.Validate() == nil {
+		result.refused = &refused
+	}
+	return result
+}
+
+// relay passes the answer on, frame by frame, and sets how the attempt ended.
+func (s *sender) relay(ctx context.Context, x *exchange, o order, stream *btpeer.Stream, id btid.Request, result *attempt) {
+	assembler := btanswer.NewAssembler(id, s.entry.options.Assert)
+	result.outcome = btrequest.Unknown
+	first := true
+	for {
+		frame, err := btpeer.Receive[btanswer.Frame](stream)
+		if err != nil {
+			failed := s.failed(ctx, x, err, ReasonAnswerCut)
+			result.reason = failed.reason
+			result.atFault = failed.atFault
+			return
+		}
+		piece, err := assembler.Add(frame)
+		if piece.Dropped != "" {
+			s.entry.options.Meter.Refused(piece.Dropped)
+		}
+		if first && len(piece.Data) > 0 {
+			first = false
+			s.entry.fleet.started(o.pick)
+			s.entry.options.Meter.Duration("first_byte_us", s.entry.options.Clock().Sub(x.received))
+		}
+		if s.add(x, piece, err, result) {
+			return
+		}
+	}
+}
+
+// add passes one piece on and tells whether the attempt has ended.
+func (s *sender) add(x *exchange, piece btanswer.Piece, err error, result *attempt) bool {
+	if len(piece.Data) > 0 {
+		if err := x.answer.Add(piece.Data); err != nil {
+			result.reason = ReasonCallerGone
+			return true
+		}
+	}
+	if err != nil {
+		result.reason = ReasonAnswerCut
+		result.atFault = true
+		return true
+	}
+	if !piece.Whole {
+		return false
+	}
+	if err := x.answer.Whole(); err != nil {
+		result.reason = ReasonCallerGone
+		return true
+	}
+	result.outcome = btrequest.Done
+	result.atFault = targetFailed(result.status)
+	return true
+}
+
+// failed turns an error of the way to the agent into the attempt's end.
+func (s *sender) failed(ctx context.Context, x *exchange, err error, reason btrequest.Reason) attempt {
+	result := attempt{outcome: btrequest.Unknown, reason: reason, atFault: true}
+	if btpeer.NotRun(err) {
+		result.outcome = btrequest.NotRun
+		result.reason = ReasonAgentUnreachable
+	}
+	switch {
+	case x.caller.Context().Err() != nil:
+		result.reason = ReasonCallerGone
+		result.atFault = false
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		result.reason = ReasonDeadline
+		result.atFault = false
+	}
+	return result
+}
+
+// targetFailed tells whether a status says that the target is in trouble, and
+// not that the request is wrong.
+func targetFailed(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// resumable tells whether an engine can go on with the broken answer.
+func resumable(x *exchange) bool {
+	return x.service.Kind == btbundle.Model && x.answer.Streaming() && x.answer.Events() > 0
+}
--- /dev/null
+++ b/io/btentry/btentry.go
@@ -0,0 +1,210 @@
+// Package btentry is the process that takes callers' requests: it identifies
+// the client account, limits, picks a target, sends, retries, and relays the
+// answer.
+package btentry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bilberrytide/core/btannounce"
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btmember"
+	"bilberrytide/io/btloop"
+	"bilberrytide/io/btmetric"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/btplatform"
+	"bilberrytide/io/btprocess"
+)
+
+// Options are an entry's dependencies.
+type Options struct {
+	Name       btid.Entry
+	DataCentre btid.DataCentre
+	// Listener takes callers' connections.
+	Listener net.Listener
+	// BalancerLag is how long the balancer in front may send new connections
+	// after the readiness check failed.
+	BalancerLag time.Duration
+	Node        *btpeer.Node
+	Bundles     *btprocess.Bundles
+	Platform    *btplatform.Client
+	Meter       *btmetric.Meter
+	Decisions   *btmetric.Decisions
+	Log         *slog.Logger
+	Clock       btloop.Clock
+	Assert      *btassert.Asserter
+	Random      *rand.Rand
+}
+
+// Entry takes callers' requests.
+type Entry struct {
+	options     Options
+	incarnation btid.Incarnation
+	numbers     atomic.Uint64
+	fleet       *fleet
+	limit       *limit
+	path        handler
+	server      *http.Server
+	stop        *btprocess.Stop
+}
+
+const (
+	// stopGrace is how long a request may be past its deadline before a planned
+	// stop waits for it no longer.
+	stopGrace = time.Second
+	// headerWait bounds the reading of a request's header.
+	headerWait = 10 * time.Second
+	// idleWait is how long a caller's connection is kept without a request.
+	idleWait = 2 * time.Minute
+	// hostsEvery is the interval at which the platform's host list is read.
+	hostsEvery = 5 * time.Second
+	// ackEvery is how many heartbeats are acknowledged with one announcement
+	// while the bundle in force stays the same.
+	ackEvery = 4
+)
+
+// New returns an entry and sets the node's handlers. The bundles must not run
+// yet.
+func New(o Options) *Entry {
+	place := btmember.EntryPlace{Entry: o.Name, DataCentre: o.DataCentre}
+	e := &Entry{
+		options:     o,
+		incarnation: btid.Incarnation(o.Clock().UnixNano()),
+		fleet:       newFleet(o, place),
+	}
+	e.stop = btprocess.NewStop(btmember.DrainSettings{Lag: o.BalancerLag, Grace: stopGrace}, o.Clock, o.Assert, o.Log)
+	end := &dispatch{entry: e, sender: sender{entry: e}}
+	e.limit = newLimit(e)
+	e.path = chain(end.handle, &identify{current: o.Bundles.Current, clock: o.Clock}, e.limit)
+	e.server = &http.Server{
+		Handler:           http.HandlerFunc(e.serveHTTP),
+		ReadHeaderTimeout: headerWait,
+		IdleTimeout:       idleWait,
+		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
+	}
+	o.Node.Handle(btprocess.KindHeartbeat, e.hear)
+	o.Bundles.OnChange(e.fleet.configure)
+	o.Bundles.OnChange(e.limit.configure)
+	return e
+}
+
+// Stop returns the entry's planned stop.
+func (e *Entry) Stop() *btprocess.Stop { return e.stop }
+
+// Ready tells whether the entry takes requests.
+func (e *Entry) Ready() bool { return e.options.Bundles.Current() != nil && !e.stop.Stopping() }
+
+// Run works until the context ends or a planned stop is complete.
+func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.options.Bundles.Run(ctx) })
+	group.Go(func() error { return e.options.Node.Serve(ctx) })
+	group.Go(func() error { e.fleet.run(ctx); return nil })
+	group.Go(func() error { e.limit.run(ctx); return nil })
+	group.Go(func() error { e.readHosts(ctx); return nil })
+	group.Go(e.serve)
+	group.Go(func() error { e.runStop(ctx, cancel); return nil })
+	group.Go(func() error {
+		<-ctx.Done()
+		return e.server.Close()
+	})
+	return group.Wait()
+}
+
+func (e *Entry) serve() error {
+	err := e.server.Serve(e.options.Listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// runStop follows a planned stop to its end.
+func (e *Entry) runStop(ctx context.Context, exit context.CancelFunc) {
+	e.stop.Run(ctx, btprocess.StopSteps{
+		CloseListener: func() {
+			go func() { _ = e.server.Shutdown(ctx) }()
+		},
+		Exit: func() { e.finish(ctx, exit) },
+	})
+}
+
+// finish ends the process once the last answers have left the server.
+func (e *Entry) finish(ctx context.Context, exit context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, stopGrace)
+	defer cancel()
+	_ = e.server.Shutdown(ctx)
+	exit()
+}
+
+// hear takes an agent's heartbeats.
+func (e *Entry) hear(_ context.Context, from btpeer.Identity, s *btpeer.Stream) error {
+	acked := btbundle.Order{}
+	for count := 0; ; count++ {
+		h, err := btpeer.Receive[btmember.Heartbeat](s)
+		if err != nil {
+			return nil
+		}
+		if from != btprocess.AgentIdentity(h.Target) {
+			return errors.New("heartbeat of another agent")
+		}
+		e.fleet.heard(h)
+		order := btbundle.Order{Version: h.BundleVersion, Digest: h.BundleDigest}
+		e.options.Bundles.Heard(from, btannounce.Announcement{Order: order, ReadAge: btannounce.Never})
+		a := e.options.Bundles.Announcement()
+		if count%ackEvery != 0 && a.Order == acked {
+			continue
+		}
+		acked = a.Order
+		if err := btpeer.Send(s, a); err != nil {
+			return nil
+		}
+	}
+}
+
+// readHosts follows the platform's list of hosts.
+func (e *Entry) readHosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		hosts, err := e.options.Platform.Hosts(ctx)
+		if err == nil {
+			words := make([]btmember.HostWord, 0, len(hosts))
+			for _, h := range hosts {
+				words = append(words, btmember.HostWord{Host: h.Name, Leaving: h.State == btplatform.Leaving})
+			}
+			e.fleet.tell(btmember.HostList{Hosts: words})
+		}
+		wait(ctx, hostsEvery)
+	}
+}
+
+func (e *Entry) nextID() btid.Request {
+	return btid.Request{Entry: e.options.Name, Incarnation: e.incarnation, Number: e.numbers.Add(1)}
+}
+
+// fork returns a source of random numbers for one part's own use.
+func fork(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
+
+// wait sleeps and tells whether the context is still good.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/btentry/fleet.go
@@ -0,0 +1,315 @@
+package btentry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btload"
+	"bilberrytide/core/btmember"
+	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btretry"
+	"bilberrytide/core/btroute"
+	"bilberrytide/io/btloop"
+	"bilberrytide/io/btmetric"
+	"bilberrytide/io/btprocess"
+)
+
+// fleetTick is how often leases are looked at.
+const fleetTick = 200 * time.Millisecond
+
+// fleet is the entry's view of all targets: who may get work, how loaded each
+// is, and which one a request goes to. One lock guards the three machines,
+// which are quick.
+type fleet struct {
+	clock   btloop.Clock
+	meter   *btmetric.Meter
+	decided *btmetric.Decisions
+	log     *slog.Logger
+
+	mu      sync.Mutex
+	member  *btmember.Member
+	router  *btroute.Router
+	budget  *btretry.Budget
+	decider *btretry.Decider
+	random  *rand.Rand
+	serial  uint64
+}
+
+func newFleet(o Options, place btmember.EntryPlace) *fleet {
+	config := btroute.Defaults()
+	config.DataCentre = place.DataCentre
+	tracker := btload.New(btload.Defaults())
+	f := &fleet{
+		clock:   o.Clock,
+		meter:   o.Meter,
+		decided: o.Decisions,
+		log:     o.Log,
+		member:  btmember.New(btmember.DefaultSettings(), o.Assert),
+		router:  btroute.New(config, tracker, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()), o.Assert),
+		random:  fork(o.Random),
+	}
+	f.setRetry(btretry.Defaults())
+	return f
+}
+
+func (f *fleet) setRetry(c btretry.Config) {
+	f.budget = btretry.NewBudget(c)
+	f.decider = btretry.New(c, f.budget, rand.NewPCG(f.random.Uint64(), f.random.Uint64()))
+}
+
+func (f *fleet) run(ctx context.Context) {
+	t := time.NewTicker(fleetTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f.tell(btmember.Tick{})
+		}
+	}
+}
+
+// configure puts a bundle in force.
+func (f *fleet) configure(a *btbundle.Approved) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	regions := map[btid.DataCentre]string{}
+	for _, d := range a.Bundle.DataCentres {
+		regions[d.Name] = d.Region
+	}
+	for _, s := range a.Bundle.Services {
+		var members []btroute.Member
+		for _, t := range a.Index.TargetsOf(s.Name) {
+			members = append(members, btroute.Member{Target: t.Name, DataCentre: t.DataCentre, Region: regions[t.DataCentre]})
+		}
+		f.route(f.router.Step(now, btroute.Members{Service: s.Name, Targets: members}))
+	}
+	f.setRetry(retryConfig(a.Bundle.Retry))
+	order := a.Order()
+	f.joined(f.member.Step(now, btmember.Bundle{Version: order.Version, Digest: order.Digest, Targets: btprocess.PlacesOf(a)}))
+}
+
+func retryConfig(r btbundle.Retry) btretry.Config {
+	c := btretry.Defaults()
+	c.BudgetShare = r.BudgetShare
+	c.MaxAttempts = r.MaxAttempts
+	c.Backoff = r.Backoff.Duration
+	return c
+}
+
+// tell hands membership an event.
+func (f *fleet) tell(event btmember.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.joined(f.member.Step(f.clock(), event))
+}
+
+// heard takes a heartbeat and the load report inside it.
+func (f *fleet) heard(h btmember.Heartbeat) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	f.joined(f.member.Step(now, btmember.Heard{Heartbeat: h}))
+	f.renew(now, h.Target)
+	f.report(now, h.Load)
+}
+
+// renew tells the router how long the target's lease lasts.
+func (f *fleet) renew(now time.Time, target btid.Target) {
+	view, known := f.member.View(target)
+	if known {
+		f.route(f.router.Step(now, btroute.Lease{Target: target, Until: view.LeaseEnd}))
+	}
+}
+
+// report takes a load report; a malformed one is counted and changes nothing.
+func (f *fleet) report(now time.Time, data cbor.RawMessage) {
+	if len(data) == 0 {
+		return
+	}
+	var report btload.Report
+	if err := cbor.Unmarshal(data, &report); err != nil || report.Validate() != nil {
+		f.meter.Refused(reasonBadReport)
+		return
+	}
+	f.route(f.router.Step(now, btroute.Load{Event: btload.Reported{Report: report}}))
+}
+
+const reasonBadReport btrequest.Reason = "load_report_malformed"
+
+// joined carries out membership's effects.
+func (f *fleet) joined(effects []btmember.Effect) {
+	now := f.clock()
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case btmember.Joined:
+			f.log.Info("target joined", "target", e.Executor.Target, "incarnation", e.Executor.Incarnation)
+			f.route(f.router.Step(now, btroute.Leaving{Target: e.Executor.Target, Leaving: false}))
+			f.renew(now, e.Executor.Target)
+		case btmember.Left:
+			f.left(now, e)
+		case btmember.Ignored:
+			f.meter.Refused(e.Reason)
+		}
+	}
+}
+
+func (f *fleet) left(now time.Time, e btmember.Left) {
+	f.route(f.router.Step(now, btroute.Leaving{Target: e.Executor.Target, Leaving: true}))
+	f.decided.Add(btmetric.Decision{
+		Time:     now,
+		Act:      "target_left",
+		Subject:  "target " + string(e.Executor.Target),
+		Cause:    string(e.Cause),
+		Evidence: "incarnation " + e.Executor.Incarnation.String(),
+		Expected: "it gets no new work; what it runs is finished",
+	})
+}
+
+// route carries out the router's effects.
+func (f *fleet) route(effects []btroute.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case btroute.Ejected:
+			f.decided.Add(btmetric.Decision{
+				Time:     f.clock(),
+				Act:      "target_ejected",
+				Subject:  "target " + string(e.Target),
+				Cause:    string(e.Cause),
+				Evidence: fmt.Sprintf("%+v", e.Evidence),
+				Expected: "its work goes to others until " + e.Until.UTC().Format(time.RFC3339),
+			})
+		case btroute.Restored:
+			f.decided.Add(btmetric.Decision{
+				Time:     f.clock(),
+				Act:      "target_restored",
+				Subject:  "target " + string(e.Target),
+				Cause:    string(e.Cause),
+				Evidence: "out for " + e.Out.String(),
+				Expected: "it takes its part of the work again",
+			})
+		case btroute.Withheld:
+			f.decided.Add(btmetric.Decision{
+				Time:     f.clock(),
+				Act:      "ejection_withheld",
+				Subject:  "target " + string(e.Target),
+				Cause:    string(e.Cause),
+				Evidence: fmt.Sprintf("%+v", e.Evidence),
+				Expected: "it stays in rotation, as the share of ejected targets is at its cap",
+			})
+		}
+	}
+}
+
+// pick is where a request goes.
+type pick struct {
+	executor btid.Executor
+	choice   btroute.Choice
+	// serial numbers the attempt for the load tracker.
+	serial uint64
+}
+
+// pick chooses a target and counts the request as sent there. The error is a
+// *btroute.NoTargetError.
+func (f *fleet) pick(request btroute.Request) (pick, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	for {
+		choice, err := f.router.Pick(now, request)
+		if err != nil {
+			return pick{}, err
+		}
+		executor, admitted := f.member.Admit(now, choice.Target)
+		if admitted {
+			return pick{executor: executor, choice: choice}, nil
+		}
+		request.Tried = append(request.Tried, choice.Target)
+	}
+}
+
+// sent counts a request as on its way to the target.
+func (f *fleet) sent(p *pick, request btroute.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serial++
+	p.serial = f.serial
+	f.load(btload.Sent{Target: p.executor.Target, Number: p.serial, Tokens: request.Tokens, Prefixes: request.Prefixes})
+}
+
+// started counts the first byte of an answer.
+func (f *fleet) started(p pick) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load(btload.Started{Target: p.executor.Target, Number: p.serial})
+}
+
+// finished counts the end of an attempt; failed tells that the target or the
+// way to it is at fault.
+func (f *fleet) finished(p pick, result attempt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	f.load(btload.Finished{Target: p.executor.Target, Number: p.serial, Refused: result.outcome == btrequest.NotRun})
+	f.report(now, result.load)
+	if result.atFault {
+		f.route(f.router.Step(now, btroute.Failed{Target: p.executor.Target, Reason: result.reason}))
+	}
+}
+
+func (f *fleet) load(event btload.Event) {
+	f.route(f.router.Step(f.clock(), btroute.Load{Event: event}))
+}
+
+// request counts a first attempt for the retry budget.
+func (f *fleet) request() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Request()
+}
+
+// decide tells whether a failed attempt is tried again.
+func (f *fleet) decide(a btretry.Attempt) btretry.Decision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.decider.Decide(f.clock(), a)
+}
+
+// views returns what is known of every target of the bundle.
+func (f *fleet) views(a *btbundle.Approved) []targetView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	list := make([]targetView, 0, len(a.Bundle.Targets))
+	for _, t := range a.Bundle.Targets {
+		view, _ := f.member.View(t.Name)
+		cause, _ := f.member.Cause(t.Name)
+		list = append(list, targetView{
+			target:   t.Name,
+			service:  t.Service,
+			eligible: f.member.Eligible(now, t.Name),
+			cause:    cause,
+			view:     view,
+		})
+	}
+	return list
+}
+
+// targetView is one target as this entry sees it.
+type targetView struct {
+	target   btid.Target
+	service  btid.Service
+	eligible bool
+	cause    btmember.Cause
+	view     btmember.View
+}
--- /dev/null
+++ b/io/btentry/http.go
@@ -0,0 +1,133 @@
+package btentry
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btclaim"
+	"bilberrytide/core/btrequest"
+	"bilberrytide/io/bthttp"
+)
+
+// serveHTTP answers one caller's request.
+func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		id:       e.nextID(),
+		caller:   r,
+		writer:   w,
+		received: e.options.Clock(),
+		answer:   bthttp.NewAnswer(w, statuses),
+	}
+	w.Header().Set(bthttp.HeaderRequest, x.id.String())
+	if current := e.options.Bundles.Current(); current != nil {
+		w.Header().Set(bthttp.HeaderBundle, strconv.FormatUint(uint64(current.Bundle.Version), 10))
+	}
+	switch {
+	case r.URL.Path == bthttp.PathModels && r.Method == http.MethodGet:
+		e.listModels(x)
+	case r.URL.Path == bthttp.PathKeys && r.Method == http.MethodPost:
+		e.issueKey(x)
+	default:
+		e.exchange(x)
+	}
+}
+
+// exchange sends a request down the path and writes what came of it.
+func (e *Entry) exchange(x *exchange) {
+	deadline := x.received.Add(e.longest())
+	e.stop.Began(x.id, deadline)
+	defer e.stop.Ended(x.id)
+	refusal := e.path(x.caller.Context(), x)
+	e.note(x, refusal)
+	if refusal != nil {
+		x.answer.Fail(refusal)
+	}
+}
+
+// longest is the latest deadline that a request may have.
+func (e *Entry) longest() time.Duration {
+	if current := e.options.Bundles.Current(); current != nil {
+		return current.Bundle.Timeouts.RequestMax.Duration
+	}
+	return 0
+}
+
+// note counts and logs how a request ended.
+func (e *Entry) note(x *exchange, refusal *btrequest.Refusal) {
+	outcome := btrequest.Done
+	var reason btrequest.Reason
+	if refusal != nil {
+		outcome = refusal.Outcome
+		reason = refusal.Reason
+		e.options.Meter.Refused(reason)
+	}
+	e.options.Meter.Ended(outcome)
+	took := e.options.Clock().Sub(x.received)
+	e.options.Meter.Duration("request_us", took)
+	e.options.Log.Info("request",
+		"request", x.id, "outcome", outcome, "reason", reason, "took", took,
+		"account", x.accountName(), "service", x.serviceName(), "target", x.target,
+		"attempts", x.attempts, "bundle_version", x.bundle.Order().Version)
+}
+
+// model is one line of the list of models, as clients of model services know
+// it.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models is the list of models.
+type models struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+// listModels answers with the models that the account may ask for.
+func (e *Entry) listModels(x *exchange) {
+	id := &identify{current: e.options.Bundles.Current, clock: e.options.Clock}
+	if refusal := id.account(x); refusal != nil {
+		statuses.WriteRefusal(x.writer, refusal)
+		return
+	}
+	list := models{Object: "list", Data: []model{}}
+	for _, s := range x.bundle.Bundle.Services {
+		if s.Kind == btbundle.Model && x.account.May(s.Name) {
+			list.Data = append(list.Data, model{ID: string(s.Name), Object: "model", OwnedBy: "bilberrytide"})
+		}
+	}
+	writeJSON(x.writer, list)
+}
+
+// issued is a new idempotency key for a caller without a clock to trust.
+type issued struct {
+	Key btrequest.Key `json:"idempotency_key"`
+}
+
+// issueKey answers with an idempotency key that carries this entry's time.
+func (e *Entry) issueKey(x *exchange) {
+	id := &identify{current: e.options.Bundles.Current, clock: e.options.Clock}
+	if refusal := id.account(x); refusal != nil {
+		statuses.WriteRefusal(x.writer, refusal)
+		return
+	}
+	key, err := btclaim.NewKey(e.options.Clock(), rand.Reader)
+	if err != nil {
+		statuses.WriteRefusal(x.writer, btrequest.Refuse(reasonNoEntropy, lostWait, "no random numbers: %v", err))
+		return
+	}
+	writeJSON(x.writer, issued{Key: key})
+}
+
+const reasonNoEntropy btrequest.Reason = "no_entropy"
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(bthttp.HeaderOutcome, string(btrequest.Done))
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/io/btentry/identify.go
@@ -0,0 +1,95 @@
+package btentry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btrequest"
+	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btloop"
+)
+
+// bundleWait is when a caller should come back to an entry that has just
+// started.
+const bundleWait = time.Second
+
+const bearer = "Bearer "
+
+// identify finds the client account and the service, and reads the request.
+type identify struct {
+	current func() *btbundle.Approved
+	clock   btloop.Clock
+}
+
+var _ filter = (*identify)(nil)
+
+func (f *identify) handle(ctx context.Context, x *exchange, next handler) *btrequest.Refusal {
+	if refusal := f.account(x); refusal != nil {
+		return refusal
+	}
+	call, refusal := bthttp.ReadCall(x.caller)
+	if refusal != nil {
+		return refusal
+	}
+	x.call = call
+	if refusal := f.service(x); refusal != nil {
+		return refusal
+	}
+	x.deadline = x.received.Add(f.timeout(x))
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	return next(ctx, x)
+}
+
+func (f *identify) account(x *exchange) *btrequest.Refusal {
+	x.bundle = f.current()
+	if x.bundle == nil {
+		return btrequest.Refuse(ReasonNoBundle, bundleWait, "this entry has no bundle in force yet")
+	}
+	text := x.caller.Header.Get("Authorization")
+	key, found := strings.CutPrefix(text, bearer)
+	if !found || key == "" {
+		return btrequest.Refuse(ReasonNoCredentials, 0, "header Authorization: want \"Bearer\" and a key")
+	}
+	account, found := x.bundle.Index.AccountByKey(key)
+	if !found {
+		return btrequest.Refuse(ReasonBadCredentials, 0, "header Authorization: no client account holds this key")
+	}
+	x.account = account
+	return nil
+}
+
+func (f *identify) service(x *exchange) *btrequest.Refusal {
+	name := x.call.Service
+	service, found := x.bundle.Index.Service(name)
+	if !found {
+		return btrequest.Refuse(ReasonUnknownService, 0, "no service %q in bundle %d", name, x.bundle.Bundle.Version)
+	}
+	if !x.account.May(name) {
+		return btrequest.Refuse(ReasonForbiddenService, 0, "client account %s may not ask for service %q", x.account.Name, name)
+	}
+	x.service = service
+	if x.caller.URL.Path == bthttp.PathCompletions && service.Kind != btbundle.Model {
+		return btrequest.Refuse(ReasonWrongKind, 0, "service %q is not a model; use %s%s/…", name, bthttp.PathServices, name)
+	}
+	if service.KeyRequired && !x.keyed() && changes(x.call.Method) {
+		return btrequest.Refuse(ReasonKeyRequired, 0, "service %q takes %s only with header %s", name, x.call.Method, bthttp.HeaderKey)
+	}
+	return x.call.CheckSize(service.MaxBody)
+}
+
+var changing = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+func changes(method string) bool { return slices.Contains(changing, method) }
+
+func (f *identify) timeout(x *exchange) time.Duration {
+	t := x.bundle.Bundle.Timeouts
+	if x.call.Timeout == 0 {
+		return t.Request.Duration
+	}
+	return min(x.call.Timeout, t.RequestMax.Duration)
+}
--- /dev/null
+++ b/io/btprocess/runtime.go
@@ -0,0 +1,149 @@
+package btprocess
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btkeys"
+	"bilberrytide/io/btloop"
+	"bilberrytide/io/btmetric"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/btplatform"
+	"bilberrytide/io/btsettings"
+)
+
+// Common is what the settings of every process hold.
+type Common struct {
+	DataCentre btid.DataCentre
+	PeerListen netip.AddrPort
+	Platform   btsettings.Platform
+	Approvers  btbundle.Approvers
+	TLS        btsettings.TLS
+	Log        btsettings.Log
+	Status     btsettings.Status
+}
+
+// Runtime is what every process is made of, built from its settings.
+type Runtime struct {
+	Keys      *btkeys.Source
+	Node      *btpeer.Node
+	Platform  *btplatform.Client
+	Bundles   *Bundles
+	Meter     *btmetric.Meter
+	Decisions *btmetric.Decisions
+	Log       *slog.Logger
+	Clock     btloop.Clock
+	Assert    *btassert.Asserter
+	Random    *rand.Rand
+	// StatusListener serves the pages for operators.
+	StatusListener net.Listener
+}
+
+// NewRuntime builds a process of the role from its settings; log lines go to
+// logs. The error names what could not be had.
+func NewRuntime(role btkeys.Role, c Common, logs io.Writer) (*Runtime, error) {
+	log := newLog(c.Log, logs)
+	meter := btmetric.New(nil)
+	keys, err := btkeys.New(btkeys.Options{
+		Files:    btkeys.Files{Certificate: c.TLS.Cert, Key: c.TLS.Key, Authority: c.TLS.CA},
+		Registry: meter.Registry(),
+		Log:      log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	if keys.Identity().Role != role {
+		return nil, fmt.Errorf("tls.cert %s: certificate of %s, want one of role %s", c.TLS.Cert, keys.Identity(), role)
+	}
+	node, err := btpeer.New(btpeer.Options{Listen: c.PeerListen, Keys: keys, Registry: meter.Registry(), Log: log})
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	listener, err := net.Listen("tcp", c.Status.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("status.listen: %w", err)
+	}
+	r := &Runtime{
+		Keys:           keys,
+		Node:           node,
+		Platform:       btplatform.New(btplatform.Options{Address: c.Platform.Address, Registry: meter.Registry()}),
+		Meter:          meter,
+		Decisions:      btmetric.NewDecisions(btmetric.DefaultDecisions, log),
+		Log:            log,
+		Clock:          time.Now,
+		Assert:         btassert.New(btmetric.NewViolations(meter, log)),
+		Random:         newRandom(),
+		StatusListener: listener,
+	}
+	r.Bundles = NewBundles(r.bundlesOptions(c))
+	return r, nil
+}
+
+func (r *Runtime) bundlesOptions(c Common) BundlesOptions {
+	return BundlesOptions{
+		DataCentre: c.DataCentre,
+		Node:       r.Node,
+		Platform:   r.Platform,
+		Key:        c.Platform.BundleKey,
+		Approvers:  c.Approvers,
+		Meter:      r.Meter,
+		Decisions:  r.Decisions,
+		Log:        r.Log,
+		Clock:      r.Clock,
+		Assert:     r.Assert,
+		Random:     fork(r.Random),
+	}
+}
+
+// ServeStatus serves the pages for operators until the context ends.
+func (r *Runtime) ServeStatus(ctx context.Context, pages http.Handler) error {
+	server := &http.Server{Handler: pages, ReadHeaderTimeout: statusHeaderWait}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(r.StatusListener); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+const (
+	statusHeaderWait = 5 * time.Second
+	// closeWait bounds the last messages of a process that ends.
+	closeWait = time.Second
+)
+
+// Close ends the connections to other processes.
+func (r *Runtime) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	_ = r.Node.Close(ctx)
+}
+
+func newLog(c btsettings.Log, logs io.Writer) *slog.Logger {
+	options := &slog.HandlerOptions{Level: c.Level}
+	if c.Format == btsettings.JSON {
+		return slog.New(slog.NewJSONHandler(logs, options))
+	}
+	return slog.New(slog.NewTextHandler(logs, options))
+}
+
+// newRandom returns a source seeded by the operating system.
+func newRandom() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.NativeEndian.Uint64(seed[:8]), binary.NativeEndian.Uint64(seed[8:])))
+}
--- /dev/null
+++ b/io/btprocess/status.go
@@ -0,0 +1,139 @@
+package btprocess
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btclaim"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btmetric"
+	"bilberrytide/io/btpeer"
+)
+
+// Status is the page on which a process says how it is.
+type Status struct {
+	Process     string           `json:"process"`
+	Incarnation btid.Incarnation `json:"incarnation"`
+	DataCentre  btid.DataCentre  `json:"data_centre"`
+	Started     time.Time        `json:"started"`
+	Ready       bool             `json:"ready"`
+	Stopping    bool             `json:"stopping"`
+	Bundle      BundleStatus     `json:"bundle"`
+	// Targets is what an entry knows of the targets.
+	Targets []TargetStatus `json:"targets,omitempty"`
+	// Home is set at an agent that is a key home.
+	Home *btclaim.Status `json:"home,omitempty"`
+	// Group is set at an agent whose target is a rank of a group.
+	Group *GroupStatus `json:"group,omitempty"`
+	// Counters lists refusals, retries and outcomes that have happened.
+	Counters  []CounterStatus     `json:"counters"`
+	Decisions []btmetric.Decision `json:"decisions"`
+}
+
+// BundleStatus is the bundle in force; version 0 for none.
+type BundleStatus struct {
+	Version   btid.BundleVersion `json:"version"`
+	Digest    btbundle.Digest    `json:"digest"`
+	Approvers []string           `json:"approvers"`
+}
+
+// TargetStatus is one target as an entry sees it.
+type TargetStatus struct {
+	Target   btid.Target  `json:"target"`
+	Service  btid.Service `json:"service"`
+	Eligible bool         `json:"eligible"`
+	// Cause says why a target that is not eligible gets no work.
+	Cause    string    `json:"cause,omitempty"`
+	LeaseEnd time.Time `json:"lease_end"`
+	Running  int       `json:"running"`
+	Waiting  int       `json:"waiting"`
+}
+
+// GroupStatus is a rank's group as its agent sees it.
+type GroupStatus struct {
+	Group btid.Group `json:"group"`
+	Rank  int        `json:"rank"`
+	Map   string     `json:"map"`
+	Step  uint64     `json:"step"`
+	Held  bool       `json:"held"`
+	Leads bool       `json:"leads"`
+	// Skew is the slowest rank's step over the mean, minus 1, as the lead last
+	// measured it.
+	Skew float64 `json:"skew"`
+}
+
+// CounterStatus is one counter.
+type CounterStatus struct {
+	Name  string `json:"name"`
+	Count int64  `json:"count"`
+}
+
+// StatusOf fills in what every process knows.
+func StatusOf(identity btpeer.Identity, bundles *Bundles, meter *btmetric.Meter, decisions *btmetric.Decisions) Status {
+	s := Status{
+		Process:   identity.String(),
+		Started:   bundles.started,
+		Counters:  counters(meter.Registry()),
+		Decisions: decisions.List(),
+	}
+	s.DataCentre = bundles.place
+	if current := bundles.Current(); current != nil {
+		s.Bundle = BundleStatus{Version: current.Bundle.Version, Digest: current.Digest, Approvers: current.Signers}
+	}
+	return s
+}
+
+// counters returns the counters by reason that are not zero, by name.
+func counters(registry metrics.Registry) []CounterStatus {
+	found := []CounterStatus{}
+	registry.Each(func(name string, metric any) {
+		counter, ok := metric.(metrics.Counter)
+		if !ok || counter.Count() == 0 || !byReason(name) {
+			return
+		}
+		found = append(found, CounterStatus{Name: name, Count: counter.Count()})
+	})
+	sortCounters(found)
+	return found
+}
+
+func byReason(name string) bool {
+	for _, prefix := range []string{btmetric.PrefixRefused, btmetric.PrefixRetried, btmetric.PrefixOutcome, btmetric.PrefixViolated} {
+		if strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Pages serves the pages for operators: /status, /metrics, /healthz, /readyz.
+func Pages(meter *btmetric.Meter, ready func() bool, status func() Status) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", meter)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(status())
+	})
+	return mux
+}
+
+func sortCounters(list []CounterStatus) {
+	slices.SortFunc(list, func(a, b CounterStatus) int { return cmp.Compare(a.Name, b.Name) })
+}
