Embedded messages keep their times to the nanosecond; grants bind content

Cause: a grant travelled inside a request in the codec library's default form, which cuts times to whole seconds. A ledger judges a grant by its issue and by the time after which it may not start, so a cut time could turn a grant issued after a life began into one from before it, or the reverse. Nor did the agent check that the request is the one that was granted. Ruled out: rounding at the ledger (the evidence is gone by then); leaving grants as typed fields of the request (the serve messages would depend on claims).

--- a/core/btclaim/cut_test.go
+++ b/core/btclaim/cut_test.go
@@ -66,7 +66,8 @@
 // untilGranted sends a new moved key every 100 ms until one is granted.
 func (w *world) untilGranted(e *entry) time.Duration {
 	start := w.now
-	for done := false; !done && w.now.Sub(start) < time.Minute; {
+	done := false
+	for !done && w.now.Sub(start) < time.Minute {
 		e.take(w.movedKey(), func(m btclaim.Ended) { done = done || m.Outcome == btrequest.Done })
 		w.run(100 * time.Millisecond)
 	}
--- a/io/btagent/heartbeat.go
+++ b/io/btagent/heartbeat.go
@@ -6,13 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"bilberrytide/core/btannounce"
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btload"
 	"bilberrytide/core/btmember"
+	"bilberrytide/core/btwire"
 	"bilberrytide/io/btpeer"
 	"bilberrytide/io/btprocess"
 )
@@ -179,7 +178,7 @@
 	state := h.state
 	h.mu.Unlock()
 	order := h.options.Bundles.Current().Order()
-	load, err := cbor.Marshal(h.report())
+	load, err := btwire.Encode(h.report())
 	if err != nil {
 		// A report is plain numbers and always encodes.
 		panic(err)
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -14,6 +14,7 @@
 	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btserve"
+	"bilberrytide/core/btwire"
 	"bilberrytide/io/btpeer"
 	"bilberrytide/io/bttarget"
 )
@@ -73,16 +74,16 @@
 	if len(v.request.Grant) == 0 {
 		return nil
 	}
-	var grant btclaim.Grant
-	if err := cbor.Unmarshal(v.request.Grant, &grant); err != nil {
+	grant, err := btwire.Decode[btclaim.Grant](v.request.Grant)
+	if err != nil {
 		return fmt.Errorf("grant: %w", err)
 	}
-	if err := grant.Validate(); err != nil {
-		return err
-	}
 	if grant.Claim.Service != v.request.Service || grant.Claim.Account != v.request.Account {
 		return fmt.Errorf("grant of %s for a request of %s", grant.Claim.Account, v.request.Account)
 	}
+	if grant.Content != v.request.Content() {
+		return fmt.Errorf("grant of other content")
+	}
 	v.grant = &grant
 	return nil
 }
@@ -180,7 +181,7 @@
 
 // refuseClaim carries the ledger's refusal, with its seal, to the entry.
 func (v *serving) refuseClaim(refused btclaim.Refused) error {
-	data, err := cbor.Marshal(refused)
+	data, err := btwire.Encode(refused)
 	if err != nil {
 		return err
 	}
@@ -225,7 +226,7 @@
 
 // head returns the start of an answer, with the load that it left behind.
 func (v *serving) head(verdict btserve.Verdict) btserve.Head {
-	load, err := cbor.Marshal(v.agent.report())
+	load, err := btwire.Encode(v.agent.report())
 	if err != nil {
 		// A report is plain numbers and always encodes.
 		panic(err)
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -14,6 +14,7 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btserve"
+	"bilberrytide/core/btwire"
 	"bilberrytide/io/bthttp"
 	"bilberrytide/io/btpeer"
 	"bilberrytide/io/btprocess"
@@ -101,7 +102,7 @@
 	if o.grant == nil {
 		return r, nil
 	}
-	data, err := cbor.Marshal(*o.grant)
+	data, err := btwire.Encode(*o.grant)
 	r.Grant = data
 	return r, err
 }
@@ -132,8 +133,8 @@
 		result.atFault = head.Outcome == btrequest.Unknown
 		return result
 	}
-	var refused btclaim.Refused
-	if err := cbor.Unmarshal(head.Sealed, &refused); err == nil && refused.Validate() == nil {
+	refused, err := btwire.Decode[btclaim.Refused](head.Sealed)
+	if err == nil {
 		result.refused = &refused
 	}
 	return result
--- a/io/btentry/dispatch.go
+++ b/io/btentry/dispatch.go
@@ -12,6 +12,7 @@
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btroute"
+	"bilberrytide/core/btserve"
 	"bilberrytide/io/btpeer"
 	"bilberrytide/io/btprocess"
 )
@@ -151,7 +152,7 @@
 	flow.client = btclaim.NewClient(btclaim.ClientSettings{
 		Request: x.id,
 		Claim:   btclaim.Claim{Service: x.service.Name, Account: x.account.Name, Key: x.call.Key},
-		Content: contentOf(x),
+		Content: btserve.ContentOf(x.call.Method, x.call.Path, x.call.Body),
 		Epoch:   x.service.Current(),
 
 		MaxAttempts: x.bundle.Bundle.Retry.MaxAttempts,
@@ -160,13 +161,6 @@
 	return flow.run(ctx)
 }
 
-// contentOf returns the digest by which a repeat is told from another request
-// under the same key.
-func contentOf(x *exchange) btbundle.Digest {
-	content := x.call.Method + " " + x.call.Path + "\n" + string(x.call.Body)
-	return btbundle.DigestOf([]byte(content))
-}
-
 // claimFlow carries out what a claim client asks for.
 type claimFlow struct {
 	dispatch *dispatch
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -17,6 +17,7 @@
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btroute"
+	"bilberrytide/core/btwire"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btprocess"
@@ -137,8 +138,8 @@
 	if len(data) == 0 {
 		return
 	}
-	var report btload.Report
-	if err := cbor.Unmarshal(data, &report); err != nil || report.Validate() != nil {
+	report, err := btwire.Decode[btload.Report](data)
+	if err != nil {
 		f.meter.Refused(reasonBadReport)
 		return
 	}
--- a/io/btentry/status.go
+++ b/io/btentry/status.go
@@ -1,9 +1,8 @@
 package btentry
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"bilberrytide/core/btload"
+	"bilberrytide/core/btwire"
 	"bilberrytide/io/btprocess"
 )
 
@@ -32,8 +31,8 @@
 		Cause:    string(v.cause),
 		LeaseEnd: v.view.LeaseEnd,
 	}
-	var report btload.Report
-	if err := cbor.Unmarshal(v.view.Load, &report); err == nil {
+	report, err := btwire.Decode[btload.Report](v.view.Load)
+	if err == nil {
 		t.Running = report.Running
 		t.Waiting = report.Waiting
 	}
