--- /dev/null
+++ b/core/btbench/cases.go
@@ -0,0 +1,52 @@
+package btbench
+
+import "time"
+
+// Loads as shares of the measured capacity.
+const (
+	normalLoad    = 0.7
+	faultedLoad   = 0.6
+	overload      = 2.0
+	afterOverload = 0.5
+	lockstepLoad  = 0.55
+	// saturation is far above any capacity.
+	saturation = 1000
+)
+
+// Capacity measures how many requests a second the healthy fleet answers under
+// the policy, with far more offered than it can take.
+func Capacity(f Fleet, p Contender, seed uint64) float64 {
+	w := DefaultWorkload(seed, saturation)
+	w.Length = 20 * time.Second
+	return Replay(f, Case{Name: "capacity", Load: w}, p, Trace(w)).Throughput
+}
+
+// Cases returns the healthy, faulted and overloaded cases for a fleet of the
+// given capacity in requests a second.
+func Cases(seed uint64, capacity float64) []Case {
+	faulted := DefaultWorkload(seed, faultedLoad*capacity)
+	from := 15 * time.Second
+	peak := DefaultWorkload(seed, afterOverload*capacity)
+	peak.PeakRate = overload * capacity
+	peak.PeakFrom, peak.PeakUntil = 10*time.Second, 25*time.Second
+	steady := DefaultWorkload(seed, overload*capacity)
+	return []Case{
+		{Name: "healthy", Load: DefaultWorkload(seed, normalLoad*capacity)},
+		{Name: "slow_target", Load: faulted, Faults: Faults{From: from, SlowTarget: 5}},
+		{Name: "dead_data_centre", Load: faulted, Faults: Faults{From: from, DeadDataCentre: true}},
+		{Name: "reports_lag_2s", Load: faulted, Faults: Faults{From: 0, ReportLag: 2 * time.Second}},
+		{Name: "cache_events_late", Load: faulted, Faults: Faults{From: 0, EventDelay: 5 * time.Second, EventLoss: 0.2}},
+		{Name: "peak_by_queue", Load: peak, Return: ByQueue},
+		{Name: "peak_reserved", Load: peak, Return: ByReservation},
+		{Name: "peak_reserved_strangers", Load: peak, Return: ByReservation, Strangers: true},
+		{Name: "steady_by_queue", Load: steady, Return: ByQueue},
+		{Name: "steady_reserved", Load: steady, Return: ByReservation},
+	}
+}
+
+// LockstepCase is a healthy case for a group of ranks.
+func LockstepCase(seed uint64, capacity float64) (Fleet, Case) {
+	f := DefaultFleet()
+	f.Lockstep = true
+	return f, Case{Name: "lockstep_group", Load: DefaultWorkload(seed, lockstepLoad*capacity)}
+}
--- /dev/null
+++ b/core/btbench/trace.go
@@ -0,0 +1,170 @@
+package btbench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"bilberrytide/core/btload"
+)
+
+// Workload describes a trace.
+type Workload struct {
+	Seed uint64
+	// Rate is requests a second, PeakRate between PeakFrom and PeakUntil.
+	Rate, PeakRate      float64
+	PeakFrom, PeakUntil time.Duration
+	Length              time.Duration
+	// Systems is how many system prompts there are; their popularity falls as
+	// Zipf's law.
+	Systems int
+	// Accounts is how many client accounts there are, the first the largest.
+	Accounts int
+	// FollowUps is the share of requests that continue a conversation.
+	FollowUps float64
+	// Keyed is the share of requests that may run at most once.
+	Keyed float64
+}
+
+// DefaultWorkload is a minute of conversations at the given rate.
+func DefaultWorkload(seed uint64, rate float64) Workload {
+	return Workload{
+		Seed:      seed,
+		Rate:      rate,
+		Length:    time.Minute,
+		Systems:   24,
+		Accounts:  10,
+		FollowUps: 0.6,
+		Keyed:     0.2,
+	}
+}
+
+// Arrival is one request of a trace.
+type Arrival struct {
+	At       time.Duration
+	Account  int
+	Entry    uint32
+	Prefixes []uint64
+	Output   int
+	Keyed    bool
+}
+
+// Tokens returns the prompt's length.
+func (a Arrival) Tokens() int { return len(a.Prefixes) * btload.ChunkTokens }
+
+// fingerprint stands for the hash of the caller's account and body. The last
+// prefix of a trace's prompt is its own.
+func (a Arrival) fingerprint() uint64 { return a.Prefixes[len(a.Prefixes)-1] }
+
+// Sizes of prompts in chunks and of answers in tokens.
+const (
+	systemChunksMin  = 4
+	systemChunksSpan = 20
+	turnChunksMin    = 1
+	turnChunksSpan   = 5
+	meanOutput       = 100
+	maxOutput        = 600
+	conversations    = 200
+)
+
+// generator holds the state of a trace in the making.
+type generator struct {
+	workload Workload
+	random   *rand.Rand
+	systems  [][]uint64
+	popular  *rand.Zipf
+	accounts *rand.Zipf
+	open     []conversation
+}
+
+type conversation struct {
+	account int
+	chain   []uint64
+}
+
+// Trace returns the workload's arrivals in order.
+func Trace(w Workload) []Arrival {
+	random := rand.New(rand.NewPCG(w.Seed, 7))
+	g := &generator{
+		workload: w,
+		random:   random,
+		popular:  rand.NewZipf(random, 1.2, 1, uint64(w.Systems-1)),
+		accounts: rand.NewZipf(random, 1.2, 1, uint64(w.Accounts-1)),
+	}
+	for range w.Systems {
+		g.systems = append(g.systems, g.extend(nil, systemChunksMin+random.IntN(systemChunksSpan)))
+	}
+	var trace []Arrival
+	for at := g.gap(0); at < w.Length; at += g.gap(at) {
+		trace = append(trace, g.arrival(at))
+	}
+	return trace
+}
+
+func (g *generator) gap(at time.Duration) time.Duration {
+	rate := g.workload.Rate
+	if at >= g.workload.PeakFrom && at < g.workload.PeakUntil {
+		rate = g.workload.PeakRate
+	}
+	return time.Duration(g.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (g *generator) arrival(at time.Duration) Arrival {
+	talk := g.conversation()
+	talk.chain = g.extend(talk.chain, turnChunksMin+g.random.IntN(turnChunksSpan))
+	if len(talk.chain) < btload.MaxChunks/2 {
+		g.remember(talk)
+	}
+	output := min(1+int(g.random.ExpFloat64()*meanOutput), maxOutput)
+	return Arrival{
+		At:       at,
+		Account:  talk.account,
+		Entry:    g.random.Uint32(),
+		Prefixes: talk.chain,
+		Output:   output,
+		Keyed:    g.random.Float64() < g.workload.Keyed,
+	}
+}
+
+// conversation continues an open one or starts one on a system prompt.
+func (g *generator) conversation() conversation {
+	if len(g.open) > 0 && g.random.Float64() < g.workload.FollowUps {
+		i := g.random.IntN(len(g.open))
+		talk := g.open[i]
+		g.open[i] = g.open[len(g.open)-1]
+		g.open = g.open[:len(g.open)-1]
+		return talk
+	}
+	return conversation{account: int(g.accounts.Uint64()), chain: g.systems[g.popular.Uint64()]}
+}
+
+func (g *generator) remember(talk conversation) {
+	if len(g.open) < conversations {
+		g.open = append(g.open, talk)
+		return
+	}
+	g.open[g.random.IntN(len(g.open))] = talk
+}
+
+// extend returns the chain with so many chunks more. It shares no memory that a
+// later turn could change.
+func (g *generator) extend(chain []uint64, chunks int) []uint64 {
+	longer := append([]uint64(nil), chain...)
+	for range chunks {
+		longer = append(longer, g.random.Uint64())
+	}
+	return longer[:min(len(longer), btload.MaxChunks)]
+}
+
+// jain returns Jain's fairness index of the shares: 1 where all are equal.
+func jain(shares []float64) float64 {
+	var sum, squares float64
+	for _, s := range shares {
+		sum += s
+		squares += s * s
+	}
+	if squares == 0 {
+		return math.NaN()
+	}
+	return sum * sum / (float64(len(shares)) * squares)
+}
