--- a/core/btbundle/btbundle.go
+++ b/core/btbundle/btbundle.go
@@ -131,6 +131,9 @@
 	Kind Kind         `toml:"kind" json:"kind"`
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64 `toml:"max_body" json:"max_body"`
+	// FirstToken is the goal for the time to the first token or byte: a request
+	// that would wait longer for a slot is refused at once. Zero for no goal.
+	FirstToken Span `toml:"first_token,omitempty" json:"first_token"`
 	// KeyRequired refuses POST, PUT, PATCH and DELETE without Idempotency-Key.
 	KeyRequired bool `toml:"key_required,omitempty" json:"key_required"`
 	// Epochs lists the sets of key homes, oldest first, the last in force;
--- a/core/btbundle/diff.go
+++ b/core/btbundle/diff.go
@@ -120,6 +120,7 @@
 			subject := "service " + string(after.Name)
 			field(d, subject, "kind", before.Kind, after.Kind)
 			field(d, subject, "largest body in bytes", before.MaxBody, after.MaxBody)
+			field(d, subject, "goal for the first token", before.FirstToken, after.FirstToken)
 			field(d, subject, "idempotency key required", before.KeyRequired, after.KeyRequired)
 			diffHomes(d, before, after)
 		}
--- a/core/btqueue/btqueue.go
+++ b/core/btqueue/btqueue.go
@@ -162,7 +162,8 @@
 		return "", true
 	}
 	run := seconds(a.Cost * q.unit(now))
-	if now.Add(q.wait(now, q.queue.ahead(a)) + run).After(a.Deadline) {
+	wait := q.wait(now, q.queue.ahead(a))
+	if now.Add(wait+run).After(a.Deadline) || !a.inGoal(now, wait) {
 		return ReasonWait, false
 	}
 	if q.queue.count < q.room {
--- a/core/btqueue/estimate.go
+++ b/core/btqueue/estimate.go
@@ -13,6 +13,11 @@
 	// returnShare is the share of the drain rate that is promised to refused
 	// requests when they come back; the rest is for new ones.
 	returnShare = 1.0 / 3
+	// newShare and reservedShare are the parts of the time to the goal that new
+	// requests may wait, and those that come back when told; chosen by the
+	// overload cases of package btbench.
+	newShare      = 0.6
+	reservedShare = 0.9
 	// retryJitter is the largest share by which a time to come back is
 	// lengthened.
 	retryJitter = 0.1
@@ -76,6 +81,20 @@
 	return seconds(ahead / q.rate(now))
 }
 
+// inGoal tells whether so long a wait leaves the goal in reach. New requests may
+// fill less of the time than those that room was kept for, so that whoever comes
+// back when told finds it.
+func (a Arrived) inGoal(now time.Time, wait time.Duration) bool {
+	if a.StartBy.IsZero() || wait == 0 {
+		return true
+	}
+	share := newShare
+	if a.Reserved {
+		share = reservedShare
+	}
+	return wait.Seconds() <= share*a.StartBy.Sub(now).Seconds()
+}
+
 // retryAfter books a time at which a refused request of that cost is likely to
 // be taken: after the queue of now has drained, and after those who were told
 // to come back earlier.
--- a/core/btqueue/event.go
+++ b/core/btqueue/event.go
@@ -22,6 +22,10 @@
 	Priority btrequest.Priority
 	// Deadline is when the whole answer is due.
 	Deadline time.Time
+	// StartBy is the goal for its start; the zero time is none.
+	StartBy time.Time
+	// Reserved tells that an entry kept room for it when it was refused before.
+	Reserved bool
 	// Cost is the expected work in any unit that the target's requests share,
 	// such as tokens; 1 where it is not a positive number.
 	Cost float64
--- a/core/btserve/btserve.go
+++ b/core/btserve/btserve.go
@@ -52,6 +52,9 @@
 	Path   string `cbor:"path"`
 	Header Header `cbor:"header"`
 	Body   []byte `cbor:"body"`
+	// Reserved tells that the entry kept room for the request when it was
+	// refused before.
+	Reserved bool `cbor:"reserved,omitempty"`
 	// Stream tells that the caller wants server-sent events.
 	Stream bool `cbor:"stream"`
 	// Resume asks the engine for the rest of a stream of which the caller has
--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -52,14 +52,15 @@
 	heartbeat *heartbeat
 	stop      *btprocess.Stop
 
-	mu        sync.Mutex
-	service   btid.Service
-	endpoint  string
-	client    *bttarget.Client
-	admission *admission
-	ledger    *ledger
-	ready     atomic.Bool
-	reports   atomic.Uint64
+	mu         sync.Mutex
+	service    btid.Service
+	firstToken time.Duration
+	endpoint   string
+	client     *bttarget.Client
+	admission  *admission
+	ledger     *ledger
+	ready      atomic.Bool
+	reports    atomic.Uint64
 	// starting runs what begins with the first bundle.
 	starting chan func(context.Context)
 }
@@ -147,6 +148,9 @@
 	}
 	a.mu.Lock()
 	a.service = target.Service
+	if service, found := approved.Index.Service(target.Service); found {
+		a.firstToken = service.FirstToken.Duration
+	}
 	if a.endpoint != target.Endpoint.String() {
 		a.endpoint = target.Endpoint.String()
 		a.client = bttarget.New(bttarget.Options{Endpoint: target.Endpoint, Registry: a.options.Meter.Registry()})
@@ -189,16 +193,18 @@
 
 // place is what serving one request needs of the bundle in force.
 type place struct {
-	service   btid.Service
-	client    *bttarget.Client
-	admission *admission
-	ledger    *ledger
+	service btid.Service
+	// firstToken is the service's goal, zero for none.
+	firstToken time.Duration
+	client     *bttarget.Client
+	admission  *admission
+	ledger     *ledger
 }
 
 func (a *Agent) place() (place, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := place{service: a.service, client: a.client, admission: a.admission, ledger: a.ledger}
+	p := place{service: a.service, firstToken: a.firstToken, client: a.client, admission: a.admission, ledger: a.ledger}
 	return p, a.admission != nil
 }
 
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -95,10 +95,20 @@
 		Weight:   v.request.Weight,
 		Priority: v.request.Priority,
 		Deadline: v.deadline,
+		StartBy:  v.startBy(),
+		Reserved: v.request.Reserved,
 		Cost:     1,
 	}
 }
 
+// startBy returns the goal for the start, the zero time where there is none.
+func (v *serving) startBy() time.Time {
+	if v.place.firstToken == 0 {
+		return time.Time{}
+	}
+	return v.agent.options.Clock().Add(v.place.firstToken)
+}
+
 // turnAway answers a refusal of the queue. A granted request is sealed first,
 // so that it may run elsewhere.
 func (v *serving) turnAway(refusal *btqueue.Refuse) error {
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -98,6 +98,7 @@
 		Body:      x.call.Body,
 		Stream:    x.call.Stream,
 		Resume:    o.resume,
+		Reserved:  x.reserved,
 	}
 	if o.grant == nil {
 		return r, nil
@@ -160,6 +161,7 @@
 		if first && len(piece.Data) > 0 {
 			first = false
 			s.entry.fleet.started(o.pick)
+			s.entry.reserve.served(x.service.Name)
 			s.entry.options.Meter.Duration("first_byte_us", s.entry.options.Clock().Sub(x.received))
 		}
 		if s.add(x, piece, err, result) {
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -54,6 +54,7 @@
 	numbers     atomic.Uint64
 	fleet       *fleet
 	limit       *limit
+	reserve     *reserve
 	path        handler
 	server      *http.Server
 	stop        *btprocess.Stop
@@ -86,7 +87,8 @@
 	e.stop = btprocess.NewStop(btmember.DrainSettings{Lag: o.BalancerLag, Grace: stopGrace}, o.Clock, o.Assert, o.Log)
 	end := &dispatch{entry: e, sender: sender{entry: e}}
 	e.limit = newLimit(e)
-	e.path = chain(end.handle, &identify{current: o.Bundles.Current, clock: o.Clock}, e.limit)
+	e.reserve = newReserve(o.Clock)
+	e.path = chain(end.handle, &identify{current: o.Bundles.Current, clock: o.Clock}, e.limit, e.reserve)
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: headerWait,
--- a/io/btentry/exchange.go
+++ b/io/btentry/exchange.go
@@ -28,6 +28,9 @@
 	// limited is set where the account is over its limit, but only the key's
 	// home can tell whether the request was run before.
 	limited *btrequest.Refusal
+	// reserved tells that room was kept for the request when it was refused
+	// before.
+	reserved bool
 	// target is where the last attempt went, for the log.
 	target btid.Target
 	// attempts counts the attempts sent to agents.
