Agree on a group's expert map

Cause: a step needs every rank, so it is enough that all engines not held have one map; late orders and forgetful agents are what breaks that. Ruled out, by runs that break: switch at step S; messages by ballot alone; release as soon as no promise shows a commit; engines that check nothing, unless orders in flight are waited out. Also ruled out: a quorum (agents keep nothing), fencing alone (some engines ignore it), abort as a round of its own (holds the group for one absent agent).

--- /dev/null
+++ b/core/btswitch/kill_test.go
@@ -0,0 +1,82 @@
+package btswitch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btswitch"
+)
+
+// victims are what is killed at a message of a round.
+var victims = map[string]func(s *sim, from *agent, to btid.Target){
+	"sender":            func(s *sim, from *agent, _ btid.Target) { s.killAgent(from.host, time.Second) },
+	"sender, for long":  func(s *sim, from *agent, _ btid.Target) { s.killAgent(from.host, 6*time.Second) },
+	"receiver":          func(s *sim, _ *agent, to btid.Target) { s.killAgent(s.hosts[to], time.Second) },
+	"receiver's engine": func(s *sim, _ *agent, to btid.Target) { s.killEngine(s.hosts[to], time.Second) },
+	"sender paused":     func(s *sim, from *agent, _ btid.Target) { s.pauseAgent(from.host, 4*time.Second) },
+	"both": func(s *sim, from *agent, to btid.Target) {
+		s.killAgent(from.host, time.Second)
+		s.killAgent(s.hosts[to], time.Second)
+	},
+}
+
+// killAt runs one round in a fault-free network but for the victim's death at
+// the message of the given number, and tells whether the round got that far.
+func killAt(t *testing.T, kind engineKind, victim string, number int, orphan time.Duration) (reached bool, longest time.Duration) {
+	t.Helper()
+	count := -1
+	o := simOptions{seed: uint64(number), ranks: 3, kind: kind, orphanDelay: orphan, stateInAnswer: number%2 == 0}
+	if number%3 == 0 {
+		o.loadTime = 20 * time.Millisecond
+	}
+	o.onSend = func(s *sim, from *agent, to btid.Target, _ btswitch.Message) {
+		if count < 0 {
+			return
+		}
+		if count == number {
+			victims[victim](s, from, to)
+		}
+		count++
+	}
+	s := newSim(o)
+	s.run(2 * time.Second)
+	name := fmt.Sprintf("%+v, %s killed at message %d, orders %v late", kind, victim, number, orphan)
+	assert.Assert(t, s.steps > 0, name)
+	count = 0
+	s.propose(s.lowestLive())
+	s.run(300 * time.Millisecond)
+	reached = count > number
+	s.run(10 * time.Second)
+	assert.Equal(t, s.violation, "", name)
+	assert.Assert(t, s.now.Sub(s.lastStep) < time.Second, "%s: the last step is %v old", name, s.now.Sub(s.lastStep))
+	return reached, s.longest
+}
+
+func TestKillAtEveryMessageOfARound(t *testing.T) {
+	for name, kind := range kinds {
+		if kind.fencing && *runs < 100 {
+			continue // It refuses more of the same orders: only in long runs.
+		}
+		total := 0
+		var longest time.Duration
+		for victim := range victims {
+			for _, orphan := range []time.Duration{0, 2500 * time.Millisecond} {
+				number := 0
+				for ; ; number++ {
+					reached, hold := killAt(t, kind, victim, number, orphan)
+					if !reached {
+						break
+					}
+					longest = max(longest, hold)
+				}
+				assert.Assert(t, number >= 8*3, "%s: the round has only %d messages", victim, number)
+				total += number
+			}
+		}
+		t.Logf("%s: %d kills, longest time without a step %v", name, total, longest)
+	}
+}
