--- /dev/null
+++ b/cmd/bilberrytide/bench_test.go
@@ -0,0 +1,206 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btstandin/btfleet"
+)
+
+const (
+	// pathTime is how long each way is measured at each concurrency.
+	pathTime = 2500 * time.Millisecond
+	// warmTime is how long each way runs before, unmeasured.
+	warmTime = 300 * time.Millisecond
+	// streamTokens is the length of each streamed answer.
+	streamTokens = 256
+	// decodeRate is the speed of one stream, in tokens a second.
+	decodeRate = 2000
+	// slots lets everything run at once.
+	slots = 512
+)
+
+var (
+	callConcurrency   = []int{1, 8, 64}
+	streamConcurrency = []int{1, 8, 32}
+)
+
+// sample is what one way did at one concurrency.
+type sample struct {
+	took  []time.Duration
+	units int64
+	span  time.Duration
+	// entry and agent are the processor times of the product's processes.
+	entry, agent time.Duration
+}
+
+// quantile returns a latency; the share is from 0 to 1.
+func (s *sample) quantile(share float64) time.Duration {
+	return s.took[int(share*float64(len(s.took)-1))]
+}
+
+// rate is units a second: requests or tokens.
+func (s *sample) rate() float64 { return float64(s.units) / s.span.Seconds() }
+
+// per returns seconds of processor time for so many units.
+func (s *sample) per(used time.Duration, units float64) float64 {
+	return used.Seconds() * units / float64(s.units)
+}
+
+// way sends one request and returns its units.
+type way func(ctx context.Context) (int64, error)
+
+// path is the fleet of one benchmark.
+type path struct {
+	*btfleet.Fleet
+	agent string
+}
+
+// measure runs a way with so many callers for a time.
+func (p *path) measure(b *testing.B, callers int, w way) *sample {
+	p.drive(b, callers, warmTime, w)
+	entry, agent := p.used(b, "entry-1"), p.used(b, p.agent)
+	s := p.drive(b, callers, pathTime, w)
+	s.entry = p.used(b, "entry-1") - entry
+	s.agent = p.used(b, p.agent) - agent
+	return s
+}
+
+func (p *path) drive(b *testing.B, callers int, length time.Duration, w way) *sample {
+	ctx, cancel := context.WithTimeout(b.Context(), scenarioWait)
+	defer cancel()
+	s := &sample{}
+	var units atomic.Int64
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	began := time.Now()
+	for range callers {
+		all.Go(func() {
+			var took []time.Duration
+			for time.Since(began) < length {
+				sent := time.Now()
+				n, err := w(ctx)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				took = append(took, time.Since(sent))
+				units.Add(n)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s.took = append(s.took, took...)
+		})
+	}
+	all.Wait()
+	s.span = time.Since(began)
+	s.units = units.Load()
+	slices.Sort(s.took)
+	return s
+}
+
+func (p *path) used(b *testing.B, name string) time.Duration {
+	usage, err := p.Process(name).Usage()
+	assert.NilError(b, err)
+	return usage.CPU
+}
+
+// request makes a way of requests that one function makes anew each time.
+func request(caller *btfleet.Caller, make func(ctx context.Context) (*http.Request, error), units func(body []byte) int64) way {
+	return func(ctx context.Context) (int64, error) {
+		r, err := make(ctx)
+		if err != nil {
+			return 0, err
+		}
+		response, body, err := caller.Do(r)
+		if err != nil {
+			return 0, err
+		}
+		if response.StatusCode != http.StatusOK {
+			return 0, fmt.Errorf("%s: %s", response.Status, body)
+		}
+		return units(body), nil
+	}
+}
+
+// BenchmarkPath compares a target called directly with the same target behind
+// one entry and its agent: latency and rate of small calls, tokens a second of
+// streams, and the processor time and memory of both processes.
+func BenchmarkPath(b *testing.B) {
+	for b.Loop() {
+		_, f := start(b, btfleet.Options{Entries: 1, Plains: 1, Models: 1, Slots: slots, Queue: slots, DecodeRate: decodeRate})
+		caller := f.NewCaller(callConcurrency[len(callConcurrency)-1])
+		var table strings.Builder
+		benchmarkCalls(b, f, caller, &table)
+		benchmarkStreams(b, f, caller, &table)
+		for _, name := range f.Product() {
+			usage, err := f.Process(name).Usage()
+			assert.NilError(b, err)
+			fmt.Fprintf(&table, "resident memory of %s: %.1f MB\n", name, float64(usage.Resident)/1e6)
+		}
+		// The log of a benchmark is cut after a few lines.
+		fmt.Print("\n", table.String())
+		caller.Close()
+		f.Close()
+	}
+}
+
+func benchmarkCalls(b *testing.B, f *btfleet.Fleet, caller *btfleet.Caller, table *strings.Builder) {
+	p := &path{Fleet: f, agent: btfleet.Agent("plain-1")}
+	body := bytes.Repeat([]byte("x"), 200)
+	one := func([]byte) int64 { return 1 }
+	direct := request(caller, func(ctx context.Context) (*http.Request, error) {
+		return caller.Direct(ctx, "plain-1", "/seats", body)
+	}, one)
+	through := request(caller, func(ctx context.Context) (*http.Request, error) {
+		return caller.Request(ctx, "entry-1", bthttp.PathServices+string(btfleet.Plain)+"/seats", body)
+	}, one)
+	fmt.Fprintf(table, "%8s %12s %12s %12s %12s %10s %10s %8s %12s %12s\n", "callers", "p50 direct", "p50 through",
+		"p99 direct", "p99 through", "1/s direct", "1/s thr.", "ratio", "entry s/1000", "agent s/1000")
+	for _, callers := range callConcurrency {
+		d := p.measure(b, callers, direct)
+		t := p.measure(b, callers, through)
+		ratio := t.rate() / d.rate()
+		fmt.Fprintf(table, "%8d %12s %12s %12s %12s %10.0f %10.0f %8.3f %12.3f %12.3f\n", callers,
+			short(d.quantile(0.5)), short(t.quantile(0.5)), short(d.quantile(0.99)), short(t.quantile(0.99)),
+			d.rate(), t.rate(), ratio, t.per(t.entry, 1000), t.per(t.agent, 1000))
+		b.ReportMetric(ratio, fmt.Sprintf("rate-ratio-%d", callers))
+		b.ReportMetric(float64(t.quantile(0.5))/float64(d.quantile(0.5)), fmt.Sprintf("p50-ratio-%d", callers))
+	}
+}
+
+func benchmarkStreams(b *testing.B, f *btfleet.Fleet, caller *btfleet.Caller, table *strings.Builder) {
+	p := &path{Fleet: f, agent: btfleet.Agent("model-1")}
+	body := fmt.Appendf(nil, `{"model":%q,"max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"A budget note"}]}`, btfleet.Model, streamTokens)
+	// Two events of a stream are no tokens.
+	tokens := func(answer []byte) int64 { return int64(bytes.Count(answer, []byte("\n\n"))) - 2 }
+	direct := request(caller, func(ctx context.Context) (*http.Request, error) {
+		return caller.Direct(ctx, "model-1", bthttp.PathCompletions, body)
+	}, tokens)
+	through := request(caller, func(ctx context.Context) (*http.Request, error) {
+		return caller.Request(ctx, "entry-1", bthttp.PathCompletions, body)
+	}, tokens)
+	fmt.Fprintf(table, "%8s %14s %14s %8s %16s %16s\n", "streams", "tokens/s dir.", "tokens/s thr.", "ratio", "entry s/100,000", "agent s/100,000")
+	for _, streams := range streamConcurrency {
+		d := p.measure(b, streams, direct)
+		t := p.measure(b, streams, through)
+		ratio := t.rate() / d.rate()
+		fmt.Fprintf(table, "%8d %14.0f %14.0f %8.3f %16.3f %16.3f\n", streams, d.rate(), t.rate(), ratio,
+			t.per(t.entry, 100_000), t.per(t.agent, 100_000))
+		b.ReportMetric(ratio, fmt.Sprintf("token-ratio-%d", streams))
+	}
+}
+
+// short writes a latency in microseconds.
+func short(d time.Duration) string { return fmt.Sprintf("%d µs", d.Microseconds()) }
--- a/commands/btruncmd/btruncmd.go
+++ b/commands/btruncmd/btruncmd.go
@@ -172,9 +172,11 @@
 
 func commonOfEntry(s *btsettings.Entry) btprocess.Common {
 	return btprocess.Common{
+		Host:       s.Host,
 		DataCentre: s.DataCentre,
 		PeerListen: s.PeerListen,
 		Platform:   s.Platform,
+		Peers:      s.Peers,
 		Approvers:  s.Approvers,
 		TLS:        s.TLS,
 		Log:        s.Log,
@@ -184,9 +186,11 @@
 
 func commonOfAgent(s *btsettings.Agent) btprocess.Common {
 	return btprocess.Common{
+		Host:       s.Host,
 		DataCentre: s.DataCentre,
 		PeerListen: s.PeerListen,
 		Platform:   s.Platform,
+		Peers:      s.Peers,
 		Approvers:  s.Approvers,
 		TLS:        s.TLS,
 		Log:        s.Log,
--- a/commands/btstatuscmd/btstatuscmd.go
+++ b/commands/btstatuscmd/btstatuscmd.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"text/tabwriter"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -91,52 +90,15 @@
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(s)
 	}
-	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "%s\tin %s\tup since %s\tready %t\tstopping %t\n", s.Process, s.DataCentre, s.Started.UTC().Format(time.RFC3339), s.Ready, s.Stopping)
-	fmt.Fprintf(w, "bundle %d\t%s\tapproved by %v\n", s.Bundle.Version, s.Bundle.Digest, s.Bundle.Approvers)
-	printTargets(w, s)
-	printHome(w, s)
-	printGroup(w, s)
-	for _, counter := range s.Counters {
-		fmt.Fprintf(w, "%s\t%d\n", counter.Name, counter.Count)
-	}
+	printHead(c.out, s)
+	printTargets(c.out, s)
+	printLimits(c.out, s)
+	printHome(c.out, s)
+	printGroup(c.out, s)
+	printCounters(c.out, s)
 	if c.why {
-		printDecisions(w, s)
-	}
-	fmt.Fprintln(w)
-	return w.Flush()
-}
-
-func printTargets(w io.Writer, s btprocess.Status) {
-	if len(s.Targets) == 0 {
-		return
-	}
-	fmt.Fprintln(w, "TARGET\tSERVICE\tELIGIBLE\tRUNNING\tWAITING\tCAUSE")
-	for _, t := range s.Targets {
-		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\n", t.Target, t.Service, t.Eligible, t.Running, t.Waiting, t.Cause)
-	}
-}
-
-func printHome(w io.Writer, s btprocess.Status) {
-	if s.Home == nil {
-		return
-	}
-	fmt.Fprintf(w, "key home\tepoch %d\tleased %t\tsince %s\trecords %d\t%s\n",
-		s.Home.Epoch, s.Home.Leased, s.Home.Since.UTC().Format(time.RFC3339), s.Home.Records, s.Home.Reason)
-}
-
-func printGroup(w io.Writer, s btprocess.Status) {
-	if s.Group == nil {
-		return
-	}
-	g := s.Group
-	fmt.Fprintf(w, "group %s\trank %d\tmap %.12s\tstep %d\theld %t\tleads %t\tskew %.3f\n",
-		g.Group, g.Rank, g.Map, g.Step, g.Held, g.Leads, g.Skew)
-}
-
-func printDecisions(w io.Writer, s btprocess.Status) {
-	fmt.Fprintln(w, "TIME\tACT\tSUBJECT\tCAUSE\tEVIDENCE\tEXPECTED")
-	for _, d := range s.Decisions {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", d.Time.UTC().Format(time.RFC3339), d.Act, d.Subject, d.Cause, d.Evidence, d.Expected)
+		printDecisions(c.out, s)
 	}
+	_, err := fmt.Fprintln(c.out)
+	return err
 }
--- a/core/btannounce/btannounce.go
+++ b/core/btannounce/btannounce.go
@@ -13,16 +13,24 @@
 // ErrMessage is wrapped by the error of every malformed message.
 var ErrMessage = errors.New("malformed announcement")
 
-// Never is the ReadAge of a process that has not read the configuration
-// service.
-const Never time.Duration = -1
+// MaxReads is how many reads of the configuration service one announcement
+// tells of.
+const MaxReads = 4
+
+// Read tells when a process last read the configuration service with success.
+type Read struct {
+	Reader btbundle.Peer `cbor:"reader" json:"reader"`
+	// Age is how long ago that was when the announcement was made, so that no
+	// two clocks are compared.
+	Age time.Duration `cbor:"age" json:"age"`
+}
 
 // Announcement says what a process has in force, and is asked for with one.
 type Announcement struct {
 	Order btbundle.Order `cbor:"order" json:"order"`
-	// ReadAge is how long ago the process last read the configuration service
-	// with success; Never where it hasn't.
-	ReadAge time.Duration `cbor:"read_age" json:"read_age"`
+	// Reads are the latest reads of the service that the sender knows of, its
+	// own and others', newest first.
+	Reads []Read `cbor:"reads,omitempty" json:"reads"`
 }
 
 // Validate reports an announcement that no process could make.
@@ -30,8 +38,13 @@
 	if err := a.Order.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", ErrMessage, err)
 	}
-	if a.ReadAge < Never {
-		return fmt.Errorf("%w: read age %v", ErrMessage, a.ReadAge)
+	if len(a.Reads) > MaxReads {
+		return fmt.Errorf("%w: %d reads, at most %d", ErrMessage, len(a.Reads), MaxReads)
+	}
+	for _, r := range a.Reads {
+		if r.Reader == "" || r.Age < 0 {
+			return fmt.Errorf("%w: read by %q of age %v", ErrMessage, r.Reader, r.Age)
+		}
 	}
 	return nil
 }
@@ -48,17 +61,3 @@
 	}
 	return nil
 }
-
-// File carries the signed file that is in force at the sender; empty where
-// nothing is. Its signatures, not the sender, vouch for it.
-type File struct {
-	Raw []byte `cbor:"raw" json:"raw"`
-}
-
-// Validate reports a file that is larger than any bundle with its signatures.
-func (f File) Validate() error {
-	if len(f.Raw) > btbundle.MaxBytes {
-		return fmt.Errorf("%w: file of %d bytes, at most %d", ErrMessage, len(f.Raw), btbundle.MaxBytes)
-	}
-	return nil
-}
--- a/core/btbundle/reader.go
+++ b/core/btbundle/reader.go
@@ -46,7 +46,7 @@
 		last[m.Name] = m.LastRead
 	}
 	heard := since
-	for rank, name := range btrendezvous.Order(readerKey, names) {
+	for rank, name := range ReaderOrder(names) {
 		if rank >= p.Most {
 			return false
 		}
@@ -60,3 +60,7 @@
 	}
 	return false
 }
+
+// ReaderOrder returns the processes in the order in which they step in as
+// readers, alike at every process.
+func ReaderOrder(names []Peer) []Peer { return btrendezvous.Order(readerKey, names) }
--- a/core/btload/cache.go
+++ b/core/btload/cache.go
@@ -19,11 +19,13 @@
 	Evicted CacheOp = "evicted"
 )
 
-// CacheEvent is one change of a target's prefix cache.
+// CacheEvent is one change of a target's prefix cache. It is written as an array
+// to keep batches small.
 type CacheEvent struct {
-	Seq    uint64  `cbor:"seq" json:"seq"`
-	Op     CacheOp `cbor:"op" json:"op"`
-	Prefix uint64  `cbor:"prefix" json:"prefix"`
+	_      struct{} `cbor:",toarray"`
+	Seq    uint64   `json:"seq"`
+	Op     CacheOp  `json:"op"`
+	Prefix uint64   `json:"prefix"`
 }
 
 // CacheEvents is a batch of cache events of one target in order of Seq. Epoch
--- a/core/btload/event.go
+++ b/core/btload/event.go
@@ -6,7 +6,7 @@
 	"bilberrytide/core/btid"
 )
 
-// Event is one of Reported, Cached, Sent, Started, Finished and Removed.
+// Event is one of Reported, Told, Cached, Sent, Started, Finished and Removed.
 type Event interface {
 	loadEvent()
 	// AboutTarget returns the target that the event is about.
--- /dev/null
+++ b/core/btload/level_test.go
@@ -0,0 +1,45 @@
+package btload_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btload"
+)
+
+// TestLevelStandsForTheReport: what is told by level is at most a quarter of the
+// slots above what the report said.
+func TestLevelStandsForTheReport(t *testing.T) {
+	for outstanding := range 200 {
+		report := goodReport()
+		report.Running, report.Waiting, report.Slots = min(outstanding, 16), max(outstanding-16, 0), 16
+		r := btload.New(btload.Defaults())
+		target := r.Target("s", "t1")
+		r.Step(epoch, btload.Told{Target: "t1", Incarnation: 1, Level: btload.Level(report), Slots: 16})
+		told := target.Estimate(epoch, 0, nil).Outstanding
+		assert.Assert(t, told >= outstanding && told < outstanding+4, "%d told as %d", outstanding, told)
+	}
+}
+
+func TestToldGivesWayToNewerWords(t *testing.T) {
+	r := btload.New(btload.Defaults())
+	target := r.Target("s", "t1")
+	report := goodReport()
+	r.Step(at(10*time.Second), btload.Reported{Report: report})
+	older := btload.Told{Target: "t1", Incarnation: report.Incarnation, Level: btload.LevelDraining, Slots: 16, Age: 11 * time.Second}
+	r.Step(at(20*time.Second), older)
+	assert.Assert(t, !target.Draining())
+	newer := older
+	newer.Age = time.Second
+	r.Step(at(20*time.Second), newer)
+	assert.Assert(t, target.Draining())
+	report.Number++
+	r.Step(at(21*time.Second), btload.Reported{Report: report})
+	assert.Assert(t, !target.Draining(), "the next report counts whatever was told between")
+	restarted := btload.Told{Target: "t1", Incarnation: report.Incarnation + 1, Level: 2, Slots: 16}
+	r.Step(at(22*time.Second), restarted)
+	held, _ := target.Report()
+	assert.Equal(t, held.Incarnation, report.Incarnation+1)
+}
--- /dev/null
+++ b/core/btload/outbox_test.go
@@ -0,0 +1,74 @@
+package btload_test
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bilberrytide/core/btload"
+)
+
+// TestOutbox: whatever is added, batches are valid, newest first across batches,
+// and an entry that takes them all believes no prefix cached whose last word was
+// its eviction.
+func TestOutbox(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		outbox := btload.NewOutbox("t1", 1, 16)
+		r := btload.New(btload.Defaults())
+		target := r.Target("s", "t1")
+		evicted := map[uint64]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				batch := outbox.Take(rapid.IntRange(0, 8).Draw(t, "count"))
+				assert.NilError(t, batch.Validate())
+				r.Step(epoch, btload.Cached{Batch: batch})
+			case 1:
+				outbox.Lose(uint64(rapid.IntRange(1, 100).Draw(t, "lost")))
+			case 2:
+				outbox.Restart()
+				clear(evicted)
+			default:
+				prefix := rapid.Uint64Range(1, 12).Draw(t, "prefix")
+				op := btload.Stored
+				if evicted[prefix] = rapid.Bool().Draw(t, "evicted"); evicted[prefix] {
+					op = btload.Evicted
+				}
+				outbox.Add(op, prefix)
+			}
+			assert.Assert(t, outbox.Len() <= 16)
+		}
+		// The limit is above the number of prefixes, so nothing overflowed.
+		for outbox.Len() > 0 {
+			r.Step(epoch, btload.Cached{Batch: outbox.Take(8)})
+		}
+		r.Step(epoch, btload.Cached{Batch: outbox.Take(0)})
+		for prefix, gone := range evicted {
+			if gone {
+				assert.Equal(t, target.Estimate(epoch, 1000, []uint64{prefix}).Cached, 0)
+			}
+		}
+	})
+}
+
+func TestOutboxOverflowIsAGap(t *testing.T) {
+	outbox := btload.NewOutbox("t1", 1, 4)
+	outbox.Add(btload.Stored, 1)
+	assert.Equal(t, outbox.Take(1).Events[0].Seq, uint64(1))
+	for prefix := range uint64(6) {
+		outbox.Add(btload.Stored, 10+prefix)
+	}
+	batch := outbox.Take(4)
+	assert.Equal(t, batch.Events[0].Seq, uint64(4))
+	assert.Equal(t, batch.Events[3].Prefix, uint64(15))
+}
+
+// TestCacheEventIsSmall holds the bytes of one event, which the agents' rate of
+// events is chosen by.
+func TestCacheEventIsSmall(t *testing.T) {
+	data, err := cbor.Marshal(btload.CacheEvent{Seq: 1 << 20, Op: btload.Evicted, Prefix: 1 << 63})
+	assert.NilError(t, err)
+	assert.Equal(t, len(data), 23)
+}
--- a/core/btload/tracker.go
+++ b/core/btload/tracker.go
@@ -64,6 +64,8 @@
 	switch e := event.(type) {
 	case Reported:
 		return t.reportedAt(now, e.Report)
+	case Told:
+		t.told(now, e)
 	case Cached:
 		return r.cached(t, e.Batch)
 	case Sent:
--- a/core/btmember/btmember.go
+++ b/core/btmember/btmember.go
@@ -105,6 +105,8 @@
 		m.hostList(e)
 	case Bundle:
 		m.bundle(e)
+	case Configured:
+		m.settings.Lease = e.Lease
 	case Tick:
 		m.tick()
 	}
--- a/core/btmember/event.go
+++ b/core/btmember/event.go
@@ -1,6 +1,8 @@
 package btmember
 
 import (
+	"time"
+
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btrequest"
@@ -40,6 +42,9 @@
 	Targets []Place
 }
 
+// Configured replaces how long a lease lasts. Leases at hand keep their ends.
+type Configured struct{ Lease time.Duration }
+
 // Tick is the passing of time, due at least every Settings.PauseLimit.
 type Tick struct{}
 
@@ -47,6 +52,7 @@
 func (Summarised) memberEvent() {}
 func (HostList) memberEvent()   {}
 func (Bundle) memberEvent()     {}
+func (Configured) memberEvent() {}
 func (Tick) memberEvent()       {}
 
 // Effect is what the entry is told: one of Joined, Left, NewerBundle, AskReset
--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -23,9 +23,11 @@
 	"bilberrytide/core/btmember"
 	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btgroup"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
+	"bilberrytide/io/btplatform"
 	"bilberrytide/io/btprocess"
 	"bilberrytide/io/bttarget"
 )
@@ -36,12 +38,14 @@
 	DataCentre btid.DataCentre
 	Node       *btpeer.Node
 	Bundles    *btprocess.Bundles
-	Meter      *btmetric.Meter
-	Decisions  *btmetric.Decisions
-	Log        *slog.Logger
-	Clock      btloop.Clock
-	Assert     *btassert.Asserter
-	Random     *rand.Rand
+	// Platform is asked whether its weight store answers; it may be nil.
+	Platform  *btplatform.Client
+	Meter     *btmetric.Meter
+	Decisions *btmetric.Decisions
+	Log       *slog.Logger
+	Clock     btloop.Clock
+	Assert    *btassert.Asserter
+	Random    *rand.Rand
 }
 
 // Agent stands beside one target.
@@ -50,6 +54,8 @@
 	self      btid.Executor
 	home      *keyHome
 	heartbeat *heartbeat
+	group     *btgroup.Group
+	engine    *engine
 	stop      *btprocess.Stop
 
 	mu         sync.Mutex
@@ -79,6 +85,8 @@
 	a.stop = btprocess.NewStop(btmember.DrainSettings{Grace: stopGrace}, o.Clock, o.Assert, o.Log)
 	a.home = newKeyHome(o, a.self, o.Bundles)
 	a.heartbeat = newHeartbeat(o, a.self, a.report)
+	a.group = newGroup(o, a.self)
+	a.engine = newEngine(o, a.self, a.modelClient, a.heartbeat.publish, a.heartbeat.hurry)
 	o.Node.Handle(btprocess.KindServe, a.serve)
 	o.Bundles.OnChange(a.configure)
 	return a
@@ -107,6 +115,8 @@
 	group.Go(func() error { return a.runStarted(ctx, group) })
 	group.Go(func() error { a.home.run(ctx); return nil })
 	group.Go(func() error { a.heartbeat.run(ctx); return nil })
+	group.Go(func() error { return a.group.Run(ctx) })
+	group.Go(func() error { a.engine.run(ctx); return nil })
 	group.Go(func() error { a.runStop(ctx, cancel); return nil })
 	return group.Wait()
 }
@@ -133,7 +143,10 @@
 			}
 		},
 		Goodbye: func() { a.heartbeat.sayGoodbye() },
-		Exit:    exit,
+		Exit: func() {
+			a.settleGroup(ctx)
+			exit()
+		},
 	})
 }
 
@@ -141,9 +154,10 @@
 func (a *Agent) configure(approved *btbundle.Approved) {
 	a.home.configure(approved)
 	a.heartbeat.configure(approved)
+	a.group.Configure(approved)
 	target, found := approved.Index.Target(a.self.Target)
 	if !found {
-		a.unlisted(approved)
+		a.unlisted()
 		return
 	}
 	a.mu.Lock()
@@ -179,10 +193,14 @@
 	a.starting <- a.ledger.run
 }
 
-// unlisted takes the word of a bundle that the target is gone from the fleet.
-func (a *Agent) unlisted(approved *btbundle.Approved) {
+// unlisted takes the word of a bundle that the target is gone from the fleet:
+// what runs is finished, and entries with an earlier bundle are refused. It may
+// be listed again.
+func (a *Agent) unlisted() {
 	a.ready.Store(false)
-	a.options.Log.Warn("the bundle in force does not list this target", "target", a.self.Target, "bundle_version", approved.Bundle.Version)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.service = ""
 }
 
 func (a *Agent) queue() *admission {
--- a/io/btagent/heartbeat.go
+++ b/io/btagent/heartbeat.go
@@ -46,8 +46,10 @@
 	endpoint btpeer.Endpoint
 	// urgent is filled when a change must be told at once.
 	urgent chan struct{}
-	cancel context.CancelFunc
-	done   chan struct{}
+	// batches holds cache events to be sent.
+	batches chan btload.CacheEvents
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 func newHeartbeat(o Options, self btid.Executor, report func() btload.Report) *heartbeat {
@@ -76,6 +78,7 @@
 	h.interval = approved.Bundle.Timeouts.Heartbeat.Duration
 	h.mu.Unlock()
 	h.match()
+	h.hurry()
 }
 
 // match starts and ends senders so that they are the bundle's watchers.
@@ -121,9 +124,11 @@
 	w := &watcher{
 		endpoint: endpoint,
 		urgent:   make(chan struct{}, 1),
+		batches:  make(chan btload.CacheEvents, cacheQueue),
 		cancel:   cancel,
 		done:     make(chan struct{}),
 	}
+	go h.sendBatches(ctx, w)
 	go func() {
 		defer close(w.done)
 		for ctx.Err() == nil {
@@ -203,6 +208,17 @@
 		return
 	}
 	h.state = state
+	h.hurryLocked()
+}
+
+// hurry has every watcher told at once.
+func (h *heartbeat) hurry() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hurryLocked()
+}
+
+func (h *heartbeat) hurryLocked() {
 	for _, w := range h.watchers {
 		select {
 		case w.urgent <- struct{}{}:
--- a/io/btagent/homes.go
+++ b/io/btagent/homes.go
@@ -52,6 +52,7 @@
 
 	mu      sync.Mutex
 	machine *btclaim.Home
+	service btid.Service
 	replies map[question]chan btclaim.AcquireReply
 }
 
@@ -89,11 +90,7 @@
 
 // configure puts a bundle's rules in force.
 func (h *keyHome) configure(a *btbundle.Approved) {
-	target, found := a.Index.Target(h.self.Target)
-	if !found {
-		return
-	}
-	service, found := a.Index.Service(target.Service)
+	service, found := h.serviceOf(a)
 	if !found {
 		return
 	}
@@ -114,6 +111,18 @@
 	}
 }
 
+// serviceOf returns the service whose keys are kept here: the first that the
+// target had. A target that the bundle no longer lists, or lists under another
+// service, stays with it, whose rules tell the home that it grants no more.
+func (h *keyHome) serviceOf(a *btbundle.Approved) (*btbundle.Service, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if target, found := a.Index.Target(h.self.Target); found && h.machine == nil {
+		h.service = target.Service
+	}
+	return a.Index.Service(h.service)
+}
+
 // RulesOf returns what a bundle states for a service's key homes.
 func RulesOf(a *btbundle.Approved, service *btbundle.Service) btclaim.Rules {
 	rules := btclaim.Rules{
--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 
 	"bilberrytide/core/btanswer"
 	"bilberrytide/core/btserve"
@@ -17,6 +18,10 @@
 	keptAnswerBytes = 1 << 20
 )
 
+// relayBuffers keeps buffers for reuse: one made for each answer is most of what
+// an agent allocates.
+var relayBuffers = sync.Pool{New: func() any { return new([relayBytes]byte) }}
+
 // keeper gathers an answer that a repeat of the request may ask for.
 type keeper struct {
 	limit int
@@ -45,7 +50,9 @@
 	head.Header = btserve.Header(response.Header)
 	sendErr := btpeer.Send(v.stream, head)
 	cutter := btanswer.NewCutter(v.request.ID)
-	buffer := make([]byte, relayBytes)
+	pooled := relayBuffers.Get().(*[relayBytes]byte)
+	defer relayBuffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
--- a/io/btagent/report.go
+++ b/io/btagent/report.go
@@ -16,6 +16,8 @@
 	if queue := a.queue(); queue != nil {
 		fill(&report, queue.load())
 	}
+	report.ExpertLoad, report.StepTime = a.group.Rank()
+	a.engine.fill(&report)
 	return report
 }
 
--- a/io/btagent/status.go
+++ b/io/btagent/status.go
@@ -12,5 +12,8 @@
 	if home, found := a.home.status(); found {
 		s.Home = &home
 	}
+	if group, found := a.group.Status(); found {
+		s.Group = &group
+	}
 	return s
 }
--- /dev/null
+++ b/io/btagent/wiring_test.go
@@ -0,0 +1,139 @@
+package btagent_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btprocess"
+	"bilberrytide/io/btstandin"
+)
+
+func (f *fleet) plain(name btid.Target) http.Handler {
+	p, err := btstandin.NewPlain(btstandin.PlainOptions{Name: name, Clock: btstandin.SystemClock{}})
+	assert.NilError(f.t, err)
+	return p
+}
+
+// TestSummariesReachEveryEntry: with more entries than watchers, each entry
+// gives work to every target, and none to one that left, though most don't hear
+// its agent themselves.
+func TestSummariesReachEveryEntry(t *testing.T) {
+	f := newFleet(t)
+	f.addEntries(11)
+	for i := range 3 {
+		name := btid.Target(fmt.Sprintf("t%d", i))
+		f.addTarget(name, "pages", btbundle.Plain, f.listen(f.plain(name)))
+	}
+	f.start()
+	for i := range 11 {
+		status, body := f.call(btid.Entry(fmt.Sprintf("e%d", i)), "/services/pages/x", "")
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	f.agents["t1"].Stop().Terminate()
+	for name := range f.entries {
+		f.await("left at "+string(name), func() bool {
+			s := f.target(name, "t1")
+			return !s.Eligible && strings.HasPrefix(s.Cause, "agent_")
+		})
+		assert.Assert(t, f.target(name, "t0").Eligible)
+	}
+}
+
+// TestEngineGoneAndBack: an engine that refuses connections gets no work, and
+// work again when it is back; another entry learns its cache from its events.
+func TestEngineGoneAndBack(t *testing.T) {
+	f := newFleet(t)
+	f.addEntries(2)
+	engine, err := btstandin.NewEngine(btstandin.EngineOptions{Name: "m1", Clock: btstandin.SystemClock{}, PrefillRate: 1e9, DecodeRate: 1e5})
+	assert.NilError(t, err)
+	server := httptest.NewServer(engine)
+	endpoint := netip.MustParseAddrPort(server.Listener.Addr().String())
+	f.addTarget("m1", "drafting", btbundle.Model, endpoint)
+	f.start()
+	body := `{"model":"drafting","max_tokens":2,"messages":[{"role":"user","content":"` + strings.Repeat("A long prompt. ", 100) + `"}]}`
+	status, text := f.call("e0", "/v1/chat/completions", body)
+	assert.Equal(t, status, http.StatusOK, text)
+	f.await("cache events at the other entry", func() bool { return f.target("e1", "m1").CachedPrefixes == 5 })
+
+	server.CloseClientConnections()
+	server.Close()
+	f.await("gone", func() bool { return f.target("e0", "m1").Draining && f.target("e1", "m1").Draining })
+	assert.Assert(t, f.target("e0", "m1").Eligible, "the agent keeps its lease, and its share of the keys")
+	status, text = f.call("e1", "/v1/chat/completions", body)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, cmp.Contains(text, "not_run"))
+
+	listener, err := net.Listen("tcp", endpoint.String())
+	assert.NilError(t, err)
+	back := httptest.NewUnstartedServer(engine)
+	back.Listener = listener
+	back.Start()
+	t.Cleanup(back.Close)
+	t.Cleanup(back.CloseClientConnections)
+	f.await("back", func() bool { return !f.target("e0", "m1").Draining && !f.target("e1", "m1").Draining })
+	status, text = f.call("e1", "/v1/chat/completions", body)
+	assert.Equal(t, status, http.StatusOK, text)
+}
+
+// TestEjectionOutlivesABundle: a target that is out for failing stays out when a
+// bundle that leaves it alone comes into force.
+func TestEjectionOutlivesABundle(t *testing.T) {
+	f := newFleet(t)
+	f.addEntries(1)
+	f.addTarget("t0", "pages", btbundle.Plain, f.listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})))
+	for i := 1; i < 3; i++ {
+		name := btid.Target(fmt.Sprintf("t%d", i))
+		f.addTarget(name, "pages", btbundle.Plain, f.listen(f.plain(name)))
+	}
+	f.start()
+	f.await("ejected", func() bool {
+		_, _ = f.call("e0", "/services/pages/x", "")
+		return f.target("e0", "t0").Ejected != nil
+	})
+	f.bundle.Accounts[0].Burst++
+	f.publish(2)
+	f.await("version 2", func() bool { return f.entries["e0"].Status().Bundle.Version == 2 })
+	assert.Assert(t, f.target("e0", "t0").Ejected != nil)
+	assert.Assert(t, len(f.entries["e0"].Status().Limits) == 1)
+	for range 20 {
+		status, _ := f.call("e0", "/services/pages/x", "")
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
+
+// TestUnlistedTarget: an agent whose target a bundle removes is not ready, says
+// so, and is ready again when it is listed again.
+func TestUnlistedTarget(t *testing.T) {
+	f := newFleet(t)
+	f.addEntries(1)
+	for i := range 2 {
+		name := btid.Target(fmt.Sprintf("t%d", i))
+		f.addTarget(name, "pages", btbundle.Plain, f.listen(f.plain(name)))
+	}
+	f.start()
+	all := f.bundle.Targets
+	epochs := f.bundle.Services[0].Epochs
+	f.bundle.Targets = all[:1]
+	f.bundle.Services[0].Epochs = []btbundle.HomeEpoch{{Number: 2, Since: f.bundle.Created, Homes: []btid.Target{"t0"}}}
+	f.publish(2)
+	f.await("unlisted", func() bool { return f.agents["t1"].Status().Bundle.Listing == btprocess.Unlisted })
+	assert.Assert(t, !f.agents["t1"].Ready())
+	assert.Assert(t, f.agents["t0"].Ready())
+	f.bundle.Targets = all
+	f.bundle.Services[0].Epochs = epochs
+	f.publish(3)
+	f.await("listed again", func() bool { return f.agents["t1"].Ready() })
+	f.await("eligible again", func() bool { return f.target("e0", "t1").Eligible })
+}
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -15,9 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"bilberrytide/core/btannounce"
 	"bilberrytide/core/btassert"
-	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btmember"
 	"bilberrytide/io/btloop"
@@ -53,6 +51,7 @@
 	incarnation btid.Incarnation
 	numbers     atomic.Uint64
 	fleet       *fleet
+	summaries   *summaries
 	limit       *limit
 	reserve     *reserve
 	path        handler
@@ -70,20 +69,19 @@
 	idleWait = 2 * time.Minute
 	// hostsEvery is the interval at which the platform's host list is read.
 	hostsEvery = 5 * time.Second
-	// ackEvery is how many heartbeats are acknowledged with one announcement
-	// while the bundle in force stays the same.
-	ackEvery = 4
 )
 
 // New returns an entry and sets the node's handlers. The bundles must not run
 // yet.
 func New(o Options) *Entry {
 	place := btmember.EntryPlace{Entry: o.Name, DataCentre: o.DataCentre}
+	incarnation := btid.Incarnation(o.Clock().UnixNano())
 	e := &Entry{
 		options:     o,
-		incarnation: btid.Incarnation(o.Clock().UnixNano()),
-		fleet:       newFleet(o, place),
+		incarnation: incarnation,
+		fleet:       newFleet(o, place, incarnation),
 	}
+	e.summaries = newSummaries(o, e.fleet)
 	e.stop = btprocess.NewStop(btmember.DrainSettings{Lag: o.BalancerLag, Grace: stopGrace}, o.Clock, o.Assert, o.Log)
 	end := &dispatch{entry: e, sender: sender{entry: e}}
 	e.limit = newLimit(e)
@@ -96,6 +94,7 @@
 		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 	}
 	o.Node.Handle(btprocess.KindHeartbeat, e.hear)
+	o.Node.Handle(btprocess.KindCache, e.hearCache)
 	o.Bundles.OnChange(e.fleet.configure)
 	o.Bundles.OnChange(e.limit.configure)
 	return e
@@ -115,6 +114,7 @@
 	group.Go(func() error { return e.options.Bundles.Run(ctx) })
 	group.Go(func() error { return e.options.Node.Serve(ctx) })
 	group.Go(func() error { e.fleet.run(ctx); return nil })
+	group.Go(func() error { e.summaries.run(ctx); return nil })
 	group.Go(func() error { e.limit.run(ctx); return nil })
 	group.Go(func() error { e.readHosts(ctx); return nil })
 	group.Go(e.serve)
@@ -152,31 +152,6 @@
 	exit()
 }
 
-// hear takes an agent's heartbeats.
-func (e *Entry) hear(_ context.Context, from btpeer.Identity, s *btpeer.Stream) error {
-	acked := btbundle.Order{}
-	for count := 0; ; count++ {
-		h, err := btpeer.Receive[btmember.Heartbeat](s)
-		if err != nil {
-			return nil
-		}
-		if from != btprocess.AgentIdentity(h.Target) {
-			return errors.New("heartbeat of another agent")
-		}
-		e.fleet.heard(h)
-		order := btbundle.Order{Version: h.BundleVersion, Digest: h.BundleDigest}
-		e.options.Bundles.Heard(from, btannounce.Announcement{Order: order, ReadAge: btannounce.Never})
-		a := e.options.Bundles.Announcement()
-		if count%ackEvery != 0 && a.Order == acked {
-			continue
-		}
-		acked = a.Order
-		if err := btpeer.Send(s, a); err != nil {
-			return nil
-		}
-	}
-}
-
 // readHosts follows the platform's list of hosts.
 func (e *Entry) readHosts(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -20,7 +20,6 @@
 	"bilberrytide/core/btwire"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
-	"bilberrytide/io/btprocess"
 )
 
 // fleetTick is how often leases are looked at.
@@ -38,32 +37,46 @@
 	mu      sync.Mutex
 	member  *btmember.Member
 	router  *btroute.Router
+	tracker *btload.Tracker
+	// ejected holds the targets that are out of rotation, for operators.
+	ejected map[btid.Target]btroute.Ejected
 	budget  *btretry.Budget
 	decider *btretry.Decider
-	random  *rand.Rand
 	serial  uint64
+	place   btmember.EntryPlace
+	// relay passes on what this entry hears, where not every entry hears all.
+	relay *btmember.Relay
+	links []btmember.Link
+	// services are those that the router knows.
+	services map[btid.Service]bool
+	bundle   *btbundle.Approved
+	// lease is how long a lease lasts from its evidence on, by this clock.
+	lease time.Duration
+	// ask has a peer start its summaries anew.
+	ask func(btmember.AskReset)
 }
 
-func newFleet(o Options, place btmember.EntryPlace) *fleet {
+func newFleet(o Options, place btmember.EntryPlace, incarnation btid.Incarnation) *fleet {
 	config := btroute.Defaults()
 	config.DataCentre = place.DataCentre
 	tracker := btload.New(btload.Defaults())
-	f := &fleet{
-		clock:   o.Clock,
-		meter:   o.Meter,
-		decided: o.Decisions,
-		log:     o.Log,
-		member:  btmember.New(btmember.DefaultSettings(), o.Assert),
-		router:  btroute.New(config, tracker, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()), o.Assert),
-		random:  fork(o.Random),
+	member := btmember.New(memberSettings(), o.Assert)
+	budget := btretry.NewBudget(btretry.Defaults())
+	return &fleet{
+		clock:    o.Clock,
+		meter:    o.Meter,
+		decided:  o.Decisions,
+		log:      o.Log,
+		member:   member,
+		router:   btroute.New(config, tracker, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()), o.Assert),
+		tracker:  tracker,
+		ejected:  map[btid.Target]btroute.Ejected{},
+		budget:   budget,
+		decider:  btretry.New(btretry.Defaults(), budget, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
+		place:    place,
+		relay:    btmember.NewRelay(btmember.DefaultRelaySettings(), o.Name, incarnation, member),
+		services: map[btid.Service]bool{},
 	}
-	f.setRetry(btretry.Defaults())
-	return f
-}
-
-func (f *fleet) setRetry(c btretry.Config) {
-	f.budget = btretry.NewBudget(c)
-	f.decider = btretry.New(c, f.budget, rand.NewPCG(f.random.Uint64(), f.random.Uint64()))
 }
 
 func (f *fleet) run(ctx context.Context) {
@@ -79,35 +92,6 @@
 	}
 }
 
-// configure puts a bundle in force.
-func (f *fleet) configure(a *btbundle.Approved) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	regions := map[btid.DataCentre]string{}
-	for _, d := range a.Bundle.DataCentres {
-		regions[d.Name] = d.Region
-	}
-	for _, s := range a.Bundle.Services {
-		var members []btroute.Member
-		for _, t := range a.Index.TargetsOf(s.Name) {
-			members = append(members, btroute.Member{Target: t.Name, DataCentre: t.DataCentre, Region: regions[t.DataCentre]})
-		}
-		f.route(f.router.Step(now, btroute.Members{Service: s.Name, Targets: members}))
-	}
-	f.setRetry(retryConfig(a.Bundle.Retry))
-	order := a.Order()
-	f.joined(f.member.Step(now, btmember.Bundle{Version: order.Version, Digest: order.Digest, Targets: btprocess.PlacesOf(a)}))
-}
-
-func retryConfig(r btbundle.Retry) btretry.Config {
-	c := btretry.Defaults()
-	c.BudgetShare = r.BudgetShare
-	c.MaxAttempts = r.MaxAttempts
-	c.Backoff = r.Backoff.Duration
-	return c
-}
-
 // tell hands membership an event.
 func (f *fleet) tell(event btmember.Event) {
 	f.mu.Lock()
@@ -159,6 +143,8 @@
 			f.renew(now, e.Executor.Target)
 		case btmember.Left:
 			f.left(now, e)
+		case btmember.AskReset:
+			f.ask(e)
 		case btmember.Ignored:
 			f.meter.Refused(e.Reason)
 		}
@@ -182,6 +168,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case btroute.Ejected:
+			f.ejected[e.Target] = e
 			f.decided.Add(btmetric.Decision{
 				Time:     f.clock(),
 				Act:      "target_ejected",
@@ -191,6 +178,7 @@
 				Expected: "its work goes to others until " + e.Until.UTC().Format(time.RFC3339),
 			})
 		case btroute.Restored:
+			delete(f.ejected, e.Target)
 			f.decided.Add(btmetric.Decision{
 				Time:     f.clock(),
 				Act:      "target_restored",
@@ -272,6 +260,13 @@
 	f.route(f.router.Step(f.clock(), btroute.Load{Event: event}))
 }
 
+// cached takes changes of a target's prefix cache.
+func (f *fleet) cached(batch btload.CacheEvents) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load(btload.Cached{Batch: batch})
+}
+
 // request counts a first attempt for the retry budget.
 func (f *fleet) request() {
 	f.mu.Lock()
@@ -285,32 +280,3 @@
 	defer f.mu.Unlock()
 	return f.decider.Decide(f.clock(), a)
 }
-
-// views returns what is known of every target of the bundle.
-func (f *fleet) views(a *btbundle.Approved) []targetView {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	list := make([]targetView, 0, len(a.Bundle.Targets))
-	for _, t := range a.Bundle.Targets {
-		view, _ := f.member.View(t.Name)
-		cause, _ := f.member.Cause(t.Name)
-		list = append(list, targetView{
-			target:   t.Name,
-			service:  t.Service,
-			eligible: f.member.Eligible(now, t.Name),
-			cause:    cause,
-			view:     view,
-		})
-	}
-	return list
-}
-
-// targetView is one target as this entry sees it.
-type targetView struct {
-	target   btid.Target
-	service  btid.Service
-	eligible bool
-	cause    btmember.Cause
-	view     btmember.View
-}
--- a/io/btentry/status.go
+++ b/io/btentry/status.go
@@ -1,8 +1,10 @@
 package btentry
 
 import (
-	"bilberrytide/core/btload"
-	"bilberrytide/core/btwire"
+	"time"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btlimit"
 	"bilberrytide/io/btprocess"
 )
 
@@ -17,24 +19,57 @@
 	if current == nil {
 		return s
 	}
-	for _, v := range e.fleet.views(current) {
-		s.Targets = append(s.Targets, statusOf(v))
-	}
+	s.Targets = e.fleet.statuses(current)
+	s.Limits = e.limit.views()
 	return s
 }
 
-func statusOf(v targetView) btprocess.TargetStatus {
-	t := btprocess.TargetStatus{
-		Target:   v.target,
-		Service:  v.service,
-		Eligible: v.eligible,
-		Cause:    string(v.cause),
-		LeaseEnd: v.view.LeaseEnd,
+// statuses returns what is known of every target of the bundle.
+func (f *fleet) statuses(a *btbundle.Approved) []btprocess.TargetStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	list := make([]btprocess.TargetStatus, 0, len(a.Bundle.Targets))
+	for i := range a.Bundle.Targets {
+		list = append(list, f.status(now, &a.Bundle.Targets[i]))
+	}
+	return list
+}
+
+func (f *fleet) status(now time.Time, t *btbundle.Target) btprocess.TargetStatus {
+	view, _ := f.member.View(t.Name)
+	cause, _ := f.member.Cause(t.Name)
+	s := btprocess.TargetStatus{
+		Target:   t.Name,
+		Service:  t.Service,
+		Eligible: f.member.Eligible(now, t.Name),
+		Cause:    string(cause),
+		LeaseEnd: view.LeaseEnd,
 	}
-	report, err := btwire.Decode[btload.Report](v.view.Load)
-	if err == nil {
-		t.Running = report.Running
-		t.Waiting = report.Waiting
+	load := f.tracker.Target(t.Service, t.Name)
+	if report, known := load.Report(); known {
+		s.Running = report.Running
+		s.Waiting = report.Waiting
+		s.Draining = report.Draining
+		s.StepTime = report.StepTime
+		s.ReportAge = load.ReportAge(now)
+	}
+	s.CachedPrefixes = load.CachedPrefixes()
+	if ejected, out := f.ejected[t.Name]; out {
+		s.Ejected = &ejected
+	}
+	return s
+}
+
+// views returns this entry's share of each account in use.
+func (l *limit) views() []btlimit.View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var views []btlimit.View
+	for _, name := range l.holder.Names() {
+		if view, found := l.holder.View(name); found {
+			views = append(views, view)
+		}
 	}
-	return t
+	return views
 }
--- /dev/null
+++ b/io/btgroup/message.go
@@ -0,0 +1,111 @@
+package btgroup
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btid"
+)
+
+// LayerCounts are the tokens of one layer's experts that got any.
+type LayerCounts struct {
+	Experts []btexpert.Expert `cbor:"experts" json:"experts"`
+	Tokens  []int64           `cbor:"tokens" json:"tokens"`
+}
+
+// Window is what a rank measured over some steps.
+type Window struct {
+	// Steps is how many steps the counts cover.
+	Steps uint64 `cbor:"steps" json:"steps"`
+	// Own is the mean of the rank's own part of a step, Group of the whole
+	// group's, zero where the engine doesn't tell.
+	Own   time.Duration `cbor:"own" json:"own"`
+	Group time.Duration `cbor:"group" json:"group"`
+	// Counts holds this rank's tokens by layer.
+	Counts []LayerCounts `cbor:"counts" json:"counts"`
+}
+
+// maxWindowStep is the longest step believed.
+const maxWindowStep = time.Hour
+
+// Validate reports a window that no rank can have measured.
+func (w Window) Validate() error {
+	if w.Steps == 0 {
+		return errors.New("window of no steps")
+	}
+	for _, d := range []time.Duration{w.Own, w.Group} {
+		if d < 0 || d > maxWindowStep {
+			return fmt.Errorf("window: step of %v", d)
+		}
+	}
+	if len(w.Counts) > btexpert.MaxLayers {
+		return fmt.Errorf("window: %d layers, at most %d", len(w.Counts), btexpert.MaxLayers)
+	}
+	for l, layer := range w.Counts {
+		if err := layer.validate(); err != nil {
+			return fmt.Errorf("window: layer %d: %w", l, err)
+		}
+	}
+	return nil
+}
+
+func (c LayerCounts) validate() error {
+	if len(c.Experts) != len(c.Tokens) || len(c.Experts) > btexpert.MaxExperts {
+		return fmt.Errorf("%d experts with %d counts", len(c.Experts), len(c.Tokens))
+	}
+	for i, tokens := range c.Tokens {
+		if tokens < 0 || tokens > btexpert.MaxCount {
+			return fmt.Errorf("expert %d got %d tokens", c.Experts[i], tokens)
+		}
+	}
+	return nil
+}
+
+// Report is a rank's word to its group's lead: that it lives, and at times what
+// it measured.
+type Report struct {
+	Group   btid.Group      `cbor:"group" json:"group"`
+	Members btbundle.Digest `cbor:"members" json:"members"`
+	From    btid.Executor   `cbor:"from" json:"from"`
+	// Window is nil in a report that only tells that the rank lives.
+	Window *Window `cbor:"window,omitempty" json:"window,omitempty"`
+}
+
+// Validate reports a malformed report.
+func (r Report) Validate() error {
+	if err := btid.CheckName(string(r.Group)); err != nil {
+		return fmt.Errorf("report: group: %w", err)
+	}
+	if err := r.From.Validate(); err != nil {
+		return fmt.Errorf("report: from: %w", err)
+	}
+	if r.Window == nil {
+		return nil
+	}
+	return r.Window.Validate()
+}
+
+// Word answers a Report.
+type Word struct {
+	// Leads tells that the answering agent takes itself for the lead.
+	Leads bool `cbor:"leads" json:"leads"`
+	// Skew is the slowest rank's step over the mean, minus 1.
+	Skew float64 `cbor:"skew" json:"skew"`
+	// ExpertLoad is the asking rank's expert work over the mean rank's, zero
+	// where unknown.
+	ExpertLoad float64 `cbor:"expert_load" json:"expert_load"`
+}
+
+// Validate reports values that no lead can have measured.
+func (w Word) Validate() error {
+	for _, v := range []float64{w.Skew, w.ExpertLoad} {
+		if math.IsNaN(v) || math.IsInf(v, 0) || w.ExpertLoad < 0 {
+			return fmt.Errorf("word: skew %v, expert load %v", w.Skew, w.ExpertLoad)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/btgroup/store.go
@@ -0,0 +1,45 @@
+package btgroup
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btplatform"
+)
+
+// ErrStore is wrapped by the error of a weight store that doesn't answer.
+var ErrStore = errors.New("weight store down")
+
+// Store tells whether the weight store answers.
+type Store interface {
+	// Probe asks for a model's weights without taking them. The error wraps
+	// ErrStore.
+	Probe(ctx context.Context, model btid.Service) error
+}
+
+// PlatformStore probes the platform's weight store.
+type PlatformStore struct {
+	client *btplatform.Client
+}
+
+var _ Store = (*PlatformStore)(nil)
+
+// NewPlatformStore returns a store that asks through the client.
+func NewPlatformStore(client *btplatform.Client) *PlatformStore {
+	return &PlatformStore{client: client}
+}
+
+// Probe opens one expert's weights and drops them at once. A store that limits
+// calls, or has no such weights, is not down.
+func (s *PlatformStore) Probe(ctx context.Context, model btid.Service) error {
+	weights, err := s.client.Weights(ctx, btplatform.Expert{Model: model})
+	if errors.Is(err, btplatform.ErrUnavailable) {
+		return fmt.Errorf("%w: %w", ErrStore, err)
+	}
+	if err == nil {
+		_ = weights.Close()
+	}
+	return nil
+}
--- a/io/bthttp/call.go
+++ b/io/bthttp/call.go
@@ -122,7 +122,7 @@
 	}
 	c.Service = btid.Service(body.Model)
 	c.Stream = body.Stream
-	c.Prompt = body.Messages
+	c.Prompt = promptOf(body.Messages)
 	return nil
 }
 
--- a/io/btprocess/kinds.go
+++ b/io/btprocess/kinds.go
@@ -13,6 +13,8 @@
 	KindBundle btpeer.Kind = "bundle"
 	// KindHeartbeat carries an agent's heartbeats to an entry.
 	KindHeartbeat btpeer.Kind = "heartbeat"
+	// KindCache carries changes of a target's prefix cache to an entry.
+	KindCache btpeer.Kind = "cache_events"
 	// KindSummary carries one entry's membership summaries to another.
 	KindSummary btpeer.Kind = "summary"
 	// KindSummaryAsk asks a peer to start its summaries anew.
--- a/io/btprocess/runtime.go
+++ b/io/btprocess/runtime.go
@@ -26,9 +26,11 @@
 
 // Common is what the settings of every process hold.
 type Common struct {
+	Host       btid.Host
 	DataCentre btid.DataCentre
 	PeerListen netip.AddrPort
 	Platform   btsettings.Platform
+	Peers      []btsettings.Peer
 	Approvers  btbundle.Approvers
 	TLS        btsettings.TLS
 	Log        btsettings.Log
@@ -94,6 +96,8 @@
 func (r *Runtime) bundlesOptions(c Common) BundlesOptions {
 	return BundlesOptions{
 		DataCentre: c.DataCentre,
+		Host:       c.Host,
+		Seeds:      seedsOf(c.Peers),
 		Node:       r.Node,
 		Platform:   r.Platform,
 		Key:        c.Platform.BundleKey,
@@ -107,6 +111,17 @@
 	}
 }
 
+// seedsOf returns the entries that the settings name; their check has passed.
+func seedsOf(peers []btsettings.Peer) []btpeer.Endpoint {
+	var seeds []btpeer.Endpoint
+	for _, p := range peers {
+		if identity, err := btkeys.ParseIdentity(p.Name); err == nil {
+			seeds = append(seeds, btpeer.Endpoint{Identity: identity, Address: p.Address})
+		}
+	}
+	return seeds
+}
+
 // ServeStatus serves the pages for operators until the context ends.
 func (r *Runtime) ServeStatus(ctx context.Context, pages http.Handler) error {
 	server := &http.Server{Handler: pages, ReadHeaderTimeout: statusHeaderWait}
--- a/io/btprocess/status.go
+++ b/io/btprocess/status.go
@@ -13,6 +13,9 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btlimit"
+	"bilberrytide/core/btroute"
+	"bilberrytide/io/btkeys"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
 )
@@ -26,8 +29,15 @@
 	Ready       bool             `json:"ready"`
 	Stopping    bool             `json:"stopping"`
 	Bundle      BundleStatus     `json:"bundle"`
+	// Readers tells who reads the configuration service.
+	Readers Readers `json:"readers"`
+	// CertificateDays is how many whole days this process's certificate is good
+	// for.
+	CertificateDays int64 `json:"certificate_days"`
 	// Targets is what an entry knows of the targets.
 	Targets []TargetStatus `json:"targets,omitempty"`
+	// Limits is an entry's share of the client accounts' limits.
+	Limits []btlimit.View `json:"limits,omitempty"`
 	// Home is set at an agent that is a key home.
 	Home *btclaim.Status `json:"home,omitempty"`
 	// Group is set at an agent whose target is a rank of a group.
@@ -42,6 +52,8 @@
 	Version   btid.BundleVersion `json:"version"`
 	Digest    btbundle.Digest    `json:"digest"`
 	Approvers []string           `json:"approvers"`
+	// Listing is how the bundle lists this process; empty for no bundle.
+	Listing Listing `json:"listing"`
 }
 
 // TargetStatus is one target as an entry sees it.
@@ -54,6 +66,16 @@
 	LeaseEnd time.Time `json:"lease_end"`
 	Running  int       `json:"running"`
 	Waiting  int       `json:"waiting"`
+	// Draining tells that the agent takes no new work for now, as while its
+	// engine is gone.
+	Draining bool `json:"draining"`
+	// ReportAge is how old the load is.
+	ReportAge time.Duration `json:"report_age"`
+	StepTime  time.Duration `json:"step_time"`
+	// CachedPrefixes is how many prefixes the target is believed to have cached.
+	CachedPrefixes int `json:"cached_prefixes"`
+	// Ejected is set while the target is out of rotation.
+	Ejected *btroute.Ejected `json:"ejected,omitempty"`
 }
 
 // GroupStatus is a rank's group as its agent sees it.
@@ -83,10 +105,17 @@
 		Counters:  counters(meter.Registry()),
 		Decisions: decisions.List(),
 	}
-	s.DataCentre = bundles.place
+	s.DataCentre = bundles.options.DataCentre
 	if current := bundles.Current(); current != nil {
-		s.Bundle = BundleStatus{Version: current.Bundle.Version, Digest: current.Digest, Approvers: current.Signers}
+		s.Bundle = BundleStatus{
+			Version:   current.Bundle.Version,
+			Digest:    current.Digest,
+			Approvers: current.Signers,
+			Listing:   bundles.Listing(),
+		}
 	}
+	s.Readers = bundles.Readers()
+	s.CertificateDays = meter.Gauge(btkeys.MetricDaysLeft).Value()
 	return s
 }
 
--- a/io/btsettings/btsettings.go
+++ b/io/btsettings/btsettings.go
@@ -26,8 +26,8 @@
 	PeerListen netip.AddrPort  `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
 	// BalancerLag is how long the listener stays open after readiness is false.
 	BalancerLag btbundle.Span      `toml:"balancer_lag" json:"balancer_lag" doc:"How long a stopping entry still takes callers after /readyz turned false: the time that the balancer needs to notice."`
-	Watch       int                `toml:"watch" json:"watch" doc:"How many processes' heartbeats this one hears at the most."`
 	Platform    Platform           `toml:"platform" json:"platform"`
+	Peers       []Peer             `toml:"peers" json:"peers"`
 	Approvers   btbundle.Approvers `toml:"approvers" json:"approvers"`
 	TLS         TLS                `toml:"tls" json:"tls"`
 	Log         Log                `toml:"log" json:"log"`
@@ -41,9 +41,8 @@
 	Host       btid.Host          `toml:"host" json:"host" required:"true" doc:"The host that the process runs on."`
 	DataCentre btid.DataCentre    `toml:"data_centre" json:"data_centre" required:"true" doc:"The data centre that the host stands in."`
 	PeerListen netip.AddrPort     `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
-	Drain      btbundle.Span      `toml:"drain" json:"drain" doc:"The longest that a stopping agent waits for requests in flight; 0s takes the bundle's timeouts.drain."`
-	Watch      int                `toml:"watch" json:"watch" doc:"How many processes' heartbeats this one hears at the most."`
 	Platform   Platform           `toml:"platform" json:"platform"`
+	Peers      []Peer             `toml:"peers" json:"peers"`
 	Approvers  btbundle.Approvers `toml:"approvers" json:"approvers"`
 	TLS        TLS                `toml:"tls" json:"tls"`
 	Log        Log                `toml:"log" json:"log"`
@@ -56,6 +55,15 @@
 	BundleKey string         `toml:"bundle_key" json:"bundle_key" doc:"The configuration service's key that holds the signed bundle."`
 }
 
+// Peer is an entry that a starting process asks for the bundle in force, so that
+// it needs no configuration service, and does not believe a stale one.
+type Peer struct {
+	// Name is the identity in the entry's certificate: entry/<name>.
+	Name string `toml:"name" json:"name"`
+	// Address is the entry's peer_listen, over UDP.
+	Address netip.AddrPort `toml:"address" json:"address"`
+}
+
 // TLS names the files for mutual TLS between processes, in PEM. A path that
 // isn't absolute starts at the settings file's directory.
 type TLS struct {
--- a/io/btsettings/btsettings_test.go
+++ b/io/btsettings/btsettings_test.go
@@ -69,7 +69,9 @@
 		{old: `"warn"`, replacement: `"loud"`, want: `line 20: log.level: `},
 		{old: `level = "warn"`, replacement: `format = "xml"`, want: `line 20: log.format: "xml" must be "text" or "json"`},
 		{old: `[log]`, replacement: "[status]\nlisten = \"10.0.0.1:9\"\n[log]", want: `line 20: status.listen: 10.0.0.1:9 is not on loopback`},
-		{old: `[platform]`, replacement: "watch = 0\n[platform]", want: `line 7: watch: 0 must be 1 or more`},
+		{old: `[platform]`, replacement: "watch = 8\n[platform]", want: `line 7: watch: unknown key`},
+		{old: `[platform]`, replacement: "[[peers]]\nname = \"agent/t1\"\naddress = \"10.0.0.1:7\"\n[platform]", want: `line 8: peers[0].name: "agent/t1" is no entry's identity`},
+		{old: `[platform]`, replacement: "[[peers]]\nname = \"entry/e2\"\n[platform]", want: `line 7: peers[0].address: needs an ip:port`},
 	}
 	for _, test := range tests {
 		t.Run(test.replacement, func(t *testing.T) {
@@ -80,7 +82,7 @@
 			assert.Assert(t, cmp.Contains(err.Error(), path+": "+test.want))
 		})
 	}
-	_, err := btsettings.LoadAgent(write(t, "watch = \"x\"\ncolour = 1\ndrain = \"5\"\n"))
+	_, err := btsettings.LoadAgent(write(t, "peer_listen = \"x\"\ncolour = 1\n[log]\nlevel = \"loud\"\n"))
 	var listed *btsettings.Error
 	assert.Assert(t, errors.As(err, &listed))
 	assert.Equal(t, len(listed.Problems), 3, "%v", err)
--- a/io/btsettings/defaults.go
+++ b/io/btsettings/defaults.go
@@ -10,7 +10,6 @@
 
 // The values of keys that a settings file leaves out.
 const (
-	defaultWatch       = 8
 	defaultBundleKey   = "bilberrytide-bundle"
 	defaultBalancerLag = 5 * time.Second
 )
@@ -19,7 +18,6 @@
 func DefaultEntry() Entry {
 	return Entry{
 		BalancerLag: btbundle.Span{Duration: defaultBalancerLag},
-		Watch:       defaultWatch,
 		Platform:    defaultPlatform(),
 		Approvers:   defaultApprovers(),
 		Log:         defaultLog(),
@@ -30,7 +28,6 @@
 // DefaultAgent returns an agent's settings before its file is read.
 func DefaultAgent() Agent {
 	return Agent{
-		Watch:     defaultWatch,
 		Platform:  defaultPlatform(),
 		Approvers: defaultApprovers(),
 		Log:       defaultLog(),
--- a/io/btsettings/load.go
+++ b/io/btsettings/load.go
@@ -9,6 +9,7 @@
 
 	"bilberrytide/core/btbundle/bttoml"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/btkeys"
 )
 
 // ErrRead is wrapped by the error of a settings file that can't be read.
@@ -83,8 +84,8 @@
 
 func (s *Entry) check(c *bttoml.Checker) {
 	c.Require(s.BalancerLag.Duration >= 0, "balancer_lag", "must not be negative")
-	checkWatch(c, s.Watch)
 	s.Platform.check(c)
+	checkPeers(c, s.Peers)
 	checkApprovers(c, s.Approvers.Validate())
 	s.Status.check(c)
 	taken := s.Status.Listen == s.Listen && s.Listen.Port() != 0
@@ -92,14 +93,21 @@
 }
 
 func (s *Agent) check(c *bttoml.Checker) {
-	checkWatch(c, s.Watch)
 	s.Platform.check(c)
+	checkPeers(c, s.Peers)
 	checkApprovers(c, s.Approvers.Validate())
 	s.Status.check(c)
 }
 
-func checkWatch(c *bttoml.Checker, watch int) {
-	c.Require(watch >= 1, "watch", "%d must be 1 or more", watch)
+func checkPeers(c *bttoml.Checker, peers []Peer) {
+	for i, p := range peers {
+		key := fmt.Sprintf("peers[%d]", i)
+		identity, err := btkeys.ParseIdentity(p.Name)
+		entry := err == nil && identity.Role == btkeys.Entry
+		c.Require(entry, key+".name", "%q is no entry's identity: entry/<name>", p.Name)
+		reachable := p.Address.IsValid() && p.Address.Port() != 0
+		c.Require(reachable, key+".address", "needs an ip:port with a port over 0")
+	}
 }
 
 func checkApprovers(c *bttoml.Checker, err error) {
--- a/io/btsettings/reference.go
+++ b/io/btsettings/reference.go
@@ -31,6 +31,16 @@
 # key = "the public key in base64, as bundle keygen prints it"
 `
 
+// peersReference stands for a list that is empty by default.
+const peersReference = `# Entries to ask for the bundle in force when the process starts, so that it
+# can start while the configuration service is down or stale, and a restart of
+# the whole fleet does not go to the service at once. One table for each; two or
+# three in different data centres do.
+# [[peers]]
+# name = "entry/edge-1"
+# address = "10.0.0.1:7001"
+`
+
 // Reference returns a settings file of that kind in which every key stands
 // with its meaning and its default; required keys are commented out.
 func Reference(kind Kind) string {
@@ -68,8 +78,8 @@
 		if f.Tag.Get("doc") != "" {
 			continue
 		}
-		if f.Name == "Approvers" {
-			text.WriteString("\n" + approversReference)
+		if list, found := listReferences[f.Name]; found {
+			text.WriteString("\n" + list)
 			continue
 		}
 		fmt.Fprintf(text, "\n[%s]\n", f.Tag.Get("toml"))
@@ -77,6 +87,12 @@
 	}
 }
 
+// listReferences holds the texts of the fields that reflection can't show.
+var listReferences = map[string]string{
+	"Approvers": approversReference,
+	"Peers":     peersReference,
+}
+
 // literal writes a value as TOML.
 func literal(v reflect.Value) string {
 	if v.Kind() == reflect.Slice {
--- /dev/null
+++ b/io/btstandin/btfleet/bundle.go
@@ -0,0 +1,212 @@
+package btfleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btstandin"
+)
+
+const (
+	// bearerKey is the key of the fleet's one client account.
+	bearerKey = "fleet-caller-key"
+	// bundleKey is the configuration key under which the bundle is published.
+	bundleKey = "bilberrytide-bundle"
+
+	// ClockError is the bundle's; all processes share one clock.
+	ClockError = 50 * time.Millisecond
+	// RequestMax is the longest deadline of a request.
+	RequestMax = 10 * time.Second
+	// unlimited is a rate and concurrency that no test reaches.
+	unlimited = 1_000_000
+	// maxBody is the largest body of a request.
+	maxBody = 1 << 20
+)
+
+func span(d time.Duration) btbundle.Span { return btbundle.Span{Duration: d} }
+
+// writeDraft makes the first version of the bundle.
+func (f *Fleet) writeDraft(ctx context.Context) error {
+	made := time.Now().UTC().Truncate(time.Second)
+	f.draft = btbundle.Bundle{
+		Version: 1,
+		Created: made,
+		Timeouts: btbundle.Timeouts{
+			Request:     span(RequestMax),
+			RequestMax:  span(RequestMax),
+			Heartbeat:   span(250 * time.Millisecond),
+			TargetLease: span(3 * time.Second),
+			Drain:       span(2 * RequestMax),
+		},
+		Idempotency: btbundle.Idempotency{Retention: span(10 * time.Minute), ClockError: span(ClockError), Lease: span(2 * time.Second)},
+		Retry:       btbundle.Retry{BudgetShare: 0.2, MaxAttempts: 3, Backoff: span(10 * time.Millisecond)},
+		Ejection:    btbundle.Ejection{MaxShare: 0.4, Failures: 5, SlowFactor: 4, Duration: span(5 * time.Second)},
+		Placement:   btbundle.Placement{SkewWeight: 1, MoveWeight: 1, Interval: span(10 * time.Second), Horizon: span(time.Minute)},
+		DataCentres: []btbundle.DataCentre{{Name: north, Region: "home"}, {Name: south, Region: "home"}},
+		Groups:      []btbundle.Group{},
+		Accounts: []btbundle.Account{{
+			Name:        "caller",
+			KeyHashes:   []btbundle.Digest{btbundle.DigestOf([]byte(bearerKey))},
+			Rate:        unlimited,
+			Burst:       unlimited,
+			Concurrency: unlimited,
+			Weight:      1,
+		}},
+	}
+	f.addService(Plain, btbundle.Plain, names(string(Plain), f.options.Plains), made)
+	f.addService(Model, btbundle.Model, names(string(Model), f.options.Models), made)
+	return f.addPlaces(ctx)
+}
+
+// addService lists a service whose key homes are all its targets.
+func (f *Fleet) addService(name btid.Service, kind btbundle.Kind, targets []string, made time.Time) {
+	if len(targets) == 0 {
+		return
+	}
+	homes := make([]btid.Target, len(targets))
+	for i, t := range targets {
+		homes[i] = btid.Target(t)
+		f.draft.Targets = append(f.draft.Targets, btbundle.Target{
+			Name:       homes[i],
+			Service:    name,
+			Host:       hostOf(t),
+			DataCentre: centreOf(t),
+			Endpoint:   f.targets[t],
+			Slots:      f.options.Slots,
+			Queue:      f.options.Queue,
+		})
+	}
+	f.draft.Services = append(f.draft.Services, btbundle.Service{
+		Name:    name,
+		Kind:    kind,
+		MaxBody: maxBody,
+		Epochs:  []btbundle.HomeEpoch{{Number: 1, Since: made, Homes: homes}},
+	})
+}
+
+// addPlaces gives every process of the product its addresses.
+func (f *Fleet) addPlaces(ctx context.Context) error {
+	free, err := f.ports(ctx, 3*f.options.Entries+2*len(f.draft.Targets))
+	if err != nil {
+		return err
+	}
+	next := func() netip.AddrPort {
+		a := free[0]
+		free = free[1:]
+		return a
+	}
+	for _, name := range f.Entries() {
+		f.draft.Entries = append(f.draft.Entries, btbundle.Entry{
+			Name:       btid.Entry(name),
+			Host:       hostOf(name),
+			DataCentre: centreOf(name),
+			Address:    next(),
+		})
+		f.callers[name] = next()
+		f.status[name] = next()
+	}
+	for i := range f.draft.Targets {
+		f.draft.Targets[i].Address = next()
+		f.status[Agent(string(f.draft.Targets[i].Name))] = next()
+	}
+	return nil
+}
+
+// File is a signed bundle, ready to be published.
+type File struct {
+	Order btbundle.Order
+	Raw   []byte
+}
+
+// Version returns the first bundle as another version, changed and signed.
+func (f *Fleet) Version(version btid.BundleVersion, change func(*btbundle.Bundle)) (File, error) {
+	next := f.draft
+	next.Version = version
+	next.Timeouts = f.draft.Timeouts
+	if change != nil {
+		change(&next)
+	}
+	document, err := toml.Marshal(next)
+	if err != nil {
+		return File{}, err
+	}
+	document = btbundle.TerminateDocument(document)
+	signed := btbundle.Signed{
+		Document:   document,
+		Signatures: []btbundle.Signature{btbundle.Sign(document, f.trust.approver)},
+	}
+	order := btbundle.Order{Version: version, Digest: btbundle.DigestOf(document)}
+	return File{Order: order, Raw: signed.Bytes()}, nil
+}
+
+func (f *Fleet) publishFirst(ctx context.Context) error {
+	first, err := f.Version(f.draft.Version, nil)
+	if err != nil {
+		return err
+	}
+	return f.Publish(ctx, first.Raw)
+}
+
+// Publish puts a file into the configuration service, as the platform's own
+// tool would.
+func (f *Fleet) Publish(ctx context.Context, raw []byte) error {
+	return f.put(ctx, f.platform, "/control/config/"+bundleKey, raw)
+}
+
+// FailPlatform sets how the platform fails from now on.
+func (f *Fleet) FailPlatform(ctx context.Context, fault btstandin.PlatformFault) error {
+	return f.control(ctx, f.platform, "fault", fault)
+}
+
+// FailTarget sets how a target fails from now on.
+func (f *Fleet) FailTarget(ctx context.Context, target string, fault btstandin.TargetFault) error {
+	return f.control(ctx, f.targets[target], "fault", fault)
+}
+
+// InForce returns nil where a process has exactly this bundle in force.
+func (f *Fleet) InForce(name string, want btbundle.Order) error {
+	status, err := f.Status(name)
+	if err != nil {
+		return err
+	}
+	got := btbundle.Order{Version: status.Bundle.Version, Digest: status.Bundle.Digest}
+	if got != want {
+		return fmt.Errorf("%s has version %d, digest %s", name, got.Version, got.Digest)
+	}
+	return nil
+}
+
+// UntilInForce waits until all of these processes have the bundle in force.
+func (f *Fleet) UntilInForce(ctx context.Context, want btbundle.Order, processes ...string) error {
+	for _, name := range processes {
+		what := fmt.Sprintf("version %d at %s", want.Version, name)
+		if err := Until(ctx, what, func() error { return f.InForce(name, want) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) put(ctx context.Context, address netip.AddrPort, path string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("%s: %s", path, response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/btstandin/btfleet/check.go
@@ -0,0 +1,150 @@
+package btfleet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btmetric"
+	"bilberrytide/io/btstandin"
+)
+
+// Check returns every promise that was broken so far: an invariant violated in
+// any process, an answer that belongs to another request, a request told
+// not_run that a target ran, a key that ran twice. All processes must be awake,
+// and what they had queued done.
+func (f *Fleet) Check(answers []Answer) error {
+	errs := []error{f.checkInvariants(), f.checkLogs()}
+	ran, err := f.Executions()
+	if err != nil {
+		return errors.Join(append(errs, err)...)
+	}
+	for i := range answers {
+		errs = append(errs, answers[i].Own(), checkOutcome(&answers[i], ran))
+	}
+	errs = append(errs, checkKeys(answers, ran)...)
+	return errors.Join(errs...)
+}
+
+// checkInvariants adds up the counters of violated invariants of all processes
+// that run.
+func (f *Fleet) checkInvariants() error {
+	var sum int64
+	for _, name := range f.Product() {
+		if !f.Process(name).Running() {
+			continue
+		}
+		count, err := f.Counter(name, btmetric.MetricViolations)
+		if err != nil {
+			return fmt.Errorf("violations of %s: %w", name, err)
+		}
+		sum += count
+	}
+	if sum != 0 {
+		return fmt.Errorf("%d invariants violated", sum)
+	}
+	return nil
+}
+
+// faults are what no log of any process, ended ones included, may hold.
+var faults = [][]byte{[]byte("invariant violated"), []byte("panic: "), []byte("fatal error: ")}
+
+func (f *Fleet) checkLogs() error {
+	var errs []error
+	for _, name := range f.Product() {
+		data, err := os.ReadFile(f.path(name + ".log"))
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		for line := range bytes.Lines(data) {
+			for _, fault := range faults {
+				if bytes.Contains(line, fault) {
+					errs = append(errs, fmt.Errorf("%s: %s", name, bytes.TrimSpace(line)))
+				}
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// checkOutcome holds what one caller was told against what ran under the
+// identity of its request.
+func checkOutcome(a *Answer, ran btstandin.Executions) error {
+	count := ran.Requests[a.Request]
+	switch {
+	case a.Err != nil:
+		return nil
+	case a.Request == "" || !a.Outcome.Valid():
+		return fmt.Errorf("an answer without identity or outcome: %s", a)
+	case a.Outcome == btrequest.NotRun && count > 0:
+		return fmt.Errorf("told not_run, but ran %d times: %s", count, a)
+	case a.Outcome == btrequest.Done && !a.Replayed && count == 0:
+		return fmt.Errorf("told done, but never ran: %s", a)
+	case a.Call.Key != "" && count > 1:
+		return fmt.Errorf("ran %d times: %s", count, a)
+	}
+	return nil
+}
+
+// checkKeys holds what callers were told of each key against how often it ran.
+func checkKeys(answers []Answer, ran btstandin.Executions) []error {
+	told := map[btrequest.Key]map[btrequest.Outcome]int{}
+	for i := range answers {
+		a := &answers[i]
+		if a.Call.Key == "" {
+			continue
+		}
+		if told[a.Call.Key] == nil {
+			told[a.Call.Key] = map[btrequest.Outcome]int{}
+		}
+		outcome := a.Outcome
+		if a.Err != nil {
+			outcome = btrequest.Unknown
+		}
+		told[a.Call.Key][outcome]++
+	}
+	var errs []error
+	for key, outcomes := range told {
+		count := ran.Keys[string(key)]
+		switch {
+		case count > 1:
+			errs = append(errs, fmt.Errorf("key %s ran %d times: %v", key, count, outcomes))
+		case outcomes[btrequest.Done] > 0 && count != 1:
+			errs = append(errs, fmt.Errorf("key %s was done but ran %d times: %v", key, count, outcomes))
+		case count > 0 && outcomes[btrequest.Done]+outcomes[btrequest.Unknown] == 0:
+			errs = append(errs, fmt.Errorf("key %s ran, but callers heard only not_run", key))
+		}
+	}
+	return errs
+}
+
+// Tally counts answers by outcome; a broken connection counts as unknown.
+func Tally(answers []Answer) map[btrequest.Outcome]int {
+	counts := map[btrequest.Outcome]int{}
+	for i := range answers {
+		outcome := answers[i].Outcome
+		if answers[i].Err != nil {
+			outcome = btrequest.Unknown
+		}
+		counts[outcome]++
+	}
+	return counts
+}
+
+// Reasons counts answers by outcome and reason, such as "unknown agent_lost".
+func Reasons(answers []Answer) map[string]int {
+	counts := map[string]int{}
+	for i := range answers {
+		a := &answers[i]
+		name := string(a.Outcome) + " " + string(a.Reason)
+		if a.Err != nil {
+			name = "no answer"
+		}
+		counts[strings.TrimSpace(name)]++
+	}
+	return counts
+}
--- /dev/null
+++ b/io/btstandin/btfleet/observe.go
@@ -0,0 +1,140 @@
+package btfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"bilberrytide/io/btprocess"
+	"bilberrytide/io/btstandin"
+)
+
+// control sends a stand-in one of its controls.
+func (f *Fleet) control(ctx context.Context, address netip.AddrPort, name string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return f.put(ctx, address, "/control/"+name, body)
+}
+
+// get reads JSON from a process.
+func get[T any](f *Fleet, address netip.AddrPort, path string) (T, error) {
+	var value T
+	response, err := f.client.Get("http://" + address.String() + path)
+	if err != nil {
+		return value, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return value, fmt.Errorf("%s: %s", path, response.Status)
+	}
+	return value, json.NewDecoder(response.Body).Decode(&value)
+}
+
+// Ready returns nil where a process of the product says that it is ready.
+func (f *Fleet) Ready(name string) error {
+	if !f.Process(name).Running() {
+		return fmt.Errorf("%s has ended", name)
+	}
+	response, err := f.client.Get("http://" + f.status[name].String() + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: /readyz: %s", name, response.Status)
+	}
+	return nil
+}
+
+// Status reads a process's page for operators.
+func (f *Fleet) Status(name string) (btprocess.Status, error) {
+	return get[btprocess.Status](f, f.status[name], "/status")
+}
+
+// metric is the part of a metric that counters have.
+type metric struct {
+	Count int64 `json:"count"`
+}
+
+// Counter reads one counter of a process; one that it never used is 0.
+func (f *Fleet) Counter(name, counter string) (int64, error) {
+	all, err := get[map[string]json.RawMessage](f, f.status[name], "/metrics")
+	if err != nil || all[counter] == nil {
+		return 0, err
+	}
+	var m metric
+	return m.Count, json.Unmarshal(all[counter], &m)
+}
+
+// Executions returns what all targets ran, added up.
+func (f *Fleet) Executions() (btstandin.Executions, error) {
+	sum := btstandin.Executions{Keys: map[string]int{}, Requests: map[string]int{}}
+	for _, t := range f.Targets() {
+		one, err := f.ExecutionsAt(t)
+		if err != nil {
+			return sum, err
+		}
+		sum.Total += one.Total
+		sum.Cancelled += one.Cancelled
+		for key, count := range one.Keys {
+			sum.Keys[key] += count
+		}
+		for id, count := range one.Requests {
+			sum.Requests[id] += count
+		}
+	}
+	return sum, nil
+}
+
+// ExecutionsAt returns what one target ran.
+func (f *Fleet) ExecutionsAt(target string) (btstandin.Executions, error) {
+	return get[btstandin.Executions](f, f.targets[target], "/control/executions")
+}
+
+// Granting returns nil where every key home of the plain service grants keys
+// that are made from now on.
+func (f *Fleet) Granting() error {
+	for _, t := range names(string(Plain), f.options.Plains) {
+		status, err := f.Status(Agent(t))
+		if err != nil {
+			return err
+		}
+		if status.Home == nil || !status.Home.Leased {
+			return fmt.Errorf("%s holds no lease", t)
+		}
+		if time.Since(status.Home.Since) <= youngAfter {
+			return fmt.Errorf("%s has held its lease since %s", t, status.Home.Since)
+		}
+	}
+	return nil
+}
+
+// youngAfter is how long a home must have held its lease before a key made now
+// is younger than the lease beyond doubt.
+const youngAfter = 2 * ClockError
+
+// Eligible returns nil where an entry gives a target new work, else an error
+// with the entry's cause. An entry that has ended gives none.
+func (f *Fleet) Eligible(entry, target string) error {
+	if !f.Process(entry).Running() {
+		return fmt.Errorf("%s has ended", entry)
+	}
+	status, err := f.Status(entry)
+	if err != nil {
+		return err
+	}
+	for _, t := range status.Targets {
+		if string(t.Target) == target && t.Eligible {
+			return nil
+		}
+		if string(t.Target) == target {
+			return fmt.Errorf("%s at %s: %s", target, entry, t.Cause)
+		}
+	}
+	return fmt.Errorf("%s is unknown to %s", target, entry)
+}
--- a/io/btstandin/group.go
+++ b/io/btstandin/group.go
@@ -35,6 +35,9 @@
 	DriftPeriod time.Duration
 	// Barrier tells whether engines know arm and commit.
 	Barrier bool
+	// Unchecked makes engines follow a switch while they are not held, as an
+	// engine does that doesn't look after its group.
+	Unchecked bool
 	// Initial is the map that all ranks start with. Nil stands for experts dealt
 	// in turn.
 	Initial *ExpertMap
@@ -72,6 +75,17 @@
 	return nil
 }
 
+// initial returns what the ranks start on, nil for no map.
+func (o GroupOptions) initial() *placement {
+	switch {
+	case o.StartHeld:
+		return nil
+	case o.Initial != nil:
+		return initialPlacement(o.Initial)
+	}
+	return initialPlacement(o.Shape.deal())
+}
+
 // Group stands in for the engines of one lock-step group. It is safe for
 // concurrent use.
 type Group struct {
@@ -80,7 +94,9 @@
 	step    time.Duration
 	tokens  int
 	barrier bool
-	weights Weights
+	// unchecked engines switch though they are not held.
+	unchecked bool
+	weights   Weights
 
 	mutex      sync.Mutex
 	members    []*member
@@ -107,19 +123,14 @@
 		step:       o.Step,
 		tokens:     o.TokensPerStep,
 		barrier:    o.Barrier,
+		unchecked:  o.Unchecked,
 		weights:    o.Weights,
 		popularity: newPopularity(o.Shape, o.ZipfExponent, o.DriftPeriod, o.Engine.Seed),
 		start:      clock.Now(),
 		stepped:    make(chan struct{}),
 		changed:    make(chan struct{}),
 	}
-	initial := o.Initial
-	if initial == nil {
-		initial = o.Shape.deal()
-	}
-	if o.StartHeld {
-		initial = nil
-	}
+	initial := o.initial()
 	for r := range o.Shape.Ranks {
 		g.members = append(g.members, newMember(g, r, o, initial))
 	}
--- a/io/btstandin/group_map.go
+++ b/io/btstandin/group_map.go
@@ -7,18 +7,40 @@
 	"slices"
 )
 
-// ExpertMap says which experts each rank of a group holds in each layer. The
-// digest stands for the whole; the stand-in takes it as given.
+// ExpertMap says which experts each rank of a group holds in each layer. It
+// keeps the bytes that it was read from: their SHA-256 is its digest.
 type ExpertMap struct {
-	Digest string `json:"digest"`
 	// Layers lists, for each layer and in it each rank, the experts held.
+	Layers [][][]int
+
+	encoded []byte
+	digest  string
+}
+
+// mapFields is the JSON form of a map.
+type mapFields struct {
 	Layers [][][]int `json:"layers"`
 }
 
+// UnmarshalJSON reads a map and keeps its bytes.
+func (m *ExpertMap) UnmarshalJSON(data []byte) error {
+	var fields mapFields
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	m.Layers = fields.Layers
+	m.encoded = slices.Clone(data)
+	m.digest = fmt.Sprintf("%x", sha256.Sum256(data))
+	return nil
+}
+
+// MarshalJSON returns the bytes that the map was read from.
+func (m *ExpertMap) MarshalJSON() ([]byte, error) { return m.encoded, nil }
+
 // validate reports a map that doesn't fit the group.
 func (m *ExpertMap) validate(s GroupShape) error {
-	if m == nil || m.Digest == "" {
-		return fmt.Errorf("%w: map: no digest", ErrOrder)
+	if m == nil {
+		return fmt.Errorf("%w: map: none", ErrOrder)
 	}
 	if len(m.Layers) != s.Layers {
 		return fmt.Errorf("%w: map: %d layers instead of %d", ErrOrder, len(m.Layers), s.Layers)
@@ -75,8 +97,7 @@
 }
 
 // deal returns the map that deals experts to ranks in turn until every slot is
-// full or every rank holds every expert. Its digest is the SHA-256 of the
-// layers' JSON.
+// full or every rank holds every expert.
 func (s GroupShape) deal() *ExpertMap {
 	ranks := make([][]int, s.Ranks)
 	for i := range s.Ranks * min(s.SlotsPerRank, s.Experts) {
@@ -87,13 +108,14 @@
 		}
 		ranks[r] = append(ranks[r], x)
 	}
-	m := &ExpertMap{Layers: make([][][]int, s.Layers)}
-	for l := range m.Layers {
-		m.Layers[l] = ranks
+	fields := mapFields{Layers: make([][][]int, s.Layers)}
+	for l := range fields.Layers {
+		fields.Layers[l] = ranks
 	}
-	// Numbers in slices always have a JSON form.
-	layers, _ := json.Marshal(m.Layers)
-	m.Digest = fmt.Sprintf("%x", sha256.Sum256(layers))
+	// Numbers in slices always have a JSON form, and it reads back.
+	data, _ := json.Marshal(fields)
+	m := &ExpertMap{}
+	_ = m.UnmarshalJSON(data)
 	return m
 }
 
@@ -117,9 +139,29 @@
 	return counts
 }
 
-func (m *ExpertMap) digest() string {
-	if m == nil {
+// placement is a map under the version that it was staged as.
+type placement struct {
+	version string
+	experts *ExpertMap
+}
+
+// initialPlacement is a map that no round staged: its version is its digest.
+func initialPlacement(m *ExpertMap) *placement {
+	return &placement{version: m.digest, experts: m}
+}
+
+// name returns the version, empty for none.
+func (p *placement) name() string {
+	if p == nil {
 		return ""
 	}
-	return m.Digest
+	return p.version
+}
+
+// mapped returns the placement's map, nil for none.
+func (p *placement) mapped() *ExpertMap {
+	if p == nil {
+		return nil
+	}
+	return p.experts
 }
--- a/io/btstandin/group_member.go
+++ b/io/btstandin/group_member.go
@@ -12,18 +12,21 @@
 
 // GroupState is the body of GET /group: how one rank stands.
 type GroupState struct {
-	// MapDigest is the map in use, empty for none.
-	MapDigest string `json:"map_digest"`
-	// StagedDigest is the map whose weights are all here, empty for none.
-	StagedDigest string `json:"staged_digest"`
-	// StagingDigest is the map whose weights are being pulled, empty for none.
-	StagingDigest string `json:"staging_digest"`
-	// Armed tells that the rank starts no further step until commit or abort.
+	// MapVersion is the version of the map in use, empty for none.
+	MapVersion string `json:"map_version"`
+	// StagedVersion is the one whose weights are all here, empty for none.
+	StagedVersion string `json:"staged_version"`
+	// LoadingVersion is the one whose weights are being pulled, empty for none.
+	LoadingVersion string `json:"loading_version"`
+	// Held tells that the rank starts no further step: it is armed or paused, or
+	// has no map.
+	Held bool `json:"held"`
+	// Armed tells that the rank is held until commit or abort.
 	Armed bool `json:"armed"`
-	// Paused tells that the rank starts no further step until resume.
+	// Paused tells that the rank is held until resume.
 	Paused bool `json:"paused"`
-	// Ballot is the highest ballot that an order carried.
-	Ballot uint64 `json:"ballot"`
+	// Fencing is the highest fencing number accepted.
+	Fencing uint64 `json:"fencing"`
 	// Step counts the steps since this engine's start.
 	Step uint64 `json:"step"`
 	// Counts holds the tokens that this rank served, since its engine's start,
@@ -43,12 +46,11 @@
 
 	alive bool
 	// inUse is nil from a restart until the first switch.
-	inUse   *ExpertMap
-	staged  *ExpertMap
-	staging *staging
+	inUse   *placement
+	staged  *placement
+	loading *loading
 	armed   bool
 	paused  bool
-	ballot  uint64
 	steps   uint64
 	counts  [][]float64
 	last    time.Duration
@@ -59,7 +61,7 @@
 	_ pacer    = (*member)(nil)
 )
 
-func newMember(g *Group, rank int, o GroupOptions, initial *ExpertMap) *member {
+func newMember(g *Group, rank int, o GroupOptions, initial *placement) *member {
 	m := &member{group: g, rank: rank, alive: true, inUse: initial, counts: zeroCounts(o.Shape)}
 	options := o.Engine
 	options.Name = btid.Target(fmt.Sprintf("%s-%d", o.Name, rank))
@@ -77,14 +79,17 @@
 	return counts
 }
 
+// held tells whether the member starts no step until it is ordered to.
+func (m *member) held() bool { return m.inUse == nil || m.armed || m.paused }
+
 // ready tells whether the member would start a step.
-func (m *member) ready() bool { return m.alive && m.inUse != nil && !m.armed && !m.paused }
+func (m *member) ready() bool { return m.alive && !m.held() }
 
 func (m *member) killed() {
 	m.group.mutex.Lock()
 	defer m.group.mutex.Unlock()
 	m.alive = false
-	m.endStaging()
+	m.endLoading()
 }
 
 func (m *member) restarted() {
@@ -95,7 +100,6 @@
 	m.staged = nil
 	m.armed = false
 	m.paused = false
-	m.ballot = 0
 	m.steps = 0
 	m.counts = zeroCounts(m.group.shape)
 	m.group.wake()
@@ -122,6 +126,8 @@
 }
 
 func (m *member) state() GroupState {
+	// The orders' lock is taken before the group's, as by an order.
+	fencing := m.engine.orders.fencing().Fencing
 	m.group.mutex.Lock()
 	defer m.group.mutex.Unlock()
 	counts := make([][]uint64, len(m.counts))
@@ -132,12 +138,13 @@
 		}
 	}
 	return GroupState{
-		MapDigest:       m.inUse.digest(),
-		StagedDigest:    m.staged.digest(),
-		StagingDigest:   m.staging.target(),
+		MapVersion:      m.inUse.name(),
+		StagedVersion:   m.staged.name(),
+		LoadingVersion:  m.loading.name(),
+		Held:            m.held(),
 		Armed:           m.armed,
 		Paused:          m.paused,
-		Ballot:          m.ballot,
+		Fencing:         fencing,
 		Step:            m.steps,
 		Counts:          counts,
 		StepMillis:      millis(m.last),
@@ -149,7 +156,8 @@
 	writeJSON(w, http.StatusOK, m.state())
 }
 
-// serveMap answers with the map in use, or with ?staged=1 the staged one.
+// serveMap answers with the bytes of the map in use, or with ?staged=1 of the
+// staged one, as they came with the order.
 func (m *member) serveMap(w http.ResponseWriter, r *http.Request) {
 	m.group.mutex.Lock()
 	shown := m.inUse
@@ -161,5 +169,6 @@
 		writeError(w, http.StatusNotFound, "no map")
 		return
 	}
-	writeJSON(w, http.StatusOK, shown)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(shown.experts.encoded)
 }
--- a/io/btstandin/group_orders.go
+++ b/io/btstandin/group_orders.go
@@ -5,177 +5,202 @@
 	"fmt"
 )
 
-// staging is one order to stage that is being carried out.
-type staging struct {
-	digest string
+// loading is a staging whose weights are still being pulled.
+type loading struct {
+	next   *placement
 	cancel context.CancelFunc
 }
 
-// target returns the digest of the map being staged, empty for none.
-func (s *staging) target() string {
-	if s == nil {
+// name returns the version being loaded, empty for none.
+func (l *loading) name() string {
+	if l == nil {
 		return ""
 	}
-	return s.digest
+	return l.next.name()
 }
 
-// execute carries out one order. An order whose effect is there already, as it
-// was carried out before, succeeds and changes nothing.
-func (m *member) execute(o Order) (func() error, error) {
+// execute carries out one order, or begins it. An order whose effect is there
+// already, as it was carried out before, succeeds and changes nothing.
+func (m *member) execute(o Order) error {
 	m.group.mutex.Lock()
 	defer m.group.mutex.Unlock()
-	if o.Op == OpStage {
-		return m.stage(o)
-	}
 	if err := m.change(o); err != nil {
-		return nil, err
+		return err
 	}
-	m.ballot = max(m.ballot, o.Ballot)
 	m.group.wake()
-	return nil, nil
+	return nil
 }
 
-// change applies an order other than stage. The group's mutex must be held.
+// change applies an order. The group's mutex must be held.
 func (m *member) change(o Order) error {
 	switch o.Op {
+	case OpStage:
+		return m.stage(o)
 	case OpArm:
-		return m.arm(o.Digest)
+		return m.arm(o.Version)
 	case OpCommit:
-		return m.commit(o.Digest)
+		return m.commit(o.Version)
 	case OpAbort:
-		return m.abort(o.Digest)
+		return m.abort(o.Version)
 	case OpPause:
 		m.paused = true
 		return nil
 	case OpSwitch:
-		return m.use(o.Digest)
+		return m.use(o.Version)
 	case OpResume:
-		return m.resume()
+		return m.resume(o.Version)
 	default:
 		return fmt.Errorf("%w: unknown to a member of a group", ErrOrder)
 	}
 }
 
-// arm holds the member before its next step.
-func (m *member) arm(digest string) error {
-	if !m.group.barrier {
-		return fmt.Errorf("%w: engine has no barrier", ErrOrder)
+// stage begins to load a map in place of any staged or loading before. It
+// changes neither steps nor holds, and goes on when whoever ordered it has gone
+// away; it breaks off with abort, another stage or the engine's life.
+func (m *member) stage(o Order) error {
+	if o.Version == "" {
+		return fmt.Errorf("%w: version: none", ErrOrder)
 	}
-	if m.staged == nil || m.staged.Digest != digest {
-		return fmt.Errorf("%w: map %q is not staged", ErrOrder, digest)
+	if len(o.Ranks) > 0 && len(o.Ranks) != m.group.shape.Ranks {
+		return fmt.Errorf("%w: ranks: %d instead of %d", ErrOrder, len(o.Ranks), m.group.shape.Ranks)
 	}
-	m.armed = true
+	if err := o.Map.validate(m.group.shape); err != nil {
+		return err
+	}
+	if m.staged.name() == o.Version || m.loading.name() == o.Version {
+		return nil
+	}
+	m.endLoading()
+	m.staged = nil
+	next := &placement{version: o.Version, experts: o.Map}
+	if m.group.weights == nil {
+		m.staged = next
+		return nil
+	}
+	ctx, cancel := context.WithCancel(m.engine.currentLife())
+	mine := &loading{next: next, cancel: cancel}
+	m.loading = mine
+	go m.load(ctx, mine, m.inUse.mapped())
 	return nil
 }
 
-// commit switches the armed member to the staged map and lets it go on.
-func (m *member) commit(digest string) error {
-	if !m.armed && m.inUse.digest() != digest {
-		return fmt.Errorf("%w: not armed", ErrOrder)
+// load pulls the weights that the map in use lacks and stages the map.
+func (m *member) load(ctx context.Context, mine *loading, inUse *ExpertMap) {
+	defer mine.cancel()
+	var err error
+	for l := range mine.next.experts.Layers {
+		if err = m.pullLayer(ctx, inUse, mine.next.experts, l); err != nil {
+			break
+		}
 	}
-	if err := m.use(digest); err != nil {
-		return err
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	if m.loading != mine {
+		return
 	}
-	m.armed = false
-	return nil
+	m.loading = nil
+	if err == nil {
+		m.staged = mine.next
+	}
+}
+
+// pullLayer pulls the experts of the layer that the map in use does not hold.
+func (m *member) pullLayer(ctx context.Context, inUse, next *ExpertMap, layer int) error {
+	for _, x := range next.Layers[layer][m.rank] {
+		if inUse.holds(layer, m.rank, x) {
+			continue
+		}
+		if err := m.group.weights.Pull(ctx, layer, x); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
 }
 
-// abort drops what is staged and lets the member go on. Where nothing is staged
-// there is nothing to do.
-func (m *member) abort(digest string) error {
-	if m.staging != nil && m.staging.digest == digest {
-		m.endStaging()
+// endLoading breaks off a loading under way. The group's mutex must be held.
+func (m *member) endLoading() {
+	if m.loading != nil {
+		m.loading.cancel()
+		m.loading = nil
 	}
-	if m.staged == nil {
-		return nil
+}
+
+// arm holds the member before its next step.
+func (m *member) arm(version string) error {
+	if !m.group.barrier {
+		return fmt.Errorf("%w: engine has no barrier", ErrOrder)
 	}
-	if m.staged.Digest != digest {
-		return fmt.Errorf("%w: map %q is staged", ErrOrder, m.staged.Digest)
+	if err := m.requireStaged(version); err != nil {
+		return err
 	}
-	m.staged = nil
-	m.armed = false
+	m.armed = true
 	return nil
 }
 
-// use switches to the staged map from the next step on, paused or not: an engine
-// without a barrier doesn't look after the group.
-func (m *member) use(digest string) error {
-	if m.staged.digest() != digest && m.inUse.digest() == digest {
+// commit switches the armed member to the staged map and lets it go on. One
+// that comes again changes nothing, least of all a later round's hold.
+func (m *member) commit(version string) error {
+	if m.staged.name() != version && m.inUse.name() == version {
 		return nil
 	}
-	if m.staged == nil || m.staged.Digest != digest {
-		return fmt.Errorf("%w: map %q is not staged", ErrOrder, digest)
+	if err := m.requireStaged(version); err != nil {
+		return err
+	}
+	if !m.armed {
+		return fmt.Errorf("%w: not armed", ErrOrder)
 	}
 	m.inUse = m.staged
 	m.staged = nil
+	m.armed = false
 	return nil
 }
 
-func (m *member) resume() error {
-	if m.inUse == nil {
-		return fmt.Errorf("%w: no map", ErrOrder)
+// abort drops what is staged or being loaded. Only where exactly this version
+// was staged does it end the hold.
+func (m *member) abort(version string) error {
+	switch {
+	case version != "" && m.staged.name() == version:
+		m.staged = nil
+		m.armed = false
+	case version != "" && m.loading.name() == version:
+		m.endLoading()
+	case m.held():
+		return fmt.Errorf("%w: map %q is not staged", ErrOrder, version)
 	}
-	m.paused = false
 	return nil
 }
 
-// stage begins to pull the weights that the member lacks for the map and
-// returns the function that ends it. That goes on when whoever ordered it has
-// gone away, and breaks off with abort, another stage or the engine's life.
-func (m *member) stage(o Order) (func() error, error) {
-	if err := o.Map.validate(m.group.shape); err != nil {
-		return nil, err
+// use switches the paused member to the staged map; it stays paused.
+func (m *member) use(version string) error {
+	if m.staged.name() != version && m.inUse.name() == version {
+		return nil
 	}
-	m.ballot = max(m.ballot, o.Ballot)
-	if m.staged.digest() == o.Map.Digest {
-		return nil, nil
+	if err := m.requireStaged(version); err != nil {
+		return err
 	}
-	if m.armed {
-		return nil, fmt.Errorf("%w: armed for map %q", ErrOrder, m.staged.digest())
+	if !m.held() && !m.group.unchecked {
+		return fmt.Errorf("%w: not paused", ErrOrder)
 	}
-	m.endStaging()
+	m.inUse = m.staged
 	m.staged = nil
-	ctx, cancel := context.WithCancel(m.engine.currentLife())
-	mine := &staging{digest: o.Map.Digest, cancel: cancel}
-	m.staging = mine
-	inUse := m.inUse
-	return func() error { return m.finishStaging(ctx, mine, inUse, o.Map) }, nil
+	return nil
 }
 
-func (m *member) finishStaging(ctx context.Context, mine *staging, inUse, next *ExpertMap) error {
-	defer mine.cancel()
-	for l := range next.Layers {
-		if err := m.pullLayer(ctx, inUse, next, l); err != nil {
-			return fmt.Errorf("%w: layer %d: %w", ErrOrder, l, err)
-		}
+// resume lets the member go on, on exactly the named map.
+func (m *member) resume(version string) error {
+	if m.inUse == nil {
+		return fmt.Errorf("%w: no map", ErrOrder)
 	}
-	m.group.mutex.Lock()
-	defer m.group.mutex.Unlock()
-	if m.staging != mine {
-		return fmt.Errorf("%w: staging of map %q was ended", ErrOrder, next.Digest)
+	if m.inUse.name() != version {
+		return fmt.Errorf("%w: map %q is in use", ErrOrder, m.inUse.name())
 	}
-	m.staging = nil
-	m.staged = next
+	m.paused = false
 	return nil
 }
 
-// pullLayer pulls the experts of the layer that the map in use does not hold.
-func (m *member) pullLayer(ctx context.Context, inUse, next *ExpertMap, layer int) error {
-	for _, x := range next.Layers[layer][m.rank] {
-		if m.group.weights == nil || inUse.holds(layer, m.rank, x) {
-			continue
-		}
-		if err := m.group.weights.Pull(ctx, layer, x); err != nil {
-			return err
-		}
-	}
-	return ctx.Err()
-}
-
-// endStaging breaks off a staging under way. The group's mutex must be held.
-func (m *member) endStaging() {
-	if m.staging != nil {
-		m.staging.cancel()
-		m.staging = nil
+func (m *member) requireStaged(version string) error {
+	if m.staged == nil || m.staged.name() != version {
+		return fmt.Errorf("%w: map %q is not staged", ErrOrder, version)
 	}
+	return nil
 }
--- a/io/btstandin/group_steps.go
+++ b/io/btstandin/group_steps.go
@@ -15,13 +15,13 @@
 // StepRecord tells of one step.
 type StepRecord struct {
 	Step uint64 `json:"step"`
-	// Digests holds the map that each rank used.
+	// Digests holds the SHA-256 of the map that each rank used.
 	Digests []string `json:"digests"`
 	// Mixed tells that not all of them were the same.
 	Mixed bool `json:"mixed"`
-	// Skew is the slowest rank's time over the mean, minus 1.
+	// Skew is the step's time over the mean of the ranks' own, minus 1.
 	Skew float64 `json:"skew"`
-	// Duration is the slowest rank's time.
+	// Duration is the step's time: in each layer that of the slowest rank.
 	Duration time.Duration `json:"duration_ns"`
 }
 
@@ -29,8 +29,7 @@
 type StepTotals struct {
 	Steps      uint64 `json:"steps"`
 	MixedSteps uint64 `json:"mixed_steps"`
-	// SkewMean is the mean over all steps of the slowest rank's time over the
-	// mean rank's, minus 1.
+	// SkewMean is the mean over all steps of their skew.
 	SkewMean float64 `json:"skew_mean"`
 	// HeldMillis is the time in which the group was ready for a step but for a
 	// rank that was armed, paused, killed or without a map.
@@ -135,45 +134,62 @@
 	return g.plan(g.popularity.shares(now.Sub(g.start))), g.changed
 }
 
-// plan works out the step from the experts' shares of the tokens.
+// plan works out the step from the experts' shares of the tokens. The ranks
+// exchange tokens in every layer, so that each layer waits for its slowest rank.
 func (g *Group) plan(shares [][]float64) *step {
 	s := &step{record: StepRecord{Step: g.record.steps + 1}}
 	replicas := make(map[string][][]int)
+	slowest := make([]time.Duration, g.shape.Layers)
 	var sum time.Duration
 	for _, m := range g.members {
-		digest := m.inUse.Digest
+		digest := m.inUse.experts.digest
 		if replicas[digest] == nil {
-			replicas[digest] = m.inUse.replicas(g.shape)
+			replicas[digest] = m.inUse.experts.replicas(g.shape)
 		}
-		served, load := m.serve(shares, replicas[digest])
-		even := float64(g.shape.Layers) / float64(g.shape.Ranks)
-		factor := (fixedShare + (1-fixedShare)*load/even) * m.engine.faults.slow()
-		taken := scale(g.step, factor)
+		served := m.serve(shares, replicas[digest])
+		taken := m.work(served, slowest)
 		s.served = append(s.served, served)
 		s.times = append(s.times, taken)
 		s.record.Digests = append(s.record.Digests, digest)
-		s.record.Mixed = s.record.Mixed || digest != g.members[0].inUse.Digest
-		s.record.Duration = max(s.record.Duration, taken)
+		s.record.Mixed = s.record.Mixed || digest != s.record.Digests[0]
 		sum += taken
 	}
+	for _, layer := range slowest {
+		s.record.Duration += layer
+	}
 	mean := float64(sum) / float64(len(g.members))
 	s.record.Skew = float64(s.record.Duration)/mean - 1
 	return s
 }
 
-// serve returns the member's share of each expert's tokens, by its own map, and
-// their sum over all layers. Replicas of an expert share its tokens evenly.
-func (m *member) serve(shares [][]float64, replicas [][]int) ([][]float64, float64) {
+// serve returns the member's share of each expert's tokens, by its own map.
+// Replicas of an expert share its tokens evenly.
+func (m *member) serve(shares [][]float64, replicas [][]int) [][]float64 {
 	served := zeroCounts(m.group.shape)
-	load := 0.0
-	for l, ranks := range m.inUse.Layers {
+	for l, ranks := range m.inUse.experts.Layers {
 		for _, x := range ranks[m.rank] {
-			share := shares[l][x] / float64(replicas[l][x])
-			served[l][x] += share
+			served[l][x] += shares[l][x] / float64(replicas[l][x])
+		}
+	}
+	return served
+}
+
+// work returns the member's own time for a step, and raises each layer's
+// slowest time to its own.
+func (m *member) work(served [][]float64, slowest []time.Duration) time.Duration {
+	slow := m.engine.faults.slow()
+	layer := m.group.step / time.Duration(len(served))
+	var sum time.Duration
+	for l, experts := range served {
+		load := 0.0
+		for _, share := range experts {
 			load += share
 		}
+		taken := scale(layer, (fixedShare+(1-fixedShare)*load*float64(m.group.shape.Ranks))*slow)
+		slowest[l] = max(slowest[l], taken)
+		sum += taken
 	}
-	return served, load
+	return sum
 }
 
 // finish records the step and lets every answer in the making have its token.
--- a/io/btstandin/group_test.go
+++ b/io/btstandin/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -16,10 +17,12 @@
 
 // Two maps of two ranks that hold four experts of one layer.
 const (
-	mapA = `{"digest":"aa","layers":[[[0,1],[2,3]]]}`
-	mapB = `{"digest":"bb","layers":[[[0,2],[1,3]]]}`
+	mapA = `{"layers":[[[0,1],[2,3]]]}`
+	mapB = `{"layers":[[[0,2],[1,3]]]}`
 )
 
+func digestOf(encoded string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(encoded))) }
+
 func newGroup(t *testing.T, o btstandin.GroupOptions) *btstandin.Group {
 	t.Helper()
 	o.Name = "g"
@@ -49,17 +52,17 @@
 }
 
 func TestSwitchWithoutBarrierIsSeenAsMixed(t *testing.T) {
-	g := newGroup(t, btstandin.GroupOptions{})
+	g := newGroup(t, btstandin.GroupOptions{Unchecked: true})
 	for r := range g.Ranks() {
-		mustOrder(t, g, r, `"op":"stage","map":`+mapB)
+		mustOrder(t, g, r, `"op":"stage","version":"aa","map":`+mapA)
 	}
 	before, stepped := g.Step()
 	assert.Assert(t, stepped && !before.Mixed)
-	mustOrder(t, g, 0, `"op":"switch","digest":"bb"`)
+	mustOrder(t, g, 0, `"op":"switch","version":"aa"`)
 	between, _ := g.Step()
 	assert.Assert(t, between.Mixed)
-	assert.Assert(t, between.Digests[0] == "bb" && between.Digests[1] != "bb")
-	mustOrder(t, g, 1, `"op":"switch","digest":"bb"`)
+	assert.Assert(t, between.Digests[0] == digestOf(mapA) && between.Digests[1] != digestOf(mapA))
+	mustOrder(t, g, 1, `"op":"switch","version":"aa"`)
 	after, _ := g.Step()
 	assert.Assert(t, !after.Mixed)
 	assert.Equal(t, g.Totals().MixedSteps, uint64(1))
@@ -75,15 +78,15 @@
 func mixedSteps(t *testing.T, barrier bool, ops roundOps, seed uint64) uint64 {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 1))
-	g := newGroup(t, btstandin.GroupOptions{Barrier: barrier})
+	g := newGroup(t, btstandin.GroupOptions{Barrier: barrier, Unchecked: true})
 	for round := range 20 {
-		digest, next := "aa", mapA
+		version, next := "aa", mapA
 		if round%2 == 1 {
-			digest, next = "bb", mapB
+			version, next = "bb", mapB
 		}
 		for _, op := range append(roundOps{"stage"}, ops...) {
 			for _, r := range random.Perm(g.Ranks()) {
-				mustOrder(t, g, r, fmt.Sprintf(`"op":%q,"digest":%q,"map":%s`, op, digest, next))
+				mustOrder(t, g, r, fmt.Sprintf(`"op":%q,"version":%q,"map":%s`, op, version, next))
 				for random.IntN(2) == 0 {
 					g.Step()
 				}
@@ -104,24 +107,54 @@
 
 func TestArmedRankHoldsTheGroup(t *testing.T) {
 	g := newGroup(t, btstandin.GroupOptions{Barrier: true})
-	assert.Equal(t, order(t, g, 0, `"op":"arm","digest":"bb"`), http.StatusUnprocessableEntity)
-	mustOrder(t, g, 0, `"op":"stage","ballot":3,"map":`+mapB)
-	assert.Equal(t, order(t, g, 0, `"op":"commit","digest":"bb"`), http.StatusUnprocessableEntity)
-	mustOrder(t, g, 0, `"op":"arm","digest":"bb"`)
+	assert.Equal(t, order(t, g, 0, `"op":"arm","version":"bb"`), http.StatusUnprocessableEntity)
+	mustOrder(t, g, 0, `"op":"stage","version":"bb","map":`+mapB)
+	assert.Equal(t, order(t, g, 0, `"op":"commit","version":"bb"`), http.StatusUnprocessableEntity)
+	mustOrder(t, g, 0, `"op":"arm","version":"bb"`)
 	_, stepped := g.Step()
 	assert.Assert(t, !stepped)
 	got := state(t, g, 0)
-	assert.Assert(t, got.Armed && got.StagedDigest == "bb" && got.Ballot == 3)
-	mustOrder(t, g, 0, `"op":"abort","digest":"bb"`)
-	mustOrder(t, g, 0, `"op":"abort","digest":"bb"`)
+	assert.Assert(t, got.Armed && got.Held && got.StagedVersion == "bb" && got.Fencing == 4)
+	mustOrder(t, g, 0, `"op":"abort","version":"bb"`)
+	mustOrder(t, g, 0, `"op":"abort","version":"bb"`)
 	record, stepped := g.Step()
 	assert.Assert(t, stepped && !record.Mixed)
-	assert.Equal(t, state(t, g, 0).StagedDigest, "")
+	assert.Equal(t, state(t, g, 0).StagedVersion, "")
+
+	plain := newGroup(t, btstandin.GroupOptions{})
+	mustOrder(t, plain, 0, `"op":"stage","version":"bb","map":`+mapB)
+	assert.Equal(t, order(t, plain, 0, `"op":"arm","version":"bb"`), http.StatusUnprocessableEntity)
+	assert.Equal(t, order(t, plain, 0, `"op":"stage","version":"cc","map":{"layers":[[[0],[1]]]}`), http.StatusUnprocessableEntity)
+}
+
+// Orders of an earlier round that come late end no later round's hold.
+func TestLateOrdersAreRefused(t *testing.T) {
+	g := newGroup(t, btstandin.GroupOptions{Barrier: true})
+	for _, op := range []string{"stage", "arm", "commit"} {
+		mustOrder(t, g, 0, fmt.Sprintf(`"op":%q,"version":"aa","map":%s`, op, mapA))
+	}
+	for _, op := range []string{"stage", "arm"} {
+		mustOrder(t, g, 0, fmt.Sprintf(`"op":%q,"version":"bb","map":%s`, op, mapB))
+	}
+	mustOrder(t, g, 0, `"op":"commit","version":"aa"`)
+	for _, late := range []string{`"op":"abort","version":"aa"`, `"op":"commit","version":"cc"`, `"op":"abort"`} {
+		assert.Equal(t, order(t, g, 0, late), http.StatusUnprocessableEntity, late)
+	}
+	got := state(t, g, 0)
+	assert.Assert(t, got.Held && got.MapVersion == "aa" && got.StagedVersion == "bb")
+	mustOrder(t, g, 0, `"op":"stage","version":"cc","map":`+mapA)
+	got = state(t, g, 0)
+	assert.Assert(t, got.Held && got.StagedVersion == "cc", "staging in place of another ends no hold")
+	assert.Equal(t, order(t, g, 0, `"op":"commit","version":"bb"`), http.StatusUnprocessableEntity)
 
 	plain := newGroup(t, btstandin.GroupOptions{})
-	mustOrder(t, plain, 0, `"op":"stage","map":`+mapB)
-	assert.Equal(t, order(t, plain, 0, `"op":"arm","digest":"bb"`), http.StatusUnprocessableEntity)
-	assert.Equal(t, order(t, plain, 0, `"op":"stage","map":{"digest":"cc","layers":[[[0],[1]]]}`), http.StatusUnprocessableEntity)
+	mustOrder(t, plain, 0, `"op":"stage","version":"bb","map":`+mapB)
+	assert.Equal(t, order(t, plain, 0, `"op":"switch","version":"bb"`), http.StatusUnprocessableEntity)
+	mustOrder(t, plain, 0, `"op":"pause"`)
+	mustOrder(t, plain, 0, `"op":"switch","version":"bb"`)
+	assert.Equal(t, order(t, plain, 0, `"op":"resume","version":"aa"`), http.StatusUnprocessableEntity)
+	assert.Assert(t, state(t, plain, 0).Held)
+	mustOrder(t, plain, 0, `"op":"resume","version":"bb"`)
 }
 
 func TestRestartedRankHoldsUntilItHasAMap(t *testing.T) {
@@ -132,16 +165,17 @@
 	g.Rank(1).Restart()
 	_, stepped = g.Step()
 	assert.Assert(t, !stepped)
-	assert.Equal(t, state(t, g, 1).MapDigest, "")
+	assert.Equal(t, state(t, g, 1).MapVersion, "")
+	assert.Assert(t, state(t, g, 1).Held)
 	assert.Equal(t, order(t, g, 1, `"op":"resume"`), http.StatusUnprocessableEntity)
 	for _, op := range []string{"stage", "arm", "commit"} {
 		for r := range g.Ranks() {
-			mustOrder(t, g, r, fmt.Sprintf(`"op":%q,"digest":"bb","map":%s`, op, mapB))
+			mustOrder(t, g, r, fmt.Sprintf(`"op":%q,"version":"bb","map":%s`, op, mapB))
 		}
 	}
 	record, stepped := g.Step()
 	assert.Assert(t, stepped && !record.Mixed)
-	assert.Equal(t, record.Digests[1], "bb")
+	assert.Equal(t, record.Digests[1], digestOf(mapB))
 }
 
 func TestStepTimeIsTheSlowestRanks(t *testing.T) {
@@ -198,7 +232,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, g.Totals().Steps, steps)
 		assert.Assert(t, g.Totals().HeldMillis > 1900)
-		mustOrder(t, g, 0, `"op":"resume"`)
+		mustOrder(t, g, 0, fmt.Sprintf(`"op":"resume","version":%q`, state(t, g, 0).MapVersion))
 		time.Sleep(time.Second)
 		assert.Assert(t, g.Totals().Steps > steps)
 		assert.Assert(t, g.Totals().HeldMillis <= 2000)
--- a/io/btstandin/orders.go
+++ b/io/btstandin/orders.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"sync"
+
+	"bilberrytide/core/btid"
 )
 
 // maxOrders is how many accepted orders an engine remembers for tests.
@@ -30,11 +32,14 @@
 // Order is the body of POST /orders.
 type Order struct {
 	// Fencing is higher than that of any order before.
-	Fencing uint64     `json:"fencing"`
-	Op      OrderOp    `json:"op"`
-	Map     *ExpertMap `json:"map,omitempty"`
-	Digest  string     `json:"digest,omitempty"`
-	Ballot  uint64     `json:"ballot,omitempty"`
+	Fencing uint64  `json:"fencing"`
+	Op      OrderOp `json:"op"`
+	// Version names the staging of a map that the order is about; no two
+	// stagings share one. The engine compares it and reads nothing from it.
+	Version string `json:"version,omitempty"`
+	// Ranks and Map come with stage: who steps together, and on what.
+	Ranks []btid.Target `json:"ranks,omitempty"`
+	Map   *ExpertMap    `json:"map,omitempty"`
 }
 
 // Validate reports an order without an operation.
@@ -63,9 +68,8 @@
 // executor carries out orders that passed the check of fencing numbers, and
 // hears of its engine's lives.
 type executor interface {
-	// execute does what an order asks for at once, and returns what takes long,
-	// nil for nothing, as a function to call without a lock.
-	execute(o Order) (finish func() error, err error)
+	// execute does what an order asks for, or begins what takes long.
+	execute(o Order) error
 	killed()
 	// restarted comes before the new life takes requests.
 	restarted()
@@ -76,7 +80,7 @@
 
 var _ executor = anyOrder{}
 
-func (anyOrder) execute(Order) (func() error, error) { return nil, nil }
+func (anyOrder) execute(Order) error { return nil }
 
 func (anyOrder) killed() {}
 
@@ -98,14 +102,13 @@
 }
 
 // take executes the order; false where the engine refuses its number as old.
-func (d *orderDesk) take(o Order) (finish func() error, accepted bool, err error) {
+func (d *orderDesk) take(o Order) (accepted bool, err error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if !d.accept(o) {
-		return nil, false, nil
+		return false, nil
 	}
-	finish, err = d.executor.execute(o)
-	return finish, true, err
+	return true, d.executor.execute(o)
 }
 
 // accept records the order's number. The mutex must be held.
@@ -144,8 +147,8 @@
 	return OrderLog{Accepted: append([]Order{}, d.log.Accepted...), Stale: d.log.Stale}
 }
 
-// servePost answers 200 once the order is carried out, 409 to an old number
-// and 422 to an order that makes no sense now.
+// servePost answers 200 once the order is carried out or begun, 409 to an old
+// number and 422 to an order that makes no sense now.
 func (d *orderDesk) servePost(w http.ResponseWriter, r *http.Request) {
 	var order Order
 	if !readJSON(w, r, &order) {
@@ -155,14 +158,11 @@
 		writeError(w, http.StatusBadRequest, "%v", err)
 		return
 	}
-	finish, accepted, err := d.take(order)
+	accepted, err := d.take(order)
 	if !accepted {
 		writeJSON(w, http.StatusConflict, d.fencing())
 		return
 	}
-	if finish != nil {
-		err = finish()
-	}
 	if err != nil {
 		writeError(w, http.StatusUnprocessableEntity, "%s: %v", order.Op, err)
 		return
--- a/io/btstandin/staging_test.go
+++ b/io/btstandin/staging_test.go
@@ -42,14 +42,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlatform(t, btstandin.PlatformOptions{WeightBytesPerSecond: 1000})
 		g := newGroup(t, btstandin.GroupOptions{Weights: newPuller(t, p, 1000)})
+		start := time.Now()
 		for r := range g.Ranks() {
-			mustOrder(t, g, r, `"op":"stage","map":`+mapA)
+			mustOrder(t, g, r, `"op":"stage","version":"aa","map":`+mapA)
+		}
+		assert.Equal(t, time.Since(start), time.Duration(0), "an order to stage is answered at once")
+		synctest.Wait()
+		// Experts are dealt in turn at the start, so that each rank lacks one, and
+		// the store gives one a second.
+		loaded := 0
+		for r := range g.Ranks() {
+			got := state(t, g, r)
+			assert.Assert(t, (got.StagedVersion == "aa") != (got.LoadingVersion == "aa"), "%+v", got)
+			if got.StagedVersion == "aa" {
+				loaded++
+			}
+		}
+		assert.Equal(t, loaded, 1)
+		time.Sleep(2 * time.Second)
+		for r := range g.Ranks() {
+			assert.Equal(t, state(t, g, r).StagedVersion, "aa")
 		}
-		// Experts are dealt in turn at the start, so that each rank lacks one.
 		assert.Equal(t, p.Counts().WeightBytes, int64(2000))
-		start := time.Now()
-		mustOrder(t, g, 0, `"op":"stage","map":`+mapA)
-		assert.Equal(t, time.Since(start), time.Duration(0), "staged before")
+		mustOrder(t, g, 0, `"op":"stage","version":"aa","map":`+mapA)
+		assert.Equal(t, state(t, g, 0).StagedVersion, "aa", "staged before")
+		assert.Equal(t, p.Counts().WeightBytes, int64(2000))
 	})
 }
 
@@ -58,13 +75,16 @@
 		p := newPlatform(t, btstandin.PlatformOptions{})
 		g := newGroup(t, btstandin.GroupOptions{Barrier: true, Weights: newPuller(t, p, 1000)})
 		assert.NilError(t, p.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformDown}))
-		staged := make(chan int)
-		go func() { staged <- order(t, g, 0, `"op":"stage","map":`+mapA) }()
+		mustOrder(t, g, 0, `"op":"stage","version":"aa","map":`+mapA)
+		synctest.Wait()
+		assert.Equal(t, state(t, g, 0).LoadingVersion, "aa")
+		mustOrder(t, g, 0, `"op":"abort","version":"aa"`)
 		synctest.Wait()
-		assert.Equal(t, state(t, g, 0).StagingDigest, "aa")
-		mustOrder(t, g, 0, `"op":"abort","digest":"aa"`)
-		assert.Equal(t, <-staged, http.StatusUnprocessableEntity)
-		assert.Equal(t, state(t, g, 0).StagedDigest, "")
+		assert.Equal(t, state(t, g, 0).LoadingVersion, "")
+		assert.Equal(t, state(t, g, 0).StagedVersion, "")
+		assert.NilError(t, p.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformSound}))
+		time.Sleep(time.Minute)
+		assert.Equal(t, state(t, g, 0).StagedVersion, "", "nothing comes of it later")
 		_, stepped := g.Step()
 		assert.Assert(t, stepped)
 	})
--- a/io/bttarget/bttarget.go
+++ b/io/bttarget/bttarget.go
@@ -30,6 +30,8 @@
 	// ErrStatus means that the target refused, with a status that its protocol
 	// doesn't foresee.
 	ErrStatus = errors.New("unexpected status of target")
+	// ErrRefused means that the target refused an order and did nothing.
+	ErrRefused = errors.New("order refused by target")
 	// ErrFenced is matched by FencedError.
 	ErrFenced = errors.New("order has an old fencing number")
 )
--- a/io/bttarget/bttarget_test.go
+++ b/io/bttarget/bttarget_test.go
@@ -217,9 +217,12 @@
 	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			body, _ := io.ReadAll(r.Body)
-			if strings.Contains(string(body), `"fencing":4`) {
+			switch {
+			case strings.Contains(string(body), `"fencing":4`):
 				w.WriteHeader(http.StatusConflict)
-			} else {
+			case strings.Contains(string(body), `"version":"unknown"`):
+				w.WriteHeader(http.StatusUnprocessableEntity)
+			default:
 				last = 5
 			}
 		}
@@ -231,6 +234,8 @@
 	var fenced *bttarget.FencedError
 	assert.Assert(t, errors.As(err, &fenced))
 	assert.Equal(t, fenced.Last, uint64(5))
+	err = c.Order(t.Context(), bttarget.Order{Fencing: 6, Op: bttarget.Commit, Version: "unknown"})
+	assert.ErrorIs(t, err, bttarget.ErrRefused)
 	got, err := c.Fencing(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, got, uint64(5))
@@ -240,7 +245,8 @@
 	digest := strings.Repeat("ab", 32)
 	answers := map[string]string{
 		"/cache/events?after=7": `{"events":[{"seq":8,"op":"stored","prefix":"` + digest + `"}]}`,
-		"/group":                `{"map_digest":"m","staged_digest":"","armed":true,"step":4,"counts":[[1,2],[3,4]],"step_ms":2}`,
+		"/group":                `{"map_version":"m","staged_version":"","held":true,"step":4,"counts":[[1,2],[3,4]],"step_ms":2,"group_step_ms":3}`,
+		"/group/map":            `{"layers":[[[0],[1]]]}`,
 		"/load":                 `{"kv_used":2}`,
 	}
 	c := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, answers[r.RequestURI]) })
@@ -250,7 +256,12 @@
 	assert.Equal(t, events[0].Prefix.String(), digest)
 	group, err := c.Group(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, group.Counts, [][]float64{{1, 2}, {3, 4}})
+	assert.DeepEqual(t, group, bttarget.GroupState{
+		MapVersion: "m", Held: true, Step: 4, Counts: [][]uint64{{1, 2}, {3, 4}}, StepMillis: 2, GroupStepMillis: 3,
+	})
+	encoded, err := c.GroupMap(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, string(encoded), answers["/group/map"])
 	_, err = c.Load(t.Context())
 	assert.ErrorIs(t, err, bttarget.ErrMalformed)
 }
--- a/io/bttarget/engine.go
+++ b/io/bttarget/engine.go
@@ -18,6 +18,7 @@
 	uriCacheEvents = "/cache/events?after="
 	uriOrders      = "/orders"
 	uriGroup       = "/group"
+	uriGroupMap    = "/group/map"
 	uriStreams     = "/v1/streams/"
 
 	headerContentType = "Content-Type"
@@ -99,10 +100,13 @@
 type Order struct {
 	Fencing uint64 `json:"fencing"`
 	Op      Op     `json:"op"`
-	// Map is the expert map of a Stage, as JSON.
-	Map json.RawMessage `json:"map,omitempty"`
-	// MapDigest names the map that the order is about.
-	MapDigest string `json:"map_digest,omitempty"`
+	// Version names the staging of a map that the order is about. Engines
+	// compare it and read nothing from it.
+	Version string `json:"version,omitempty"`
+	// Ranks and Map come with a Stage: the targets that step together, by rank,
+	// and the expert map as compact JSON.
+	Ranks []btid.Target   `json:"ranks,omitempty"`
+	Map   json.RawMessage `json:"map,omitempty"`
 }
 
 type fencing struct {
@@ -113,31 +117,42 @@
 
 // GroupState is what an engine knows of its place in a group.
 type GroupState struct {
-	// MapDigest is the map of the current step.
-	MapDigest string `json:"map_digest"`
-	// StagedDigest is empty where nothing is staged.
-	StagedDigest string `json:"staged_digest"`
-	Armed        bool   `json:"armed"`
-	Step         uint64 `json:"step"`
-	// Counts holds, by layer, the tokens that each expert got.
-	Counts [][]float64 `json:"counts"`
+	// MapVersion names the map of the current step, empty for none.
+	MapVersion string `json:"map_version"`
+	// StagedVersion is empty where nothing is staged.
+	StagedVersion string `json:"staged_version"`
+	// LoadingVersion is a Stage whose weights are still being loaded.
+	LoadingVersion string `json:"loading_version"`
+	// Held tells that the engine takes no step until it is ordered to go on.
+	Held bool `json:"held"`
+	// Fencing is the highest fencing number seen, zero for none.
+	Fencing uint64 `json:"fencing"`
+	// Step counts the steps since the engine's start.
+	Step uint64 `json:"step"`
+	// Counts holds, by layer, the tokens that each expert got on this rank since
+	// the engine's start.
+	Counts [][]uint64 `json:"counts"`
 	// StepMillis is this rank's own part of a step in milliseconds.
 	StepMillis float64 `json:"step_ms"`
+	// GroupStepMillis is the whole group's step in milliseconds, zero where the
+	// engine doesn't tell.
+	GroupStepMillis float64 `json:"group_step_ms"`
 }
 
 // StepTime returns this rank's own part of a step.
 func (g GroupState) StepTime() time.Duration { return millis(g.StepMillis) }
 
+// GroupStepTime returns the whole group's step, zero where unknown.
+func (g GroupState) GroupStepTime() time.Duration { return millis(g.GroupStepMillis) }
+
+// longestStep is the longest step believed, in milliseconds.
+const longestStep = 3.6e6
+
 // Validate reports a state that can't be one.
 func (g GroupState) Validate() error {
-	if g.StepMillis < 0 {
-		return fmt.Errorf("step_ms %v", g.StepMillis)
-	}
-	for i, layer := range g.Counts {
-		for e, count := range layer {
-			if !(count >= 0) {
-				return fmt.Errorf("counts[%d][%d] is %v", i, e, count)
-			}
+	for _, ms := range []float64{g.StepMillis, g.GroupStepMillis} {
+		if !(ms >= 0 && ms <= longestStep) {
+			return fmt.Errorf("step of %v ms", ms)
 		}
 	}
 	return nil
@@ -161,6 +176,23 @@
 	return get[GroupState](ctx, c, uriGroup)
 }
 
+// GroupMap reads the map in use as it came with the Stage; nil where there is
+// none. Errors are those of Load.
+func (c *Client) GroupMap(ctx context.Context) ([]byte, error) {
+	response, err := c.Do(ctx, Request{Method: http.MethodGet, URI: uriGroupMap})
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(response.Body)
+	if response.Status == http.StatusNotFound {
+		return nil, nil
+	}
+	if err := expectOK(response, uriGroupMap); err != nil {
+		return nil, err
+	}
+	return c.read(response, uriGroupMap)
+}
+
 // Fencing reads the highest fencing number that the target has seen. Errors
 // are those of Load.
 func (c *Client) Fencing(ctx context.Context) (uint64, error) {
@@ -168,8 +200,9 @@
 	return answer.Fencing, err
 }
 
-// Order gives the target an order, once. Errors are those of Load and
-// *FencedError. After ErrLost the order may have been carried out.
+// Order gives the target an order, once. Errors are those of Load, ErrRefused
+// and *FencedError; the last two and ErrNotSent prove that the order is not and
+// will not be carried out. After any other it may be.
 func (c *Client) Order(ctx context.Context, o Order) error {
 	data, err := json.Marshal(o)
 	if err != nil {
@@ -188,6 +221,9 @@
 		}
 		return &FencedError{Last: last.Fencing}
 	}
+	if response.Status == http.StatusUnprocessableEntity || response.Status == http.StatusBadRequest {
+		return fmt.Errorf("%w: %s: %d", ErrRefused, o.Op, response.Status)
+	}
 	return expectOK(response, uriOrders)
 }
 
@@ -220,12 +256,9 @@
 
 func decode[T interface{ Validate() error }](c *Client, response *Response, uri string) (T, error) {
 	var value T
-	data, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxAnswer+1))
+	data, err := c.read(response, uri)
 	if err != nil {
-		return value, fmt.Errorf("%s: %w", uri, err)
-	}
-	if int64(len(data)) > c.options.MaxAnswer {
-		return value, fmt.Errorf("%w: %s: over %d bytes", ErrTooLarge, uri, c.options.MaxAnswer)
+		return value, err
 	}
 	if err := json.Unmarshal(data, &value); err != nil {
 		return value, fmt.Errorf("%w: %s: %w", ErrMalformed, uri, err)
@@ -236,4 +269,16 @@
 	return value, nil
 }
 
+// read returns the whole body up to the limit.
+func (c *Client) read(response *Response, uri string) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxAnswer+1))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", uri, err)
+	}
+	if int64(len(data)) > c.options.MaxAnswer {
+		return nil, fmt.Errorf("%w: %s: over %d bytes", ErrTooLarge, uri, c.options.MaxAnswer)
+	}
+	return data, nil
+}
+
 func closeBody(b io.Closer) { _ = b.Close() }
--- a/scripts/demo-bundle.sh
+++ b/scripts/demo-bundle.sh
@@ -106,7 +106,7 @@
 ranks = ["drafting-1", "drafting-2"]
 layers = 2
 experts = 8
-slots_per_rank = 6
+slots_per_rank = 5
 expert_bytes = 100000
 barrier = true
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -27,6 +27,7 @@
 ENTRIES="entry-1 entry-2"
 RANKS="drafting-1 drafting-2"
 PAGES="pages-1 pages-2 pages-3"
+declare -A HOST=([entry-1]=edge-1 [entry-2]=edge-2 [drafting-1]=gpu-1 [drafting-2]=gpu-2 [pages-1]=web-1 [pages-2]=web-2 [pages-3]=web-3)
 declare -A DATA_CENTRE=([entry-1]=north [entry-2]=south [drafting-1]=north [drafting-2]=north [pages-1]=north [pages-2]=south [pages-3]=south)
 
 say "Keys: an operator's CA, a certificate for each process, an approver's key"
@@ -46,12 +47,14 @@
 
 say "Stand-ins: the platform, a group of two model engines, three plain targets"
 start platform "$BIN/bilberrytide-standin" platform --address-file "$RUN/platform.addr" --hosts edge-1,edge-2,gpu-1,gpu-2,web-1,web-2,web-3
-start group "$BIN/bilberrytide-standin" group --name drafting --listen "127.0.0.1:${PORT[rank_1]},127.0.0.1:${PORT[rank_2]}" --layers 2 --experts 8 --slots-per-rank 6 --step 2ms --barrier --address-file "$RUN/group.addr"
+must until_true 10 platform file_has "$RUN/platform.addr"
+PLATFORM=$(cat "$RUN/platform.addr")
+# The ranks start held, without a map, and what is popular turns every 15 s.
+start group "$BIN/bilberrytide-standin" group --name drafting --listen "127.0.0.1:${PORT[rank_1]},127.0.0.1:${PORT[rank_2]}" --layers 2 --experts 8 --slots-per-rank 5 --step 2ms --barrier --start-held --zipf 1.5 --drift-period 15s --platform "$PLATFORM" --model drafting --expert-bytes 100000 --address-file "$RUN/group.addr"
 for name in $PAGES; do
 	start "target-$name" "$BIN/bilberrytide-standin" plain --name "$name" --address-file "$RUN/$name.addr"
 done
-for file in platform group $PAGES; do must until_true 10 "$file" file_has "$RUN/$file.addr"; done
-PLATFORM=$(cat "$RUN/platform.addr")
+for file in group $PAGES; do must until_true 10 "$file" file_has "$RUN/$file.addr"; done
 
 say "A bundle: written, checked, approved, published"
 CALLER_KEY=demo-caller-key
@@ -125,6 +128,35 @@
 curl -sS -o "$RUN/auth.body" -H 'Authorization: Bearer wrong' "$ENTRY1/services/pages/"
 check "an unknown key is refused by name" grep -q '"reason":"bad_credentials"' "$RUN/auth.body"
 
+say "An expert map change while answers stream: what is popular drifts"
+group_why() { "$BIN/bilberrytide" status --why "127.0.0.1:${PORT[status_drafting-1]}"; }
+rounds() { group_why | grep -c 'map_round_committed .*expert_load_drift'; }
+another_round() { [ "$(rounds)" -gt "$ROUNDS" ]; }
+check "the group got its first map by agreement" until_true 10 "a first map" sh -c "\"$BIN/bilberrytide\" status --why 127.0.0.1:${PORT[status_drafting-1]} | grep -q map_first"
+stream() { # stream NUMBER ENTRY answers until the file "drifted" is there
+	local n=0 body="{\"model\":\"drafting\",\"stream\":true,\"max_tokens\":300,\"messages\":[{\"role\":\"user\",\"content\":\"Project description $1\"}]}"
+	until [ -e "$RUN/drifted" ]; do
+		n=$((n + 1))
+		call -f -N -o "$RUN/drift$1-$n.body" "$2/v1/chat/completions" -d "$body" || return 1
+		[ "$(grep -c '^data: ' "$RUN/drift$1-$n.body")" -eq 302 ] && grep -q '^data: \[DONE\]' "$RUN/drift$1-$n.body" || return 1
+	done
+}
+ROUNDS=$(rounds)
+for i in 1 2 3 4; do
+	entry=$ENTRY1
+	[ $((i % 2)) -eq 0 ] && entry=$ENTRY2
+	stream "$i" "$entry" &
+	STREAMS+=($!)
+done
+check "a map change by agreement, because the load drifted" until_true 30 "a map change" another_round
+touch "$RUN/drifted"
+for pid in "${STREAMS[@]}"; do check "every answer meanwhile came whole" wait "$pid"; done
+STEPS=$(curl -fsS "http://127.0.0.1:${PORT[rank_1]}/control/steps")
+unmixed() { grep -q '"mixed_steps":0,' <<<"$STEPS"; }
+check "no step ran on two maps" unmixed
+echo "  $(ls "$RUN"/drift*.body | wc -l) streams meanwhile; the group's steps: $STEPS"
+group_why | grep -E 'group drafting|map_|change_measured|^TIME'
+
 say "A change: version 2, in force everywhere"
 sed 's/burst = 400/burst = 500/' "$RUN/v1.toml" >"$RUN/draft2.toml"
 must "$BIN/bilberrytide" bundle new --from "$RUN/v1.toml" --draft "$RUN/draft2.toml" --out "$RUN/v2.toml" >/dev/null
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -63,10 +63,10 @@
 publish() { curl -fsS -X PUT --data-binary "@$1" "http://$PLATFORM/control/config/bilberrytide-bundle"; }
 
 # settings_common NAME CERTIFICATE prints what entries' and agents' settings
-# have in common.
+# have in common. DATA_CENTRE and HOST say where each process runs.
 settings_common() {
 	cat <<EOF
-host = "$1"
+host = "${HOST[$1]}"
 data_centre = "${DATA_CENTRE[$1]}"
 peer_listen = "127.0.0.1:${PORT[peer_$1]}"
 
