--- /dev/null
+++ b/core/btexpert/decider_test.go
@@ -0,0 +1,330 @@
+package btexpert_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btexpert/bttrace"
+	"bilberrytide/core/btrequest"
+)
+
+// fixture is a decider of a group whose load is uneven, ready to propose.
+type fixture struct {
+	d   *btexpert.Decider[btexpert.Incremental]
+	now time.Time
+	m   btexpert.Map
+}
+
+func newFixture(p btbundle.Placement) *fixture {
+	f := &fixture{d: newDecider(btexpert.Incremental{}), now: epoch, m: btexpert.Uniform(today)}
+	f.step(btexpert.PolicySet{Placement: p, Group: group(today)})
+	f.step(btexpert.MapInForce{Map: f.m})
+	f.count()
+	return f
+}
+
+func (f *fixture) step(e btexpert.Event) []btexpert.Effect { return f.d.Step(f.now, e) }
+
+func (f *fixture) count() []btexpert.Effect {
+	return f.step(btexpert.CountsReported{Counts: unevenCounts(today)})
+}
+
+func unevenCounts(s btexpert.Shape) btexpert.Counts {
+	counts := make(btexpert.Counts, s.Layers)
+	for l, experts := range zipf(s) {
+		for _, v := range experts {
+			counts[l] = append(counts[l], int64(v*1e6))
+		}
+	}
+	return counts
+}
+
+// tick lets an interval pass and returns the last effect.
+func (f *fixture) tick() btexpert.Effect {
+	f.now = f.now.Add(time.Minute)
+	effects := f.step(btexpert.Tick{})
+	return effects[len(effects)-1]
+}
+
+func (f *fixture) report(skew float64) []btexpert.Effect {
+	e := btexpert.TimesReported{Step: seconds(meanStep.Seconds() * (1 + skew)), Ranks: make([]time.Duration, today.Ranks)}
+	for r := range e.Ranks {
+		e.Ranks[r] = meanStep
+	}
+	return f.step(e)
+}
+
+func TestDeciderProposesWhatPays(t *testing.T) {
+	f := newFixture(himal)
+	p, proposed := f.tick().(btexpert.Propose)
+	assert.Assert(t, proposed)
+	assert.Equal(t, p.Cause, btexpert.CauseDrift)
+	assert.Assert(t, p.Forecast.Gain > p.Forecast.Price)
+	assert.DeepEqual(t, p.Moves, btexpert.Diff(f.m, p.Map))
+}
+
+func TestDeciderKeepsTheMapAndNamesTheReason(t *testing.T) {
+	other := today
+	other.Ranks = 17
+	for _, c := range []struct {
+		want  btrequest.Reason
+		event btexpert.Event
+	}{
+		{btexpert.KeepStoreDown, btexpert.StoreReported{Down: true}},
+		{btexpert.KeepStoreDown, btexpert.StoreReported{Rate: -1}},
+		{btexpert.KeepStoreSlow, btexpert.StoreReported{Rate: 1000}},
+		{btexpert.KeepRanksMissing, btexpert.RanksReported{Missing: []btexpert.Rank{3}}},
+		{btexpert.KeepMapShape, btexpert.PolicySet{Placement: himal, Group: group(other)}},
+		{btexpert.KeepPrice, btexpert.PolicySet{Placement: policy(0, 1, time.Second, time.Minute), Group: group(today)}},
+	} {
+		t.Run(string(c.want), func(t *testing.T) {
+			f := newFixture(himal)
+			f.step(c.event)
+			k, kept := f.tick().(btexpert.Keep)
+			assert.Assert(t, kept)
+			if c.want == btexpert.KeepPrice {
+				// Nothing is worth a move, so no better map is found either.
+				assert.Assert(t, k.Reason == c.want || k.Reason == btexpert.KeepNoBetter, k.Reason)
+				return
+			}
+			assert.Equal(t, k.Reason, c.want)
+		})
+	}
+	d := newDecider(btexpert.Incremental{})
+	assert.Equal(t, d.Step(epoch, btexpert.Tick{})[0].(btexpert.Keep).Reason, btexpert.KeepNoPolicy)
+	d.Step(epoch, btexpert.PolicySet{Placement: himal, Group: group(today)})
+	assert.Equal(t, d.Step(epoch, btexpert.Tick{})[0].(btexpert.Keep).Reason, btexpert.KeepNoMap)
+	d.Step(epoch, btexpert.MapInForce{Map: btexpert.Uniform(today)})
+	assert.Equal(t, d.Step(epoch.Add(time.Minute), btexpert.Tick{})[0].(btexpert.Keep).Reason, btexpert.KeepCountsMissing)
+	f := newFixture(himal)
+	f.now = f.now.Add(time.Hour)
+	assert.Equal(t, f.tick().(btexpert.Keep).Reason, btexpert.KeepCountsOld)
+}
+
+func TestDeciderRefusesBadInputAndSaysSo(t *testing.T) {
+	broken := btexpert.Uniform(today)
+	broken.Layers = broken.Layers[1:]
+	tight := group(today)
+	tight.SlotsPerRank = 1
+	for _, c := range []struct {
+		want  btrequest.Reason
+		event btexpert.Event
+	}{
+		{btexpert.ExplainMap, btexpert.MapInForce{Map: broken}},
+		{btexpert.ExplainPolicy, btexpert.PolicySet{Placement: himal, Group: tight}},
+		{btexpert.ExplainPolicy, btexpert.PolicySet{Placement: policy(-1, 1, time.Minute, time.Hour), Group: group(today)}},
+		{btexpert.ExplainTimes, btexpert.TimesReported{Step: meanStep, Ranks: make([]time.Duration, today.Ranks)}},
+		{btexpert.ExplainStore, btexpert.StoreReported{Rate: storeRate / 3}},
+		{btexpert.ReasonCountsGap, btexpert.CountsReported{Counts: make(btexpert.Counts, today.Layers)}},
+	} {
+		f := newFixture(himal)
+		effects := f.step(c.event)
+		assert.Assert(t, len(effects) > 0, c.want)
+		assert.Equal(t, effects[0].(btexpert.Explain).Reason, c.want)
+		_, proposed := f.tick().(btexpert.Propose)
+		assert.Assert(t, proposed, "%s: the earlier state was lost", c.want)
+	}
+}
+
+func TestDeciderWaitsForTheOutcomeOfASwitch(t *testing.T) {
+	f := newFixture(himal)
+	p := f.tick().(btexpert.Propose)
+	assert.Equal(t, f.tick().(btexpert.Keep).Reason, btexpert.KeepSwitching)
+	f.step(btexpert.SwitchFailed{Digest: p.Map.Digest(), Reason: "rank_refused"})
+	p = f.tick().(btexpert.Propose)
+	f.step(btexpert.SwitchFailed{Digest: p.Map.Digest(), Reason: "rank_refused"})
+	effects := f.d.Step(f.now.Add(15*time.Second), btexpert.Tick{})
+	assert.Equal(t, effects[0].(btexpert.Keep).Reason, btexpert.KeepBackoff)
+	p = f.tick().(btexpert.Propose)
+	effects = f.step(btexpert.SwitchFailed{Digest: f.m.Digest()})
+	assert.Equal(t, len(effects), 0, "an outcome of another map was taken")
+	f.step(btexpert.MapInForce{Map: p.Map, Stall: time.Second})
+	assert.Equal(t, f.tick().(btexpert.Keep).Reason, btexpert.KeepMeasuring)
+	f = newFixture(himal)
+	f.tick()
+	for range 11 {
+		f.count()
+		f.tick()
+	}
+	f.count()
+	_, again := f.tick().(btexpert.Propose)
+	assert.Assert(t, again, "an unanswered proposal blocks for ever")
+}
+
+// An engine whose steps don't follow the model: the planner becomes careful, says
+// so, and recovers.
+func TestDeciderLosesAndRegainsTrust(t *testing.T) {
+	f := newFixture(himal)
+	said := map[btrequest.Reason]int{}
+	note := func(effects []btexpert.Effect) {
+		for _, e := range effects {
+			if x, ok := e.(btexpert.Explain); ok {
+				said[x.Reason]++
+			}
+		}
+	}
+	for range 2 {
+		for range 5 {
+			note(f.report(2))
+		}
+		p := f.tick().(btexpert.Propose)
+		f.step(btexpert.MapInForce{Map: p.Map})
+		for range 6 {
+			note(f.report(2))
+		}
+		// Someone puts the uneven map back.
+		note(f.step(btexpert.MapInForce{Map: f.m}))
+	}
+	assert.Equal(t, said[btexpert.ExplainMeasured], 2)
+	assert.Equal(t, said[btexpert.ExplainForeignMap], 2)
+	assert.Equal(t, said[btexpert.ExplainCareful], 1)
+	assert.Equal(t, f.d.Caution(), 2.0)
+	for range 21 {
+		f.now = f.now.Add(time.Minute)
+		note(f.step(btexpert.Tick{}))
+	}
+	assert.Equal(t, said[btexpert.ExplainTrusting], 1)
+	assert.Equal(t, f.d.Caution(), 1.0)
+}
+
+// quick is a shape that the randomised runs of CI can afford.
+var quick = btexpert.Shape{Ranks: 8, Layers: 2, Experts: 32, Slots: 5, ExpertBytes: 44 << 20}
+
+// steadySeeds are the seeds of the runs that prove that nothing flaps.
+var steadySeeds = []uint64{1, 2, 3}
+
+func TestSteadyTraceSettles(t *testing.T) {
+	for _, p := range []btbundle.Placement{himal, faellesrum} {
+		for _, seed := range steadySeeds {
+			r := newRun(hoursQuick, quick, bttrace.Steady, seed, newDecider(btexpert.Incremental{}), p).play()
+			assert.Assert(t, r.switches > 0, "seed %d: never acted", seed)
+			assert.Equal(t, r.lateMoves, 0, "seed %d: %d switches", seed, r.switches)
+		}
+	}
+}
+
+// The same run finds the flapping of a planner that takes whatever is better.
+func TestSteadyTraceFindsFlappingWithoutHysteresis(t *testing.T) {
+	for _, seed := range steadySeeds {
+		naive := &always{
+			planner:  btexpert.Incremental{},
+			interval: himal.Interval.Duration,
+			halfLife: himal.Horizon.Duration / 4,
+		}
+		r := newRun(hoursQuick, quick, bttrace.Steady, seed, naive, himal).play()
+		assert.Assert(t, r.lateMoves > 0, "seed %d: the run can't find flapping", seed)
+	}
+}
+
+// Whatever comes in whatever order, the assertions hold (they panic here), each
+// consideration says what it did, and a proposal is made only to a whole group
+// with a store that is up.
+func TestDeciderUnderAnyEvents(t *testing.T) {
+	proposals := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := btexpert.Shape{Ranks: 4, Layers: 2, Experts: 6, Slots: 3, ExpertBytes: 1 << 20}
+		d := btexpert.NewDecider(btexpert.Incremental{}, btexpert.DefaultSettings(), btassert.New(btassert.Panic()))
+		a := anyEvents{shape: s, inForce: btexpert.Uniform(s), now: epoch}
+		d.Step(epoch, btexpert.PolicySet{Placement: himal, Group: group(s)})
+		d.Step(epoch, btexpert.MapInForce{Map: a.inForce})
+		d.Step(epoch, btexpert.CountsReported{Counts: unevenCounts(s)})
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			a.now = a.now.Add(time.Duration(rapid.IntRange(-5, 120).Draw(t, "elapsed")) * time.Second)
+			e := a.draw(t)
+			for _, effect := range d.Step(a.now, e) {
+				if p, ok := effect.(btexpert.Propose); ok {
+					assert.Assert(t, !a.down && !a.missing)
+					a.proposed = p.Map
+					proposals++
+				}
+			}
+		}
+	})
+	assert.Assert(t, proposals > 0, "nothing was ever proposed")
+	t.Logf("%d proposals", proposals)
+}
+
+// anyEvents draws events for a decider, sensible and not.
+type anyEvents struct {
+	now      time.Time
+	shape    btexpert.Shape
+	inForce  btexpert.Map
+	proposed btexpert.Map
+	down     bool
+	missing  bool
+}
+
+func (a *anyEvents) draw(t *rapid.T) btexpert.Event {
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0:
+		weight := rapid.SampledFrom([]float64{-1, 0, 1, 8}).Draw(t, "weight")
+		return btexpert.PolicySet{Placement: policy(weight, 1, 10*time.Second, 5*time.Minute), Group: group(a.shape)}
+	case 1:
+		return btexpert.MapInForce{Map: a.inForce}
+	case 2:
+		return btexpert.MapInForce{Map: a.proposed}
+	case 3:
+		a.down = rapid.Bool().Draw(t, "down")
+		return btexpert.StoreReported{Rate: storeRate, Down: a.down}
+	case 4:
+		a.missing = rapid.Bool().Draw(t, "missing")
+		if a.missing {
+			return btexpert.RanksReported{Missing: []btexpert.Rank{1}}
+		}
+		return btexpert.RanksReported{}
+	case 5:
+		return btexpert.SwitchFailed{Digest: a.proposed.Digest()}
+	case 6:
+		own := rapid.SliceOfN(rapid.Int64Range(0, int64(time.Second)), a.shape.Ranks, a.shape.Ranks).Draw(t, "own")
+		e := btexpert.TimesReported{Step: time.Second}
+		for _, v := range own {
+			e.Ranks = append(e.Ranks, time.Duration(v))
+		}
+		return e
+	case 7, 8:
+		counts := rapid.SliceOfN(rapid.SliceOfN(rapid.Int64Range(-1, 1e6), a.shape.Experts, a.shape.Experts), a.shape.Layers, a.shape.Layers)
+		return btexpert.CountsReported{Counts: counts.Draw(t, "counts")}
+	}
+	return btexpert.Tick{}
+}
+
+// liar claims gains that its maps don't have.
+type liar struct {
+	spoil func(m btexpert.Map) btexpert.Map
+}
+
+func (liar) Name() string { return "liar" }
+
+func (y liar) Plan(p btexpert.Problem) btexpert.Plan {
+	plan := btexpert.Static{}.Plan(p)
+	plan.Map = y.spoil(plan.Map)
+	plan.After = plan.Before / 2
+	return plan
+}
+
+func TestAssertionsStopALyingPlanner(t *testing.T) {
+	for _, c := range []struct {
+		want  btassert.Name
+		spoil func(m btexpert.Map) btexpert.Map
+	}{
+		{btexpert.InvariantPlanPays, func(m btexpert.Map) btexpert.Map { return m }},
+		{btexpert.InvariantMapValid, func(m btexpert.Map) btexpert.Map { return btexpert.Map{Shape: m.Shape, Layers: m.Layers[1:]} }},
+	} {
+		var violated []btassert.Name
+		sink := btassert.SinkFunc(func(v btassert.Violation) { violated = append(violated, v.Name) })
+		d := btexpert.NewDecider(liar{spoil: c.spoil}, btexpert.DefaultSettings(), btassert.New(sink))
+		f := newFixture(himal)
+		d.Step(epoch, btexpert.PolicySet{Placement: himal, Group: group(today)})
+		d.Step(epoch, btexpert.MapInForce{Map: f.m})
+		d.Step(epoch, btexpert.CountsReported{Counts: unevenCounts(today)})
+		effects := d.Step(epoch.Add(time.Minute), btexpert.Tick{})
+		assert.Equal(t, effects[0].(btexpert.Keep).Reason, btexpert.KeepInvariant)
+		assert.DeepEqual(t, violated, []btassert.Name{c.want})
+	}
+}
