--- a/commands/btruncmd/btruncmd.go
+++ b/commands/btruncmd/btruncmd.go
@@ -110,6 +110,7 @@
 		DataCentre: s.DataCentre,
 		Node:       runtime.Node,
 		Bundles:    runtime.Bundles,
+		Platform:   runtime.Platform,
 		Meter:      runtime.Meter,
 		Decisions:  runtime.Decisions,
 		Log:        runtime.Log,
--- a/io/btgroup/group_test.go
+++ b/io/btgroup/group_test.go
@@ -143,7 +143,9 @@
 	f.steps(1)
 	for range *kills {
 		victim := random.IntN(ranks)
-		<-f.killOnce(ops[random.IntN(len(ops))], random.IntN(ranks), victim)
+		before := f.engines.Totals().HeldMillis
+		op := ops[random.IntN(len(ops))]
+		<-f.killOnce(op, random.IntN(ranks), victim)
 		if random.IntN(2) == 0 {
 			engine := f.engines.Rank(random.IntN(ranks))
 			engine.Kill()
@@ -151,6 +153,7 @@
 		}
 		f.restart(victim)
 		f.steps(100)
+		t.Logf("rank %d killed at %s: held for %.0f ms", victim, op, f.engines.Totals().HeldMillis-before)
 	}
 	f.change()
 	f.unmixed()
