Key homes: what a person states as destroyed counts, moves are refused, unsent

runs are sealed

Cause: the check refused targets on destroyed hosts while RulesOf looked only among listed targets, so no home was ever counted out; removing half of an epoch's homes left no voters; a home could move under its name; clock_error could shrink; a lease over 5 s was cut silently; a keyed run whose target refused the connection was unknown for the whole retention. Found on the way: destroyed homes counted out at once could give two leases, and a ledger forgot a later attempt with its claim's first. Tests: the draft test's inline epoch lists three homes, since one with two of which one goes is now refused. Open: the ledger hears of a new retention only at start; attempt_repeated answers not_run.

--- a/commands/btbundlecmd/approve.go
+++ b/commands/btbundlecmd/approve.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.judge(bundle); err != nil {
+	if err := c.judge(signed.Document, bundle); err != nil {
 		return err
 	}
 	key, err := readKey(c.key)
@@ -73,7 +73,7 @@
 }
 
 // judge refuses a bundle that isn't fit to replace the one in force.
-func (c *approveCommand) judge(bundle *btbundle.Bundle) error {
+func (c *approveCommand) judge(document []byte, bundle *btbundle.Bundle) error {
 	if age := time.Since(bundle.Created); age > btbundle.ApprovalWindow {
 		return fmt.Errorf("%w: %s was made %s ago, at most %s: make it anew with bundle new",
 			ErrRefused, c.path, age.Round(time.Minute), btbundle.ApprovalWindow)
@@ -86,7 +86,7 @@
 		return err
 	}
 	if problems := btbundle.CheckSuccessor(old, btbundle.DigestOf(signed.Document), bundle); len(problems) > 0 {
-		return refused(c.path, problems)
+		return refused(c.path, btbundle.Locate(document, problems))
 	}
 	return nil
 }
--- a/commands/btbundlecmd/diff.go
+++ b/commands/btbundlecmd/diff.go
@@ -39,13 +39,14 @@
 	if err != nil {
 		return err
 	}
-	_, next, err := readBundle(c.next)
+	changed, next, err := readBundle(c.next)
 	if err != nil {
 		return err
 	}
+	unfit := btbundle.CheckSuccessor(old, btbundle.DigestOf(signed.Document), next)
 	result := diffResult{
 		Changes: btbundle.Diff(old, next),
-		Unfit:   btbundle.CheckSuccessor(old, btbundle.DigestOf(signed.Document), next),
+		Unfit:   btbundle.Locate(changed.Document, unfit),
 	}
 	return c.print(result, result.write)
 }
--- a/commands/btbundlecmd/new.go
+++ b/commands/btbundlecmd/new.go
@@ -17,7 +17,8 @@
 
 Stamps version, parent and time into a draft, which is the edited text, and
 keeps the key homes' epochs: where a home is gone, a new epoch is appended;
-epochs past their memory are left out. Everything else stays as written.
+epochs past their memory are left out. Homes on hosts that the draft adds to
+destroyed_hosts are named in destroyed_targets. Everything else stays as written.
 
   bilberrytide bundle new --from inforce.toml --draft edited.toml --out next.toml
   bilberrytide bundle new --draft first.toml --out version1.toml`
--- a/core/btbundle/btbundle.go
+++ b/core/btbundle/btbundle.go
@@ -14,6 +14,10 @@
 // service holds values of up to a megabyte.
 const MaxBytes = 1 << 20
 
+// MaxLease is the longest lease of a key home. Homes that start are silent as
+// voters for as long, so that every process must know the same one.
+const MaxLease = 5 * time.Second
+
 // Span is a duration that is written in TOML as Go writes durations: "30s".
 type Span struct {
 	time.Duration
@@ -38,6 +42,10 @@
 	// DestroyedHosts lists hosts of which a person states that they are gone
 	// for good, which a lagging host list can't prove.
 	DestroyedHosts []btid.Host `toml:"destroyed_hosts,omitempty" json:"destroyed_hosts"`
+	// DestroyedTargets lists key homes of which a person states that they are
+	// gone for good with what they remembered: they count in no majority, and
+	// their names aren't used again while a listed epoch names them.
+	DestroyedTargets []btid.Target `toml:"destroyed_targets,omitempty" json:"destroyed_targets"`
 }
 
 // Timeouts bounds waiting.
@@ -62,7 +70,8 @@
 	// ClockError is the largest difference between any two clocks, callers'
 	// included, that key times are trusted to.
 	ClockError Span `toml:"clock_error" json:"clock_error"`
-	// Lease is how long a key home may grant after a majority confirmed it.
+	// Lease is how long a key home may grant after a majority confirmed it, at
+	// most MaxLease.
 	Lease Span `toml:"lease" json:"lease"`
 }
 
--- a/core/btbundle/btdraft/btdraft.go
+++ b/core/btbundle/btdraft/btdraft.go
@@ -1,6 +1,7 @@
 // Package btdraft turns an operator's edited text into the next version of a
-// bundle: it stamps version, parent and time, keeps the key homes' epochs, and
-// leaves every other byte, comments included, as it was written.
+// bundle: it stamps version, parent and time, keeps the key homes' epochs and
+// the list of those that are gone for good, and leaves every other byte,
+// comments included, as it was written.
 package btdraft
 
 import (
@@ -12,6 +13,7 @@
 
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btbundle/bttoml"
+	"bilberrytide/core/btid"
 )
 
 // draft is the text at work with the edits that it shall get.
@@ -39,12 +41,20 @@
 		return nil, err
 	}
 	d.positions = positions
-	if err := d.stamp(parent, now); err != nil {
-		return nil, err
+	old := new(btbundle.Bundle)
+	if parent != nil {
+		decoded, err := btbundle.Decode(parent)
+		if err != nil {
+			return nil, fmt.Errorf("parent: %w", err)
+		}
+		old = decoded
 	}
+	d.stamp(parent, old, now)
+	var epochs []btbundle.HomeEpoch
 	for i := range d.bundle.Services {
-		d.keepEpochs(i, now)
+		epochs = append(epochs, d.keepEpochs(i, now)...)
 	}
+	d.keepDestroyed(old, epochs)
 	next := d.apply()
 	if _, err := btbundle.Decode(next); err != nil {
 		return nil, err
@@ -53,13 +63,9 @@
 }
 
 // stamp sets version, parent and time.
-func (d *draft) stamp(parent []byte, now time.Time) error {
+func (d *draft) stamp(parent []byte, old *btbundle.Bundle, now time.Time) {
 	version := max(d.bundle.Version, 1)
 	if parent != nil {
-		old, err := btbundle.Decode(parent)
-		if err != nil {
-			return fmt.Errorf("parent: %w", err)
-		}
 		version = old.Version + 1
 	}
 	d.set("created", now.Format(time.RFC3339))
@@ -67,7 +73,14 @@
 		d.set("parent", fmt.Sprintf("%q", btbundle.DigestOf(parent)))
 	}
 	d.set("version", fmt.Sprint(version))
-	return nil
+}
+
+// keepDestroyed brings the list of destroyed targets up to date.
+func (d *draft) keepDestroyed(parent *btbundle.Bundle, epochs []btbundle.HomeEpoch) {
+	next := btbundle.NextDestroyed(parent, &d.bundle, epochs)
+	if !slices.Equal(next, d.bundle.DestroyedTargets) {
+		d.set("destroyed_targets", quoted(next))
+	}
 }
 
 // set gives a key of the root a value; a missing one goes to the top.
@@ -93,8 +106,8 @@
 	return 0
 }
 
-// keepEpochs brings the epochs of one service up to date.
-func (d *draft) keepEpochs(i int, now time.Time) {
+// keepEpochs brings the epochs of one service up to date and returns them.
+func (d *draft) keepEpochs(i int, now time.Time) []btbundle.HomeEpoch {
 	service := &d.bundle.Services[i]
 	next := btbundle.NextEpochs(service, d.bundle.Targets, d.bundle.Idempotency, now)
 	key := bttoml.Path("services", i, "epochs")
@@ -102,10 +115,11 @@
 		if !sameEpochs(service.Epochs, next) {
 			d.edits = append(d.edits, edit{start: start, end: end, text: "epochs = " + inline(next)})
 		}
-		return
+		return next
 	}
 	d.dropEpochs(key, service.Epochs, next)
 	d.appendEpoch(i, service.Epochs, next)
+	return next
 }
 
 func (d *draft) dropEpochs(key string, old, next []btbundle.HomeEpoch) {
@@ -160,21 +174,21 @@
 }
 
 func table(e btbundle.HomeEpoch) string {
-	return fmt.Sprintf("\n[[services.epochs]]\nnumber = %d\nsince = %s\nhomes = %s\n", e.Number, e.Since.Format(time.RFC3339), homes(e))
+	return fmt.Sprintf("\n[[services.epochs]]\nnumber = %d\nsince = %s\nhomes = %s\n", e.Number, e.Since.Format(time.RFC3339), quoted(e.Homes))
 }
 
 func inline(epochs []btbundle.HomeEpoch) string {
 	parts := make([]string, len(epochs))
 	for i, e := range epochs {
-		parts[i] = fmt.Sprintf("    { number = %d, since = %s, homes = %s },\n", e.Number, e.Since.Format(time.RFC3339), homes(e))
+		parts[i] = fmt.Sprintf("    { number = %d, since = %s, homes = %s },\n", e.Number, e.Since.Format(time.RFC3339), quoted(e.Homes))
 	}
 	return "[\n" + strings.Join(parts, "") + "]"
 }
 
-func homes(e btbundle.HomeEpoch) string {
-	quoted := make([]string, len(e.Homes))
-	for i, home := range e.Homes {
-		quoted[i] = fmt.Sprintf("%q", home)
+func quoted(targets []btid.Target) string {
+	texts := make([]string, len(targets))
+	for i, t := range targets {
+		texts[i] = fmt.Sprintf("%q", t)
 	}
-	return "[" + strings.Join(quoted, ", ") + "]"
+	return "[" + strings.Join(texts, ", ") + "]"
 }
--- a/core/btbundle/check.go
+++ b/core/btbundle/check.go
@@ -19,6 +19,7 @@
 	targets   map[btid.Target]*Target
 	hosts     map[btid.Host]btid.DataCentre
 	destroyed map[btid.Host]bool
+	gone      map[btid.Target]bool
 	addresses map[netip.AddrPort]string
 	endpoints map[netip.AddrPort]string
 }
@@ -29,6 +30,7 @@
 	c.targets = map[btid.Target]*Target{}
 	c.hosts = map[btid.Host]btid.DataCentre{}
 	c.destroyed = map[btid.Host]bool{}
+	c.gone = map[btid.Target]bool{}
 	c.addresses = map[netip.AddrPort]string{}
 	c.endpoints = map[netip.AddrPort]string{}
 	c.head()
@@ -37,6 +39,7 @@
 	c.policy()
 	c.places()
 	c.servicesAndTargets()
+	c.destroyedTargets()
 	c.homes()
 	c.groups()
 	c.accounts()
@@ -73,6 +76,8 @@
 		"%s must be over request_max + 2 * clock_error, which is %s", i.Retention, shortest)
 	c.relate(i.Lease, i.ClockError, i.Lease.Duration > 2*i.ClockError.Duration, "idempotency.lease",
 		"%s must be over twice the clock_error, which is %s", i.Lease, i.ClockError)
+	c.Require(i.Lease.Duration <= MaxLease, "idempotency.lease",
+		"%s must be at most %s: homes that start confirm no lease for as long", i.Lease, MaxLease)
 	c.relate(i.Lease, i.Retention, i.Lease.Duration < i.Retention.Duration, "idempotency.lease",
 		"%s must be under the retention, which is %s", i.Lease, i.Retention)
 }
--- a/core/btbundle/check_homes.go
+++ b/core/btbundle/check_homes.go
@@ -1,6 +1,8 @@
 package btbundle
 
 import (
+	"time"
+
 	"bilberrytide/core/btbundle/bttoml"
 	"bilberrytide/core/btid"
 )
@@ -26,6 +28,10 @@
 			c.epoch(list, j, s.Epochs)
 		}
 		last := len(s.Epochs) - 1
+		for j, e := range s.Epochs[:last] {
+			leftOut := s.Epochs[j+1].Since.Add(c.bundle.Idempotency.EpochMemory())
+			c.majority(bttoml.Path(list, j, "homes"), s.Name, e.Homes, leftOut)
+		}
 		homes := s.Epochs[last].Homes
 		key := bttoml.Path(list, last, "homes")
 		c.lastHomes(key, s.Name, homes)
@@ -57,6 +63,41 @@
 	}
 }
 
+// majority checks that the homes of an earlier epoch can still confirm a lease:
+// only listed targets have an address to vote from. Destroyed homes don't count,
+// and an epoch that has no others needs no vote.
+func (c *checker) majority(key string, service btid.Service, homes []btid.Target, leftOut time.Time) {
+	count := 0
+	var missing []btid.Target
+	for _, home := range homes {
+		if c.gone[home] {
+			continue
+		}
+		count++
+		if t := c.targets[home]; t == nil || t.Service != service {
+			missing = append(missing, home)
+		}
+	}
+	need := count/2 + 1
+	c.Require(count == 0 || count-len(missing) >= need, key,
+		"%d of these homes must stay targets of service %q until %s, or none of its homes gets a lease, but %v are not: "+
+			"list some of them again and replace homes in steps, or name in destroyed_targets those that are gone for good with what they remembered",
+		need, service, leftOut.UTC().Format(time.RFC3339), missing)
+}
+
+// destroyedTargets checks the homes that a person states are gone for good.
+func (c *checker) destroyedTargets() {
+	named := listedHomes(c.bundle)
+	for i, t := range c.bundle.DestroyedTargets {
+		key := bttoml.Path("destroyed_targets", i, "")
+		c.Require(!c.gone[t], key, "%q is listed twice", t)
+		c.Require(c.targets[t] == nil, key, "%q stands under targets too: what is gone for good never comes back under its name", t)
+		_, home := named[t]
+		c.advice.Require(home, key, "%q is no key home of a listed epoch: leave it out", t)
+		c.gone[t] = true
+	}
+}
+
 // lastHomes checks that the homes in force are targets of the service.
 func (c *checker) lastHomes(key string, service btid.Service, homes []btid.Target) {
 	for k, home := range homes {
--- a/core/btbundle/decode_test.go
+++ b/core/btbundle/decode_test.go
@@ -32,6 +32,7 @@
 		{old: `drain = "30s"`, replacement: `drain = "29s"`, want: `line 9: timeouts.drain: 29s is under request_max`},
 		{old: `retention = "1h"`, replacement: `retention = "32s"`, want: `line 12: idempotency.retention: 32s must be over request_max + 2 * clock_error, which is 32s`},
 		{old: `lease = "4s"`, replacement: `lease = "2s"`, want: `line 14: idempotency.lease: 2s must be over twice`},
+		{old: `lease = "4s"`, replacement: `lease = "5001ms"`, want: `line 14: idempotency.lease: 5.001s must be at most 5s`},
 		{old: `lease = "4s"`, replacement: `lease = "-4s"`, want: `line 14: idempotency.lease: malformed duration: "-4s" is negative`},
 		{old: `budget_share = 0.2`, replacement: `budget_share = nan`, want: `line 17: retry.budget_share: NaN must be a share from 0 to 1`},
 		{old: `max_share = 0.3`, replacement: `max_share = 1.5`, want: `line 22: ejection.max_share: 1.5 must be a share`},
@@ -55,6 +56,11 @@
 		{old: "\n[[accounts]]", replacement: group(`["t1", "t2"]`, 9, 4), want: `groups[0].experts: 9 experts don't fit 2 ranks with 4 slots each`},
 		{old: "\n[[accounts]]", replacement: "\n[[accounts]]\ncolour = 1\n", want: `accounts[0].colour: unknown key`},
 		{old: "created = ", replacement: "destroyed_hosts = [\"h3\"]\ncreated = ", want: `targets[2].host: "h3" stands in destroyed_hosts`},
+		{old: "created = ", replacement: "destroyed_targets = [\"t3\"]\ncreated = ", want: `line 2: destroyed_targets[0]: "t3" stands under targets too`},
+		{old: small[epochAt:targetsAt], replacement: twoEpochs(`"t1", "t8", "t9"`), want: `line 51: services[0].epochs[0].homes: 2 of these homes must stay targets of service "lookup" until 2026-02-01T13:00:06Z, or none of its homes gets a lease, but [t8 t9] are not`},
+		{old: small[epochAt:targetsAt], replacement: twoEpochs(`"t1", "t2", "t9"`), want: ``},
+		{old: small[:targetsAt], replacement: "destroyed_targets = [\"t8\", \"t9\"]\n" + small[:epochAt] + twoEpochs(`"t1", "t8", "t9"`), want: ``},
+		{old: small[:targetsAt], replacement: "destroyed_targets = [\"t8\", \"t9\"]\n" + small[:epochAt] + twoEpochs(`"t8", "t9"`), want: ``},
 	}
 	for _, test := range tests {
 		t.Run(test.replacement, func(t *testing.T) {
@@ -70,6 +76,18 @@
 	}
 }
 
+var (
+	epochAt   = strings.Index(small, "[[services.epochs]]")
+	targetsAt = strings.Index(small, "[[targets]]")
+)
+
+// twoEpochs is the small bundle's epoch after one with other homes.
+func twoEpochs(homes string) string {
+	last := small[epochAt:targetsAt]
+	first := strings.Replace(last, `"t1", "t2", "t3"`, homes, 1)
+	return first + strings.Replace(last, "number = 1", "number = 2", 1)
+}
+
 func group(ranks string, experts, slots int) string {
 	text := strings.NewReplacer("RANKS", ranks, "EXPERTS", string(rune('0'+experts)), "SLOTS", string(rune('0'+slots)))
 	return text.Replace("\n[[groups]]\nname = \"g\"\nservice = \"lookup\"\nranks = RANKS\nlayers = 1\nexperts = EXPERTS\nslots_per_rank = SLOTS\nexpert_bytes = 8\n\n[[accounts]]")
--- a/core/btbundle/diff_policy.go
+++ b/core/btbundle/diff_policy.go
@@ -124,6 +124,17 @@
 			d.add(Removed, "destroyed host "+string(host), "may hold targets and entries again")
 		}
 	}
+	for _, target := range new.DestroyedTargets {
+		if !slices.Contains(old.DestroyedTargets, target) {
+			d.add(Added, "destroyed target "+string(target),
+				"counts in no majority of key homes any more: approve only if its process has ended and nothing of its memory can come back")
+		}
+	}
+	for _, target := range old.DestroyedTargets {
+		if !slices.Contains(new.DestroyedTargets, target) {
+			d.add(Removed, "destroyed target "+string(target), "its name may be used again")
+		}
+	}
 }
 
 // diffPolicy compares the tables of single values.
--- a/core/btbundle/index.go
+++ b/core/btbundle/index.go
@@ -19,7 +19,6 @@
 	accounts  map[btid.Account]*Account
 	keys      map[keyPrefix][]accountKey
 	centres   map[btid.DataCentre]*DataCentre
-	destroyed map[btid.Host]bool
 }
 
 // Rank is a target's place in its group.
@@ -49,7 +48,6 @@
 		accounts:  byName(b.Accounts, func(a *Account) btid.Account { return a.Name }),
 		keys:      map[keyPrefix][]accountKey{},
 		centres:   byName(b.DataCentres, func(d *DataCentre) btid.DataCentre { return d.Name }),
-		destroyed: map[btid.Host]bool{},
 	}
 	for i := range b.Targets {
 		t := &b.Targets[i]
@@ -63,9 +61,6 @@
 	for i := range b.Accounts {
 		x.addKeys(&b.Accounts[i])
 	}
-	for _, h := range b.DestroyedHosts {
-		x.destroyed[h] = true
-	}
 	return x
 }
 
@@ -146,9 +141,6 @@
 // HashKey returns the digest under which a bundle lists a bearer key.
 func HashKey(bearer string) Digest { return sha256.Sum256([]byte(bearer)) }
 
-// Destroyed tells whether a person stated that the host is gone for good.
-func (x *Index) Destroyed(host btid.Host) bool { return x.destroyed[host] }
-
 // May tells whether the account may ask for the service.
 func (a *Account) May(service btid.Service) bool {
 	for _, s := range a.Services {
--- a/core/btbundle/successor.go
+++ b/core/btbundle/successor.go
@@ -1,7 +1,6 @@
 package btbundle
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -83,51 +82,28 @@
 	return count
 }
 
-// CheckSuccessor reports why a bundle must not replace the parent, whose
-// document has the digest: it was made from another one, or it forgets key
-// homes that may still have granted keys.
-func CheckSuccessor(parent *Bundle, digest Digest, next *Bundle) Problems {
-	var problems Problems
-	add := func(key, format string, args ...any) {
-		problems = append(problems, Problem{Key: key, Text: fmt.Sprintf(format, args...)})
-	}
-	if next.Version <= parent.Version {
-		add("version", "%d must be over the parent's, which is %d", next.Version, parent.Version)
-	}
-	if next.Parent != digest {
-		add("parent", "%s is not the parent, whose digest is %s: make this version anew from it", short(next.Parent), short(digest))
-	}
-	named(parent.Services, next.Services, func(s *Service) btid.Service { return s.Name }, func(before, after *Service) {
-		if before != nil && after != nil {
-			for _, text := range epochProblems(before, after, next) {
-				add("services."+string(after.Name)+".epochs", "%s", text)
-			}
-		}
-	})
-	return problems
-}
-
-func epochProblems(before, after *Service, next *Bundle) []string {
-	var texts []string
-	last := before.Current().Number
-	for j, e := range before.Epochs {
-		kept := slices.IndexFunc(after.Epochs, func(a HomeEpoch) bool { return a.Number == e.Number })
-		if kept >= 0 {
-			if !slices.Equal(after.Epochs[kept].Homes, e.Homes) {
-				texts = append(texts, fmt.Sprintf("epoch %d has other homes than the parent's: append an epoch instead", e.Number))
-			}
-			continue
-		}
-		ended := e.Number < last && next.Created.Sub(before.Epochs[j+1].Since) > next.Idempotency.EpochMemory()
-		if !ended {
-			texts = append(texts, fmt.Sprintf("epoch %d is left out, but its homes may still be asked about keys", e.Number))
+// NextDestroyed returns the destroyed targets as the version after the parent
+// lists them, whose services list the epochs: those of the draft but for the
+// homes of epochs that are left out now, and the parent's homes on hosts that
+// the draft lists as destroyed, unless the draft lists them elsewhere.
+func NextDestroyed(parent, draft *Bundle, epochs []HomeEpoch) []btid.Target {
+	remembered := map[btid.Target]bool{}
+	for _, e := range epochs {
+		for _, home := range e.Homes {
+			remembered[home] = true
 		}
 	}
-	for _, e := range after.Epochs {
-		added := slices.IndexFunc(before.Epochs, func(b HomeEpoch) bool { return b.Number == e.Number }) < 0
-		if added && e.Number < last {
-			texts = append(texts, fmt.Sprintf("epoch %d is new, but lies before the parent's last, which is %d", e.Number, last))
+	named := listedHomes(draft)
+	next := slices.DeleteFunc(slices.Clone(draft.DestroyedTargets), func(t btid.Target) bool {
+		_, home := named[t]
+		return home && !remembered[t]
+	})
+	listed := byName(draft.Targets, func(t *Target) btid.Target { return t.Name })
+	for _, t := range parent.Targets {
+		lost := slices.Contains(draft.DestroyedHosts, t.Host) && listed[t.Name] == nil
+		if lost && remembered[t.Name] && !slices.Contains(next, t.Name) {
+			next = append(next, t.Name)
 		}
 	}
-	return texts
+	return next
 }
--- a/core/btbundle/successor_test.go
+++ b/core/btbundle/successor_test.go
@@ -72,9 +72,47 @@
 	assert.Assert(t, cmp.Contains(problems.Error(), "epoch 1 has other homes"))
 }
 
+// lostHost is the small bundle without t2, whose host is destroyed.
+func lostHost() string { return "destroyed_hosts = [\"h2\"]\n" + replaced() }
+
+func TestSuccessorKeepsKeyHomes(t *testing.T) {
+	next := func(parent, text string) string {
+		draft, err := btdraft.Next([]byte(parent), []byte(text), start.Add(time.Hour))
+		assert.NilError(t, err)
+		return string(draft)
+	}
+	lost := next(small, lostHost())
+	assert.Assert(t, cmp.Contains(lost, `destroyed_targets = ["t2"]`))
+	removed := next(small, replaced())
+	readded := strings.Replace(removed, "[[accounts]]", strings.ReplaceAll(fourth, "4\"", "2\"")+"[[accounts]]", 1)
+	tests := []struct{ parent, text, old, replacement, want string }{
+		{small, lost, "", "", ""},
+		{small, next(small, small), "", "", ""},
+		{small, lost, `destroyed_targets = ["t2"]`, ``, `line 1: destroyed_hosts[0]: target "t2" stood on host "h2" and is a key home of epoch 1 of service lookup: add it to destroyed_targets`},
+		{lost, next(lost, lost), `destroyed_targets = ["t2"]`, ``, `destroyed_targets: "t2" must stay until epoch 1 of service lookup`},
+		{removed, next(removed, readded), "", "", `targets[3].name: "t2" is a key home of epoch 1 of service lookup that the parent doesn't list`},
+		{small, next(small, small), `host = "h2"`, `host = "h9"`, `line 67: targets[1].host: becomes h9, was h2, but target "t2" is a key home of epoch 1 of service lookup: give what runs there a new name`},
+		{small, next(small, small), `7102`, `7109`, `targets[1].address: becomes 127.0.0.1:7109, was 127.0.0.1:7102`},
+		{small, next(small, small), `7202`, `7209`, ``},
+		{small, next(small, small), `clock_error = "1s"`, `clock_error = "900ms"`, `line 14: idempotency.clock_error: 900ms is under the parent's, which is 1s`},
+		{small, next(small, small), `clock_error = "1s"`, `clock_error = "1100ms"`, ``},
+	}
+	for _, test := range tests {
+		t.Run(test.replacement+test.want, func(t *testing.T) {
+			text := strings.Replace(test.text, test.old, test.replacement, 1)
+			problems := btbundle.CheckSuccessor(decode(t, []byte(test.parent)), btbundle.DigestOf([]byte(test.parent)), decode(t, []byte(text)))
+			assert.Equal(t, len(problems) == 0, test.want == "", "%v", problems)
+			assert.Assert(t, cmp.Contains(btbundle.Locate([]byte(text), problems).Error(), test.want))
+		})
+	}
+	later, err := btdraft.Next([]byte(lost), []byte(lost), start.Add(100*time.Hour))
+	assert.NilError(t, err)
+	assert.Assert(t, cmp.Contains(string(later), `destroyed_targets = []`), "left out with its epoch")
+}
+
 func TestDraftKeepsEverythingElse(t *testing.T) {
 	const blocks = "[[services.epochs]]\nnumber = 1\nsince = 2026-01-31T12:00:00Z\nhomes = [\"t1\", \"t2\", \"t3\"]\n"
-	inline := strings.Replace(replaced(), "\n"+blocks, "epochs = [ # homes\n{number = 1, since = 2026-01-31T12:00:00Z, homes = [\"t1\", \"t2\"]}]\n", 1)
+	inline := strings.Replace(replaced(), "\n"+blocks, "epochs = [ # homes\n{number = 1, since = 2026-01-31T12:00:00Z, homes = [\"t1\", \"t2\", \"t3\"]}]\n", 1)
 	for name, draft := range map[string]string{
 		"tables":  "# first line\n" + strings.Replace(replaced(), "slots = 4", "slots = 4 # four", 1),
 		"inline":  inline,
@@ -104,11 +142,10 @@
 
 func TestDiffSpeaksInOutcomes(t *testing.T) {
 	old := decode(t, []byte(small))
-	second, err := btdraft.Next([]byte(small), []byte(replaced()), start)
+	second, err := btdraft.Next([]byte(small), []byte(lostHost()), start)
 	assert.NilError(t, err)
 	text := strings.Replace(string(second), "rate = 10.0", "rate = 20.0", 1)
 	text = strings.Replace(text, `budget_share = 0.2`, `budget_share = 0.1`, 1)
-	text = strings.Replace(text, "created = ", "destroyed_hosts = [\"h9\"]\ncreated = ", 1)
 	var lines []string
 	for _, c := range btbundle.Diff(old, decode(t, []byte(text))) {
 		lines = append(lines, fmt.Sprintf("%s %s", c.Kind, c))
@@ -120,7 +157,8 @@
 		"removed target t2: gets no new work of service lookup; what is in flight ends",
 		fmt.Sprintf("keys_move service lookup: about %.0f%% of idempotency keys move to another home (epoch 2: [t1 t3 t4], was [t1 t2 t3])", 100*share),
 		"changed client account desk: requests a second becomes 20, was 10",
-		"added destroyed host h9: what only it could tell is taken as lost for good: approve only if it can't come back",
+		"added destroyed host h2: what only it could tell is taken as lost for good: approve only if it can't come back",
+		"added destroyed target t2: counts in no majority of key homes any more: approve only if its process has ended and nothing of its memory can come back",
 		"changed retry: budget_share becomes 0.1, was 0.2",
 	})
 	assert.Equal(t, len(btbundle.Diff(old, old)), 1, "the version must grow")
--- a/core/btclaim/home.go
+++ b/core/btclaim/home.go
@@ -44,7 +44,7 @@
 		Incarnation: self.Incarnation,
 		Service:     s,
 		Since:       since,
-		MaxLease:    5 * time.Second,
+		MaxLease:    btbundle.MaxLease,
 		LookupWait:  500 * time.Millisecond,
 		Hold:        2 * time.Second,
 		MaxRecords:  200_000,
@@ -56,8 +56,8 @@
 type Rules struct {
 	// Epochs are the sets of homes, oldest first, the last in force.
 	Epochs []btbundle.HomeEpoch
-	// Destroyed are targets on hosts of which a person states that they are
-	// gone for good: they count in no majority.
+	// Destroyed are homes of which a person states that they are gone for good
+	// with what they remembered: they count in no majority.
 	Destroyed  []btid.Target
 	Retention  time.Duration
 	ClockError time.Duration
@@ -131,6 +131,7 @@
 	forgotten time.Time
 	voter     *voter
 	lease     lease
+	destroyed destroyed
 	records   *expiring[Claim, *record]
 	// closedUntil is up to when no unseen claim is granted: not_run was told
 	// for want of memory.
@@ -152,6 +153,7 @@
 	h.since = s.Since.Round(0)
 	h.voter = newVoter(s.Since, s.MaxLease)
 	h.records = newExpiring[Claim, *record](0, s.MaxRecords)
+	h.destroyed = destroyed{wait: s.MaxLease, told: make(map[btid.Target]time.Time)}
 	h.configure(r)
 	return h, nil
 }
@@ -163,6 +165,10 @@
 	}
 	h.clock.read(now)
 	h.lease.lapse(&h.clock)
+	if h.destroyed.mature(h.clock.now) {
+		h.lease.change(h.electorates())
+		h.lease.refresh(&h.clock)
+	}
 	h.records.expire(h.clock.wall, func(*record) {})
 	effects := h.giveUpWaiting()
 	effects = append(effects, h.apply(event)...)
@@ -211,32 +217,15 @@
 	h.rules = r
 	h.listed = listed
 	h.records.life = r.Retention + 3*r.ClockError
+	h.destroyed.tell(h.clock.now, r.Destroyed)
 	if same {
-		h.lease.change(electorates(r))
+		h.lease.change(h.electorates())
 		return nil
 	}
-	h.lease.reset(r.Lease, electorates(r))
+	h.lease.reset(r.Lease, h.electorates())
 	return h.dropInquiries()
 }
 
-// electorates returns each epoch's voters. An old epoch all of whose homes are
-// destroyed can't grant any more and needs no vote.
-func electorates(r Rules) []electorate {
-	var list []electorate
-	for i, e := range r.Epochs {
-		var voters []btid.Target
-		for _, t := range e.Homes {
-			if !slices.Contains(r.Destroyed, t) {
-				voters = append(voters, t)
-			}
-		}
-		if len(voters) > 0 || i == len(r.Epochs)-1 {
-			list = append(list, electorate{voters: voters})
-		}
-	}
-	return list
-}
-
 func (h *Home) current() btbundle.HomeEpoch { return h.rules.Epochs[len(h.rules.Epochs)-1] }
 
 func (h *Home) epoch() EpochID { return h.listed[len(h.listed)-1] }
--- a/core/btclaim/ledger.go
+++ b/core/btclaim/ledger.go
@@ -59,12 +59,22 @@
 // RunLost tells that a started claim ended without a whole answer.
 type RunLost struct{ Claim Claim }
 
+// RunNotSent tells that nothing of a started grant reached the target, which
+// only a connection that never came about proves. The answer is a Refused with
+// its seal. It is told while the run is under way, in place of RunFinished and
+// RunLost.
+type RunNotSent struct {
+	Grant  Grant
+	Reason btrequest.Reason
+}
+
 func (Tick) ledgerEvent()        {}
 func (Configured) ledgerEvent()  {}
 func (RunAsked) ledgerEvent()    {}
 func (SealAsked) ledgerEvent()   {}
 func (RunFinished) ledgerEvent() {}
 func (RunLost) ledgerEvent()     {}
+func (RunNotSent) ledgerEvent()  {}
 
 // LedgerEffect is what a Ledger wants done.
 type LedgerEffect interface{ ledgerEffect() }
@@ -142,7 +152,8 @@
 	bytes int
 }
 
-// Ledger runs each claim at most once in its life.
+// Ledger runs each claim at most once in its life; a start of which the target
+// saw nothing is none.
 type Ledger struct {
 	settings LedgerSettings
 	assert   *btassert.Asserter
@@ -182,6 +193,8 @@
 		effects = append(effects, l.finish(e)...)
 	case RunLost:
 		l.lose(e.Claim)
+	case RunNotSent:
+		effects = append(effects, l.unsend(e)...)
 	case Configured:
 		l.configure(e.Rules)
 	}
@@ -300,6 +313,8 @@
 		r = &run{claim: g.Claim}
 		l.runs.add(l.clock.wall, g.Claim, r)
 	}
+	// The memory of an attempt counts from the attempt, not from the first one.
+	l.runs.renew(l.clock.wall, g.Claim)
 	r.grant = g
 	if refuse != "" {
 		return l.seal(g, refuse)
@@ -324,46 +339,3 @@
 	}
 	return refused
 }
-
-// finish notes a run's answer and keeps to the budget, oldest answers first.
-func (l *Ledger) finish(e RunFinished) []LedgerEffect {
-	r, ok := l.runs.get(e.Claim)
-	if !ok || r.phase != phaseRunning {
-		return nil
-	}
-	r.phase = phaseKept
-	r.bytes = max(0, e.Bytes)
-	l.kept = append(l.kept, r)
-	l.keptBytes += r.bytes
-	if r.bytes > l.settings.MaxAnswer {
-		return l.drop(r)
-	}
-	var effects []LedgerEffect
-	for l.keptBytes > l.settings.AnswerBytes {
-		effects = append(effects, l.drop(l.oldest())...)
-	}
-	return effects
-}
-
-// oldest skips answers that were dropped out of turn.
-func (l *Ledger) oldest() *run {
-	for l.kept[0].phase != phaseKept {
-		l.kept = l.kept[1:]
-	}
-	return l.kept[0]
-}
-
-func (l *Ledger) drop(r *run) []LedgerEffect {
-	r.phase = phaseDropped
-	l.keptBytes -= r.bytes
-	for len(l.kept) > 0 && l.kept[0].phase != phaseKept {
-		l.kept = l.kept[1:]
-	}
-	return []LedgerEffect{DropAnswer{Claim: r.claim}}
-}
-
-func (l *Ledger) lose(c Claim) {
-	if r, ok := l.runs.get(c); ok && r.phase == phaseRunning {
-		r.phase = phaseLost
-	}
-}
--- a/core/btclaim/ledger_test.go
+++ b/core/btclaim/ledger_test.go
@@ -91,11 +91,14 @@
 }
 
 // TestLedgerSealBinds: a sealed grant never runs, also when it was sealed for
-// want of memory; its claim's next attempt does.
+// want of memory or because its target saw nothing; its claim's next attempt
+// does, and no seal follows the end of that.
 func TestLedgerSealBinds(t *testing.T) {
 	l := newLedger(func(s *btclaim.LedgerSettings) { s.MaxRecords = 1 })
 	first, second := grantAt("k", epoch), grantAt("k2", epoch.Add(time.Millisecond))
-	l.Step(epoch, btclaim.SealAsked{Grant: first, Reason: "draining"})
+	l.Step(epoch, btclaim.RunAsked{Grant: first})
+	unsent := l.Step(epoch, btclaim.RunNotSent{Grant: first, Reason: "target_unreachable"})[0].(btclaim.Refused)
+	assert.Assert(t, unsent.Sealed != nil && unsent.Reason == "target_unreachable")
 	full := l.Step(epoch, btclaim.RunAsked{Grant: second})[0].(btclaim.Refused)
 	assert.Equal(t, full.Reason, btclaim.LedgerFull)
 	assert.Assert(t, full.Sealed != nil)
@@ -107,4 +110,13 @@
 	next.Attempt = 2
 	assert.DeepEqual(t, l.Step(epoch.Add(time.Second), btclaim.RunAsked{Grant: next}),
 		[]btclaim.LedgerEffect{btclaim.Start{Grant: next}})
+	expired := epoch.Add(time.Hour + 2*clockError)
+	assert.DeepEqual(t, l.Step(expired, btclaim.RunAsked{Grant: next}),
+		[]btclaim.LedgerEffect{btclaim.InProgress{Grant: next}})
+	l.Step(expired, btclaim.RunLost{Claim: next.Claim})
+	defer func() {
+		violation, _ := recover().(btassert.Violation)
+		assert.Equal(t, violation.Name, btclaim.SealsNoEndedRun)
+	}()
+	l.Step(expired, btclaim.RunNotSent{Grant: next})
 }
--- a/core/btclaim/node_test.go
+++ b/core/btclaim/node_test.go
@@ -105,15 +105,25 @@
 }
 
 // execute is the target's side: a run that ends some time later, if the agent
-// lives to hear of it.
+// lives to hear of it. Some targets refuse the connection and see nothing.
 func (a *agent) execute(g btclaim.Grant, answer func(btclaim.ClientEvent)) {
 	w := a.w
+	notSent := func() { a.stepLedger(btclaim.RunNotSent{Grant: g, Reason: "target_unreachable"}, answer) }
+	if !w.calm && w.rng.Float64() < 0.15 {
+		w.refused++
+		a.at(w.upTo(2*time.Second), notSent)
+		return
+	}
 	w.ran[g.Claim]++
 	if w.ran[g.Claim] > 1 {
 		w.violation = "ran twice: " + string(g.Claim.Key)
 	}
 	a.at(w.upTo(2*time.Second), func() {
 		if !w.calm && w.rng.Float64() < 0.05 {
+			if w.variant.lostAsNotSent {
+				notSent()
+				return
+			}
 			a.stepLedger(btclaim.RunLost{Claim: g.Claim}, answer)
 			return
 		}
--- a/core/btclaim/random_test.go
+++ b/core/btclaim/random_test.go
@@ -186,7 +186,7 @@
 }
 
 func TestRandomRunsHoldAndSettle(t *testing.T) {
-	steps, keys := 0, 0
+	steps, keys, refused := 0, 0, 0
 	outcomes := make(map[btrequest.Outcome]int)
 	reasons := make(map[btrequest.Reason]int)
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
@@ -199,6 +199,7 @@
 		}
 		steps += w.steps
 		keys += len(w.ran)
+		refused += w.refused
 		for o, n := range w.outcomes {
 			outcomes[o] += n
 		}
@@ -207,7 +208,8 @@
 		}
 	}
 	assert.Assert(t, outcomes[btrequest.Done] > 0 && outcomes[btrequest.NotRun] > 0)
-	t.Logf("%d runs, %d steps, %d keys run, outcomes %v, reasons %v", *seeds, steps, keys, outcomes, reasons)
+	assert.Assert(t, refused > 0)
+	t.Logf("%d runs, %d steps, %d keys run, %d starts not sent, outcomes %v, reasons %v", *seeds, steps, keys, refused, outcomes, reasons)
 }
 
 // TestRandomRunsFindNaiveFaults shows that the same runs can fail.
@@ -216,6 +218,7 @@
 		"home by hash alone":    {home: byHash},
 		"cached word, no lease": {home: byWord},
 		"no incarnation":        {home: chosen, noIncarnation: true},
+		"lost as not sent":      {home: chosen, lostAsNotSent: true},
 	}
 	for name, v := range naive {
 		t.Run(name, func(t *testing.T) {
--- a/core/btclaim/voter_test.go
+++ b/core/btclaim/voter_test.go
@@ -49,7 +49,7 @@
 }
 
 // TestDestroyedHomesCountInNoMajority: with two of three homes gone, the third
-// gains the lease only once a bundle says so.
+// gains the lease only once a bundle says so, and their last votes are over.
 func TestDestroyedHomesCountInNoMajority(t *testing.T) {
 	home := loneHome(t)
 	later := epoch.Add(3 * time.Second)
@@ -59,6 +59,8 @@
 	rules.Epochs = epochs[:1]
 	rules.Destroyed = []btid.Target{"t1", "t2"}
 	home.Step(later, btclaim.Configured{Rules: rules})
+	keep(home, later, later.Add(time.Second-1))
+	assert.Assert(t, !home.Status().Leased)
 	home.Step(later.Add(time.Second), btclaim.Tick{})
 	assert.Assert(t, home.Status().Leased)
 }
--- a/core/btclaim/world_test.go
+++ b/core/btclaim/world_test.go
@@ -41,6 +41,8 @@
 	home func(w *world, a *agent, r btclaim.Rules) homeMachine
 	// noIncarnation lets executors take grants to their earlier lives.
 	noIncarnation bool
+	// lostAsNotSent seals runs whose contact with the target was lost.
+	lostAsNotSent bool
 }
 
 func chosen(w *world, a *agent, r btclaim.Rules) homeMachine {
@@ -128,10 +130,12 @@
 	maxRecords int
 	published  int
 	// trouble is the mean time between two failures.
-	trouble  time.Duration
-	agents   []*agent
-	entries  []*entry
-	ran      map[btclaim.Claim]int
+	trouble time.Duration
+	agents  []*agent
+	entries []*entry
+	ran     map[btclaim.Claim]int
+	// refused counts the starts of which the target saw nothing.
+	refused  int
 	outcomes map[btrequest.Outcome]int
 	reasons  map[btrequest.Reason]int
 	// clients holds the flows under way, by request.
--- a/io/btagent/homes.go
+++ b/io/btagent/homes.go
@@ -125,20 +125,14 @@
 
 // RulesOf returns what a bundle states for a service's key homes.
 func RulesOf(a *btbundle.Approved, service *btbundle.Service) btclaim.Rules {
-	rules := btclaim.Rules{
+	return btclaim.Rules{
 		Epochs:        service.Epochs,
+		Destroyed:     a.Bundle.DestroyedTargets,
 		Retention:     a.Bundle.Idempotency.Retention.Duration,
 		ClockError:    a.Bundle.Idempotency.ClockError.Duration,
 		Lease:         a.Bundle.Idempotency.Lease.Duration,
 		GrantLifetime: grantLifetime,
 	}
-	for i := range a.Bundle.Targets {
-		t := &a.Bundle.Targets[i]
-		if a.Index.Destroyed(t.Host) {
-			rules.Destroyed = append(rules.Destroyed, t.Name)
-		}
-	}
-	return rules
 }
 
 // post applies an event and sends what it brings about.
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -150,6 +150,9 @@
 	defer cancel()
 	lost := func() { v.place.ledger.ask(btclaim.RunLost{Claim: v.grant.Claim}) }
 	response, err := v.place.client.Do(ctx, v.toTarget())
+	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
+		return v.answerWord(v.place.ledger.ask(btclaim.RunNotSent{Grant: *v.grant, Reason: ReasonTargetUnreachable}))
+	}
 	if err != nil {
 		lost()
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
