Membership, load and bundles wired for a large fleet

Cause: readers, gossip and watchers grew with the fleet; the bundle's limits and regions didn't reach the router; a row told before listing was lost. Ruled out: the service's watch as liveness, random gossip (handshakes and keep-alives), eight watchers outside a mesh, a new incarnation for a gone engine (it would void the key home's lease and grants), a stop on the host list's word (the list lags). A mass restart with seeds: 2 of 1,210 processes call the service, without 1,210.

--- a/core/btannounce/btannounce.go
+++ b/core/btannounce/btannounce.go
@@ -31,6 +31,8 @@
 	// Reads are the latest reads of the service that the sender knows of, its
 	// own and others', newest first.
 	Reads []Read `cbor:"reads,omitempty" json:"reads"`
+	// HostLeaving tells an agent that the platform's list calls its host leaving.
+	HostLeaving bool `cbor:"host_leaving,omitempty" json:"host_leaving"`
 }
 
 // Validate reports an announcement that no process could make.
--- a/core/btload/report.go
+++ b/core/btload/report.go
@@ -18,8 +18,10 @@
 )
 
 // Report is what an agent tells of its target: in heartbeats, with each answer
-// and with each refusal.
+// and with each refusal. It is written as an array: the names of the fields would
+// be most of its bytes.
 type Report struct {
+	_           struct{}         `cbor:",toarray"`
 	Target      btid.Target      `cbor:"target" json:"target"`
 	Incarnation btid.Incarnation `cbor:"incarnation" json:"incarnation"`
 	// Number rises by at least one with each report of one incarnation.
--- a/core/btmember/btmember.go
+++ b/core/btmember/btmember.go
@@ -238,9 +238,13 @@
 	m.version = e.Version
 	m.digest = e.Digest
 	listed := map[btid.Target]bool{}
+	added := false
 	for _, p := range e.Targets {
 		listed[p.Target] = true
-		m.list(p)
+		added = m.list(p) || added
+	}
+	if added {
+		m.distrustStreams()
 	}
 	for _, name := range m.names {
 		if r := m.records[name]; r.listed && !listed[name] {
@@ -252,7 +256,8 @@
 	m.refreshAll()
 }
 
-func (m *Member) list(p Place) {
+// list notes a target, and tells whether it was not listed before.
+func (m *Member) list(p Place) bool {
 	r := m.records[p.Target]
 	if r == nil {
 		r = &record{}
@@ -260,8 +265,10 @@
 		at, _ := slices.BinarySearch(m.names, p.Target)
 		m.names = slices.Insert(m.names, at, p.Target)
 	}
+	added := !r.listed
 	r.place = p
 	r.listed = true
+	return added
 }
 
 // forgetHosts drops the words on hosts that carry no target, which bounds them.
--- a/core/btmember/message.go
+++ b/core/btmember/message.go
@@ -60,8 +60,9 @@
 
 // Heartbeat renews an agent's leases at the entries that watch it. A leaving
 // state is final for the incarnation: an agent whose engine comes back takes a
-// new incarnation.
+// new incarnation. It is written as an array to keep it small.
 type Heartbeat struct {
+	_           struct{}         `cbor:",toarray"`
 	Target      btid.Target      `cbor:"target" json:"target"`
 	Incarnation btid.Incarnation `cbor:"incarnation" json:"incarnation"`
 	// Sequence rises with each heartbeat of an incarnation, from 1.
--- a/core/btmember/stream.go
+++ b/core/btmember/stream.go
@@ -154,6 +154,15 @@
 	m.refresh(r)
 }
 
+// distrustStreams makes every peer start anew with its next summary: a row about
+// a target that was not listed yet is lost, and peers with a newer bundle send
+// it once. Leases at hand go on meanwhile.
+func (m *Member) distrustStreams() {
+	for _, t := range m.streams {
+		t.whole = false
+	}
+}
+
 // forgetStreams makes every peer start anew.
 func (m *Member) forgetStreams() {
 	for _, t := range m.streams {
--- a/core/btreader/btreader_test.go
+++ b/core/btreader/btreader_test.go
@@ -96,14 +96,23 @@
 	assert.Assert(t, reading > 0 && reading <= 8, "%d read", reading)
 }
 
+// reading returns how many would call the service now.
+func (c *centre) reading(now time.Time) int {
+	reading := 0
+	for _, name := range c.names {
+		if c.turns[name].Mine(now, nil, time.Time{}) {
+			reading++
+		}
+	}
+	return reading
+}
+
 // TestMassRestart: with a seed list only seeds call the service; without one,
 // every process calls it.
 func TestMassRestart(t *testing.T) {
 	seeds := []btbundle.Peer{"entry/e0", "entry/e1", "entry/e2"}
-	c := newCentre(380, 830, seeds)
-	assert.Equal(t, c.second(at(0), nil, true), 2)
-	naive := newCentre(380, 830, nil)
-	assert.Equal(t, naive.second(at(0), nil, true), 1210)
+	assert.Equal(t, newCentre(380, 830, seeds).reading(at(0)), 2)
+	assert.Equal(t, newCentre(380, 830, nil).reading(at(0)), 1210)
 }
 
 // TestSeedsAreGone: where no seed has a bundle, processes come to the service
@@ -112,12 +121,7 @@
 	c := newCentre(3, 100, []btbundle.Peer{"entry/gone"})
 	first, most := -1, 0
 	for s := range 16 {
-		reading := 0
-		for _, name := range c.names {
-			if c.turns[name].Mine(at(s), nil, time.Time{}) {
-				reading++
-			}
-		}
+		reading := c.reading(at(s))
 		if reading > 0 && first < 0 {
 			first = s
 		}
--- a/io/btagent/engine.go
+++ b/io/btagent/engine.go
@@ -184,13 +184,6 @@
 	return btload.Evicted
 }
 
-// gone tells whether connections to the engine are refused.
-func (e *engine) gone() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.refusals >= engineRefusals
-}
-
 // fill adds what only the engine knows. The counts of requests stay the
 // queue's: the agent is the only way to the engine, so it knows them without
 // the engine's lag, and the report's age stays that of the queue. An engine
--- a/io/btagent/fleet_test.go
+++ b/io/btagent/fleet_test.go
@@ -194,7 +194,7 @@
 	assert.NilError(f.t, err)
 	f.urls[name] = "http://" + listener.Addr().String()
 	f.entries[name] = btentry.New(btentry.Options{
-		Name: name, DataCentre: "north", Listener: listener, Node: c.node, Bundles: c.bundles, Platform: c.platform,
+		Name: name, DataCentre: "north", HostsEvery: 200 * time.Millisecond, Listener: listener, Node: c.node, Bundles: c.bundles, Platform: c.platform,
 		Meter: c.meter, Decisions: c.decisions, Log: quiet, Clock: time.Now, Assert: panics, Random: c.random,
 	})
 	f.run(c.node, f.entries[name])
--- a/io/btagent/heartbeat.go
+++ b/io/btagent/heartbeat.go
@@ -30,6 +30,7 @@
 	options  Options
 	self     btid.Executor
 	report   func() btload.Report
+	host     *hostWords
 	sequence atomic.Uint64
 
 	mu       sync.Mutex
@@ -53,13 +54,15 @@
 }
 
 func newHeartbeat(o Options, self btid.Executor, report func() btload.Report) *heartbeat {
-	return &heartbeat{
+	h := &heartbeat{
 		options:  o,
 		self:     self,
 		report:   report,
 		interval: firstHeartbeat,
 		watchers: map[btid.Entry]*watcher{},
 	}
+	h.host = newHostWords(o, h.hurry)
+	return h
 }
 
 // run sends heartbeats until the context ends.
@@ -146,7 +149,7 @@
 		return
 	}
 	defer s.Close()
-	go h.listen(s, w.endpoint.Identity)
+	go h.listen(s, w)
 	for {
 		if err := btpeer.Send(s, h.next()); err != nil {
 			return
@@ -161,13 +164,14 @@
 }
 
 // listen takes what the entry announces of its bundle.
-func (h *heartbeat) listen(s *btpeer.Stream, from btpeer.Identity) {
+func (h *heartbeat) listen(s *btpeer.Stream, w *watcher) {
 	for {
 		a, err := btpeer.Receive[btannounce.Announcement](s)
 		if err != nil {
 			return
 		}
-		h.options.Bundles.Heard(from, a)
+		h.options.Bundles.Heard(w.endpoint.Identity, a)
+		h.host.told(w.endpoint.Identity, a.HostLeaving)
 	}
 }
 
--- a/io/btagent/report.go
+++ b/io/btagent/report.go
@@ -18,6 +18,7 @@
 	}
 	report.ExpertLoad, report.StepTime = a.group.Rank()
 	a.engine.fill(&report)
+	report.Draining = report.Draining || a.heartbeat.host.leaving()
 	return report
 }
 
--- a/io/btagent/wiring_test.go
+++ b/io/btagent/wiring_test.go
@@ -28,6 +28,7 @@
 // gives work to every target, and none to one that left, though most don't hear
 // its agent themselves.
 func TestSummariesReachEveryEntry(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.addEntries(11)
 	for i := range 3 {
@@ -52,6 +53,7 @@
 // TestEngineGoneAndBack: an engine that refuses connections gets no work, and
 // work again when it is back; another entry learns its cache from its events.
 func TestEngineGoneAndBack(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.addEntries(2)
 	engine, err := btstandin.NewEngine(btstandin.EngineOptions{Name: "m1", Clock: btstandin.SystemClock{}, PrefillRate: 1e9, DecodeRate: 1e5})
@@ -88,6 +90,7 @@
 // TestEjectionOutlivesABundle: a target that is out for failing stays out when a
 // bundle that leaves it alone comes into force.
 func TestEjectionOutlivesABundle(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.addEntries(1)
 	f.addTarget("t0", "pages", btbundle.Plain, f.listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -102,11 +105,20 @@
 		_, _ = f.call("e0", "/services/pages/x", "")
 		return f.target("e0", "t0").Ejected != nil
 	})
-	f.bundle.Accounts[0].Burst++
+	tokens := func() int {
+		limits := f.entries["e0"].Status().Limits
+		if len(limits) == 0 {
+			return 0
+		}
+		return limits[0].FixedTokens
+	}
+	before := tokens()
+	assert.Assert(t, before > 0)
+	f.bundle.Accounts[0].Burst *= 2
 	f.publish(2)
-	f.await("version 2", func() bool { return f.entries["e0"].Status().Bundle.Version == 2 })
+	// The limits are configured after the router.
+	f.await("version 2", func() bool { return tokens() != before })
 	assert.Assert(t, f.target("e0", "t0").Ejected != nil)
-	assert.Assert(t, len(f.entries["e0"].Status().Limits) == 1)
 	for range 20 {
 		status, _ := f.call("e0", "/services/pages/x", "")
 		assert.Equal(t, status, http.StatusOK)
@@ -116,6 +128,7 @@
 // TestUnlistedTarget: an agent whose target a bundle removes is not ready, says
 // so, and is ready again when it is listed again.
 func TestUnlistedTarget(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.addEntries(1)
 	for i := range 2 {
@@ -128,8 +141,8 @@
 	f.bundle.Targets = all[:1]
 	f.bundle.Services[0].Epochs = []btbundle.HomeEpoch{{Number: 2, Since: f.bundle.Created, Homes: []btid.Target{"t0"}}}
 	f.publish(2)
-	f.await("unlisted", func() bool { return f.agents["t1"].Status().Bundle.Listing == btprocess.Unlisted })
-	assert.Assert(t, !f.agents["t1"].Ready())
+	f.await("not ready", func() bool { return !f.agents["t1"].Ready() })
+	assert.Equal(t, f.agents["t1"].Status().Bundle.Listing, btprocess.Unlisted)
 	assert.Assert(t, f.agents["t0"].Ready())
 	f.bundle.Targets = all
 	f.bundle.Services[0].Epochs = epochs
@@ -137,3 +150,28 @@
 	f.await("listed again", func() bool { return f.agents["t1"].Ready() })
 	f.await("eligible again", func() bool { return f.target("e0", "t1").Eligible })
 }
+
+// TestHostLeaving: the list's word on a host reaches every entry, and work comes
+// back when the list takes it back.
+func TestHostLeaving(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addEntries(2)
+	f.addTarget("t0", "pages", btbundle.Plain, f.listen(f.plain("t0")))
+	f.start()
+	words := func(state btstandin.HostState) {
+		assert.NilError(t, f.store.PutHosts(btstandin.HostList{Hosts: []btstandin.Host{{Name: "host-t0", State: state}}}))
+	}
+	words(btstandin.HostLeaving)
+	for name := range f.entries {
+		f.await("no work from "+string(name), func() bool { return f.target(name, "t0").Draining })
+	}
+	assert.Assert(t, !f.agents["t0"].Status().Stopping)
+	words(btstandin.HostLive)
+	for name := range f.entries {
+		f.await("work from "+string(name), func() bool {
+			s := f.target(name, "t0")
+			return s.Eligible && !s.Draining
+		})
+	}
+}
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -18,6 +18,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btmember"
+	"bilberrytide/io/bthttp"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
@@ -34,15 +35,18 @@
 	// BalancerLag is how long the balancer in front may send new connections
 	// after the readiness check failed.
 	BalancerLag time.Duration
-	Node        *btpeer.Node
-	Bundles     *btprocess.Bundles
-	Platform    *btplatform.Client
-	Meter       *btmetric.Meter
-	Decisions   *btmetric.Decisions
-	Log         *slog.Logger
-	Clock       btloop.Clock
-	Assert      *btassert.Asserter
-	Random      *rand.Rand
+	// HostsEvery is the shortest interval at which the platform's host list is
+	// read; zero means the default of 5 s.
+	HostsEvery time.Duration
+	Node       *btpeer.Node
+	Bundles    *btprocess.Bundles
+	Platform   *btplatform.Client
+	Meter      *btmetric.Meter
+	Decisions  *btmetric.Decisions
+	Log        *slog.Logger
+	Clock      btloop.Clock
+	Assert     *btassert.Asserter
+	Random     *rand.Rand
 }
 
 // Entry takes callers' requests.
@@ -67,8 +71,11 @@
 	headerWait = 10 * time.Second
 	// idleWait is how long a caller's connection is kept without a request.
 	idleWait = 2 * time.Minute
-	// hostsEvery is the interval at which the platform's host list is read.
+	// hostsEvery is the default of Options.HostsEvery; hostsCalls is how many reads a second all entries make together, which
+	// lengthens the interval in a large fleet. One entry's reading is enough: the
+	// agent that it tells tells all others.
 	hostsEvery = 5 * time.Second
+	hostsCalls = 20
 )
 
 // New returns an entry and sets the node's handlers. The bundles must not run
@@ -86,7 +93,7 @@
 	end := &dispatch{entry: e, sender: sender{entry: e}}
 	e.limit = newLimit(e)
 	e.reserve = newReserve(o.Clock)
-	e.path = chain(end.handle, &identify{current: o.Bundles.Current, clock: o.Clock}, e.limit, e.reserve)
+	e.path = chain(end.handle, &identify{current: o.Bundles.Current, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, e.limit, e.reserve)
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: headerWait,
@@ -163,10 +170,23 @@
 			}
 			e.fleet.tell(btmember.HostList{Hosts: words})
 		}
-		wait(ctx, hostsEvery)
+		wait(ctx, e.hostsInterval())
 	}
 }
 
+// hostsInterval returns the wait between two readings of the host list.
+func (e *Entry) hostsInterval() time.Duration {
+	shortest := e.options.HostsEvery
+	if shortest == 0 {
+		shortest = hostsEvery
+	}
+	current := e.options.Bundles.Current()
+	if current == nil {
+		return shortest
+	}
+	return max(shortest, time.Duration(len(current.Bundle.Entries))*time.Second/hostsCalls)
+}
+
 func (e *Entry) nextID() btid.Request {
 	return btid.Request{Entry: e.options.Name, Incarnation: e.incarnation, Number: e.numbers.Add(1)}
 }
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -260,6 +260,14 @@
 	f.route(f.router.Step(f.clock(), btroute.Load{Event: event}))
 }
 
+// hostLeaving tells whether the host list is why a target gets no work.
+func (f *fleet) hostLeaving(target btid.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cause, _ := f.member.Cause(target)
+	return cause == btmember.CauseHostList
+}
+
 // cached takes changes of a target's prefix cache.
 func (f *fleet) cached(batch btload.CacheEvents) {
 	f.mu.Lock()
--- a/io/btentry/heartbeat.go
+++ b/io/btentry/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"bilberrytide/core/btannounce"
 	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btload"
 	"bilberrytide/core/btmember"
 	"bilberrytide/io/btpeer"
@@ -23,10 +24,11 @@
 // hear takes an agent's heartbeats.
 func (e *Entry) hear(ctx context.Context, from btpeer.Identity, s *btpeer.Stream) error {
 	heard := make(chan struct{}, 1)
+	target := btid.Target(from.Name)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		e.acknowledge(ctx, s, heard)
+		e.acknowledge(ctx, s, target, heard)
 	}()
 	defer func() {
 		close(heard)
@@ -53,7 +55,7 @@
 // acknowledge tells the agent what is in force here: with the first heartbeat
 // and every few after it, and at once when it has changed. It ends when heard
 // is closed.
-func (e *Entry) acknowledge(ctx context.Context, s *btpeer.Stream, heard <-chan struct{}) {
+func (e *Entry) acknowledge(ctx context.Context, s *btpeer.Stream, target btid.Target, heard <-chan struct{}) {
 	bundles := e.options.Bundles
 	told := btbundle.Order{}
 	due := false
@@ -63,7 +65,8 @@
 		if due || count > 0 && order != told {
 			told = order
 			due = false
-			if err := btpeer.Send(s, btannounce.Announcement{Order: order}); err != nil {
+			word := btannounce.Announcement{Order: order, HostLeaving: e.fleet.hostLeaving(target)}
+			if err := btpeer.Send(s, word); err != nil {
 				return
 			}
 		}
--- a/io/btentry/summary.go
+++ b/io/btentry/summary.go
@@ -24,6 +24,10 @@
 	// askWait bounds an ask to start anew.
 	askWait = time.Second
 
+	// metricSummaries and metricRows count what was sent to other entries.
+	metricSummaries = "summary.sent"
+	metricRows      = "summary.rows"
+
 	reasonSummaryDropped btrequest.Reason = "summary_dropped"
 )
 
@@ -68,6 +72,8 @@
 // the gap, and is told anew.
 func (s *summaries) send(ctx context.Context, send btmember.Send) {
 	p := s.peer(ctx, send.To)
+	s.options.Meter.Counter(metricSummaries).Inc(1)
+	s.options.Meter.Counter(metricRows).Inc(int64(len(send.Summary.Rows)))
 	select {
 	case p.queue <- send.Summary:
 	default:
@@ -91,9 +97,12 @@
 
 // prune ends the ways to entries that the plan no longer names.
 func (s *summaries) prune() {
-	linked := s.fleet.linked()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.peers) == 0 {
+		return
+	}
+	linked := s.fleet.linked()
 	for name, p := range s.peers {
 		if !linked[name] {
 			p.cancel()
--- a/io/btprocess/bundles_test.go
+++ b/io/btprocess/bundles_test.go
@@ -20,6 +20,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btmember"
 	"bilberrytide/io/btkeys"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
@@ -312,3 +313,29 @@
 	await(t, late, 1)
 	assert.Equal(t, late.Listing(), btprocess.Misplaced)
 }
+
+// TestPlanBoundsWatchers: a small fleet is a mesh; in a large one few entries
+// hear an agent, and an entry hears few agents.
+func TestPlanBoundsWatchers(t *testing.T) {
+	for _, c := range []struct{ entries, watchers int }{{8, 8}, {9, 3}, {380, 3}} {
+		approved := large(t, c.entries)
+		plan := btprocess.PlanOf(approved)
+		assert.Equal(t, len(plan.Watchers(btprocess.PlacesOf(approved)[0])), c.watchers)
+		assert.Equal(t, plan.Mesh(), c.watchers == c.entries)
+	}
+}
+
+// TestStopTakesItsSteps: a stop with nothing in flight takes its steps without a
+// further event.
+func TestStopTakesItsSteps(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	stop := btprocess.NewStop(btmember.DrainSettings{Lag: 100 * time.Millisecond}, time.Now, btassert.New(btassert.Panic()), log)
+	var steps []string
+	note := func(step string) func() { return func() { steps = append(steps, step) } }
+	stop.Terminate()
+	stop.Terminate()
+	stop.Run(t.Context(), btprocess.StopSteps{
+		Unready: note("unready"), CloseListener: note("close"), Goodbye: note("goodbye"), Exit: note("exit"),
+	})
+	assert.DeepEqual(t, steps, []string{"unready", "close", "goodbye", "exit"})
+}
--- a/io/btprocess/plan.go
+++ b/io/btprocess/plan.go
@@ -19,6 +19,21 @@
 	return places
 }
 
+// largeWatchers is how many entries hear an agent in a fleet that is no mesh.
+// The others hear by summaries, which cost an entry less than heartbeats do: at
+// 380 entries and 830 targets, eight watchers' heartbeats alone would take more
+// than the traffic that an entry may have. Three outlast two lost entries.
+const largeWatchers = 3
+
+// fanOutOf returns the bounds for a fleet of so many entries.
+func fanOutOf(entries int) btmember.FanOut {
+	fanOut := btmember.DefaultFanOut()
+	if entries > fanOut.Watchers {
+		fanOut.Watchers = largeWatchers
+	}
+	return fanOut
+}
+
 // PlanOf returns who tells whom about targets, alike at every process that has
 // the bundle in force.
 func PlanOf(a *btbundle.Approved) *btmember.Plan {
@@ -26,5 +41,5 @@
 	for _, e := range a.Bundle.Entries {
 		entries = append(entries, btmember.EntryPlace{Entry: e.Name, DataCentre: e.DataCentre})
 	}
-	return btmember.NewPlan(btmember.DefaultFanOut(), entries, PlacesOf(a))
+	return btmember.NewPlan(fanOutOf(len(entries)), entries, PlacesOf(a))
 }
--- a/io/btprocess/status.go
+++ b/io/btprocess/status.go
@@ -31,6 +31,8 @@
 	Bundle      BundleStatus     `json:"bundle"`
 	// Readers tells who reads the configuration service.
 	Readers Readers `json:"readers"`
+	// Peers is what the connections to other processes amount to.
+	Peers btpeer.Stats `json:"peers"`
 	// CertificateDays is how many whole days this process's certificate is good
 	// for.
 	CertificateDays int64 `json:"certificate_days"`
@@ -115,6 +117,7 @@
 		}
 	}
 	s.Readers = bundles.Readers()
+	s.Peers = bundles.options.Node.Stats()
 	s.CertificateDays = meter.Gauge(btkeys.MetricDaysLeft).Value()
 	return s
 }
--- a/io/btprocess/stop.go
+++ b/io/btprocess/stop.go
@@ -68,14 +68,16 @@
 }
 
 // Run carries out the steps when a stop begins, and returns after the last or
-// when the context ends.
+// when the context ends. The clock matters only from the first step on.
 func (s *Stop) Run(ctx context.Context, steps StopSteps) {
-	go s.loop.Every(ctx, stopTick, func() btmember.DrainEvent { return btmember.DrainTick{} })
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case effect := <-s.steps:
+			if _, begun := effect.(btmember.Unready); begun {
+				go s.loop.Every(ctx, stopTick, func() btmember.DrainEvent { return btmember.DrainTick{} })
+			}
 			if s.take(steps, effect) {
 				return
 			}
