--- a/core/btanswer/frame.go
+++ b/core/btanswer/frame.go
@@ -55,6 +55,9 @@
 	if len(f.Data) == 0 && f.End == nil {
 		return fmt.Errorf("%w: neither data nor end", ErrFrame)
 	}
+	if f.End != nil && f.End.Total != f.Offset+uint64(len(f.Data)) {
+		return fmt.Errorf("%w: end at %d of %d bytes", ErrFrame, f.Offset+uint64(len(f.Data)), f.End.Total)
+	}
 	return nil
 }
 
--- a/core/btserve/btserve.go
+++ b/core/btserve/btserve.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -21,15 +22,55 @@
 // ErrMessage is wrapped by the error of every malformed message.
 var ErrMessage = errors.New("malformed serve message")
 
+// Limits of a request, which the entry holds callers to.
 const (
-	maxMethodBytes = 16
-	maxPathBytes   = 8 << 10
-	maxHeaders     = 128
+	// MaxMethodBytes is the longest method.
+	MaxMethodBytes = 16
+	// MaxPathBytes is the longest escaped path with its query.
+	MaxPathBytes = 8 << 10
+	// MaxHeaders is the most header fields of different names.
+	MaxHeaders = 128
+)
+
+// Reasons that agents give and by which entries tell whose fault it was.
+const (
+	// ReasonTargetUnreachable: the target saw nothing of the request.
+	ReasonTargetUnreachable btrequest.Reason = "target_unreachable"
+	// ReasonTargetLost: contact with the target was lost before its answer.
+	ReasonTargetLost btrequest.Reason = "target_lost"
+	// ReasonDeadline: the deadline passed while the target worked.
+	ReasonDeadline btrequest.Reason = "deadline_passed_running"
 )
 
 // Header is the part of an HTTP header that is passed through, keys in
-// canonical form.
-type Header map[string][]string
+// canonical form. Values travel as bytes, since HTTP doesn't hold them to UTF-8.
+type Header map[string][]cbor.ByteString
+
+// HeaderOf returns the fields as they travel.
+func HeaderOf(h http.Header) Header {
+	out := make(Header, len(h))
+	for name, values := range h {
+		list := make([]cbor.ByteString, len(values))
+		for i, value := range values {
+			list[i] = cbor.ByteString(value)
+		}
+		out[name] = list
+	}
+	return out
+}
+
+// HTTP returns the fields as net/http has them.
+func (h Header) HTTP() http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		list := make([]string, len(values))
+		for i, value := range values {
+			list[i] = string(value)
+		}
+		out[name] = list
+	}
+	return out
+}
 
 // Request asks an agent to have its target serve one request.
 type Request struct {
@@ -82,16 +123,16 @@
 	if !r.Priority.Valid() {
 		return fmt.Errorf("%w: priority %d", ErrMessage, r.Priority)
 	}
-	if r.Method == "" || len(r.Method) > maxMethodBytes {
+	if r.Method == "" || len(r.Method) > MaxMethodBytes {
 		return fmt.Errorf("%w: method of %d bytes", ErrMessage, len(r.Method))
 	}
-	if r.Path == "" || r.Path[0] != '/' || len(r.Path) > maxPathBytes {
+	if r.Path == "" || r.Path[0] != '/' || len(r.Path) > MaxPathBytes {
 		return fmt.Errorf("%w: path of %d bytes", ErrMessage, len(r.Path))
 	}
-	if len(r.Header) > maxHeaders {
+	if len(r.Header) > MaxHeaders {
 		return fmt.Errorf("%w: %d headers", ErrMessage, len(r.Header))
 	}
-	if !(r.Weight > 0) {
+	if !(r.Weight > 0) || math.IsInf(r.Weight, 1) {
 		return fmt.Errorf("%w: weight %v", ErrMessage, r.Weight)
 	}
 	return nil
@@ -135,6 +176,9 @@
 	if err := h.Executor.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", ErrMessage, err)
 	}
+	if h.RetryAfter < 0 {
+		return fmt.Errorf("%w: retry after %v", ErrMessage, h.RetryAfter)
+	}
 	switch h.Verdict {
 	case Accepted, Replayed:
 		return validStatus(h.Status)
--- a/io/btagent/admission.go
+++ b/io/btagent/admission.go
@@ -18,9 +18,9 @@
 // admission runs the queue before the target's slots: each request waits here
 // until it may start or is refused.
 type admission struct {
+	clock btloop.Clock
 	queue *btqueue.Queue
 	loop  *btloop.Loop[btqueue.Event, btqueue.Effect]
-	idle  chan struct{}
 
 	mu sync.Mutex
 	// words holds the requests that wait or run.
@@ -29,8 +29,8 @@
 
 func newAdmission(settings btqueue.Settings, clock btloop.Clock, random *rand.Rand, assert *btassert.Asserter) *admission {
 	a := &admission{
+		clock: clock,
 		queue: btqueue.New(settings, random, assert),
-		idle:  make(chan struct{}),
 		words: map[btid.Request]chan *btqueue.Refuse{},
 	}
 	a.loop = btloop.New(a.queue, clock, a.apply)
@@ -52,15 +52,38 @@
 	select {
 	case refusal := <-word:
 		return refusal
-	case <-ctx.Done():
+	default:
+		return a.await(ctx, word, arrived)
 	}
-	a.loop.Post(btqueue.Cancelled{ID: arrived.ID})
+}
+
+// await waits in the queue, until the deadline at the latest.
+func (a *admission) await(ctx context.Context, word <-chan *btqueue.Refuse, arrived btqueue.Arrived) *btqueue.Refuse {
+	due := time.NewTimer(arrived.Deadline.Sub(a.clock()))
+	defer due.Stop()
+	for {
+		select {
+		case refusal := <-word:
+			return refusal
+		case <-due.C:
+			// The queue refuses what is past its deadline with any event.
+			a.loop.Post(btqueue.Tick{})
+		case <-ctx.Done():
+			return a.cancel(word, arrived.ID)
+		}
+	}
+}
+
+// cancel takes a request out of the queue, or gives back the slot that it got
+// meanwhile.
+func (a *admission) cancel(word <-chan *btqueue.Refuse, id btid.Request) *btqueue.Refuse {
+	a.loop.Post(btqueue.Cancelled{ID: id})
 	refusal := <-word
-	if refusal == nil {
-		a.finish(arrived.ID, 0)
-		return &btqueue.Refuse{ID: arrived.ID, Reason: btqueue.ReasonCancelled}
+	if refusal != nil {
+		return refusal
 	}
-	return refusal
+	a.finish(id, 0)
+	return &btqueue.Refuse{ID: id, Reason: btqueue.ReasonCancelled}
 }
 
 // register makes room for the queue's word, false for an identity that waits or
@@ -84,8 +107,10 @@
 
 // finish gives a slot back after the target worked for the time took.
 func (a *admission) finish(id btid.Request, took time.Duration) {
-	a.forget(id)
+	// The queue learns first, so that it knows of no run whose word is gone: it
+	// would leave an arrival of that identity without an answer.
 	a.loop.Post(btqueue.Finished{ID: id, Took: took})
+	a.forget(id)
 }
 
 func (a *admission) apply(effect btqueue.Effect) {
@@ -94,8 +119,6 @@
 		a.tell(e.ID, nil)
 	case btqueue.Refuse:
 		a.tell(e.ID, &e)
-	case btqueue.Idle:
-		close(a.idle)
 	}
 }
 
--- a/io/btagent/reason.go
+++ b/io/btagent/reason.go
@@ -1,19 +1,23 @@
 package btagent
 
-import "bilberrytide/core/btrequest"
+import (
+	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btserve"
+)
 
 // Reasons for which an agent refuses a request.
 const (
 	// ReasonRepeated: an attempt of the same identity waits or runs already.
 	ReasonRepeated btrequest.Reason = "attempt_repeated"
-	// ReasonWrongService: the agent's target doesn't serve the service.
+	// ReasonWrongService: the agent's target doesn't serve the service, or no
+	// bundle in force lists it.
 	ReasonWrongService btrequest.Reason = "wrong_service"
 	// ReasonTargetUnreachable: the target saw nothing of the request.
-	ReasonTargetUnreachable btrequest.Reason = "target_unreachable"
+	ReasonTargetUnreachable = btserve.ReasonTargetUnreachable
 	// ReasonTargetLost: contact with the target was lost before its answer.
-	ReasonTargetLost btrequest.Reason = "target_lost"
+	ReasonTargetLost = btserve.ReasonTargetLost
 	// ReasonGrantMalformed: the request's grant can't be decoded.
 	ReasonGrantMalformed btrequest.Reason = "grant_malformed"
 	// ReasonDeadline: the deadline passed while the target worked.
-	ReasonDeadline btrequest.Reason = "deadline_passed_running"
+	ReasonDeadline = btserve.ReasonDeadline
 )
--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -47,7 +47,7 @@
 func (v *serving) relay(response *bttarget.Response, kept *keeper) error {
 	head := v.head(btserve.Accepted)
 	head.Status = response.Status
-	head.Header = btserve.Header(response.Header)
+	head.Header = btserve.HeaderOf(response.Header)
 	sendErr := btpeer.Send(v.stream, head)
 	cutter := btanswer.NewCutter(v.request.ID)
 	pooled := relayBuffers.Get().(*[relayBytes]byte)
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -59,7 +58,15 @@
 	if err := v.readGrant(); err != nil {
 		return v.refuse(btrequest.Unknown, ReasonGrantMalformed, 0, nil)
 	}
-	if refusal := p.admission.admit(ctx, v.arrived()); refusal != nil {
+	if !v.agent.ready.Load() {
+		return v.turnAway(&btqueue.Refuse{ID: v.request.ID, Reason: ReasonWrongService})
+	}
+	refusal := p.admission.admit(ctx, v.arrived())
+	if refusal != nil && refusal.Reason == ReasonRepeated {
+		// The first stream of this identity tells what becomes of it.
+		return v.refuse(btrequest.Unknown, ReasonRepeated, 0, nil)
+	}
+	if refusal != nil {
 		return v.turnAway(refusal)
 	}
 	began := v.agent.options.Clock()
@@ -166,7 +173,7 @@
 	}
 	v.place.ledger.keep(v.grant.Claim, answer{
 		status: response.Status,
-		header: btserve.Header(response.Header),
+		header: btserve.HeaderOf(response.Header),
 		body:   kept.data,
 	})
 	return err
@@ -215,10 +222,7 @@
 	if r.Resume > 0 {
 		return bttarget.ResumeRequest(r.First, r.Resume)
 	}
-	header := http.Header(r.Header).Clone()
-	if header == nil {
-		header = http.Header{}
-	}
+	header := r.Header.HTTP()
 	header.Set(headerRequestID, r.First.String())
 	return bttarget.Request{Method: r.Method, URI: r.Path, Header: header, Body: r.Body}
 }
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -13,6 +13,7 @@
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btretry"
 	"bilberrytide/core/btserve"
 	"bilberrytide/core/btwire"
 	"bilberrytide/io/bthttp"
@@ -34,6 +35,9 @@
 	atFault bool
 	// status is the target's, where it answered.
 	status int
+	// again is set where the retry of a target's own error was decided while its
+	// answer could still be passed on.
+	again *btretry.Decision
 }
 
 // order is what an attempt sends where.
@@ -41,9 +45,9 @@
 	pick   pick
 	grant  *btclaim.Grant
 	resume uint64
-	// lastly tells that an error of the target's own is passed on rather than
-	// tried elsewhere.
-	lastly bool
+	// again decides whether an error of the target's own is tried elsewhere; it
+	// is passed on where that says no. Nil says no.
+	again func(attempt) btretry.Decision
 }
 
 // sender carries attempts to agents and relays their answers.
@@ -91,10 +95,10 @@
 		Account:   x.account.Name,
 		Weight:    x.account.Weight,
 		Priority:  x.call.Priority,
-		Remaining: x.deadline.Sub(s.entry.options.Clock()),
+		Remaining: remaining(x.deadline.Sub(s.entry.options.Clock())),
 		Method:    x.call.Method,
 		Path:      x.call.Path,
-		Header:    btserve.Header(x.call.Header),
+		Header:    btserve.HeaderOf(x.call.Header),
 		Body:      x.call.Body,
 		Stream:    x.call.Stream,
 		Resume:    o.resume,
@@ -108,30 +112,66 @@
 	return r, err
 }
 
+const (
+	// evidenceShare and evidenceWait bound the part of the time left that is
+	// kept for the agent's word on a request whose deadline has passed: without
+	// it a request that only waited would have to be told as unknown.
+	evidenceShare = 8
+	evidenceWait  = 50 * time.Millisecond
+)
+
+// remaining returns the time that an agent has of the time left.
+func remaining(left time.Duration) time.Duration {
+	return left - min(max(left, 0)/evidenceShare, evidenceWait)
+}
+
 // take goes on from the agent's first word.
 func (s *sender) take(ctx context.Context, x *exchange, o order, stream *btpeer.Stream, head btserve.Head) attempt {
 	if head.Verdict == btserve.Refused {
 		return s.refused(head)
 	}
 	result := attempt{load: head.Load, status: head.Status}
-	if targetFailed(head.Status) && !o.lastly && !x.answer.Started() {
+	header := head.Header.HTTP()
+	if o.resume > 0 && !bthttp.IsEvents(head.Status, header) {
 		result.outcome = btrequest.Unknown
-		result.reason = ReasonTargetError
-		result.atFault = true
+		result.reason = ReasonAnswerCut
+		result.atFault = targetFailed(head.Status)
+		return result
+	}
+	if targetFailed(head.Status) && s.elsewhere(o, &result) {
 		return result
 	}
 	if head.Verdict == btserve.Replayed {
 		x.writer.Header().Set(bthttp.HeaderReplayed, "true")
 	}
-	x.answer.Begin(head.Status, http.Header(head.Header))
+	x.answer.Begin(head.Status, header)
 	s.relay(ctx, x, o, stream, head.ID, &result)
 	return result
 }
 
+// elsewhere tells whether a target's own error is tried elsewhere, and then
+// makes it the attempt's end.
+func (s *sender) elsewhere(o order, result *attempt) bool {
+	if o.again == nil {
+		return false
+	}
+	failed := *result
+	failed.outcome = btrequest.Unknown
+	failed.reason = ReasonTargetError
+	failed.atFault = true
+	again := o.again(failed)
+	if !again.Retry {
+		return false
+	}
+	failed.again = &again
+	*result = failed
+	return true
+}
+
 func (s *sender) refused(head btserve.Head) attempt {
 	result := attempt{outcome: head.Outcome, reason: head.Reason, retryAfter: head.RetryAfter, load: head.Load}
 	if len(head.Sealed) == 0 {
-		result.atFault = head.Outcome == btrequest.Unknown
+		result.atFault = head.Reason == btserve.ReasonTargetUnreachable || head.Reason == btserve.ReasonTargetLost
 		return result
 	}
 	refused, err := btwire.Decode[btclaim.Refused](head.Sealed)
@@ -155,7 +195,8 @@
 			return
 		}
 		piece, err := assembler.Add(frame)
-		if piece.Dropped != "" {
+		if piece.Dropped != "" && err == nil {
+			// A frame that ends the attempt is counted as the attempt's end.
 			s.entry.options.Meter.Refused(piece.Dropped)
 		}
 		if first && len(piece.Data) > 0 {
@@ -179,13 +220,16 @@
 		}
 	}
 	if err != nil {
-		result.reason = ReasonAnswerCut
-		result.atFault = true
+		s.cut(x, result)
 		return true
 	}
 	if !piece.Whole {
 		return false
 	}
+	if unfinished(x, result.status) {
+		s.cut(x, result)
+		return true
+	}
 	if err := x.answer.Whole(); err != nil {
 		result.reason = ReasonCallerGone
 		return true
@@ -195,6 +239,24 @@
 	return true
 }
 
+// cut ends an attempt whose answer broke off, as one does that an agent ends at
+// its deadline.
+func (s *sender) cut(x *exchange, result *attempt) {
+	now := s.entry.options.Clock()
+	if !now.Before(x.deadline.Add(-evidenceWait)) {
+		result.reason = ReasonDeadline
+		return
+	}
+	result.reason = ReasonAnswerCut
+	result.atFault = true
+}
+
+// unfinished tells whether an engine's stream came to its end without its last
+// event.
+func unfinished(x *exchange, status int) bool {
+	return x.call.Completion && x.answer.Streaming() && status < http.StatusMultipleChoices && !x.answer.Ended()
+}
+
 // failed turns an error of the way to the agent into the attempt's end.
 func (s *sender) failed(ctx context.Context, x *exchange, err error, reason btrequest.Reason) attempt {
 	result := attempt{outcome: btrequest.Unknown, reason: reason, atFault: true}
@@ -221,5 +283,5 @@
 
 // resumable tells whether an engine can go on with the broken answer.
 func resumable(x *exchange) bool {
-	return x.service.Kind == btbundle.Model && x.answer.Streaming() && x.answer.Events() > 0
+	return x.service.Kind == btbundle.Model && x.answer.Resumable()
 }
--- a/io/btentry/dispatch.go
+++ b/io/btentry/dispatch.go
@@ -10,7 +10,6 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btload"
 	"bilberrytide/core/btrequest"
-	"bilberrytide/core/btretry"
 	"bilberrytide/core/btroute"
 	"bilberrytide/core/btserve"
 	"bilberrytide/io/btpeer"
@@ -56,36 +55,6 @@
 	return r
 }
 
-// repeatable sends a request that may run more than once.
-func (d *dispatch) repeatable(ctx context.Context, x *exchange) *btrequest.Refusal {
-	request := wanted(x)
-	ran := false
-	var last attempt
-	for number := 1; ; number++ {
-		p, err := d.entry.fleet.pick(request)
-		if err != nil {
-			return d.noTarget(x, err, last, ran)
-		}
-		last = d.try(ctx, x, &p, request, order{lastly: number >= x.bundle.Bundle.Retry.MaxAttempts})
-		if last.outcome == btrequest.Done {
-			return nil
-		}
-		ran = ran || last.outcome == btrequest.Unknown
-		again := d.decide(x, last, p, number)
-		if !again.Retry {
-			return refusalOf(last, ran)
-		}
-		d.entry.options.Meter.Retried(last.reason)
-		if !wait(ctx, again.At.Sub(d.entry.options.Clock())) {
-			return refusalOf(last, ran)
-		}
-		if again.Resume {
-			return d.resume(ctx, x, p, request, last)
-		}
-		request.Tried = append(request.Tried, p.executor.Target)
-	}
-}
-
 // try makes one attempt and counts it.
 func (d *dispatch) try(ctx context.Context, x *exchange, p *pick, request btroute.Request, o order) attempt {
 	d.entry.fleet.sent(p, request)
@@ -95,37 +64,7 @@
 	return result
 }
 
-func (d *dispatch) decide(x *exchange, last attempt, p pick, number int) btretry.Decision {
-	again := d.entry.fleet.decide(btretry.Attempt{
-		Outcome:       last.outcome,
-		Number:        number,
-		Deadline:      x.deadline,
-		Needed:        p.choice.Expected,
-		FirstByteSent: x.answer.Started(),
-		Resumable:     resumable(x),
-	})
-	if last.reason == ReasonCallerGone {
-		again.Retry = false
-	}
-	if !again.Retry {
-		d.entry.options.Meter.Refused(again.Reason)
-	}
-	return again
-}
-
-// resume asks the engine for the rest of a stream that broke off.
-func (d *dispatch) resume(ctx context.Context, x *exchange, p pick, request btroute.Request, last attempt) *btrequest.Refusal {
-	result := d.try(ctx, x, &p, request, order{resume: x.answer.Events(), lastly: true})
-	if result.outcome == btrequest.Done && result.status < 300 {
-		return nil
-	}
-	return refusalOf(last, true)
-}
-
-func (d *dispatch) noTarget(x *exchange, err error, last attempt, ran bool) *btrequest.Refusal {
-	if last.reason != "" {
-		return refusalOf(last, ran)
-	}
+func noTarget(x *exchange, err error) *btrequest.Refusal {
 	var none *btroute.NoTargetError
 	if !errors.As(err, &none) {
 		return btrequest.Refuse(btroute.NoLiveTarget, noTargetWait, "%v", err)
@@ -168,6 +107,8 @@
 	request  btroute.Request
 	client   *btclaim.Client
 	picked   pick
+	// silent is why the executor's answer did not come.
+	silent btrequest.Reason
 }
 
 func (c *claimFlow) run(ctx context.Context) *btrequest.Refusal {
@@ -222,28 +163,34 @@
 	defer cancel()
 	reply, err := btpeer.Call[Q, btclaim.AcquireReply](ctx, c.dispatch.entry.options.Node, endpoint, kind, message)
 	if err != nil {
-		c.dispatch.entry.options.Meter.Refused(btclaim.HomeUnreachable)
+		c.dispatch.entry.options.Meter.Refused(reasonHomeSilent)
 		return silent
 	}
 	return reply
 }
 
+// reasonHomeSilent counts questions to key homes that got no answer.
+const reasonHomeSilent btrequest.Reason = "key_home_silent"
+
 // serve sends the request to the executor that its grant names.
 func (c *claimFlow) serve(ctx context.Context, grant btclaim.Grant) btclaim.ClientEvent {
 	p := c.picked
 	if p.executor != grant.Executor {
 		p = pick{executor: grant.Executor}
 	}
-	result := c.dispatch.try(ctx, c.x, &p, c.request, order{grant: &grant, lastly: true})
+	result := c.dispatch.try(ctx, c.x, &p, c.request, order{grant: &grant})
 	switch {
 	case result.outcome == btrequest.Done:
 		return btclaim.Served{Attempt: grant.Attempt}
 	case result.refused != nil:
-		c.dispatch.entry.options.Meter.Retried(result.reason)
+		if result.refused.Sealed != nil {
+			c.dispatch.entry.options.Meter.Retried(result.reason)
+		}
 		return *result.refused
 	case result.reason == btclaim.InProgressElsewhere:
 		return btclaim.Running{Attempt: grant.Attempt}
 	}
+	c.silent = result.reason
 	return btclaim.ExecutorSilent{Attempt: grant.Attempt}
 }
 
@@ -253,9 +200,14 @@
 		return nil
 	case btrequest.NotRun:
 		if c.x.limited != nil && e.Reason == btclaim.NoExecutor {
+			// The home grants nothing of this key before its own time to come back.
+			c.x.limited.RetryAfter = max(c.x.limited.RetryAfter, e.RetryAfter)
 			return c.x.limited
 		}
 		return btrequest.Refuse(e.Reason, e.RetryAfter, "the request was not run")
 	}
+	if e.Reason == btclaim.ExecutorUnreachable && c.silent != "" {
+		e.Reason = c.silent
+	}
 	return btrequest.Lose(e.Reason, e.RetryAfter, "the request may have run; sending it again with the same %s is safe", "Idempotency-Key")
 }
--- a/io/btentry/fixture_test.go
+++ b/io/btentry/fixture_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -68,8 +69,9 @@
 
 // member is one running process of a world.
 type member struct {
-	node *btpeer.Node
-	end  func()
+	agent *btagent.Agent
+	node  *btpeer.Node
+	end   func()
 }
 
 // newWorld starts a world and returns once its entry gives work to all targets.
@@ -93,11 +95,14 @@
 		nodes[p.name] = w.node(btprocess.AgentIdentity(p.name), netip.MustParseAddrPort("127.0.0.1:0"))
 		w.addTarget(p, nodes[p.name].Address())
 	}
+	w.bundle.Services = slices.DeleteFunc(w.bundle.Services, func(s btbundle.Service) bool { return len(s.Epochs[0].Homes) == 0 })
 	if change != nil {
 		change(&w.bundle)
 	}
 	document, err := toml.Marshal(w.bundle)
 	assert.NilError(tb, err)
+	_, err = btbundle.Decode(document)
+	assert.NilError(tb, err)
 	document = btbundle.TerminateDocument(document)
 	signed := btbundle.Signed{Document: document, Signatures: []btbundle.Signature{btbundle.Sign(document, private)}}
 	_, err = store.PutConfig(configKey, signed.Bytes())
@@ -123,32 +128,41 @@
 func draft() btbundle.Bundle {
 	span := func(d time.Duration) btbundle.Span { return btbundle.Span{Duration: d} }
 	now := time.Now().UTC().Truncate(time.Second)
-	epochs := func() []btbundle.HomeEpoch { return []btbundle.HomeEpoch{{Number: 1, Since: now}} }
 	return btbundle.Bundle{
 		Version:     1,
 		Created:     now,
 		Timeouts:    btbundle.Timeouts{Request: span(20 * time.Second), RequestMax: span(30 * time.Second), Heartbeat: span(200 * time.Millisecond), TargetLease: span(5 * time.Second), Drain: span(30 * time.Second)},
-		Idempotency: btbundle.Idempotency{Retention: span(10 * time.Minute), ClockError: span(500 * time.Millisecond), Lease: span(3 * time.Second)},
+		Idempotency: btbundle.Idempotency{Retention: span(10 * time.Minute), ClockError: span(20 * time.Millisecond), Lease: span(500 * time.Millisecond)},
 		Retry:       btbundle.Retry{BudgetShare: 0.2, MaxAttempts: 3, Backoff: span(time.Millisecond)},
 		Ejection:    btbundle.Ejection{MaxShare: 0.3, Failures: 100, SlowFactor: 50, Duration: span(5 * time.Second)},
 		Placement:   btbundle.Placement{SkewWeight: 1, MoveWeight: 1, Interval: span(10 * time.Second), Horizon: span(5 * time.Minute)},
 		DataCentres: []btbundle.DataCentre{{Name: "north", Region: "home"}},
-		Services:    []btbundle.Service{{Name: plain, Kind: btbundle.Plain, MaxBody: 4 << 20, Epochs: epochs()}, {Name: model, Kind: btbundle.Model, MaxBody: 1 << 20, Epochs: epochs()}},
+		Services:    []btbundle.Service{plainService(plain), {Name: model, Kind: btbundle.Model, MaxBody: 1 << 20, Epochs: firstEpoch()}},
 		Accounts:    []btbundle.Account{{Name: "families", KeyHashes: []btbundle.Digest{btbundle.HashKey(bearer)}, Rate: 1e6, Burst: 1_000_000, Concurrency: 1000, Weight: 1}},
 	}
 }
 
-// addTarget lists a target; a service without targets is left out by then.
+func plainService(name btid.Service) btbundle.Service {
+	return btbundle.Service{Name: name, Kind: btbundle.Plain, MaxBody: 4 << 20, Epochs: firstEpoch()}
+}
+
+func firstEpoch() []btbundle.HomeEpoch {
+	return []btbundle.HomeEpoch{{Number: 1, Since: time.Now().UTC().Truncate(time.Second)}}
+}
+
+// addTarget lists a target.
 func (w *world) addTarget(p place, address netip.AddrPort) {
 	w.bundle.Targets = append(w.bundle.Targets, btbundle.Target{
 		Name: p.name, Service: p.service, Host: btid.Host("host-" + p.name), DataCentre: "north",
 		Address: address, Endpoint: w.listen(p.handler), Slots: max(p.slots, 1), Queue: p.queue,
 	})
-	for i := range w.bundle.Services {
-		if s := &w.bundle.Services[i]; s.Name == p.service {
-			s.Epochs[0].Homes = append(s.Epochs[0].Homes, p.name)
-		}
+	i := slices.IndexFunc(w.bundle.Services, func(s btbundle.Service) bool { return s.Name == p.service })
+	if i < 0 {
+		i = len(w.bundle.Services)
+		w.bundle.Services = append(w.bundle.Services, plainService(p.service))
 	}
+	epoch := &w.bundle.Services[i].Epochs[0]
+	epoch.Homes = append(epoch.Homes, p.name)
 }
 
 func (w *world) listen(h http.Handler) netip.AddrPort {
@@ -198,7 +212,7 @@
 	w.run(node, w.entry)
 }
 
-func (w *world) startAgent(name btid.Target, node *btpeer.Node) *btagent.Agent {
+func (w *world) startAgent(name btid.Target, node *btpeer.Node) {
 	client := btplatform.New(btplatform.Options{Address: w.platform})
 	agent := btagent.New(btagent.Options{
 		Target: name, DataCentre: "north", Node: node, Bundles: w.bundles(node, client),
@@ -206,7 +220,7 @@
 		Assert: btassert.New(btassert.Panic()), Random: rand.New(rand.NewPCG(1, 3)),
 	})
 	w.agents[name] = w.run(node, agent)
-	return agent
+	w.agents[name].agent = agent
 }
 
 // run runs a process until the test ends, or until it is ended like a killed
@@ -230,7 +244,12 @@
 	old := w.agents[name]
 	old.end()
 	w.startAgent(name, w.node(btprocess.AgentIdentity(name), old.node.Address()))
-	w.await(func() bool { return w.meters[string(name)].Gauge("bundle.version").Value() == 1 })
+	w.grants(http.MethodGet, "/services/pages/x", "")
+}
+
+// grants returns once the service's key home may grant: a request with a key ran.
+func (w *world) grants(method, path, body string) {
+	w.await(func() bool { return w.do(method, path, body, "Idempotency-Key", w.key()).StatusCode == http.StatusOK })
 }
 
 // await waits for a state that is reached by itself.
@@ -241,7 +260,7 @@
 			return poll.Success()
 		}
 		return poll.Continue("not reached")
-	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
 // reply is what a caller got.
@@ -252,8 +271,10 @@
 	broken error
 }
 
-func (r reply) reason() string  { return r.Header.Get(bthttp.HeaderReason) }
-func (r reply) outcome() string { return r.Header.Get(bthttp.HeaderOutcome) + r.Trailer.Get(bthttp.HeaderOutcome) }
+func (r reply) reason() string { return r.Header.Get(bthttp.HeaderReason) }
+func (r reply) outcome() string {
+	return r.Header.Get(bthttp.HeaderOutcome) + r.Trailer.Get(bthttp.HeaderOutcome)
+}
 
 // do sends a request with header fields given in pairs and reads the answer.
 func (w *world) do(method, path, body string, fields ...string) reply {
@@ -281,6 +302,25 @@
 	return reply{Response: response, body: string(data), broken: err}, nil
 }
 
+// background sends a request from another goroutine.
+func (w *world) background(answered chan<- reply, path string, fields ...string) {
+	go func() {
+		r, err := w.try(context.Background(), http.MethodPost, path, nil, fields...)
+		assert.Check(w.tb, err)
+		answered <- r
+	}()
+}
+
+// key returns a new idempotency key of the entry's.
+func (w *world) key() string {
+	var issued struct {
+		Key string `json:"idempotency_key"`
+	}
+	r := w.do(http.MethodPost, bthttp.PathKeys, "")
+	assert.NilError(w.tb, json.Unmarshal([]byte(r.body), &issued), r.body)
+	return issued.Key
+}
+
 // refused counts a reason at a process.
 func (w *world) refused(process, reason string) int64 {
 	return w.meters[process].Counter(btmetric.PrefixRefused + reason).Count()
--- a/io/btentry/http.go
+++ b/io/btentry/http.go
@@ -1,6 +1,7 @@
 package btentry
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/json"
 	"net/http"
@@ -20,28 +21,33 @@
 		caller:   r,
 		writer:   w,
 		received: e.options.Clock(),
-		answer:   bthttp.NewAnswer(w, statuses),
+		answer:   bthttp.NewAnswer(w, r.Method, statuses),
 	}
 	w.Header().Set(bthttp.HeaderRequest, x.id.String())
 	if current := e.options.Bundles.Current(); current != nil {
 		w.Header().Set(bthttp.HeaderBundle, strconv.FormatUint(uint64(current.Bundle.Version), 10))
 	}
+	x.answer.SetWriteDeadline(x.received.Add(e.longest() + answerGrace))
 	switch {
 	case r.URL.Path == bthttp.PathModels && r.Method == http.MethodGet:
-		e.listModels(x)
+		e.exchange(x, e.listModels)
 	case r.URL.Path == bthttp.PathKeys && r.Method == http.MethodPost:
-		e.issueKey(x)
+		e.exchange(x, e.issueKey)
 	default:
-		e.exchange(x)
+		e.exchange(x, e.path)
 	}
 }
 
-// exchange sends a request down the path and writes what came of it.
-func (e *Entry) exchange(x *exchange) {
+// answerGrace is how long after its deadline a request's answer may take to be
+// written, a refusal for the passed deadline among them.
+const answerGrace = 5 * time.Second
+
+// exchange has a request handled and writes what came of it.
+func (e *Entry) exchange(x *exchange, handle handler) {
 	deadline := x.received.Add(e.longest())
 	e.stop.Began(x.id, deadline)
 	defer e.stop.Ended(x.id)
-	refusal := e.path(x.caller.Context(), x)
+	refusal := handle(x.caller.Context(), x)
 	e.note(x, refusal)
 	if refusal != nil {
 		x.answer.Fail(refusal)
@@ -89,11 +95,10 @@
 }
 
 // listModels answers with the models that the account may ask for.
-func (e *Entry) listModels(x *exchange) {
-	id := &identify{current: e.options.Bundles.Current, clock: e.options.Clock}
+func (e *Entry) listModels(_ context.Context, x *exchange) *btrequest.Refusal {
+	id := &identify{current: e.options.Bundles.Current}
 	if refusal := id.account(x); refusal != nil {
-		statuses.WriteRefusal(x.writer, refusal)
-		return
+		return refusal
 	}
 	list := models{Object: "list", Data: []model{}}
 	for _, s := range x.bundle.Bundle.Services {
@@ -101,7 +106,7 @@
 			list.Data = append(list.Data, model{ID: string(s.Name), Object: "model", OwnedBy: "bilberrytide"})
 		}
 	}
-	writeJSON(x.writer, list)
+	return writeJSON(x, list)
 }
 
 // issued is a new idempotency key for a caller without a clock to trust.
@@ -110,24 +115,31 @@
 }
 
 // issueKey answers with an idempotency key that carries this entry's time.
-func (e *Entry) issueKey(x *exchange) {
-	id := &identify{current: e.options.Bundles.Current, clock: e.options.Clock}
+func (e *Entry) issueKey(_ context.Context, x *exchange) *btrequest.Refusal {
+	id := &identify{current: e.options.Bundles.Current}
 	if refusal := id.account(x); refusal != nil {
-		statuses.WriteRefusal(x.writer, refusal)
-		return
+		return refusal
 	}
 	key, err := btclaim.NewKey(e.options.Clock(), rand.Reader)
 	if err != nil {
-		statuses.WriteRefusal(x.writer, btrequest.Refuse(reasonNoEntropy, lostWait, "no random numbers: %v", err))
-		return
+		return btrequest.Refuse(reasonNoEntropy, lostWait, "no random numbers: %v", err)
 	}
-	writeJSON(x.writer, issued{Key: key})
+	return writeJSON(x, issued{Key: key})
 }
 
 const reasonNoEntropy btrequest.Reason = "no_entropy"
 
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(bthttp.HeaderOutcome, string(btrequest.Done))
-	_ = json.NewEncoder(w).Encode(value)
+// writeJSON answers with a value of this entry's own.
+func writeJSON(x *exchange, value any) *btrequest.Refusal {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// The values are plain structs of strings.
+		panic(err)
+	}
+	x.answer.Begin(http.StatusOK, http.Header{"Content-Type": {"application/json"}})
+	_ = x.answer.Add(append(data, '\n'))
+	if err := x.answer.Whole(); err != nil {
+		return btrequest.Lose(ReasonCallerGone, 0, "%v", err)
+	}
+	return nil
 }
--- a/io/btentry/identify.go
+++ b/io/btentry/identify.go
@@ -10,19 +10,19 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/io/bthttp"
-	"bilberrytide/io/btloop"
 )
 
 // bundleWait is when a caller should come back to an entry that has just
 // started.
 const bundleWait = time.Second
 
-const bearer = "Bearer "
+// bearer is the scheme of the callers' credentials, in any case.
+const bearer = "Bearer"
 
 // identify finds the client account and the service, and reads the request.
 type identify struct {
 	current func() *btbundle.Approved
-	clock   btloop.Clock
+	bodies  *bthttp.Bodies
 }
 
 var _ filter = (*identify)(nil)
@@ -31,28 +31,49 @@
 	if refusal := f.account(x); refusal != nil {
 		return refusal
 	}
-	call, refusal := bthttp.ReadCall(x.caller)
+	call, refusal := bthttp.ReadHead(x.caller)
 	if refusal != nil {
 		return refusal
 	}
 	x.call = call
-	if refusal := f.service(x); refusal != nil {
+	defer call.Release()
+	x.deadline = x.received.Add(f.timeout(x))
+	if refusal := f.read(x); refusal != nil {
 		return refusal
 	}
-	x.deadline = x.received.Add(f.timeout(x))
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	return next(ctx, x)
 }
 
+// read reads the body and finds the service, in the order in which each is
+// known. A body that trickles in is given up at the request's deadline.
+func (f *identify) read(x *exchange) *btrequest.Refusal {
+	x.answer.SetReadDeadline(x.deadline)
+	defer x.answer.SetReadDeadline(time.Time{})
+	if !x.call.Completion {
+		if refusal := f.service(x); refusal != nil {
+			return refusal
+		}
+		return x.call.ReadBody(x.caller, f.bodies, x.service.MaxBody)
+	}
+	if refusal := x.call.ReadCompletion(x.caller, f.bodies); refusal != nil {
+		return refusal
+	}
+	if refusal := f.service(x); refusal != nil {
+		return refusal
+	}
+	return x.call.CheckSize(x.service.MaxBody)
+}
+
 func (f *identify) account(x *exchange) *btrequest.Refusal {
 	x.bundle = f.current()
 	if x.bundle == nil {
 		return btrequest.Refuse(ReasonNoBundle, bundleWait, "this entry has no bundle in force yet")
 	}
 	text := x.caller.Header.Get("Authorization")
-	key, found := strings.CutPrefix(text, bearer)
-	if !found || key == "" {
+	scheme, key, found := strings.Cut(text, " ")
+	if !found || !strings.EqualFold(scheme, bearer) || key == "" {
 		return btrequest.Refuse(ReasonNoCredentials, 0, "header Authorization: want \"Bearer\" and a key")
 	}
 	account, found := x.bundle.Index.AccountByKey(key)
@@ -73,13 +94,13 @@
 		return btrequest.Refuse(ReasonForbiddenService, 0, "client account %s may not ask for service %q", x.account.Name, name)
 	}
 	x.service = service
-	if x.caller.URL.Path == bthttp.PathCompletions && service.Kind != btbundle.Model {
+	if x.call.Completion && service.Kind != btbundle.Model {
 		return btrequest.Refuse(ReasonWrongKind, 0, "service %q is not a model; use %s%s/…", name, bthttp.PathServices, name)
 	}
 	if service.KeyRequired && !x.keyed() && changes(x.call.Method) {
 		return btrequest.Refuse(ReasonKeyRequired, 0, "service %q takes %s only with header %s", name, x.call.Method, bthttp.HeaderKey)
 	}
-	return x.call.CheckSize(service.MaxBody)
+	return nil
 }
 
 var changing = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
--- /dev/null
+++ b/io/btentry/outcome_test.go
@@ -0,0 +1,223 @@
+package btentry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btclaim"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btstandin"
+)
+
+const notRun = "not_run"
+
+// TestCallersMistakes: each has its status, reason, counter and body, and no
+// target sees any of them.
+func TestCallersMistakes(t *testing.T) {
+	pages, engine := newPlain(t, "p1"), newEngine(t, "m1")
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: pages}, {name: "m1", service: model, handler: engine}}, func(b *btbundle.Bundle) {
+		b.Services[0].KeyRequired = true
+		b.Services[0].MaxBody = 8
+		b.Accounts = append(b.Accounts, btbundle.Account{Name: "guests", KeyHashes: []btbundle.Digest{btbundle.HashKey("guest")}, Services: []btid.Service{model}, Rate: 1, Burst: 1, Concurrency: 1, Weight: 1})
+	})
+	const key = "Idempotency-Key"
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		reason             string
+		fields             []string
+	}{
+		{"GET", "/elsewhere", "", 404, "bad_path", nil},
+		{"GET", "/services/Pages/x", "", 404, "bad_path", nil},
+		{"GET", "/%73ervices/pages/x", "", 404, "bad_path", nil},
+		{"GET", "/services/pages/" + strings.Repeat("x", 9000), "", 404, "bad_path", nil},
+		{"GET", completions, "", 405, "bad_method", nil},
+		{"TRACE", "/services/pages/x", "", 405, "bad_method", nil},
+		{"AVERYLONGMETHODNAME", "/services/pages/x", "", 405, "bad_method", nil},
+		{"GET", "/services/none/x", "", 404, "unknown_service", nil},
+		{"POST", completions, `{"model":"none"}`, 404, "unknown_service", nil},
+		{"POST", completions, `{"model":"pages"}`, 400, "wrong_kind", nil},
+		{"POST", completions, `{"model":"No Name"}`, 400, "bad_model", nil},
+		{"POST", completions, `{"model":"drafting"`, 400, "bad_json", nil},
+		{"POST", completions, `{"model":7}`, 400, "bad_json", nil},
+		{"POST", completions, `{"model":"drafting","x":"` + strings.Repeat("x", 1<<20) + `"}`, 413, "body_too_big", nil},
+		{"POST", completions, strings.Repeat(" ", 8<<20+1), 413, "body_too_big", nil},
+		{"GET", "/services/pages/x", "123456789", 413, "body_too_big", nil},
+		{"POST", "/services/pages/x", "", 400, "idempotency_key_required", nil},
+		{"GET", "/services/pages/x", "", 400, "bad_header", []string{bthttp.HeaderTimeout, "-1s"}},
+		{"GET", "/services/pages/x", "", 400, "bad_header", []string{bthttp.HeaderTimeout, "soon"}},
+		{"GET", "/services/pages/x", "", 400, "bad_priority", []string{bthttp.HeaderPriority, "highest"}},
+		{"POST", "/services/pages/x", "", 400, "bad_idempotency_key", []string{key, "a b"}},
+		{"POST", "/services/pages/x", "", 400, "bad_idempotency_key", []string{key, strings.Repeat("k", 256)}},
+		{"POST", "/services/pages/x", "", 400, "bad_idempotency_key", []string{key, ""}},
+		{"GET", "/services/pages/x", "", 401, "no_credentials", []string{"Authorization", "Basic x"}},
+		{"GET", "/services/pages/x", "", 401, "bad_credentials", []string{"Authorization", "bearer wrong"}},
+		{"GET", "/v1/models", "", 401, "no_credentials", []string{"Authorization", ""}},
+		{"POST", "/v1/idempotency-keys", "", 401, "bad_credentials", []string{"Authorization", "Bearer x"}},
+		{"GET", "/services/pages/x", "", 403, "forbidden_service", []string{"Authorization", "Bearer guest"}},
+	} {
+		name := fmt.Sprintf("%s %.30s %.20s %s", c.method, c.path, c.body, c.reason)
+		before := w.refused("e1", c.reason)
+		r := w.do(c.method, c.path, c.body, c.fields...)
+		t.Log(name)
+		w.checkRefusal(r, c.status, c.reason, notRun)
+		assert.Equal(t, w.refused("e1", c.reason)-before, int64(1), name)
+		assert.Equal(t, r.Header.Get("Retry-After"), "", name)
+	}
+	many := make([]string, 0, 400)
+	for i := range 130 {
+		many = append(many, fmt.Sprintf("X-%d", i), "1")
+	}
+	w.checkRefusal(w.do("GET", "/services/pages/x", "", many...), 400, "bad_header", notRun)
+	assert.Equal(t, pages.Executions().Total+engine.Executions().Total, 0)
+	list := w.do("GET", "/v1/models", "", "Authorization", "Bearer guest")
+	assert.Assert(t, strings.Contains(list.body, `"id":"drafting"`) && !strings.Contains(list.body, "pages"), list.body)
+}
+
+// TestCutBody: a body that breaks off reaches no target, and its room is given
+// back.
+func TestCutBody(t *testing.T) {
+	pages := newPlain(t, "p1")
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: pages}}, nil)
+	_, err := w.try(context.Background(), "POST", "/services/pages/x", cutReader{strings.NewReader("half")})
+	assert.ErrorIs(t, err, errBroken)
+	w.await(func() bool { return w.refused("e1", "body_cut") == 1 })
+	assert.Equal(t, pages.Executions().Total, 0)
+}
+
+// TestBodyWaitsNoLongerThanItsDeadline: a body that never ends is given up.
+func TestBodyWaitsNoLongerThanItsDeadline(t *testing.T) {
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: newPlain(t, "p1")}}, nil)
+	body, more := io.Pipe()
+	defer more.Close()
+	r, err := w.try(context.Background(), "POST", "/services/pages/x", body, bthttp.HeaderTimeout, "100ms")
+	assert.NilError(t, err)
+	w.checkRefusal(r, 400, "body_cut", notRun)
+}
+
+// TestOverLimit: a client account over its limit is refused at once and told
+// when to come back.
+func TestOverLimit(t *testing.T) {
+	t.Parallel()
+	g := newGate()
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: g, slots: 4}}, func(b *btbundle.Bundle) {
+		b.Accounts[0].Concurrency = 2
+		b.Accounts = append(b.Accounts, btbundle.Account{Name: "rare", KeyHashes: []btbundle.Digest{btbundle.HashKey("rare")}, Rate: 2, Burst: 1, Concurrency: 9, Weight: 1})
+	})
+	answered := make(chan reply, 4)
+	for range cap(answered) {
+		w.background(answered, "/services/pages/x")
+	}
+	// Those that were let in wait at the gate.
+	r := <-answered
+	w.checkRefusal(r, 429, "limit_concurrency", notRun)
+	assert.Assert(t, r.Header.Get("Retry-After") != "")
+	<-g.arrived
+	close(g.release)
+	asRare := []string{"Authorization", "Bearer rare"}
+	w.await(func() bool { return w.do("GET", "/services/pages/x", "", asRare...).StatusCode == 200 })
+	w.await(func() bool {
+		r = w.do("GET", "/services/pages/x", "", asRare...)
+		return r.StatusCode != 200
+	})
+	w.checkRefusal(r, 429, "limit_rate", notRun)
+	assert.Assert(t, r.Header.Get("Retry-After") != "")
+}
+
+// TestKeyed: a request with an idempotency key runs once, whatever comes after.
+func TestKeyed(t *testing.T) {
+	t.Parallel()
+	pages, g := newPlain(t, "p1"), newGate()
+	w := newWorld(t, []place{
+		{name: "p1", service: plain, handler: pages, slots: 4},
+		{name: "g1", service: "gates", handler: g, slots: 4},
+	}, func(b *btbundle.Bundle) {
+		b.Accounts = append(b.Accounts, btbundle.Account{Name: "rare", KeyHashes: []btbundle.Digest{btbundle.HashKey("rare")}, Rate: 2, Burst: 1, Concurrency: 9, Weight: 1})
+	})
+	w.grants("POST", "/services/pages/x", "")
+	send := func(path, body string, fields ...string) reply { return w.do("POST", path, body, fields...) }
+	const field = "Idempotency-Key"
+	key := w.key()
+	first := send("/services/pages/x", "receipt", field, key)
+	assert.Equal(t, first.StatusCode, 200, first.body)
+	again := send("/services/pages/x", "receipt", field, key)
+	assert.Equal(t, again.body, first.body)
+	assert.Equal(t, again.Header.Get(bthttp.HeaderReplayed), "true")
+	w.checkRefusal(send("/services/pages/x", "another", field, key), 422, string(btclaim.KeyReused), "unknown")
+
+	var limited []string
+	w.await(func() bool {
+		limited = []string{"Authorization", "Bearer rare", field, w.key()}
+		first = send("/services/pages/x", "receipt", limited...)
+		return first.StatusCode == 200
+	})
+	var fresh reply
+	w.await(func() bool {
+		fresh = send("/services/pages/x", "receipt", "Authorization", "Bearer rare", field, w.key())
+		return fresh.StatusCode != 200
+	})
+	w.checkRefusal(fresh, 429, "limit_rate", notRun)
+	assert.Equal(t, send("/services/pages/x", "receipt", limited...).body, first.body)
+
+	running := w.key()
+	done := make(chan reply, 1)
+	w.background(done, "/services/gates/x", field, running)
+	<-g.arrived
+	r := send("/services/gates/x", "", field, running)
+	w.checkRefusal(r, 409, string(btclaim.InProgressElsewhere), "unknown")
+	assert.Equal(t, r.Header.Get("Retry-After"), "1")
+	close(g.release)
+	assert.Equal(t, (<-done).body, "done")
+	assert.Equal(t, send("/services/gates/x", "", field, running).body, "done")
+	assert.Equal(t, len(g.arrived), 0)
+	for k, ran := range pages.Executions().Keys {
+		assert.Equal(t, ran, 1, k)
+	}
+}
+
+// TestKeyedAgentRestart: the next life of an agent knows nothing of a key, so
+// that it is told as unknown and not run again.
+func TestKeyedAgentRestart(t *testing.T) {
+	t.Parallel()
+	pages := newPlain(t, "p1")
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: pages}}, nil)
+	w.grants("POST", "/services/pages/x", "")
+	key := w.key()
+	assert.Equal(t, w.do("POST", "/services/pages/x", "", "Idempotency-Key", key).StatusCode, 200)
+	w.restart("p1")
+	r := w.do("POST", "/services/pages/x", "", "Idempotency-Key", key)
+	assert.Equal(t, r.outcome(), "unknown", r.body)
+	assert.Equal(t, pages.Executions().Keys[key], 1)
+}
+
+// TestKeyedStreamCut: a stream that may run only once is not run again when it
+// breaks off.
+func TestKeyedStreamCut(t *testing.T) {
+	t.Parallel()
+	engine, events := newEngine(t, "m1"), 3
+	w := newWorld(t, []place{{name: "m1", service: model, handler: engine}}, nil)
+	w.grants("POST", completions, prompt(false, 1))
+	assert.NilError(t, engine.SetFault(btstandin.TargetFault{CrashAfter: &events, Times: 1}))
+	r := w.do("POST", completions, prompt(true, 9), "Idempotency-Key", w.key())
+	assert.ErrorIs(t, r.broken, io.ErrUnexpectedEOF)
+	assert.Assert(t, strings.Contains(r.body, `"outcome":"unknown"`), r.body)
+	assert.Equal(t, engine.Executions().Total, 2)
+}
+
+// TestNoTarget: nothing is sent where no target can take it.
+func TestNoTarget(t *testing.T) {
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: newPlain(t, "p1")}}, func(b *btbundle.Bundle) { b.Timeouts.TargetLease.Duration = time.Second })
+	w.agents["p1"].end()
+	w.await(func() bool { return !w.entry.Status().Targets[0].Eligible })
+	r := w.do("GET", "/services/pages/x", "")
+	w.checkRefusal(r, 503, "route_no_live_target", notRun)
+	assert.Equal(t, r.Header.Get("Retry-After"), "2")
+}
--- a/io/btentry/reason.go
+++ b/io/btentry/reason.go
@@ -8,6 +8,7 @@
 	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btroute"
+	"bilberrytide/core/btserve"
 	"bilberrytide/io/bthttp"
 )
 
@@ -51,6 +52,7 @@
 	ReasonWrongKind:             http.StatusBadRequest,
 	ReasonKeyRequired:           http.StatusBadRequest,
 	ReasonDeadline:              http.StatusGatewayTimeout,
+	btserve.ReasonDeadline:      http.StatusGatewayTimeout,
 	btlimit.ReasonRate:          http.StatusTooManyRequests,
 	btlimit.ReasonConcurrency:   http.StatusTooManyRequests,
 	btqueue.ReasonDeadline:      http.StatusGatewayTimeout,
--- a/io/bthttp/answer.go
+++ b/io/bthttp/answer.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bilberrytide/core/btrequest"
 )
@@ -20,7 +21,16 @@
 
 const eventStream = "text/event-stream"
 
-var eventEnd = []byte("\n\n")
+// Ends of an event, and the field that holds its data.
+var (
+	eventEnd     = []byte("\n\n")
+	eventEndCRLF = []byte("\r\n\r\n")
+	dataField    = []byte("data:")
+	dataLine     = []byte("\ndata:")
+)
+
+// lastData is what the last event of an engine's stream holds.
+const lastData = "[DONE]"
 
 // Answer writes one answer to the caller. A plain answer of up to a megabyte is
 // held until it is whole; a longer one and a stream of events are passed on as
@@ -31,18 +41,36 @@
 	control *http.ResponseController
 	table   StatusTable
 
-	status  int
-	events  bool
-	held    bytes.Buffer
-	started bool
-	count   uint64
+	status int
+	events bool
+	// bodiless tells that the answer has fields about a body, but none follows.
+	bodiless bool
+	held     bytes.Buffer
+	// searched is how many held bytes have no end of an event in them.
+	searched int
+	started  bool
+	count    uint64
+	// broken tells that a part of an event went out, as it was too long to hold.
+	broken bool
+	// ended tells that the last event of an engine's stream went out.
+	ended bool
 }
 
-// NewAnswer returns the answer to the caller behind w.
-func NewAnswer(w http.ResponseWriter, table StatusTable) *Answer {
-	return &Answer{w: w, control: http.NewResponseController(w), table: table}
+// NewAnswer returns the answer to the caller behind w, who asked with the
+// method.
+func NewAnswer(w http.ResponseWriter, method string, table StatusTable) *Answer {
+	return &Answer{w: w, control: http.NewResponseController(w), table: table, bodiless: method == http.MethodHead}
 }
 
+// SetReadDeadline bounds the reading of the request's body; the zero time takes
+// the bound away. It must be taken away before the answer, as the server's watch
+// for a caller that goes away would take its end for that.
+func (a *Answer) SetReadDeadline(t time.Time) { _ = a.control.SetReadDeadline(t) }
+
+// SetWriteDeadline bounds the writing of the answer, so that a caller that
+// reads nothing holds no request for ever.
+func (a *Answer) SetWriteDeadline(t time.Time) { _ = a.control.SetWriteDeadline(t) }
+
 // Started tells whether any part of the answer went out.
 func (a *Answer) Started() bool { return a.started }
 
@@ -52,28 +80,59 @@
 // Streaming tells whether the answer is a stream of events.
 func (a *Answer) Streaming() bool { return a.events }
 
+// Resumable tells whether another attempt can go on after the events that went
+// out.
+func (a *Answer) Resumable() bool { return a.events && a.count > 0 && !a.broken }
+
+// Ended tells whether the last event of an engine's stream was added.
+func (a *Answer) Ended() bool { return a.ended || isLast(a.held.Bytes()) }
+
 // Begin takes the head of an attempt's answer and forgets what an earlier
 // attempt left incomplete.
 func (a *Answer) Begin(status int, header http.Header) {
 	a.held.Reset()
+	a.searched = 0
 	if a.started {
 		return
 	}
+	a.clearHeader()
 	a.status = status
 	h := a.w.Header()
 	for name, values := range PassedAnswer(header) {
 		h[name] = values
 	}
-	h.Del("Content-Length")
+	if !a.bodiless && status != http.StatusNotModified {
+		h.Del("Content-Length")
+	}
+	if len(h["Content-Type"]) == 0 {
+		// An empty value keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
+	a.events = isEventStream(header)
+}
+
+// IsEvents tells whether an answer is a stream of events.
+func IsEvents(status int, header http.Header) bool {
+	return status == http.StatusOK && isEventStream(header)
+}
+
+func isEventStream(header http.Header) bool {
 	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	a.events = err == nil && media == eventStream
+	return err == nil && media == eventStream
 }
 
 // Add takes the next bytes. The error wraps ErrCaller.
 func (a *Answer) Add(data []byte) error {
 	a.held.Write(data)
 	if a.events {
-		return a.passEvents()
+		if err := a.passEvents(); err != nil {
+			return err
+		}
+		if a.held.Len() <= wholeBufferBytes {
+			return nil
+		}
+		a.broken = true
+		a.searched = 0
 	}
 	if a.started || a.held.Len() > wholeBufferBytes {
 		return a.pass(a.held.Len())
@@ -84,17 +143,28 @@
 // Whole ends an answer that is complete and checked.
 func (a *Answer) Whole() error {
 	if !a.started {
-		h := a.w.Header()
-		h.Set("Content-Length", strconv.Itoa(a.held.Len()))
-		h.Set(HeaderOutcome, string(btrequest.Done))
-		a.w.WriteHeader(a.status)
-		a.started = true
+		a.writeHead()
 	}
 	err := a.pass(a.held.Len())
 	a.w.Header().Set(HeaderOutcome, string(btrequest.Done))
 	return err
 }
 
+// writeHead writes the head of an answer whose body is held.
+func (a *Answer) writeHead() {
+	h := a.w.Header()
+	if !a.bodiless && bodyAllowed(a.status) {
+		h.Set("Content-Length", strconv.Itoa(a.held.Len()))
+	}
+	h.Set(HeaderOutcome, string(btrequest.Done))
+	a.w.WriteHeader(a.status)
+	a.started = true
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Fail ends the answer with a refusal. Where parts of it went out already, the
 // caller's connection is broken off after an error event, so that no client can
 // take what it has for the whole; it then panics with http.ErrAbortHandler, as
@@ -102,9 +172,13 @@
 func (a *Answer) Fail(f *btrequest.Refusal) {
 	if !a.started {
 		a.clearHeader()
+		a.w.Header().Del(HeaderReplayed)
 		a.table.WriteRefusal(a.w, f)
 		return
 	}
+	if a.broken {
+		_, _ = a.w.Write(eventEnd)
+	}
 	if a.events {
 		_, _ = fmt.Fprintf(a.w, "event: error\ndata: %s\n", a.table.Body(f))
 		_ = a.control.Flush()
@@ -124,15 +198,59 @@
 
 // passEvents passes on the complete events among the held bytes.
 func (a *Answer) passEvents() error {
-	end := bytes.LastIndex(a.held.Bytes(), eventEnd)
-	if end < 0 {
+	held := a.held.Bytes()
+	size := 0
+	for from := a.searched; ; from = size {
+		end := endOfEvent(held[from:])
+		if end < 0 {
+			break
+		}
+		a.take(held[size : from+end])
+		size = from + end
+	}
+	// An end may lie across this piece and the next.
+	a.searched = max(0, len(held)-size-len(eventEndCRLF)+1)
+	if size == 0 {
 		return nil
 	}
-	size := end + len(eventEnd)
-	a.count += uint64(bytes.Count(a.held.Bytes()[:size], eventEnd))
 	return a.pass(size)
 }
 
+// take notes a complete event.
+func (a *Answer) take(event []byte) {
+	if isEvent(event) {
+		a.count++
+		a.ended = isLast(event)
+	}
+}
+
+// isEvent tells an event from a comment, such as those that keep a connection
+// open.
+func isEvent(event []byte) bool {
+	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, dataLine)
+}
+
+func isLast(event []byte) bool {
+	data, found := bytes.CutPrefix(bytes.TrimSpace(event), dataField)
+	return found && string(bytes.TrimSpace(data)) == lastData
+}
+
+// endOfEvent returns where the first event ends, -1 where none is complete.
+func endOfEvent(data []byte) int {
+	end := bytes.Index(data, eventEnd)
+	if end >= 0 {
+		end += len(eventEnd)
+	}
+	window := data
+	if end >= 0 {
+		window = data[:end]
+	}
+	if crlf := bytes.Index(window, eventEndCRLF); crlf >= 0 {
+		return crlf + len(eventEndCRLF)
+	}
+	return end
+}
+
 // pass writes the first size held bytes at once.
 func (a *Answer) pass(size int) error {
 	if !a.started {
--- /dev/null
+++ b/io/bthttp/bthttp_test.go
@@ -0,0 +1,103 @@
+package bthttp_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btrequest"
+	"bilberrytide/io/bthttp"
+)
+
+// TestBodiesAreBounded: all bodies together take no more room than there is,
+// whatever their lengths claim, and give it back.
+func TestBodiesAreBounded(t *testing.T) {
+	const room = 64 << 10
+	bodies := bthttp.NewBodies(room)
+	var calls []*bthttp.Call
+	read := func(size int, stated int64) *btrequest.Refusal {
+		request := httptest.NewRequest("PUT", "/services/pages/x", io.LimitReader(zeros{}, int64(size)))
+		request.ContentLength = stated
+		call, refusal := bthttp.ReadHead(request)
+		assert.Assert(t, refusal == nil)
+		calls = append(calls, call)
+		return call.ReadBody(request, bodies, 1<<20)
+	}
+	assert.Assert(t, read(100, 100) == nil)
+	assert.Equal(t, bodies.Held(), int64(101))
+	assert.Assert(t, read(0, 1<<20) == nil)
+	assert.Assert(t, bodies.Held() < room)
+	refused := 0
+	for range 20 {
+		if f := read(9000, -1); f != nil {
+			assert.Equal(t, f.Reason, bthttp.ReasonBodyRoom)
+			assert.Equal(t, f.Outcome, btrequest.NotRun)
+			assert.Assert(t, f.RetryAfter > 0)
+			refused++
+		}
+		assert.Assert(t, bodies.Held() <= room)
+	}
+	assert.Assert(t, refused > 0 && refused < 20, "%d refused", refused)
+	for _, c := range calls {
+		c.Release()
+		c.Release()
+	}
+	assert.Equal(t, bodies.Held(), int64(0))
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// TestAnotherAttempt: nothing of a failed attempt's head is left in the next
+// one's answer.
+func TestAnotherAttempt(t *testing.T) {
+	w := httptest.NewRecorder()
+	a := bthttp.NewAnswer(w, "GET", nil)
+	a.Begin(http.StatusOK, http.Header{"X-First": {"1"}, "Content-Type": {"text/plain"}})
+	assert.NilError(t, a.Add([]byte("half")))
+	a.Begin(http.StatusCreated, http.Header{"X-Second": {"2"}})
+	assert.NilError(t, a.Add([]byte("whole")))
+	assert.NilError(t, a.Whole())
+	assert.Equal(t, w.Code, http.StatusCreated)
+	assert.Equal(t, w.Body.String(), "whole")
+	assert.Equal(t, w.Header().Get("X-First")+w.Header().Get("Content-Type"), "")
+	assert.Equal(t, w.Header().Get("X-Second"), "2")
+}
+
+// TestEvents: only complete events go out, in any framing, and are counted.
+func TestEvents(t *testing.T) {
+	for _, c := range []struct {
+		name, in, out string
+		count         uint64
+		ended         bool
+	}{
+		{"incomplete", "data: 1\n\ndata: 2\n", "data: 1\n\n", 1, false},
+		{"carriage returns", "data: 1\r\n\r\ndata: 2\r\n", "data: 1\r\n\r\n", 1, false},
+		{"comments", ": ping\n\nid: 7\ndata: 1\n\n", ": ping\n\nid: 7\ndata: 1\n\n", 1, false},
+		{"end", "data: 1\n\ndata:[DONE]\n\n", "data: 1\n\ndata:[DONE]\n\n", 2, true},
+		{"end without its blank line", "data: 1\n\ndata: [DONE]\n", "data: 1\n\n", 1, true},
+		{"too long to hold", "data: " + strings.Repeat("x", 1<<20), "data: " + strings.Repeat("x", 1<<20-3), 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			a := bthttp.NewAnswer(w, "GET", nil)
+			a.Begin(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+			for i := range len(c.in) / 7 {
+				assert.NilError(t, a.Add([]byte(c.in[7*i:7*i+7])))
+			}
+			assert.NilError(t, a.Add([]byte(c.in[len(c.in)/7*7:])))
+			assert.Assert(t, w.Body.String() == c.out)
+			assert.Equal(t, a.Events(), c.count)
+			assert.Equal(t, a.Ended(), c.ended)
+			assert.Equal(t, a.Resumable(), c.count > 0)
+		})
+	}
+}
--- a/io/bthttp/call.go
+++ b/io/bthttp/call.go
@@ -1,17 +1,14 @@
 package bthttp
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btserve"
 )
 
 // Reasons for refusing what a caller sent.
@@ -23,6 +20,7 @@
 	ReasonBadHeader   btrequest.Reason = "bad_header"
 	ReasonBodyTooBig  btrequest.Reason = "body_too_big"
 	ReasonBodyCut     btrequest.Reason = "body_cut"
+	ReasonBodyRoom    btrequest.Reason = "body_room"
 	ReasonBadIdemKey  btrequest.Reason = "bad_idempotency_key"
 	ReasonBadPriority btrequest.Reason = "bad_priority"
 )
@@ -35,27 +33,28 @@
 	PathServices    = "/services/"
 )
 
-// maxModelBody bounds a body that must be read before its service is known.
-const maxModelBody = 8 << 20
-
-// bodyCutBackoff is when a caller whose body broke off should send it again.
-const bodyCutBackoff = time.Second
-
 // Call is one request as its caller sent it.
 type Call struct {
-	Service  btid.Service
-	Method   string
-	Path     string
-	Header   http.Header
-	Body     []byte
-	Key      btrequest.Key
-	Priority btrequest.Priority
+	Service btid.Service
+	Method  string
+	// Path is path and query as the target is to see them.
+	Path string
+	// Completion tells that this is a chat completion, whose service stands in
+	// its body.
+	Completion bool
+	Header     http.Header
+	Body       []byte
+	Key        btrequest.Key
+	Priority   btrequest.Priority
 	// Timeout is what the caller asked for; zero for none.
 	Timeout time.Duration
 	// Stream tells that the caller wants server-sent events.
 	Stream bool
 	// Prompt is the text that prefix caching goes by; nil for plain services.
 	Prompt []byte
+
+	bodies *Bodies
+	taken  int64
 }
 
 // completion is the part of a chat completion that routing needs.
@@ -65,26 +64,76 @@
 	Messages json.RawMessage `json:"messages"`
 }
 
-// ReadCall reads a request. A failure is a refusal that names the place.
-func ReadCall(r *http.Request) (*Call, *btrequest.Refusal) {
+// ReadHead reads all of a request but its body. A failure is a refusal that
+// names the place.
+func ReadHead(r *http.Request) (*Call, *btrequest.Refusal) {
 	c := &Call{Method: r.Method, Header: PassedRequest(r.Header)}
+	if f := c.readMethod(); f != nil {
+		return nil, f
+	}
 	if f := c.readHeaders(r.Header); f != nil {
 		return nil, f
 	}
-	if r.URL.Path == PathCompletions {
-		return c, c.readCompletion(r)
+	if f := c.readPath(r); f != nil {
+		return nil, f
+	}
+	return c, nil
+}
+
+// ReadBody reads the body of a request for a plain service, of up to limit
+// bytes.
+func (c *Call) ReadBody(r *http.Request, bodies *Bodies, limit int64) *btrequest.Refusal {
+	return c.readBody(r, bodies, min(limit, MaxBody))
+}
+
+// ReadCompletion reads the body of a chat completion and what routing needs of
+// it.
+func (c *Call) ReadCompletion(r *http.Request, bodies *Bodies) *btrequest.Refusal {
+	if f := c.readBody(r, bodies, MaxCompletionBody); f != nil {
+		return f
 	}
-	if strings.HasPrefix(r.URL.Path, PathServices) {
-		return c, c.readPlain(r)
+	var body completion
+	if err := json.Unmarshal(c.Body, &body); err != nil {
+		return btrequest.Refuse(ReasonBadJSON, 0, "request body: %v", err)
 	}
-	return nil, btrequest.Refuse(ReasonBadPath, 0, "no such path: %s; use %s or %s{service}/…", r.URL.Path, PathCompletions, PathServices)
+	if err := btid.CheckName(body.Model); err != nil {
+		return btrequest.Refuse(ReasonBadModel, 0, "request body: \"model\": %v", err)
+	}
+	c.Service = btid.Service(body.Model)
+	c.Stream = body.Stream
+	c.Prompt = promptOf(body.Messages)
+	return nil
+}
+
+// CheckSize refuses a body larger than the service allows.
+func (c *Call) CheckSize(limit int64) *btrequest.Refusal {
+	if int64(len(c.Body)) > limit {
+		return bodyTooBig(limit)
+	}
+	return nil
+}
+
+func (c *Call) readMethod() *btrequest.Refusal {
+	switch {
+	case c.Method == http.MethodConnect, c.Method == http.MethodTrace:
+		return btrequest.Refuse(ReasonBadMethod, 0, "method %s is not passed on", c.Method)
+	case len(c.Method) > btserve.MaxMethodBytes:
+		return btrequest.Refuse(ReasonBadMethod, 0, "method of %d bytes, at most %d", len(c.Method), btserve.MaxMethodBytes)
+	}
+	return nil
 }
 
 func (c *Call) readHeaders(h http.Header) *btrequest.Refusal {
+	if len(c.Header) > btserve.MaxHeaders {
+		return btrequest.Refuse(ReasonBadHeader, 0, "%d header fields, at most %d", len(c.Header), btserve.MaxHeaders)
+	}
 	c.Key = btrequest.Key(h.Get(HeaderKey))
 	if err := c.Key.Validate(); err != nil {
 		return btrequest.Refuse(ReasonBadIdemKey, 0, "header %s: %v", HeaderKey, err)
 	}
+	if values := h.Values(HeaderKey); len(values) > 1 || len(values) == 1 && c.Key == "" {
+		return btrequest.Refuse(ReasonBadIdemKey, 0, "header %s: want one key", HeaderKey)
+	}
 	if text := h.Get(HeaderTimeout); text != "" {
 		d, err := time.ParseDuration(text)
 		if err != nil || d <= 0 {
@@ -105,72 +154,49 @@
 	return nil
 }
 
-func (c *Call) readCompletion(r *http.Request) *btrequest.Refusal {
-	if r.Method != http.MethodPost {
-		return btrequest.Refuse(ReasonBadMethod, 0, "%s takes POST, not %s", PathCompletions, r.Method)
+func (c *Call) readPath(r *http.Request) *btrequest.Refusal {
+	target := rawTarget(r)
+	if len(target) > btserve.MaxPathBytes {
+		return btrequest.Refuse(ReasonBadPath, 0, "path and query of %d bytes, at most %d", len(target), btserve.MaxPathBytes)
 	}
-	c.Path = r.URL.EscapedPath()
-	if f := c.readBody(r); f != nil {
-		return f
+	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return btrequest.Refuse(ReasonBadPath, 0, "path: bytes that must be escaped")
 	}
-	var body completion
-	if err := json.Unmarshal(c.Body, &body); err != nil {
-		return btrequest.Refuse(ReasonBadJSON, 0, "request body: %v", err)
+	if r.URL.Path == PathCompletions {
+		return c.readCompletionPath(target)
 	}
-	if err := btid.CheckName(body.Model); err != nil {
-		return btrequest.Refuse(ReasonBadModel, 0, "request body: \"model\": %v", err)
+	if rest, found := strings.CutPrefix(target, PathServices); found {
+		return c.readServicePath(rest)
 	}
-	c.Service = btid.Service(body.Model)
-	c.Stream = body.Stream
-	c.Prompt = promptOf(body.Messages)
-	return nil
+	return btrequest.Refuse(ReasonBadPath, 0, "no such path: %s; use %s or %s{service}/…", r.URL.Path, PathCompletions, PathServices)
 }
 
-func (c *Call) readPlain(r *http.Request) *btrequest.Refusal {
-	rest := strings.TrimPrefix(r.URL.EscapedPath(), PathServices)
-	name, path, _ := strings.Cut(rest, "/")
-	if err := btid.CheckName(name); err != nil {
-		return btrequest.Refuse(ReasonBadPath, 0, "path: service: %v", err)
+// rawTarget returns path and query just as the caller sent them.
+func rawTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
 	}
-	c.Service = btid.Service(name)
-	c.Path = "/" + path
-	if r.URL.RawQuery != "" {
-		c.Path += "?" + r.URL.RawQuery
-	}
-	return c.readBody(r)
+	return r.URL.RequestURI()
 }
 
-func (c *Call) readBody(r *http.Request) *btrequest.Refusal {
-	if r.ContentLength > maxModelBody {
-		return bodyTooBig(r.ContentLength, maxModelBody)
-	}
-	var buffer bytes.Buffer
-	n, err := io.Copy(&buffer, io.LimitReader(r.Body, maxModelBody+1))
-	if err != nil {
-		return btrequest.Refuse(ReasonBodyCut, bodyCutBackoff, "request body broke off after %d bytes: %v", n, bodyError(err))
+func (c *Call) readCompletionPath(target string) *btrequest.Refusal {
+	if c.Method != http.MethodPost {
+		return btrequest.Refuse(ReasonBadMethod, 0, "%s takes POST, not %s", PathCompletions, c.Method)
 	}
-	if n > maxModelBody {
-		return bodyTooBig(n, maxModelBody)
-	}
-	c.Body = buffer.Bytes()
+	c.Completion = true
+	c.Path = target
 	return nil
 }
 
-// CheckSize refuses a body larger than the service allows.
-func (c *Call) CheckSize(limit int64) *btrequest.Refusal {
-	if int64(len(c.Body)) > limit {
-		return bodyTooBig(int64(len(c.Body)), limit)
+func (c *Call) readServicePath(rest string) *btrequest.Refusal {
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		end = len(rest)
 	}
-	return nil
-}
-
-func bodyTooBig(size, limit int64) *btrequest.Refusal {
-	return btrequest.Refuse(ReasonBodyTooBig, 0, "request body of %d bytes, at most %d", size, limit)
-}
-
-func bodyError(err error) error {
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return fmt.Errorf("fewer bytes than Content-Length states")
+	if err := btid.CheckName(rest[:end]); err != nil {
+		return btrequest.Refuse(ReasonBadPath, 0, "path: service: %v", err)
 	}
-	return err
+	c.Service = btid.Service(rest[:end])
+	c.Path = "/" + strings.TrimPrefix(rest[end:], "/")
+	return nil
 }
--- a/io/bthttp/headers.go
+++ b/io/bthttp/headers.go
@@ -47,6 +47,8 @@
 	out := passed(h)
 	out.Del("Authorization")
 	out.Del("Content-Length")
+	// The server of this process has answered it.
+	out.Del("Expect")
 	return out
 }
 
--- a/io/bthttp/prompt_test.go
+++ b/io/bthttp/prompt_test.go
@@ -16,7 +16,10 @@
 
 func promptOf(t *testing.T, body string) string {
 	t.Helper()
-	call, refusal := bthttp.ReadCall(httptest.NewRequest("POST", bthttp.PathCompletions, strings.NewReader(body)))
+	request := httptest.NewRequest("POST", bthttp.PathCompletions, strings.NewReader(body))
+	call, refusal := bthttp.ReadHead(request)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	refusal = call.ReadCompletion(request, bthttp.NewBodies(bthttp.DefaultBodyBytes))
 	assert.Assert(t, refusal == nil, "%v", refusal)
 	return string(call.Prompt)
 }
--- a/io/bthttp/refusal.go
+++ b/io/bthttp/refusal.go
@@ -48,6 +48,7 @@
 	ReasonBadIdemKey:  http.StatusBadRequest,
 	ReasonBodyTooBig:  http.StatusRequestEntityTooLarge,
 	ReasonBodyCut:     http.StatusBadRequest,
+	ReasonBodyRoom:    http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of a refusal.
