--- /dev/null
+++ b/core/btlimit/capacity_test.go
@@ -0,0 +1,208 @@
+package btlimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btlimit"
+)
+
+// fleetLimits are so many accounts over so many entries, each with a fixed share
+// of two slots.
+func fleetLimits(accounts, entries int) btlimit.Limits {
+	var l btlimit.Limits
+	for i := range entries {
+		l.Entries = append(l.Entries, btid.Entry(fmt.Sprintf("entry-%03d", i)))
+	}
+	for i := range accounts {
+		l.Accounts = append(l.Accounts, btlimit.Limit{Account: btid.Account(fmt.Sprintf("account-%03d", i)), Rate: 1e6, Burst: 100_000, Concurrency: 4 * entries})
+	}
+	return l
+}
+
+var fleetSizes = []struct{ accounts, entries int }{{10, 3}, {100, 40}, {690, 380}}
+
+// BenchmarkHolderSizes measures a tick and the memory of an account at one
+// entry, with a request of each account running.
+func BenchmarkHolderSizes(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(fmt.Sprintf("accounts=%d/entries=%d", s.accounts, s.entries), func(b *testing.B) {
+			limits := fleetLimits(s.accounts, s.entries)
+			before := heap()
+			h := btlimit.NewHolder(btlimit.DefaultSettings(), limits.Entries[0], 1, start, rand.New(rand.NewPCG(1, 1)))
+			h.Step(start, limits)
+			now := start.Add(time.Minute)
+			for i, a := range limits.Accounts {
+				id := btid.Request{Entry: limits.Entries[0], Incarnation: 1, Number: uint64(i + 1)}
+				h.Step(now, btlimit.Acquire{ID: id, Account: a.Account, Deadline: now.Add(time.Second)})
+			}
+			memory := float64(heap()-before) / float64(s.accounts)
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				h.Step(now, btlimit.Tick{})
+			}
+			b.ReportMetric(memory, "B/account")
+		})
+	}
+}
+
+// BenchmarkChange measures a new bundle's limits put in force at an entry that
+// has a request of each account running, with a thousand changes a day.
+func BenchmarkChange(b *testing.B) {
+	const apart = 24 * time.Hour / 1000
+	for _, s := range fleetSizes {
+		b.Run(fmt.Sprintf("accounts=%d/entries=%d", s.accounts, s.entries), func(b *testing.B) {
+			limits := fleetLimits(s.accounts, s.entries)
+			h := btlimit.NewHolder(btlimit.DefaultSettings(), limits.Entries[0], 1, start, rand.New(rand.NewPCG(1, 1)))
+			h.Step(start, limits)
+			now := start.Add(time.Minute)
+			var number uint64
+			var running []btid.Request
+			for b.Loop() {
+				b.StopTimer()
+				now = now.Add(apart)
+				for _, id := range running {
+					h.Step(now, btlimit.Release{ID: id})
+				}
+				running = running[:0]
+				for _, a := range limits.Accounts {
+					number++
+					id := btid.Request{Entry: limits.Entries[0], Incarnation: 1, Number: number}
+					h.Step(now, btlimit.Acquire{ID: id, Account: a.Account, Deadline: now.Add(time.Second)})
+					running = append(running, id)
+				}
+				limits.Accounts[0].Rate++
+				b.StartTimer()
+				h.Step(now, limits)
+				h.Step(now, btlimit.Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkHome measures an ask answered by an account's home, and the memory of
+// one loan, with every entry holding a loan of each account that the home keeps.
+func BenchmarkHome(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(fmt.Sprintf("accounts=%d/entries=%d", s.accounts, s.entries), func(b *testing.B) {
+			limits := fleetLimits(s.accounts, s.entries)
+			asks := fleetAsks(limits)
+			self := limits.Entries[0]
+			before := heap()
+			home := btlimit.NewAccountHome(btlimit.DefaultSettings(), self, start, btassert.New(btassert.Panic()))
+			home.Step(start, limits)
+			now := start.Add(5 * time.Minute)
+			loans := 0
+			for _, a := range asks {
+				a.SentAt = now
+				if _, lent := home.Step(now, btlimit.AskHeard{Ask: a})[0].(btlimit.Lend); lent {
+					loans++
+				}
+			}
+			memory := float64(heap()-before) / float64(loans)
+			assert.Equal(b, loans, len(asks))
+			n := 0
+			for b.Loop() {
+				ask := asks[n%len(asks)]
+				n++
+				ask.Number, ask.SentAt = uint64(n+1), now
+				home.Step(now, btlimit.AskHeard{Ask: ask})
+			}
+			b.ReportMetric(memory, "B/loan")
+			b.ReportMetric(float64(loans), "loans")
+		})
+	}
+}
+
+// fleetAsks returns the asks that the holders of all entries make, each with
+// demand for every account whose home is the first entry.
+func fleetAsks(limits btlimit.Limits) []btlimit.ShareAsk {
+	var asks []btlimit.ShareAsk
+	for _, entry := range limits.Entries {
+		settings := btlimit.DefaultSettings()
+		settings.AskRate = 1e6
+		h := btlimit.NewHolder(settings, entry, 1, start, rand.New(rand.NewPCG(1, 1)))
+		h.Step(start, limits)
+		now := start.Add(time.Minute)
+		for i, a := range limits.Accounts {
+			if home, _ := btlimit.Home(a.Account, limits.Entries); home != limits.Entries[0] {
+				continue
+			}
+			for n := range 12 {
+				id := btid.Request{Entry: entry, Incarnation: 1, Number: uint64(100*i + n + 1)}
+				h.Step(now, btlimit.Acquire{ID: id, Account: a.Account, Deadline: now.Add(time.Second)})
+			}
+		}
+		for _, effect := range h.Step(now.Add(time.Second), btlimit.Tick{}) {
+			if ask, ok := effect.(btlimit.Ask); ok {
+				asks = append(asks, ask.Ask)
+			}
+		}
+	}
+	return asks
+}
+
+// BenchmarkAsks gives how many asks a second an entry sends at the size to come,
+// by how many accounts it has in use, each with more requests running than its
+// fixed share and each ask granted in full.
+func BenchmarkAsks(b *testing.B) {
+	const seconds = 20
+	for _, used := range []int{10, 92, 300} {
+		b.Run(fmt.Sprint("accounts=", used), func(b *testing.B) {
+			asks := 0
+			for b.Loop() {
+				asks = asksOf(used, seconds)
+			}
+			b.ReportMetric(float64(asks)/seconds, "asks/s")
+		})
+	}
+}
+
+func asksOf(used, seconds int) int {
+	limits := fleetLimits(690, 380)
+	h := btlimit.NewHolder(btlimit.DefaultSettings(), limits.Entries[0], 1, start, rand.New(rand.NewPCG(1, 1)))
+	h.Step(start, limits)
+	begin := start.Add(time.Minute)
+	var number uint64
+	asks := 0
+	for tick := range 10 * (seconds + 5) {
+		now := begin.Add(time.Duration(tick) * 100 * time.Millisecond)
+		for i := range used {
+			// Four requests of each account end and begin anew once a second.
+			if (tick+i)%10 != 0 {
+				continue
+			}
+			for range 4 {
+				if number >= uint64(4*used) {
+					h.Step(now, btlimit.Release{ID: btid.Request{Entry: limits.Entries[0], Incarnation: 1, Number: number - uint64(4*used) + 1}})
+				}
+				number++
+				id := btid.Request{Entry: limits.Entries[0], Incarnation: 1, Number: number}
+				h.Step(now, btlimit.Acquire{ID: id, Account: limits.Accounts[i].Account, Deadline: now.Add(2 * time.Second)})
+			}
+		}
+		for _, effect := range h.Step(now, btlimit.Tick{}) {
+			if ask, ok := effect.(btlimit.Ask); ok {
+				if tick >= 50 {
+					asks++
+				}
+				h.Step(now, btlimit.LeaseHeard{Lease: grantOf(ask.Ask)})
+			}
+		}
+	}
+	return asks
+}
+
+// grantOf is the lease of a home that lends all that is wanted.
+func grantOf(a btlimit.ShareAsk) btlimit.ShareLease {
+	return btlimit.ShareLease{
+		Account: a.Account, To: a.From, Incarnation: a.Incarnation, Number: a.Number, Shape: a.Shape,
+		Slots: a.Slots.Want, Tokens: a.Tokens.Want, Duration: btlimit.DefaultSettings().Lease,
+	}
+}
--- /dev/null
+++ b/core/btroute/capacity_test.go
@@ -0,0 +1,57 @@
+package btroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btload"
+	"bilberrytide/core/btroute"
+)
+
+// BenchmarkPickSizes measures a pick and an entry's memory of one target, whose
+// view of the prefix cache is full, by how many targets the service has.
+func BenchmarkPickSizes(b *testing.B) {
+	for _, targets := range []int{10, 100, 830} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			before := heap()
+			r := newRouter(targets, 1)
+			random := rand.New(rand.NewPCG(1, 1))
+			for i := range targets {
+				r.Step(epoch, btroute.Load{Event: btload.Reported{Report: btload.Report{
+					Target: targetName(i), Incarnation: 1, Number: 1, Running: i % 16, Slots: 16,
+				}}})
+				fillView(r, i, random)
+			}
+			memory := (heap() - before) / float64(targets)
+			request := btroute.Request{Service: "s", Tokens: 2048, Prefixes: btload.Prefixes(make([]byte, 32*btload.ChunkBytes))}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := r.Pick(epoch, request)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(memory, "B/target")
+		})
+	}
+}
+
+// fillView tells of more stored prefixes than a view remembers.
+func fillView(r *btroute.Router, target int, random *rand.Rand) {
+	for first := 0; first < 3*btload.Defaults().MaxPrefixes; first += btload.MaxCacheEvents {
+		batch := btload.CacheEvents{Target: targetName(target), Epoch: 1}
+		for i := range btload.MaxCacheEvents {
+			batch.Events = append(batch.Events, btload.CacheEvent{Seq: uint64(first + i + 1), Op: btload.Stored, Prefix: random.Uint64()})
+		}
+		r.Step(epoch, btroute.Load{Event: btload.Cached{Batch: batch}})
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/io/btprocess/capacity_test.go
+++ b/io/btprocess/capacity_test.go
@@ -162,9 +162,11 @@
 }
 
 // fleetSizes are those that scripts/scale.sh runs as processes, in one data
-// centre and without load, and from there to the size to come.
+// centre and without load, from there to the size to come, and that with fewer
+// entries.
 var fleetSizes = []struct{ entries, targets, accounts, centres int }{
 	{2, 4, 1, 1}, {10, 48, 1, 1}, {24, 96, 1, 1}, {40, 90, 73, 7}, {120, 260, 218, 7}, {380, 830, 690, 7},
+	{12, 830, 690, 7}, {40, 830, 690, 7}, {120, 830, 690, 7},
 }
 
 // BenchmarkFleetPlan works out the control traffic of entries at several sizes
