--- a/core/btbench/cases.go
+++ b/core/btbench/cases.go
@@ -38,7 +38,7 @@
 		{Name: "cache_events_late", Load: faulted, Faults: Faults{From: 0, EventDelay: 5 * time.Second, EventLoss: 0.2}},
 		{Name: "peak_by_queue", Load: peak, Return: ByQueue},
 		{Name: "peak_reserved", Load: peak, Return: ByReservation},
-		{Name: "peak_reserved_strangers", Load: peak, Return: ByReservation, Strangers: true},
+		{Name: "peak_reserved_any_entry", Load: peak, Return: ByReservation, AnyEntry: true},
 		{Name: "steady_by_queue", Load: steady, Return: ByQueue},
 		{Name: "steady_reserved", Load: steady, Return: ByReservation},
 	}
--- a/core/btbench/entry.go
+++ b/core/btbench/entry.go
@@ -134,7 +134,7 @@
 	})
 }
 
-// lost is the entry's word that contact with the agent is gone.
+// lost tells the caller that contact with the agent is gone.
 func (w *world) lost(now time.Time, a *attempt) {
 	if a.over {
 		return
@@ -187,7 +187,7 @@
 	}
 	w.result.waits(wait)
 	chosen := int(c.arrival.Entry)
-	if w.strangers {
+	if w.anyEntry {
 		chosen = w.random.IntN(len(w.entries))
 	}
 	w.at(now.Add(wait), func(now time.Time) { w.submit(now, c.arrival, chosen, true) })
--- a/core/btbench/world.go
+++ b/core/btbench/world.go
@@ -31,17 +31,17 @@
 
 // world is one replay.
 type world struct {
-	fleet     Fleet
-	faults    Faults
-	returns   Return
-	strangers bool
-	now       time.Time
-	until     time.Time
-	agenda    agenda
-	random    *rand.Rand
-	engines   []*engine
-	entries   []*entry
-	result    Result
+	fleet    Fleet
+	faults   Faults
+	returns  Return
+	anyEntry bool
+	now      time.Time
+	until    time.Time
+	agenda   agenda
+	random   *rand.Rand
+	engines  []*engine
+	entries  []*entry
+	result   Result
 }
 
 // timer is one thing to happen; order breaks ties.
@@ -101,14 +101,14 @@
 // Replay runs one trace under one policy.
 func Replay(f Fleet, c Case, p Contender, trace []Arrival) Result {
 	w := &world{
-		fleet:     f,
-		faults:    c.Faults,
-		returns:   c.Return,
-		strangers: c.Strangers,
-		now:       epoch,
-		until:     epoch.Add(c.Load.Length + time.Minute),
-		random:    rand.New(rand.NewPCG(c.Load.Seed, 11)),
-		result:    newResult(c, p, len(trace)),
+		fleet:    f,
+		faults:   c.Faults,
+		returns:  c.Return,
+		anyEntry: c.AnyEntry,
+		now:      epoch,
+		until:    epoch.Add(c.Load.Length + time.Minute),
+		random:   rand.New(rand.NewPCG(c.Load.Seed, 11)),
+		result:   newResult(c, p, len(trace)),
 	}
 	w.build(p, c.Load.Seed)
 	w.start(trace)
--- a/core/btbundle/btbundle.go
+++ b/core/btbundle/btbundle.go
@@ -59,8 +59,6 @@
 	// TargetLease is how long an entry gives a target new work after its last
 	// heartbeat.
 	TargetLease Span `toml:"target_lease" json:"target_lease"`
-	// Drain is the longest that a planned stop waits for requests in flight.
-	Drain Span `toml:"drain" json:"drain"`
 }
 
 // Idempotency states how long keys are remembered.
--- a/core/btbundle/check.go
+++ b/core/btbundle/check.go
@@ -57,13 +57,10 @@
 	c.positive(t.RequestMax, "timeouts.request_max")
 	c.positive(t.Heartbeat, "timeouts.heartbeat")
 	c.positive(t.TargetLease, "timeouts.target_lease")
-	c.positive(t.Drain, "timeouts.drain")
 	c.relate(t.Request, t.RequestMax, t.Request.Duration <= t.RequestMax.Duration, "timeouts.request",
 		"%s is over request_max, which is %s", t.Request, t.RequestMax)
 	c.relate(t.TargetLease, t.Heartbeat, t.TargetLease.Duration > 2*t.Heartbeat.Duration, "timeouts.target_lease",
 		"%s must be over twice the heartbeat, which is %s, so that one lost heartbeat takes no target out", t.TargetLease, t.Heartbeat)
-	c.relate(t.Drain, t.RequestMax, t.Drain.Duration >= t.RequestMax.Duration, "timeouts.drain",
-		"%s is under request_max, which is %s: a planned stop would cut requests off", t.Drain, t.RequestMax)
 }
 
 func (c *checker) idempotency() {
--- a/core/btbundle/diff.go
+++ b/core/btbundle/diff.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"strconv"
-
-	"bilberrytide/core/btid"
-	"bilberrytide/core/btrendezvous"
+	"slices"
 )
 
 // ChangeKind names what a change does, in snake case.
@@ -46,7 +43,9 @@
 	diffServices(d, old, new)
 	diffGroups(d, old, new)
 	diffAccounts(d, old, new)
-	diffPlaces(d, old, new)
+	diffDataCentres(d, old, new)
+	diffEntries(d, old, new)
+	diffDestroyed(d, old, new)
 	diffPolicy(d, old, new)
 	return d.changes
 }
@@ -66,98 +65,55 @@
 	}
 }
 
-// named pairs the elements of two lists by name, in the order of the new list
-// with the removed ones last.
-func named[N comparable, V any](old, new []V, name func(*V) N, visit func(before, after *V)) {
-	before := byName(old, name)
-	after := byName(new, name)
-	for i := range new {
-		visit(before[name(&new[i])], &new[i])
-	}
-	for i := range old {
-		if after[name(&old[i])] == nil {
-			visit(&old[i], nil)
-		}
-	}
+// listed says how the elements of one of a bundle's lists are told of.
+type listed[N ~string, V any] struct {
+	// kind goes before the name in a change's subject.
+	kind string
+	name func(*V) N
+	// added and removed tell what becomes of the one element; changed compares
+	// the two elements of one name.
+	added, removed func(*V) string
+	changed        func(d *differ, subject string, before, after *V)
 }
 
-func diffTargets(d *differ, old, new *Bundle) {
-	name := func(t *Target) btid.Target { return t.Name }
-	named(old.Targets, new.Targets, name, func(before, after *Target) {
+// diffList tells how a list changes.
+func diffList[N ~string, V any](d *differ, l listed[N, V], old, new []V) {
+	named(old, new, l.name, func(before, after *V) {
 		switch {
 		case before == nil:
-			d.add(Added, "target "+string(after.Name), "takes work of service %s in data centre %s, %d requests at a time",
-				after.Service, after.DataCentre, after.Slots)
+			d.add(Added, l.subject(after), "%s", l.added(after))
 		case after == nil:
-			d.add(Removed, "target "+string(before.Name), "gets no new work of service %s; what is in flight ends", before.Service)
+			d.add(Removed, l.subject(before), "%s", l.removed(before))
 		default:
-			diffTarget(d, before, after)
+			l.changed(d, l.subject(after), before, after)
 		}
 	})
 }
 
-func diffTarget(d *differ, before, after *Target) {
-	subject := "target " + string(after.Name)
-	field(d, subject, "service", before.Service, after.Service)
-	field(d, subject, "host", before.Host, after.Host)
-	field(d, subject, "data centre", before.DataCentre, after.DataCentre)
-	field(d, subject, "agent's address", before.Address, after.Address)
-	field(d, subject, "endpoint", before.Endpoint, after.Endpoint)
-	field(d, subject, "requests at a time", before.Slots, after.Slots)
-	field(d, subject, "requests waiting", before.Queue, after.Queue)
-	field(d, subject, "checks fencing numbers", before.ChecksFencing, after.ChecksFencing)
-}
+func (l listed[N, V]) subject(v *V) string { return l.kind + " " + string(l.name(v)) }
 
-func diffServices(d *differ, old, new *Bundle) {
-	name := func(s *Service) btid.Service { return s.Name }
-	named(old.Services, new.Services, name, func(before, after *Service) {
-		switch {
-		case before == nil:
-			d.add(Added, "service "+string(after.Name), "callers may ask for it; it is %s", after.Kind)
-		case after == nil:
-			d.add(Removed, "service "+string(before.Name), "callers are refused")
-		default:
-			subject := "service " + string(after.Name)
-			field(d, subject, "kind", before.Kind, after.Kind)
-			field(d, subject, "largest body in bytes", before.MaxBody, after.MaxBody)
-			field(d, subject, "goal for the first token", before.FirstToken, after.FirstToken)
-			field(d, subject, "idempotency key required", before.KeyRequired, after.KeyRequired)
-			diffHomes(d, before, after)
-		}
-	})
-}
-
-// diffHomes tells which share of the idempotency keys changes its home.
-func diffHomes(d *differ, before, after *Service) {
-	subject := "service " + string(after.Name)
-	old := before.Current()
-	current := after.Current()
-	if old.Number == current.Number {
-		return
+// named pairs the elements of two lists by name, in the order of the new list
+// with the removed ones last.
+func named[N comparable, V any](old, new []V, name func(*V) N, visit func(before, after *V)) {
+	before := byName(old, name)
+	after := byName(new, name)
+	for i := range new {
+		visit(before[name(&new[i])], &new[i])
 	}
-	share := MovedShare(old.Homes, current.Homes)
-	if share == 0 {
-		d.add(KeysStay, subject, "key homes become epoch %d; no key's first home moves", current.Number)
-		return
+	for i := range old {
+		if after[name(&old[i])] == nil {
+			visit(&old[i], nil)
+		}
 	}
-	d.add(KeysMove, subject, "about %.0f%% of idempotency keys move to another home (epoch %d: %v, was %v)",
-		100*share, current.Number, current.Homes, old.Homes)
 }
 
-// movedSample is how many keys MovedShare looks at; it errs by about a point.
-const movedSample = 4096
-
-// MovedShare estimates, from a fixed sample of keys, the share of keys whose
-// first home differs between the two sets.
-func MovedShare(old, new []btid.Target) float64 {
-	moved := 0
-	for i := range movedSample {
-		key := strconv.Itoa(i)
-		before, _ := btrendezvous.First(key, old)
-		after, _ := btrendezvous.First(key, new)
-		if before != after {
-			moved++
+// without returns the values of the list that other lacks.
+func without[V comparable](list, other []V) []V {
+	var rest []V
+	for _, v := range list {
+		if !slices.Contains(other, v) {
+			rest = append(rest, v)
 		}
 	}
-	return float64(moved) / movedSample
+	return rest
 }
--- /dev/null
+++ b/core/btbundle/diff_fleet.go
@@ -0,0 +1,163 @@
+package btbundle
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"bilberrytide/core/btid"
+)
+
+func diffTargets(d *differ, old, new *Bundle) {
+	diffList(d, listed[btid.Target, Target]{
+		kind: "target",
+		name: func(t *Target) btid.Target { return t.Name },
+		added: func(t *Target) string {
+			return fmt.Sprintf("takes work of service %s in data centre %s, %d requests at a time", t.Service, t.DataCentre, t.Slots)
+		},
+		removed: func(t *Target) string {
+			return fmt.Sprintf("gets no new work of service %s; what is in flight ends", t.Service)
+		},
+		changed: diffTarget,
+	}, old.Targets, new.Targets)
+}
+
+func diffTarget(d *differ, subject string, before, after *Target) {
+	field(d, subject, "service", before.Service, after.Service)
+	field(d, subject, "host", before.Host, after.Host)
+	field(d, subject, "data centre", before.DataCentre, after.DataCentre)
+	field(d, subject, "agent's address", before.Address, after.Address)
+	field(d, subject, "endpoint", before.Endpoint, after.Endpoint)
+	field(d, subject, "requests at a time", before.Slots, after.Slots)
+	field(d, subject, "requests waiting", before.Queue, after.Queue)
+	field(d, subject, "checks fencing numbers", before.ChecksFencing, after.ChecksFencing)
+}
+
+func diffServices(d *differ, old, new *Bundle) {
+	diffList(d, listed[btid.Service, Service]{
+		kind:    "service",
+		name:    func(s *Service) btid.Service { return s.Name },
+		added:   func(s *Service) string { return fmt.Sprintf("callers may ask for it; it is %s", s.Kind) },
+		removed: func(*Service) string { return "callers are refused" },
+		changed: diffService,
+	}, old.Services, new.Services)
+}
+
+func diffService(d *differ, subject string, before, after *Service) {
+	field(d, subject, "kind", before.Kind, after.Kind)
+	field(d, subject, "largest body in bytes", before.MaxBody, after.MaxBody)
+	field(d, subject, "goal for the first token", before.FirstToken, after.FirstToken)
+	field(d, subject, "idempotency key required", before.KeyRequired, after.KeyRequired)
+	diffHomes(d, subject, before, after)
+}
+
+func diffGroups(d *differ, old, new *Bundle) {
+	diffList(d, listed[btid.Group, Group]{
+		kind: "group",
+		name: func(g *Group) btid.Group { return g.Name },
+		added: func(g *Group) string {
+			return fmt.Sprintf("%d ranks of service %s step together", len(g.Ranks), g.Service)
+		},
+		removed: func(*Group) string { return "its expert map is no longer kept" },
+		changed: diffGroup,
+	}, old.Groups, new.Groups)
+}
+
+func diffGroup(d *differ, subject string, before, after *Group) {
+	if !slices.Equal(before.Ranks, after.Ranks) {
+		d.add(Changed, subject, "its ranks change from %d to %d: the group agrees on its map anew", len(before.Ranks), len(after.Ranks))
+	}
+	field(d, subject, "service", before.Service, after.Service)
+	field(d, subject, "layers", before.Layers, after.Layers)
+	field(d, subject, "experts a layer", before.Experts, after.Experts)
+	field(d, subject, "expert slots a rank", before.SlotsPerRank, after.SlotsPerRank)
+	field(d, subject, "bytes an expert", before.ExpertBytes, after.ExpertBytes)
+	field(d, subject, "barrier", before.Barrier, after.Barrier)
+}
+
+func diffAccounts(d *differ, old, new *Bundle) {
+	diffList(d, listed[btid.Account, Account]{
+		kind: "client account",
+		name: func(a *Account) btid.Account { return a.Name },
+		added: func(a *Account) string {
+			return fmt.Sprintf("may ask: %v requests a second, %d at once", a.Rate, a.Concurrency)
+		},
+		removed: func(*Account) string { return "its keys are refused" },
+		changed: diffAccount,
+	}, old.Accounts, new.Accounts)
+}
+
+func diffAccount(d *differ, subject string, before, after *Account) {
+	field(d, subject, "requests a second", before.Rate, after.Rate)
+	field(d, subject, "burst", before.Burst, after.Burst)
+	field(d, subject, "requests at once", before.Concurrency, after.Concurrency)
+	field(d, subject, "weight", before.Weight, after.Weight)
+	if !slices.Equal(before.Services, after.Services) {
+		d.add(Changed, subject, "services become %s, were %s", serviceList(after), serviceList(before))
+	}
+	for _, hash := range without(after.KeyHashes, before.KeyHashes) {
+		d.add(Added, subject, "a key is accepted: digest %s", short(hash))
+	}
+	for _, hash := range without(before.KeyHashes, after.KeyHashes) {
+		d.add(Removed, subject, "a key is refused from now on: digest %s", short(hash))
+	}
+}
+
+func serviceList(a *Account) string {
+	if len(a.Services) == 0 {
+		return "all"
+	}
+	var names []string
+	for _, s := range a.Services {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
+
+func short(d Digest) string { return d.String()[:12] }
+
+func diffDataCentres(d *differ, old, new *Bundle) {
+	diffList(d, listed[btid.DataCentre, DataCentre]{
+		kind:    "data centre",
+		name:    func(c *DataCentre) btid.DataCentre { return c.Name },
+		added:   func(c *DataCentre) string { return fmt.Sprintf("in region %s", c.Region) },
+		removed: func(*DataCentre) string { return "nothing of the fleet stands there" },
+		changed: func(d *differ, subject string, before, after *DataCentre) {
+			field(d, subject, "region", before.Region, after.Region)
+		},
+	}, old.DataCentres, new.DataCentres)
+}
+
+func diffEntries(d *differ, old, new *Bundle) {
+	diffList(d, listed[btid.Entry, Entry]{
+		kind: "entry",
+		name: func(e *Entry) btid.Entry { return e.Name },
+		added: func(e *Entry) string {
+			return fmt.Sprintf("counts for shares of limits, in data centre %s", e.DataCentre)
+		},
+		removed: func(*Entry) string { return "no longer counts for shares of limits" },
+		changed: diffEntry,
+	}, old.Entries, new.Entries)
+}
+
+func diffEntry(d *differ, subject string, before, after *Entry) {
+	field(d, subject, "host", before.Host, after.Host)
+	field(d, subject, "data centre", before.DataCentre, after.DataCentre)
+	field(d, subject, "address", before.Address, after.Address)
+}
+
+func diffDestroyed(d *differ, old, new *Bundle) {
+	for _, host := range without(new.DestroyedHosts, old.DestroyedHosts) {
+		d.add(Added, "destroyed host "+string(host), "what only it could tell is taken as lost for good: approve only if it can't come back")
+	}
+	for _, host := range without(old.DestroyedHosts, new.DestroyedHosts) {
+		d.add(Removed, "destroyed host "+string(host), "may hold targets and entries again")
+	}
+	for _, target := range without(new.DestroyedTargets, old.DestroyedTargets) {
+		d.add(Added, "destroyed target "+string(target),
+			"counts in no majority of key homes any more: approve only if its process has ended and nothing of its memory can come back")
+	}
+	for _, target := range without(old.DestroyedTargets, new.DestroyedTargets) {
+		d.add(Removed, "destroyed target "+string(target), "its name may be used again")
+	}
+}
--- /dev/null
+++ b/core/btbundle/diff_homes.go
@@ -0,0 +1,42 @@
+package btbundle
+
+import (
+	"strconv"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btrendezvous"
+)
+
+// diffHomes tells which share of the idempotency keys changes its home.
+func diffHomes(d *differ, subject string, before, after *Service) {
+	old := before.Current()
+	current := after.Current()
+	if old.Number == current.Number {
+		return
+	}
+	share := MovedShare(old.Homes, current.Homes)
+	if share == 0 {
+		d.add(KeysStay, subject, "key homes become epoch %d; no key's first home moves", current.Number)
+		return
+	}
+	d.add(KeysMove, subject, "about %.0f%% of idempotency keys move to another home (epoch %d: %v, was %v)",
+		100*share, current.Number, current.Homes, old.Homes)
+}
+
+// movedSample is how many keys MovedShare looks at; it errs by about a point.
+const movedSample = 4096
+
+// MovedShare estimates, from a fixed sample of keys, the share of keys whose
+// first home differs between the two sets.
+func MovedShare(old, new []btid.Target) float64 {
+	moved := 0
+	for i := range movedSample {
+		key := strconv.Itoa(i)
+		before, _ := btrendezvous.First(key, old)
+		after, _ := btrendezvous.First(key, new)
+		if before != after {
+			moved++
+		}
+	}
+	return float64(moved) / movedSample
+}
--- a/core/btclaim/claim.go
+++ b/core/btclaim/claim.go
@@ -70,7 +70,7 @@
 	return EpochID{Number: epoch.Number, Digest: sha256.Sum256(data)}
 }
 
-// Grant gives one life of one executor the right to run a claim once.
+// Grant gives one incarnation of one executor the right to run a claim once.
 type Grant struct {
 	Claim Claim `cbor:"claim" json:"claim"`
 	// Content is the digest of the request's content.
@@ -103,13 +103,13 @@
 }
 
 // Sealed is an executor's proof that a grant has not run and never will, in any
-// life of the executor.
+// incarnation of the executor.
 type Sealed struct {
 	Claim   Claim  `cbor:"claim" json:"claim"`
 	Attempt uint32 `cbor:"attempt" json:"attempt"`
 	// Executor is the one that the sealed grant names.
 	Executor btid.Executor `cbor:"executor" json:"executor"`
-	// By is the executor's present life, which speaks.
+	// By is the executor's incarnation that answers.
 	By btid.Executor `cbor:"by" json:"by"`
 }
 
--- a/core/btclaim/client.go
+++ b/core/btclaim/client.go
@@ -98,7 +98,7 @@
 )
 
 // Client leads one keyed request to its final outcome. The outcome not_run is
-// told only on the home's word, and only while that word is good.
+// told only on the home's answer, and only while that answer is good.
 type Client struct {
 	settings ClientSettings
 	clock    clock
--- a/core/btclaim/clock.go
+++ b/core/btclaim/clock.go
@@ -15,7 +15,7 @@
 
 // clock never goes back. Promises of seconds are timed between readings as they
 // came in (monotonic where the caller's are). What is compared with times in
-// messages, and how long records live, goes by wall time.
+// messages, and how long records are kept, goes by wall time.
 type clock struct {
 	now  time.Time
 	wall time.Time
--- a/core/btclaim/expiring.go
+++ b/core/btclaim/expiring.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// expiring is a map whose items all live equally long from when they were added
+// expiring is a map whose items all expire equally long after they were added
 // or last renewed, with a cap on their number. Items leave in that order, so
 // that expiry costs a constant per item.
 type expiring[K comparable, V any] struct {
@@ -14,7 +14,8 @@
 	first int
 	// stale counts the arrivals in the queue that a renewal made void.
 	stale int
-	life  time.Duration
+	// ttl is an item's time to live.
+	ttl   time.Duration
 	limit int
 }
 
@@ -28,8 +29,8 @@
 	at  time.Time
 }
 
-func newExpiring[K comparable, V any](life time.Duration, limit int) *expiring[K, V] {
-	return &expiring[K, V]{items: make(map[K]held[V]), life: life, limit: limit}
+func newExpiring[K comparable, V any](ttl time.Duration, limit int) *expiring[K, V] {
+	return &expiring[K, V]{items: make(map[K]held[V]), ttl: ttl, limit: limit}
 }
 
 func (e *expiring[K, V]) get(key K) (V, bool) {
@@ -45,7 +46,7 @@
 	e.queue = append(e.queue, arrival[K]{key: key, at: now})
 }
 
-// renew lets an item that is there live its whole life from now on.
+// renew restarts the time to live of an item that is there.
 func (e *expiring[K, V]) renew(now time.Time, key K) {
 	item := e.items[key]
 	if item.at.Equal(now) {
@@ -72,7 +73,7 @@
 
 // expire removes the items whose time has passed and hands each to gone.
 func (e *expiring[K, V]) expire(now time.Time, gone func(V)) {
-	for e.first < len(e.queue) && now.Sub(e.queue[e.first].at) > e.life {
+	for e.first < len(e.queue) && now.Sub(e.queue[e.first].at) > e.ttl {
 		e.remove(e.queue[e.first], gone)
 		e.queue[e.first] = arrival[K]{}
 		e.first++
@@ -101,10 +102,10 @@
 	e.first = 0
 }
 
-// bounded tells whether the cap and the life hold after an expire.
+// bounded tells whether the cap and the time to live hold after an expire.
 func (e *expiring[K, V]) bounded(now time.Time) bool {
 	if len(e.items) > e.limit || len(e.queue)-e.first-e.stale != len(e.items) {
 		return false
 	}
-	return e.first == len(e.queue) || now.Sub(e.queue[e.first].at) <= e.life
+	return e.first == len(e.queue) || now.Sub(e.queue[e.first].at) <= e.ttl
 }
--- a/core/btclaim/grant.go
+++ b/core/btclaim/grant.go
@@ -235,10 +235,10 @@
 	return h.inquire(q)
 }
 
-// remembers tells whether neither an earlier life of this home nor a home of an
-// epoch that its bundle doesn't list can have granted the claim.
+// remembers tells whether neither an earlier incarnation of this home nor a
+// home of an epoch that its bundle doesn't list can have granted the claim.
 func (h *Home) remembers(c Claim) bool {
-	return h.youngerThan(c, h.since) && h.youngerThan(c, h.lease.witness(&h.clock))
+	return h.youngerThan(c, h.since) && h.youngerThan(c, h.lease.exclusiveSince(&h.clock))
 }
 
 // full refuses for want of memory. The promise not to grant takes none: for a
--- a/core/btclaim/home.go
+++ b/core/btclaim/home.go
@@ -28,7 +28,7 @@
 	// MaxLease is the longest lease that any bundle may state; all homes of a
 	// service must agree on it. A voter stays silent for as long after a start.
 	MaxLease time.Duration
-	// LookupWait is how long requests wait for the word of earlier homes.
+	// LookupWait is how long requests wait for the answers of earlier homes.
 	LookupWait time.Duration
 	// Hold is how long a claim isn't granted after not_run was told of it.
 	Hold time.Duration
@@ -216,7 +216,7 @@
 	same := slices.Equal(listed, h.listed) && r.Lease == h.rules.Lease
 	h.rules = r
 	h.listed = listed
-	h.records.life = r.Retention + 3*r.ClockError
+	h.records.ttl = r.Retention + 3*r.ClockError
 	h.destroyed.tell(h.clock.now, r.Destroyed)
 	if same {
 		h.lease.change(h.electorates())
--- a/core/btclaim/invariant.go
+++ b/core/btclaim/invariant.go
@@ -6,9 +6,9 @@
 const (
 	// SingleGrant: a home grants a key only if no grant of it is open.
 	SingleGrant btassert.Name = "claim_single_grant"
-	// RunsAtMostOnce: a ledger starts a claim at most once in its life, a start
-	// of which the target saw nothing apart, and only a grant addressed to its
-	// own incarnation.
+	// RunsAtMostOnce: a ledger starts a claim at most once in its incarnation, a
+	// start of which the target saw nothing apart, and only a grant addressed to
+	// its own incarnation.
 	RunsAtMostOnce btassert.Name = "claim_runs_at_most_once"
 	// SealsNoEndedRun: a started run is sealed only while it is under way and
 	// the target saw nothing of it.
--- a/core/btclaim/lease.go
+++ b/core/btclaim/lease.go
@@ -154,10 +154,10 @@
 	return list
 }
 
-// witness returns the time from which on no epoch outside the bundle's list can
-// have been granted in: any holder needed a majority of one of the electorates,
-// and so one of these voters.
-func (l *lease) witness(c *clock) time.Time {
+// exclusiveSince returns the time from which on no epoch outside the bundle's
+// list can have been granted in: any holder needed a majority of one of the
+// electorates, and so one of these voters.
+func (l *lease) exclusiveSince(c *clock) time.Time {
 	var latest time.Time
 	for _, e := range l.electorate {
 		votes := l.current(c, e)
--- a/core/btclaim/ledger.go
+++ b/core/btclaim/ledger.go
@@ -152,8 +152,8 @@
 	bytes int
 }
 
-// Ledger runs each claim at most once in its life; a start of which the target
-// saw nothing is none.
+// Ledger runs each claim at most once in its incarnation; a start of which the
+// target saw nothing is none.
 type Ledger struct {
 	settings LedgerSettings
 	assert   *btassert.Asserter
@@ -211,7 +211,7 @@
 	}
 	l.settings.Memory = r.Retention
 	l.settings.ClockError = max(l.settings.ClockError, r.ClockError)
-	l.runs.life = l.settings.Memory + l.settings.ClockError
+	l.runs.ttl = l.settings.Memory + l.settings.ClockError
 }
 
 func (l *Ledger) expire() []LedgerEffect {
@@ -249,7 +249,7 @@
 	return []LedgerEffect{l.record(g, r, refuse)}
 }
 
-// answer tells of a claim that this life of the executor started.
+// answer tells of a claim that this incarnation of the executor started.
 func (r *run) answer(g Grant) LedgerEffect {
 	if r.grant.Content != g.Content {
 		return refusal(g, KeyReused)
@@ -265,7 +265,7 @@
 	return refusal(g, AnswerLost)
 }
 
-// unprovable tells why this life can't say whether the grant ran.
+// unprovable tells why this incarnation can't say whether the grant ran.
 func (l *Ledger) unprovable(g Grant) btrequest.Reason {
 	switch {
 	case g.Executor.Incarnation != l.settings.Self.Incarnation && !l.outlived(g):
@@ -278,8 +278,8 @@
 	return ""
 }
 
-// outlived tells whether the life that the grant names was over before the
-// grant was issued, so that it can't have run it.
+// outlived tells whether the incarnation that the grant names was over before
+// the grant was issued, so that it can't have run it.
 func (l *Ledger) outlived(g Grant) bool {
 	earlier := g.Executor.Incarnation < l.settings.Self.Incarnation
 	return earlier && g.IssuedAt.Sub(l.start) > l.settings.ClockError
--- a/core/btclaim/lookup.go
+++ b/core/btclaim/lookup.go
@@ -10,9 +10,9 @@
 	"bilberrytide/core/btrequest"
 )
 
-// inquiry collects the words of a claim's earlier homes. They hold only within
-// the lease term in which they were asked for: until its end no earlier home
-// can grant, so that "never granted" stays true.
+// inquiry collects the answers of a claim's earlier homes. They hold only
+// within the lease term in which they were asked for: until its end no earlier
+// home can grant, so that "never granted" stays true.
 type inquiry struct {
 	term    uint64
 	number  uint64
@@ -84,9 +84,9 @@
 	return effects
 }
 
-// answerLookup tells the claim's next home what this life of the home knows. A
-// home that holds the lease for the claim is asked by a home whose own lease is
-// over, and owes it nothing.
+// answerLookup tells the claim's next home what this incarnation of the home
+// knows. A home that holds the lease for the claim is asked by a home whose own
+// lease is over, and owes it nothing.
 func (h *Home) answerLookup(l Lookup) []HomeEffect {
 	if l.To != h.settings.Self || l.Claim.Service != h.settings.Service {
 		return nil
@@ -160,8 +160,8 @@
 	return effects
 }
 
-// evidence checks that the words cover every earlier holder and takes over what
-// they remember. It returns why not, or no reason.
+// evidence checks that the answers cover every earlier holder and takes over
+// what they remember. It returns why not, or no reason.
 func (h *Home) evidence(c Claim, i *inquiry) btrequest.Reason {
 	if !h.lease.held || h.lease.term != i.term {
 		return LeaseMissing
--- a/core/btclaim/message.go
+++ b/core/btclaim/message.go
@@ -125,9 +125,9 @@
 	From  btid.Target `cbor:"from" json:"from"`
 	To    btid.Target `cbor:"to" json:"to"`
 	Claim Claim       `cbor:"claim" json:"claim"`
-	// Number is the asker's, never used twice in its life.
+	// Number is the asker's, never used twice by one incarnation.
 	Number uint64 `cbor:"number" json:"number"`
-	// Incarnation is the asker's life.
+	// Incarnation is the asker's.
 	Incarnation btid.Incarnation `cbor:"incarnation" json:"incarnation"`
 }
 
@@ -223,7 +223,7 @@
 	Epoch EpochID `cbor:"epoch" json:"epoch"`
 	// Listed are all epochs in the asking home's bundle, the one in force last.
 	Listed []EpochID `cbor:"listed" json:"listed"`
-	// Round numbers the asks of one life.
+	// Round numbers the asks of one incarnation.
 	Round uint64        `cbor:"round" json:"round"`
 	Lease time.Duration `cbor:"lease" json:"lease"`
 }
--- a/core/btclaim/reason.go
+++ b/core/btclaim/reason.go
@@ -37,12 +37,12 @@
 	EpochOld btrequest.Reason = "epoch_old"
 	// EpochConflict: the voter's bundle gives the epoch's number to another set.
 	EpochConflict btrequest.Reason = "epoch_conflict"
-	// VoteOutstanding: a vote for another epoch or life hasn't expired yet.
+	// VoteOutstanding: a vote for another epoch or incarnation is in force.
 	VoteOutstanding btrequest.Reason = "vote_outstanding"
 	// LeaseTooLong: the ask is for longer than voters allow.
 	LeaseTooLong btrequest.Reason = "lease_too_long"
 
-	// WrongIncarnation: the grant names another life of the executor.
+	// WrongIncarnation: the grant names another incarnation of the executor.
 	WrongIncarnation btrequest.Reason = "wrong_incarnation"
 	// WrongExecutor: the grant names another target.
 	WrongExecutor btrequest.Reason = "wrong_executor"
@@ -67,7 +67,7 @@
 	HomeUnreachable btrequest.Reason = "home_unreachable"
 	// ExecutorUnreachable: contact to the executor was lost after sending.
 	ExecutorUnreachable btrequest.Reason = "executor_unreachable"
-	// EvidenceStale: the home's word came too late to be told on.
+	// EvidenceStale: the home's answer came too late to be passed on.
 	EvidenceStale btrequest.Reason = "evidence_stale"
 	// NoHome: the bundle lists no key home for the service.
 	NoHome btrequest.Reason = "no_home"
--- a/core/btclaim/voter.go
+++ b/core/btclaim/voter.go
@@ -65,7 +65,7 @@
 		return vote
 	}
 	vote.Granted = true
-	vote.Since = v.witness(a.Listed)
+	vote.Since = v.exclusiveSince(a.Listed)
 	v.record(c, a)
 	return vote
 }
@@ -110,9 +110,9 @@
 	}
 }
 
-// witness returns the time from which on the voter confirmed no other epoch
-// than the listed ones.
-func (v *voter) witness(listed []EpochID) time.Time {
+// exclusiveSince returns the time from which on the voter confirmed no other
+// epoch than the listed ones.
+func (v *voter) exclusiveSince(listed []EpochID) time.Time {
 	since := v.since
 	for _, e := range v.epochs {
 		if !slices.Contains(listed, e.epoch) && e.until.After(since) {
--- a/core/btid/btid.go
+++ b/core/btid/btid.go
@@ -41,7 +41,7 @@
 	return !first && (b == '-' || b == '_' || b == '.')
 }
 
-// Host names a machine on which processes and targets run.
+// Host names where processes and targets run; any may be replaced at any time.
 type Host string
 
 // DataCentre names a failure domain inside a region.
@@ -91,8 +91,8 @@
 	return nil
 }
 
-// Incarnation tells one life of a process from the next under the same name.
-// It is the process's start in nanoseconds since 1970, so a later life has a
+// Incarnation tells one start of a process from the next under the same name.
+// It is the process's start in nanoseconds since 1970, so a later start has a
 // higher number as long as the host's clock is within its stated error. Zero
 // stands for no incarnation.
 type Incarnation uint64
@@ -127,8 +127,8 @@
 	return nil
 }
 
-// Executor is one life of the agent beside a target: the only process that may
-// give that target work.
+// Executor is one incarnation of the agent beside a target: the only process
+// that may give that target work.
 type Executor struct {
 	Target      Target      `cbor:"target" json:"target"`
 	Incarnation Incarnation `cbor:"incarnation" json:"incarnation"`
--- a/core/btlimit/btlimit.go
+++ b/core/btlimit/btlimit.go
@@ -14,7 +14,7 @@
 // answered, which is later, so the holder always stops first. A lent slot runs
 // only requests that end within Settings.Tail, and the home holds it that much
 // longer. A home that restarts lends nothing new until all that its earlier
-// life may have lent is over.
+// incarnation may have lent is over.
 //
 // At any moment, over all entries: the requests running are at most the
 // concurrency, and in any window the requests taken are at most the burst and
--- a/core/btlimit/event.go
+++ b/core/btlimit/event.go
@@ -103,11 +103,3 @@
 	ReasonAskShape   btrequest.Reason = "share_ask_shape"
 	ReasonAskHome    btrequest.Reason = "share_ask_not_home"
 )
-
-// Reasons lists every reason, for counters that are made beforehand.
-func Reasons() []btrequest.Reason {
-	return []btrequest.Reason{
-		ReasonRate, ReasonConcurrency, ReasonAccount,
-		ReasonLeaseOld, ReasonLeaseShape, ReasonAskOld, ReasonAskLate, ReasonAskShape, ReasonAskHome,
-	}
-}
--- a/core/btlimit/home.go
+++ b/core/btlimit/home.go
@@ -15,8 +15,8 @@
 	// ShareSum: lending never brings the sum of lent units above the part of the
 	// limit that isn't fixed shares.
 	ShareSum btassert.Name = "limit_share_sum"
-	// ShareKnown: no entry uses lent tokens that a home does not know of once
-	// it has waited out its earlier life.
+	// ShareKnown: no entry uses lent tokens that a home does not know of once it
+	// has waited out its earlier incarnation.
 	ShareKnown btassert.Name = "limit_share_known"
 )
 
@@ -32,7 +32,8 @@
 	now      time.Time
 	terms    *terms
 	accounts map[btid.Account]*ledger
-	// slotsFrom and tokensFrom are when all that an earlier life lent is over.
+	// slotsFrom and tokensFrom are when all that an earlier incarnation lent is
+	// over.
 	slotsFrom  time.Time
 	tokensFrom time.Time
 }
@@ -47,8 +48,8 @@
 	tokensFrom time.Time
 }
 
-// holderKey is one life of an entry: what an earlier life holds is not given
-// back by the next.
+// holderKey is one incarnation of an entry: what an earlier incarnation holds
+// is not given back by the next.
 type holderKey struct {
 	entry       btid.Entry
 	incarnation btid.Incarnation
@@ -71,7 +72,7 @@
 }
 
 // NewAccountHome returns a home that remembers nothing: it lends only once all
-// that an earlier life may have lent is over.
+// that an earlier incarnation may have lent is over.
 func NewAccountHome(settings Settings, self btid.Entry, started time.Time, asserter *btassert.Asserter) *AccountHome {
 	return &AccountHome{
 		settings:   settings,
@@ -202,8 +203,8 @@
 	}
 	grant := max(0, min(fairPart(l, kind, n, pool), pool-others))
 	if h.now.Before(from) {
-		// What an earlier life lent may be renewed, since it is in that life's
-		// sum, but nothing more.
+		// What an earlier incarnation lent may be renewed, since it is in that
+		// incarnation's sum, but nothing more.
 		grant = min(grant, need.Held)
 	}
 	if grant <= need.Held {
@@ -227,8 +228,8 @@
 }
 
 // known returns the tokens that the asker may still be using. Once the home has
-// outlived all loans of an earlier life, that is no more than what it lent: a
-// higher word is of a lease that ran out under way.
+// outlived all loans of an earlier incarnation, that is no more than what it
+// lent: a higher figure is of a lease that ran out under way.
 func (h *AccountHome) known(l *ledger, n *loan, a ShareAsk) int {
 	if h.now.Before(later(h.tokensFrom, l.tokensFrom)) {
 		return a.Tokens.Held
--- a/core/btlimit/view.go
+++ b/core/btlimit/view.go
@@ -50,7 +50,7 @@
 // Names returns the accounts in use, sorted.
 func (h *Holder) Names() []btid.Account { return slices.Clone(h.names) }
 
-// Loan is what a home holds for one life of an entry, for operators.
+// Loan is what a home holds for one incarnation of an entry, for operators.
 type Loan struct {
 	Entry       btid.Entry       `json:"entry"`
 	Incarnation btid.Incarnation `json:"incarnation"`
@@ -83,7 +83,3 @@
 	})
 	return loans
 }
-
-// Lends tells from when the home lends: before that it waits out what an
-// earlier life, or an earlier list of entries, may have lent.
-func (h *AccountHome) Lends() (slots, tokens time.Time) { return h.slotsFrom, h.tokensFrom }
--- a/core/btload/btload.go
+++ b/core/btload/btload.go
@@ -41,9 +41,9 @@
 	// MaxGap is how many missing cache events only age a view; after a longer
 	// gap it is cleared.
 	MaxGap uint64
-	// Correct adds what this entry sent since the report. It is off only in
-	// tests and benchmarks, to measure what the correction is worth.
-	Correct bool
+	// Uncorrected leaves out what this entry sent since the report. Only tests
+	// and benchmarks set it, to measure what the correction is worth.
+	Uncorrected bool
 }
 
 // Defaults returns the configuration that an entry uses.
@@ -56,6 +56,5 @@
 		MaxFlights:   1024,
 		MaxPrefixes:  2048,
 		MaxGap:       64,
-		Correct:      true,
 	}
 }
--- a/core/btload/estimate.go
+++ b/core/btload/estimate.go
@@ -63,7 +63,7 @@
 // sent since, less those ended since, and never fewer than this entry's own.
 func (t *Target) outstanding() int {
 	reported := t.report.Running + t.report.Waiting
-	if !t.correct {
+	if t.uncorrected {
 		return reported
 	}
 	return max(reported+t.sentSince-len(t.ended), len(t.flights))
@@ -72,7 +72,7 @@
 // ahead returns the prompt tokens to be processed before a new request's. The
 // report's share shrinks at the target's rate since the sample.
 func (t *Target) ahead(now time.Time, perToken float64) int64 {
-	if !t.correct {
+	if t.uncorrected {
 		return t.report.OutstandingTokens
 	}
 	processed := int64(now.Sub(t.sampledAt).Seconds() / perToken)
--- a/core/btload/target.go
+++ b/core/btload/target.go
@@ -10,9 +10,9 @@
 // Target is what one entry knows of one target's load. It is obtained from a
 // Tracker and stays valid until the target is removed.
 type Target struct {
-	name    btid.Target
-	fleet   *fleet
-	correct bool
+	name        btid.Target
+	fleet       *fleet
+	uncorrected bool
 
 	report Report
 	// sampledAt is when the report's sample was taken, by this entry's clock.
--- a/core/btload/tracker.go
+++ b/core/btload/tracker.go
@@ -41,7 +41,7 @@
 	}
 	t, ok := r.targets[name]
 	if !ok {
-		t = &Target{name: name, correct: r.config.Correct, cache: newView(r.config.MaxPrefixes)}
+		t = &Target{name: name, uncorrected: r.config.Uncorrected, cache: newView(r.config.MaxPrefixes)}
 		r.targets[name] = t
 	}
 	t.fleet = f
--- a/core/btmember/admit.go
+++ b/core/btmember/admit.go
@@ -19,8 +19,8 @@
 	return now.Sub(m.now) <= m.settings.PauseLimit && r.until.After(now)
 }
 
-// Admit is Eligible for work that is sent at once. It returns the life of the
-// agent that the work is to name, so that another refuses it.
+// Admit is Eligible for work that is sent at once. It returns the
+// incarnation of the agent that the work is to name, so that another refuses it.
 func (m *Member) Admit(now time.Time, target btid.Target) (btid.Executor, bool) {
 	if !m.Eligible(now, target) {
 		return btid.Executor{}, false
@@ -58,27 +58,6 @@
 	return m.cause(r)
 }
 
-// Status is what operators are told of a target.
-type Status struct {
-	View
-	// Cause is why the target gets no work; empty where it may.
-	Cause Cause
-}
-
-// Statuses returns all targets of the bundle in force, sorted by name.
-func (m *Member) Statuses() []Status {
-	statuses := make([]Status, 0, len(m.names))
-	for _, name := range m.names {
-		v, listed := m.View(name)
-		if !listed {
-			continue
-		}
-		cause, _ := m.Cause(name)
-		statuses = append(statuses, Status{View: v, Cause: cause})
-	}
-	return statuses
-}
-
 // NextExpiry returns when the first lease in force ends unless it is renewed; a
 // Tick is due then. False where none is in force.
 func (m *Member) NextExpiry() (time.Time, bool) {
--- a/core/btmember/btmember.go
+++ b/core/btmember/btmember.go
@@ -1,12 +1,12 @@
 // Package btmember is an entry's view of which targets may be given work.
 //
 // An entry holds a lease for each target, which the heartbeats of the agent
-// beside it renew. A heartbeat counts from the time at which it was sent, so
-// a late one renews little or nothing, and a repeated one or one of an earlier
+// beside it renew. A heartbeat counts from the time at which it was sent, so a
+// late one renews little or nothing, and a repeated one or one of an earlier
 // incarnation renews nothing. A target leaves on the first of: the bundle
 // removing it, the host list calling its host leaving, the agent draining or
-// saying goodbye, the engine's own word, and the end of the lease. It comes
-// back only by a later word of the same kind: a later bundle, a later host
+// saying goodbye, the engine's own report, and the end of the lease. It comes
+// back only by later evidence of the same kind: a later bundle, a later host
 // list, a later incarnation of the agent, or a fresh heartbeat.
 //
 // No lease outlives the sending of its heartbeat by more than the lease time
@@ -186,7 +186,7 @@
 	m.refresh(r)
 }
 
-// believe tells whether a heartbeat may change the record. A leaving word of
+// believe tells whether a heartbeat may change the record. A leaving state of
 // the present or a later incarnation is believed however late it is.
 func (m *Member) believe(r *record, h Heartbeat) (btrequest.Reason, bool) {
 	if h.Incarnation < r.incarnation {
@@ -271,7 +271,8 @@
 	return added
 }
 
-// forgetHosts drops the words on hosts that carry no target, which bounds them.
+// forgetHosts drops the states of hosts that carry no target, which bounds
+// them.
 func (m *Member) forgetHosts() {
 	used := map[btid.Host]bool{}
 	for _, r := range m.records {
--- a/core/btmember/event.go
+++ b/core/btmember/event.go
@@ -23,8 +23,8 @@
 	Leaving bool
 }
 
-// HostList is a new reading of the platform's list. A host that it doesn't
-// name keeps its last word: the list lags.
+// HostList is a new reading of the platform's list. A host that it doesn't name
+// keeps its last state: the list lags.
 type HostList struct{ Hosts []HostWord }
 
 // Place is where a target stands.
@@ -119,11 +119,3 @@
 	ReasonSummaryOld     btrequest.Reason = "summary_old"
 	ReasonSummaryGap     btrequest.Reason = "summary_gap"
 )
-
-// Reasons lists every reason, for counters that are made beforehand.
-func Reasons() []btrequest.Reason {
-	return []btrequest.Reason{
-		ReasonUnlisted, ReasonOldIncarnation, ReasonRepeated, ReasonLate, ReasonClock,
-		ReasonAfterLeaving, ReasonSummaryOld, ReasonSummaryGap,
-	}
-}
--- a/core/btqueue/event.go
+++ b/core/btqueue/event.go
@@ -48,7 +48,7 @@
 // Drain is the start of a planned stop. A second one changes nothing.
 type Drain struct{}
 
-// Tick is the passing of time; see Queue.NextDeadline.
+// Tick is the passing of time, by which waiting requests reach their deadlines.
 type Tick struct{}
 
 // Policy replaces the sizes. Fewer slots cut off nothing that runs; a shorter
@@ -110,13 +110,6 @@
 	ReasonCancelled btrequest.Reason = "cancelled_in_queue"
 )
 
-// Reasons lists every reason, for counters that are made beforehand.
-func Reasons() []btrequest.Reason {
-	return []btrequest.Reason{
-		ReasonFull, ReasonDisplaced, ReasonWait, ReasonDeadline, ReasonDraining, ReasonCancelled,
-	}
-}
-
 const (
 	largestCost    = 1e9
 	smallestWeight = 1e-6
--- a/core/btqueue/load.go
+++ b/core/btqueue/load.go
@@ -24,10 +24,3 @@
 		Draining: q.draining,
 	}
 }
-
-// NextDeadline returns when the next waiting request is to be refused unless it
-// starts first; a Tick is due then. It may be early, never late. False where
-// nothing waits.
-func (q *Queue) NextDeadline() (time.Time, bool) {
-	return q.deadline, !q.deadline.IsZero() && q.queue.count > 0
-}
--- a/core/btreader/btreader.go
+++ b/core/btreader/btreader.go
@@ -24,9 +24,10 @@
 	// entry steps in: a waiting call, and the news of it on its way.
 	Silence = 5 * time.Second
 	// AloneAfter is how long a process that hears of nobody's read, or of
-	// nobody, relies on others; each adds a random part of AloneSpread, so that
-	// a fleet that lost its readers does not come at once.
-	AloneAfter  = 15 * time.Second
+	// nobody, relies on others, before its random part of AloneSpread.
+	AloneAfter = 15 * time.Second
+	// AloneSpread is the largest random wait that each process adds, so that a
+	// fleet that lost its readers does not come at once.
 	AloneSpread = 10 * time.Second
 	// BootAfter is how long a process with nothing in force waits for its seeds
 	// before it reads the service itself, plus a random part of AloneSpread.
@@ -40,7 +41,7 @@
 	seeds   []btbundle.Peer
 	started time.Time
 	policy  btbundle.ReaderPolicy
-	// jitter is this life's part of AloneSpread.
+	// jitter is this incarnation's part of AloneSpread.
 	jitter time.Duration
 	// heard is when a peer with a bundle last announced anything.
 	heard time.Time
--- a/core/btroute/policy.go
+++ b/core/btroute/policy.go
@@ -22,9 +22,9 @@
 	Choose(query *Query, candidates []C) int
 }
 
-// Sampled is the policy in use: it samples a few candidates by rendezvous order
+// sampled is the policy in use: it samples a few candidates by rendezvous order
 // on the prompt's prefixes and a few at random, and takes the cheapest.
-type Sampled[C any] struct {
+type sampled[C any] struct {
 	affinity int
 	random   int
 	source   *rand.Rand
@@ -36,12 +36,12 @@
 	best          []int
 }
 
-var _ Policy[int] = (*Sampled[int])(nil)
+var _ Policy[int] = (*sampled[int])(nil)
 
-// NewSampled returns the policy. The hash identifies a candidate alike at every
+// newSampled returns the policy. The hash identifies a candidate alike at every
 // entry; the cost is its expected time to the first token.
-func NewSampled[C any](affinity, random int, source rand.Source, hash func(C) uint64, cost func(*Query, C) time.Duration) *Sampled[C] {
-	return &Sampled[C]{
+func newSampled[C any](affinity, random int, source rand.Source, hash func(C) uint64, cost func(*Query, C) time.Duration) *sampled[C] {
+	return &sampled[C]{
 		affinity: affinity,
 		random:   max(random, 1),
 		source:   rand.New(source),
@@ -54,7 +54,7 @@
 }
 
 // Choose returns the cheapest of the sampled candidates.
-func (s *Sampled[C]) Choose(query *Query, candidates []C) int {
+func (s *sampled[C]) Choose(query *Query, candidates []C) int {
 	best := s.randomIndex(query, len(candidates))
 	bestCost := s.cost(query, candidates[best])
 	consider := func(i int) {
@@ -79,7 +79,7 @@
 }
 
 // randomIndex prefers the entry's own region: only one draw in eight leaves it.
-func (s *Sampled[C]) randomIndex(query *Query, count int) int {
+func (s *sampled[C]) randomIndex(query *Query, count int) int {
 	if query.Near > 0 && s.source.Uint32()&7 != 0 {
 		return s.source.IntN(query.Near)
 	}
@@ -95,7 +95,7 @@
 
 // rendezvous returns, for each affinity key, the index of the candidate of the
 // highest random weight. One pass serves all keys, as the candidates are many.
-func (s *Sampled[C]) rendezvous(prefixes []uint64, candidates []C) []int {
+func (s *sampled[C]) rendezvous(prefixes []uint64, candidates []C) []int {
 	count := min(s.affinity, len(prefixes))
 	keys, best, weights := s.keys[:count], s.best[:count], s.weights[:count]
 	for k := range keys {
--- a/core/btroute/router.go
+++ b/core/btroute/router.go
@@ -41,8 +41,8 @@
 	load    *btload.Target
 	until   time.Time
 	leaving bool
-	// draining repeats the last report's word beside the other flags, since
-	// every pick reads it of every target.
+	// draining repeats the last report's flag beside the other flags, since every
+	// pick reads it of every target.
 	draining bool
 	out      bool
 }
@@ -77,7 +77,7 @@
 		pools:   map[btid.Service]*pool{},
 		members: map[btid.Target]*Candidate{},
 	}
-	r.policy = NewSampled(c.AffinitySamples, c.RandomSamples, source, candidateHash, r.cost)
+	r.policy = newSampled(c.AffinitySamples, c.RandomSamples, source, candidateHash, r.cost)
 	return r
 }
 
--- a/core/btserve/btserve.go
+++ b/core/btserve/btserve.go
@@ -138,7 +138,7 @@
 	return nil
 }
 
-// Verdict is an agent's first word on a request.
+// Verdict is whether an agent accepts a request.
 type Verdict string
 
 const (
--- a/core/btswitch/doc.go
+++ b/core/btswitch/doc.go
@@ -56,7 +56,7 @@
 	ReasonBallot btrequest.Reason = "switch_ballot_old"
 	// ReasonMembers: the two processes know different ranks of the group.
 	ReasonMembers btrequest.Reason = "switch_members_differ"
-	// ReasonIncarnation: the message is for another life of the agent.
+	// ReasonIncarnation: the message is for another incarnation of the agent.
 	ReasonIncarnation btrequest.Reason = "switch_incarnation_stale"
 	// ReasonPhase: the message skips a phase of its round.
 	ReasonPhase btrequest.Reason = "switch_phase_skipped"
--- a/core/btswitch/lead.go
+++ b/core/btswitch/lead.go
@@ -39,8 +39,8 @@
 	maps map[btbundle.Digest][]byte
 }
 
-// NewLead returns the lead of the given membership in this life of its agent.
-// The random source spreads the rounds of leads that collide.
+// NewLead returns the lead of the given membership in this incarnation of its
+// agent. The random source spreads the rounds of leads that collide.
 func NewLead(self btid.Executor, members Members, settings Settings, check MapCheck, random *rand.Rand, assert *btassert.Asserter) *Lead {
 	return &Lead{
 		self:     self,
@@ -83,9 +83,6 @@
 	}
 }
 
-// Busy tells whether a round is going on.
-func (l *Lead) Busy() bool { return l.round != nil }
-
 // configure ends a round of another membership, unless its map is taking
 // effect.
 func (l *Lead) configure(members Members) {
--- a/core/btswitch/lead_phase.go
+++ b/core/btswitch/lead_phase.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// restarted ends a round of which one agent began a new life.
+// restarted ends a round in which one agent restarted.
 func (l *Lead) restarted(target btid.Target) {
 	if !l.round.aborting {
 		l.fail(ReasonRestarted, target)
@@ -118,8 +118,8 @@
 	}
 }
 
-// acked takes a rank's word that it is through with the current phase, and goes
-// on when all are.
+// acked takes a rank's acknowledgement of the current phase, and goes on when
+// all are.
 func (l *Lead) acked(a Ack) {
 	rank := l.rankOf(a.Header)
 	if rank < 0 || a.Op != l.round.op() || l.round.ranks[rank].answered {
--- a/core/btswitch/lead_round.go
+++ b/core/btswitch/lead_round.go
@@ -120,7 +120,7 @@
 	return proof
 }
 
-// allHeld tells whether every rank's last word was that it is held with the
+// allHeld tells whether every rank last reported that it is held with the
 // round's version, staged or in force.
 func (r *leadRound) allHeld() bool {
 	version := Version{Map: r.digest, Members: r.members.Digest, Ballot: r.ballot}
--- a/core/btswitch/member.go
+++ b/core/btswitch/member.go
@@ -69,8 +69,8 @@
 	outdated bool
 }
 
-// NewMember returns the member of the given membership in this life of its
-// agent. It acts from the first event on.
+// NewMember returns the member of the given membership in this incarnation of
+// its agent. It acts from the first event on.
 func NewMember(self btid.Executor, members Members, settings Settings, check MapCheck, assert *btassert.Asserter) *Member {
 	return &Member{
 		self:     self,
@@ -243,7 +243,7 @@
 }
 
 // observe takes in what the engine says of itself. A higher ballot there than
-// any promised shows that another life of this agent has promised it.
+// any promised shows that another incarnation of this agent has promised it.
 func (m *Member) observe(state EngineState) {
 	if !state.Held && state.InForce.Members == m.members.Digest {
 		m.idleSince = time.Time{}
--- a/core/btswitch/member_round.go
+++ b/core/btswitch/member_round.go
@@ -191,8 +191,9 @@
 }
 
 // fencingUnit divides an incarnation, in nanoseconds, to a number that stays
-// below 2^53, which JSON numbers are exact to. A life's fencing numbers so start
-// above those of every earlier life, also of those still in flight.
+// below 2^53, which JSON numbers are exact to. An incarnation's fencing numbers
+// so start above those of every earlier incarnation, also of those still in
+// flight.
 const fencingUnit = 1000
 
 // orderFor returns the engine's order for the task. An engine without a barrier
--- a/core/btswitch/settings.go
+++ b/core/btswitch/settings.go
@@ -16,10 +16,10 @@
 	OrderTimeout time.Duration
 	// StageTimeout bounds the loading of a map's weights at the engines.
 	StageTimeout time.Duration
-	// Settle is how long a member leaves its engine alone after its own start
-	// and after an order of unknown outcome. It is needed only for an engine
-	// that checks neither fencing numbers nor the versions in orders; it then
-	// bounds the life of an order in flight.
+	// Settle is how long a member leaves its engine alone after its own start and
+	// after an order of unknown outcome. It is needed only for an engine that
+	// checks neither fencing numbers nor the versions in orders; it then bounds
+	// how long an order is in flight.
 	Settle time.Duration
 	// PrepareTimeout bounds the promises.
 	PrepareTimeout time.Duration
@@ -30,7 +30,7 @@
 	FinishTimeout time.Duration
 	// Backoff is the mean wait between two rounds of which the first failed.
 	Backoff time.Duration
-	// IdleLimit is how long a member's engine can't step, with no word from a
+	// IdleLimit is how long a member's engine can't step, with no message from a
 	// lead, before the member reports it.
 	IdleLimit time.Duration
 	// Poll is the time between two readings of an idle member's engine.
--- a/core/btwire/btwire.go
+++ b/core/btwire/btwire.go
@@ -1,5 +1,6 @@
-// Package btwire encodes and decodes messages that travel inside others, in the
-// one form that all processes share: CBOR, with times to the nanosecond.
+// Package btwire holds the one encoding that all processes share: CBOR, with
+// times to the nanosecond. Encode and Decode are for messages that travel inside
+// others; the transport between processes takes its modes from here.
 package btwire
 
 import (
@@ -12,20 +13,31 @@
 // ErrMalformed is wrapped by the error of bytes that are no valid message.
 var ErrMalformed = errors.New("malformed embedded message")
 
-// The limits of an embedded message's shape.
-const (
-	maxNesting = 16
-	maxItems   = 1 << 16
-)
+// maxNesting is how deep the arrays and maps of a message may nest.
+const maxNesting = 16
+
+// maxItems bounds one array or map of an embedded message.
+const maxItems = 1 << 16
 
 var (
-	encoding = mustMode(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
-	decoding = mustMode(cbor.DecOptions{
+	encoding = mustMode(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.UserBufferEncMode())
+	decoding = DecodeMode(maxItems)
+)
+
+// EncodeMode returns the encoding that all processes share.
+func EncodeMode() cbor.UserBufferEncMode { return encoding }
+
+// DecodeMode returns what a process accepts from a peer: no key twice in a map,
+// no item of indefinite length, and at most items elements in one array or map.
+func DecodeMode(items int) cbor.DecMode {
+	return mustMode(cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
 		MaxNestedLevels:  maxNesting,
-		MaxArrayElements: maxItems,
-		MaxMapPairs:      maxItems,
+		MaxArrayElements: items,
+		MaxMapPairs:      items,
 	}.DecMode())
-)
+}
 
 // mustMode panics on options that the library refuses, which is a fault in the
 // program.
--- a/core/btwire/btwire_test.go
+++ b/core/btwire/btwire_test.go
@@ -32,6 +32,19 @@
 	assert.Assert(t, got.NotAfter.Equal(grant().NotAfter))
 }
 
+// A peer's message may be read in two ways where a key stands twice.
+func TestKeysTwiceAndIndefiniteLengthsAreRefused(t *testing.T) {
+	cases := map[string][]byte{
+		"key twice":         []byte("\xa2\x66target\x61a\x66target\x61b"),
+		"indefinite length": []byte("\xbf\x66target\x61a\xff"),
+	}
+	for name, data := range cases {
+		_, err := btwire.Decode[btid.Executor](data)
+		assert.ErrorIs(t, err, btwire.ErrMalformed, name)
+		assert.ErrorContains(t, err, "cbor: ", name)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := btwire.Encode(grant())
 	assert.NilError(f, err)
--- a/io/btgroup/btgroup.go
+++ b/io/btgroup/btgroup.go
@@ -42,20 +42,20 @@
 // Group is one agent's part in its target's group. It is safe for concurrent
 // use.
 type Group struct {
-	options Options
-	shapes  shapes
-	sampler sampler
-	desk    *desk
-	started chan struct{}
+	options    Options
+	shapes     shapes
+	sampler    sampler
+	rebalancer *rebalancer
+	started    chan struct{}
 	// ctx ends with Run; it governs every call.
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mutex sync.Mutex
-	place *place
-	view  *view
-	word  Word
-	heard time.Time
+	mutex  sync.Mutex
+	place  *place
+	view   *view
+	answer ReportAnswer
+	heard  time.Time
 	// asking holds the ranks whose answer to a report is awaited.
 	asking map[btid.Target]bool
 
@@ -88,7 +88,7 @@
 	}
 	g := &Group{options: o, started: make(chan struct{}), asking: make(map[btid.Target]bool)}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
-	g.desk = &desk{group: g}
+	g.rebalancer = &rebalancer{group: g}
 	o.Node.Handle(btprocess.KindSwitch, g.serveSwitch)
 	o.Node.Handle(btprocess.KindRank, btpeer.Answer(g.answerReport))
 	return g
@@ -243,7 +243,7 @@
 		return nil
 	})
 	running.Go(func() error { g.beat(ctx); return nil })
-	running.Go(func() error { g.desk.run(ctx); return nil })
+	running.Go(func() error { g.rebalancer.run(ctx); return nil })
 	return running.Wait()
 }
 
@@ -287,16 +287,16 @@
 	return g.fresh().ExpertLoad, stepTime(state)
 }
 
-// fresh returns the lead's last word, unless it is old. The mutex must be held.
-func (g *Group) fresh() Word {
-	if g.options.Clock().Sub(g.heard) > wordLeases*g.place.lease() {
-		return Word{}
+// fresh returns the lead's last answer, unless it is old. The mutex must be held.
+func (g *Group) fresh() ReportAnswer {
+	if g.options.Clock().Sub(g.heard) > answerLeases*g.place.lease() {
+		return ReportAnswer{}
 	}
-	return g.word
+	return g.answer
 }
 
-// wordLeases is for how many leases the lead's word counts.
-const wordLeases = 3
+// answerLeases is for how many leases the lead's answer counts.
+const answerLeases = 3
 
 // Status returns what operators see, false where the target is in no group.
 func (g *Group) Status() (btprocess.GroupStatus, bool) {
--- a/io/btgroup/carry.go
+++ b/io/btgroup/carry.go
@@ -39,9 +39,9 @@
 	case btswitch.Noted:
 		g.noted(e)
 	case btswitch.Decided:
-		g.desk.decided(e)
+		g.rebalancer.decided(e)
 	case btswitch.MapNeeded:
-		g.desk.mapNeeded()
+		g.rebalancer.mapNeeded()
 	}
 }
 
--- a/io/btgroup/doc.go
+++ b/io/btgroup/doc.go
@@ -32,6 +32,6 @@
 // finished and no round holds its engine (see Settle). From then on the group
 // steps on the map in force: no round can complete without the missing agent,
 // and the lead says so (ranks_missing). If an agent dies while its engine is
-// held, the group stays held until that agent's next life takes part in a
-// round of a higher ballot; nothing steps on two maps meanwhile.
+// held, the group stays held until that agent's next incarnation
+// takes part in a round of a higher ballot; nothing steps on two maps meanwhile.
 package btgroup
--- a/io/btgroup/engine.go
+++ b/io/btgroup/engine.go
@@ -45,7 +45,7 @@
 	return btswitch.OrderFailed{Fencing: o.Fencing}
 }
 
-// stateOf returns the engine's word in the terms of the agreement.
+// stateOf returns the engine's state in the terms of the agreement.
 func stateOf(g bttarget.GroupState) (btswitch.EngineState, error) {
 	s := btswitch.EngineState{
 		Held:     g.Held,
--- a/io/btgroup/reason.go
+++ b/io/btgroup/reason.go
@@ -2,7 +2,7 @@
 
 import "bilberrytide/core/btrequest"
 
-// Reasons for which a message or an engine's word is refused, beside those of
+// Reasons for which a message or an engine's state is refused, beside those of
 // btswitch.
 const (
 	// ReasonSender: a message names another sender than its certificate.
--- a/io/btgroup/view.go
+++ b/io/btgroup/view.go
@@ -24,7 +24,7 @@
 	return v
 }
 
-// hear takes a proof of a rank's life.
+// hear records that a rank was heard.
 func (v *view) hear(now time.Time, rank int) {
 	if rank >= 0 && rank < len(v.heard) && now.After(v.heard[rank]) {
 		v.heard[rank] = now
--- a/io/btpeer/codec.go
+++ b/io/btpeer/codec.go
@@ -7,7 +7,7 @@
 	"io"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
+	"bilberrytide/core/btwire"
 )
 
 const (
@@ -18,32 +18,17 @@
 	readStep = 64 << 10
 	// keepBuffer is the largest buffer that goes back to the pool.
 	keepBuffer = 256 << 10
-
-	maxNested = 16
 	// maxElements bounds one array or map of a message.
 	maxElements = 1 << 20
 )
 
 var (
-	encoding = mustMode(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.UserBufferEncMode())
-	decoding = mustMode(cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		MaxNestedLevels:  maxNested,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-	}.DecMode())
+	encoding = btwire.EncodeMode()
+	decoding = btwire.DecodeMode(maxElements)
 
 	buffers = newPool(func() *bytes.Buffer { return new(bytes.Buffer) })
 )
 
-func mustMode[T any](mode T, err error) T {
-	if err != nil {
-		panic("btpeer: codec options: " + err.Error())
-	}
-	return mode
-}
-
 // pool keeps values for reuse.
 type pool[T any] struct {
 	values sync.Pool
--- a/io/btpeer/node.go
+++ b/io/btpeer/node.go
@@ -15,7 +15,7 @@
 )
 
 // resetLabel derives the key by which a process that restarts tells peers at
-// once that their connections to its earlier life are gone.
+// once that their connections to its earlier incarnation are gone.
 const resetLabel = "bilberrytide stateless reset"
 
 // Node accepts and dials connections over one UDP socket. It is safe for
--- a/io/btpeer/options.go
+++ b/io/btpeer/options.go
@@ -27,7 +27,7 @@
 	// DefaultIdleTimeout is how long a peer may be silent before it is lost.
 	DefaultIdleTimeout = 2500 * time.Millisecond
 	// DefaultKeepAlive is the interval at which the dialling side makes the
-	// peer of a silent connection answer. A dead or frozen peer is noticed
+	// peer of a silent connection answer. A dead or paused peer is noticed
 	// after between the idle timeout and the two together.
 	DefaultKeepAlive = time.Second
 	// DefaultDialTimeout bounds the time to connect.
--- a/io/btstandin/group_orders.go
+++ b/io/btstandin/group_orders.go
@@ -56,7 +56,7 @@
 
 // stage begins to load a map in place of any staged or loading before. It
 // changes neither steps nor holds, and goes on when whoever ordered it has gone
-// away; it breaks off with abort, another stage or the engine's life.
+// away; it breaks off with abort, another stage or the engine's end.
 func (m *member) stage(o Order) error {
 	if o.Version == "" {
 		return fmt.Errorf("%w: version: none", ErrOrder)
@@ -77,7 +77,7 @@
 		m.staged = next
 		return nil
 	}
-	ctx, cancel := context.WithCancel(m.engine.currentLife())
+	ctx, cancel := context.WithCancel(m.engine.process())
 	mine := &loading{next: next, cancel: cancel}
 	m.loading = mine
 	go m.load(ctx, mine, m.inUse.mapped())
--- a/io/btstandin/platform_config.go
+++ b/io/btstandin/platform_config.go
@@ -104,7 +104,7 @@
 		value, found := h.latest()
 		return value, found, p.changed
 	}
-	value, found := h.at(p.fault.frozen)
+	value, found := h.at(p.fault.shown)
 	return value, found, p.changed
 }
 
--- a/scripts/demo-bundle.sh
+++ b/scripts/demo-bundle.sh
@@ -37,7 +37,6 @@
 request_max = "30s"
 heartbeat = "500ms"
 target_lease = "2s"
-drain = "30s"
 
 [idempotency]
 retention = "10m"
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -35,7 +35,6 @@
 request_max = "30s"
 heartbeat = "1s"
 target_lease = "3s"
-drain = "30s"
 [idempotency]
 retention = "10m"
 clock_error = "500ms"
