--- a/commands/btruncmd/btruncmd.go
+++ b/commands/btruncmd/btruncmd.go
@@ -67,7 +67,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSettings, err)
 	}
-	runtime, err := btprocess.NewRuntime(btkeys.Entry, commonOfEntry(s), c.logs)
+	common := btprocess.Common{Host: s.Host, DataCentre: s.DataCentre, PeerListen: s.PeerListen, Tables: s.Tables}
+	runtime, err := btprocess.NewRuntime(btkeys.Entry, common, c.logs)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrSettings, c.settings, err)
 	}
@@ -100,7 +101,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrSettings, err)
 	}
-	runtime, err := btprocess.NewRuntime(btkeys.Agent, commonOfAgent(s), c.logs)
+	common := btprocess.Common{Host: s.Host, DataCentre: s.DataCentre, PeerListen: s.PeerListen, Tables: s.Tables}
+	runtime, err := btprocess.NewRuntime(btkeys.Agent, common, c.logs)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrSettings, c.settings, err)
 	}
@@ -170,31 +172,3 @@
 		}
 	}
 }
-
-func commonOfEntry(s *btsettings.Entry) btprocess.Common {
-	return btprocess.Common{
-		Host:       s.Host,
-		DataCentre: s.DataCentre,
-		PeerListen: s.PeerListen,
-		Platform:   s.Platform,
-		Peers:      s.Peers,
-		Approvers:  s.Approvers,
-		TLS:        s.TLS,
-		Log:        s.Log,
-		Status:     s.Status,
-	}
-}
-
-func commonOfAgent(s *btsettings.Agent) btprocess.Common {
-	return btprocess.Common{
-		Host:       s.Host,
-		DataCentre: s.DataCentre,
-		PeerListen: s.PeerListen,
-		Platform:   s.Platform,
-		Peers:      s.Peers,
-		Approvers:  s.Approvers,
-		TLS:        s.TLS,
-		Log:        s.Log,
-		Status:     s.Status,
-	}
-}
--- a/io/btagent/homes.go
+++ b/io/btagent/homes.go
@@ -248,7 +248,11 @@
 }
 
 func (h *keyHome) answerLease(_ context.Context, from btpeer.Identity, a btclaim.LeaseAsk) (btclaim.LeaseVote, error) {
-	return answerHome[btclaim.LeaseVote](h, from, a.From, a)
+	vote, err := answerHome[btclaim.LeaseVote](h, from, a.From, a)
+	if err == nil && !vote.Granted {
+		h.meter.Refused(vote.Reason)
+	}
+	return vote, err
 }
 
 // answerHome posts another home's ask and returns the machine's answer to it,
--- a/io/btagent/keyed_test.go
+++ b/io/btagent/keyed_test.go
@@ -3,11 +3,9 @@
 import (
 	"crypto/rand"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,17 +19,19 @@
 // callOnce sends a request with a new idempotency key.
 func (f *fleet) callOnce(entry btid.Entry, path string) (int, string) {
 	key, err := btclaim.NewKey(time.Now(), rand.Reader)
-	assert.NilError(f.t, err)
-	request, err := http.NewRequest(http.MethodPost, f.urls[entry]+path, strings.NewReader("x"))
-	assert.NilError(f.t, err)
-	request.Header.Set("Authorization", "Bearer key")
-	request.Header.Set("Idempotency-Key", string(key))
-	response, err := http.DefaultClient.Do(request)
-	assert.NilError(f.t, err)
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	assert.NilError(f.t, err)
-	return response.StatusCode, string(data)
+	assert.NilError(f.TB, err)
+	response, text := f.do(entry, path, "x", string(key))
+	return response.StatusCode, text
+}
+
+// counter returns a counter of an agent's.
+func (f *fleet) counter(name btid.Target, counter string) int64 {
+	for _, c := range f.agents[name].Status().Counters {
+		if c.Name == counter {
+			return c.Count
+		}
+	}
+	return 0
 }
 
 // TestKeyedRequestsPassOverWhatIsGone: most homes of an earlier epoch are
@@ -40,29 +40,29 @@
 func TestKeyedRequestsPassOverWhatIsGone(t *testing.T) {
 	f := newFleet(t)
 	f.addEntries(1)
-	f.addTarget("t0", "pages", btbundle.Plain, f.listen(f.plain("t0")))
+	f.addTarget("t0", "pages", btbundle.Plain, f.Listen(f.plain("t0")))
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	refusing := netip.MustParseAddrPort(closed.Addr().String())
 	assert.NilError(t, closed.Close())
 	f.addTarget("t1", "pages", btbundle.Plain, refusing)
-	homes := f.bundle.Services[0].Epochs[0]
+	homes := f.Bundle.Services[0].Epochs[0]
 	lost := btbundle.HomeEpoch{Number: 1, Since: homes.Since, Homes: []btid.Target{"t0", "t8", "t9"}}
 	homes.Number = 2
-	f.bundle.Services[0].Epochs = []btbundle.HomeEpoch{lost, homes}
-	f.bundle.DestroyedTargets = []btid.Target{"t8", "t9"}
+	f.Bundle.Services[0].Epochs = []btbundle.HomeEpoch{lost, homes}
+	f.Bundle.DestroyedTargets = []btid.Target{"t8", "t9"}
 	f.start()
-	f.await("leased", func() bool {
+	f.Await("leased", func() bool {
 		s := f.agents["t0"].Status().Home
-		return s != nil && s.Leased && time.Since(s.Since) > 3*f.bundle.Idempotency.ClockError.Duration
+		return s != nil && s.Leased && time.Since(s.Since) > 3*f.Bundle.Idempotency.ClockError.Duration
 	})
+	// Both started just now, so that each refused the other's first ask.
+	assert.Assert(t, f.counter("t1", "refused.voter_starting") > 0)
 	tried := false
 	for i := range 40 {
 		status, body := f.callOnce("e0", fmt.Sprintf("/services/pages/%d", i))
 		assert.Equal(t, status, http.StatusOK, body)
-		for _, c := range f.agents["t1"].Status().Counters {
-			tried = tried || c.Name == "refused.target_unreachable"
-		}
+		tried = tried || f.counter("t1", "refused.target_unreachable") > 0
 	}
 	assert.Assert(t, tried, "the refusing target was never asked")
 }
--- a/io/btagent/wiring_test.go
+++ b/io/btagent/wiring_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,13 +15,15 @@
 
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btprocess"
 	"bilberrytide/io/btstandin"
 )
 
 func (f *fleet) plain(name btid.Target) http.Handler {
 	p, err := btstandin.NewPlain(btstandin.PlainOptions{Name: name, Clock: btstandin.SystemClock{}})
-	assert.NilError(f.t, err)
+	assert.NilError(f.TB, err)
 	return p
 }
 
@@ -33,7 +36,7 @@
 	f.addEntries(11)
 	for i := range 3 {
 		name := btid.Target(fmt.Sprintf("t%d", i))
-		f.addTarget(name, "pages", btbundle.Plain, f.listen(f.plain(name)))
+		f.addTarget(name, "pages", btbundle.Plain, f.Listen(f.plain(name)))
 	}
 	f.start()
 	for i := range 11 {
@@ -42,7 +45,7 @@
 	}
 	f.agents["t1"].Stop().Terminate()
 	for name := range f.entries {
-		f.await("left at "+string(name), func() bool {
+		f.Await("left at "+string(name), func() bool {
 			s := f.target(name, "t1")
 			return !s.Eligible && strings.HasPrefix(s.Cause, "agent_")
 		})
@@ -65,11 +68,11 @@
 	body := `{"model":"drafting","max_tokens":2,"messages":[{"role":"user","content":"` + strings.Repeat("A long prompt. ", 100) + `"}]}`
 	status, text := f.call("e0", "/v1/chat/completions", body)
 	assert.Equal(t, status, http.StatusOK, text)
-	f.await("cache events at the other entry", func() bool { return f.target("e1", "m1").CachedPrefixes == 5 })
+	f.Await("cache events at the other entry", func() bool { return f.target("e1", "m1").CachedPrefixes == 5 })
 
 	server.CloseClientConnections()
 	server.Close()
-	f.await("gone", func() bool { return f.target("e0", "m1").Draining && f.target("e1", "m1").Draining })
+	f.Await("gone", func() bool { return f.target("e0", "m1").Draining && f.target("e1", "m1").Draining })
 	assert.Assert(t, f.target("e0", "m1").Eligible, "the agent keeps its lease, and its share of the keys")
 	status, text = f.call("e1", "/v1/chat/completions", body)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
@@ -82,7 +85,7 @@
 	back.Start()
 	t.Cleanup(back.Close)
 	t.Cleanup(back.CloseClientConnections)
-	f.await("back", func() bool { return !f.target("e0", "m1").Draining && !f.target("e1", "m1").Draining })
+	f.Await("back", func() bool { return !f.target("e0", "m1").Draining && !f.target("e1", "m1").Draining })
 	status, text = f.call("e1", "/v1/chat/completions", body)
 	assert.Equal(t, status, http.StatusOK, text)
 }
@@ -93,15 +96,15 @@
 	t.Parallel()
 	f := newFleet(t)
 	f.addEntries(1)
-	f.addTarget("t0", "pages", btbundle.Plain, f.listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	f.addTarget("t0", "pages", btbundle.Plain, f.Listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})))
 	for i := 1; i < 3; i++ {
 		name := btid.Target(fmt.Sprintf("t%d", i))
-		f.addTarget(name, "pages", btbundle.Plain, f.listen(f.plain(name)))
+		f.addTarget(name, "pages", btbundle.Plain, f.Listen(f.plain(name)))
 	}
 	f.start()
-	f.await("ejected", func() bool {
+	f.Await("ejected", func() bool {
 		_, _ = f.call("e0", "/services/pages/x", "")
 		return f.target("e0", "t0").Ejected != nil
 	})
@@ -114,10 +117,10 @@
 	}
 	before := tokens()
 	assert.Assert(t, before > 0)
-	f.bundle.Accounts[0].Burst *= 2
-	f.publish(2)
+	f.Bundle.Accounts[0].Burst *= 2
+	f.Publish(2)
 	// The limits are configured after the router.
-	f.await("version 2", func() bool { return tokens() != before })
+	f.Await("version 2", func() bool { return tokens() != before })
 	assert.Assert(t, f.target("e0", "t0").Ejected != nil)
 	for range 20 {
 		status, _ := f.call("e0", "/services/pages/x", "")
@@ -133,22 +136,53 @@
 	f.addEntries(1)
 	for i := range 2 {
 		name := btid.Target(fmt.Sprintf("t%d", i))
-		f.addTarget(name, "pages", btbundle.Plain, f.listen(f.plain(name)))
+		f.addTarget(name, "pages", btbundle.Plain, f.Listen(f.plain(name)))
 	}
 	f.start()
-	all := f.bundle.Targets
-	epochs := f.bundle.Services[0].Epochs
-	f.bundle.Targets = all[:1]
-	f.bundle.Services[0].Epochs = []btbundle.HomeEpoch{{Number: 2, Since: f.bundle.Created, Homes: []btid.Target{"t0"}}}
-	f.publish(2)
-	f.await("not ready", func() bool { return !f.agents["t1"].Ready() })
+	all := f.Bundle.Targets
+	epochs := f.Bundle.Services[0].Epochs
+	f.Bundle.Targets = all[:1]
+	f.Bundle.Services[0].Epochs = []btbundle.HomeEpoch{{Number: 2, Since: f.Bundle.Created, Homes: []btid.Target{"t0"}}}
+	f.Publish(2)
+	f.Await("not ready", func() bool { return !f.agents["t1"].Ready() })
 	assert.Equal(t, f.agents["t1"].Status().Bundle.Listing, btprocess.Unlisted)
 	assert.Assert(t, f.agents["t0"].Ready())
-	f.bundle.Targets = all
-	f.bundle.Services[0].Epochs = epochs
-	f.publish(3)
-	f.await("listed again", func() bool { return f.agents["t1"].Ready() })
-	f.await("eligible again", func() bool { return f.target("e0", "t1").Eligible })
+	f.Bundle.Targets = all
+	f.Bundle.Services[0].Epochs = epochs
+	f.Publish(3)
+	f.Await("listed again", func() bool { return f.agents["t1"].Ready() })
+	f.Await("eligible again", func() bool { return f.target("e0", "t1").Eligible })
+}
+
+// TestUnlistedEntry: an entry that a bundle removes is not ready, says so, and
+// refuses at once; it takes callers again when it is listed again.
+func TestUnlistedEntry(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addEntries(2)
+	f.addTarget("t0", "pages", btbundle.Plain, f.Listen(f.plain("t0")))
+	f.start()
+	all := f.Bundle.Entries
+	f.Bundle.Entries = all[1:]
+	f.Publish(2)
+	f.Await("not ready", func() bool { return !f.entries["e0"].Ready() })
+	assert.Assert(t, f.entries["e1"].Ready())
+	decisions := f.entries["e0"].Status().Decisions
+	assert.Assert(t, slices.ContainsFunc(decisions, func(d btmetric.Decision) bool {
+		return d.Act == "process_unlisted" && strings.HasPrefix(d.Expected, "it is not ready and refuses every caller")
+	}), "%+v", decisions)
+	for _, c := range []struct{ key, outcome string }{{"", "not_run"}, {"k", "unknown"}} {
+		response, body := f.do("e0", "/services/pages/x", "", c.key)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, body)
+		assert.Equal(t, response.Header.Get(bthttp.HeaderReason), "entry_unlisted")
+		assert.Equal(t, response.Header.Get(bthttp.HeaderOutcome), c.outcome)
+		assert.Equal(t, response.Header.Get("Retry-After"), "1")
+	}
+	f.Bundle.Entries = all
+	f.Publish(3)
+	f.Await("ready again", func() bool { return f.entries["e0"].Ready() })
+	response, _ := f.do("e0", "/services/pages/x", "", "")
+	assert.Assert(t, response.Header.Get(bthttp.HeaderReason) != "entry_unlisted")
 }
 
 // TestHostLeaving: the list's word on a host reaches every entry, and work comes
@@ -157,19 +191,19 @@
 	t.Parallel()
 	f := newFleet(t)
 	f.addEntries(2)
-	f.addTarget("t0", "pages", btbundle.Plain, f.listen(f.plain("t0")))
+	f.addTarget("t0", "pages", btbundle.Plain, f.Listen(f.plain("t0")))
 	f.start()
 	words := func(state btstandin.HostState) {
-		assert.NilError(t, f.store.PutHosts(btstandin.HostList{Hosts: []btstandin.Host{{Name: "host-t0", State: state}}}))
+		assert.NilError(t, f.Store.PutHosts(btstandin.HostList{Hosts: []btstandin.Host{{Name: "host-t0", State: state}}}))
 	}
 	words(btstandin.HostLeaving)
 	for name := range f.entries {
-		f.await("no work from "+string(name), func() bool { return f.target(name, "t0").Draining })
+		f.Await("no work from "+string(name), func() bool { return f.target(name, "t0").Draining })
 	}
 	assert.Assert(t, !f.agents["t0"].Status().Stopping)
 	words(btstandin.HostLive)
 	for name := range f.entries {
-		f.await("work from "+string(name), func() bool {
+		f.Await("work from "+string(name), func() bool {
 			s := f.target(name, "t0")
 			return s.Eligible && !s.Draining
 		})
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -35,6 +35,9 @@
 	atFault bool
 	// status is the target's, where it answered.
 	status int
+	// tokens is how many events of an engine's stream came; zero where their
+	// times say nothing of the target.
+	tokens int
 	// again is set where the retry of a target's own error was decided while its
 	// answer could still be passed on.
 	again *btretry.Decision
@@ -185,6 +188,8 @@
 func (s *sender) relay(ctx context.Context, x *exchange, o order, stream *btpeer.Stream, id btid.Request, result *attempt) {
 	assembler := btanswer.NewAssembler(id, s.entry.options.Assert)
 	result.outcome = btrequest.Unknown
+	pace := newPace(s.entry.options.Clock, x)
+	defer func() { result.tokens = pace.tokens() }()
 	first := true
 	for {
 		frame, err := btpeer.Receive[btanswer.Frame](stream)
@@ -201,11 +206,15 @@
 		}
 		if first && len(piece.Data) > 0 {
 			first = false
+			pace.begin()
 			s.entry.fleet.started(o.pick)
 			s.entry.reserve.served(x.service.Name)
 			s.entry.options.Meter.Duration("first_byte_us", s.entry.options.Clock().Sub(x.received))
 		}
-		if s.add(x, piece, err, result) {
+		arrived := s.entry.options.Clock()
+		ended := s.add(x, piece, err, result)
+		pace.wrote(arrived)
+		if ended {
 			return
 		}
 	}
--- a/io/btentry/bench_test.go
+++ b/io/btentry/bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"bilberrytide/io/btstandin/btinprocess"
 )
 
 // BenchmarkPath sends requests one after another through an entry and an agent
@@ -20,7 +22,7 @@
 	})
 	w := newWorld(b, []place{{name: "p1", service: plain, handler: target, slots: 64}}, nil)
 	direct := *w
-	direct.url = "http://" + w.bundle.Targets[0].Endpoint.String()
+	direct.entry = &btinprocess.Entry{URL: "http://" + w.Bundle.Targets[0].Endpoint.String()}
 	for _, c := range []struct {
 		name  string
 		world *world
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -67,13 +67,15 @@
 	// stopGrace is how long a request may be past its deadline before a planned
 	// stop waits for it no longer.
 	stopGrace = time.Second
-	// headerWait bounds the reading of a request's header.
-	headerWait = 10 * time.Second
+	// headerWait bounds the reading of a request's header, headerBytes its size.
+	headerWait  = 10 * time.Second
+	headerBytes = 64 << 10
 	// idleWait is how long a caller's connection is kept without a request.
 	idleWait = 2 * time.Minute
-	// hostsEvery is the default of Options.HostsEvery; hostsCalls is how many reads a second all entries make together, which
-	// lengthens the interval in a large fleet. One entry's reading is enough: the
-	// agent that it tells tells all others.
+	// hostsEvery is the default of Options.HostsEvery. hostsCalls is how many
+	// reads a second all entries make together, which lengthens the interval in a
+	// large fleet. One entry's reading is enough: the agent that it tells tells
+	// all others.
 	hostsEvery = 5 * time.Second
 	hostsCalls = 20
 )
@@ -92,11 +94,12 @@
 	e.stop = btprocess.NewStop(btmember.DrainSettings{Lag: o.BalancerLag, Grace: stopGrace}, o.Clock, o.Assert, o.Log)
 	end := &dispatch{entry: e, sender: sender{entry: e}}
 	e.limit = newLimit(e)
-	e.reserve = newReserve(o.Clock)
-	e.path = chain(end.handle, &identify{current: o.Bundles.Current, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, e.limit, e.reserve)
+	e.reserve = newReserve(o.Clock, o.Meter)
+	e.path = chain(end.handle, &identify{self: o.Name, current: o.Bundles.Current, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, e.limit, e.reserve)
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: headerWait,
+		MaxHeaderBytes:    headerBytes,
 		IdleTimeout:       idleWait,
 		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 	}
@@ -110,8 +113,15 @@
 // Stop returns the entry's planned stop.
 func (e *Entry) Stop() *btprocess.Stop { return e.stop }
 
-// Ready tells whether the entry takes requests.
-func (e *Entry) Ready() bool { return e.options.Bundles.Current() != nil && !e.stop.Stopping() }
+// Ready tells whether the entry takes requests: the bundle in force lists it.
+func (e *Entry) Ready() bool {
+	current := e.options.Bundles.Current()
+	if current == nil || e.stop.Stopping() {
+		return false
+	}
+	_, listed := current.Index.Entry(e.options.Name)
+	return listed
+}
 
 // Run works until the context ends or a planned stop is complete.
 func (e *Entry) Run(ctx context.Context) error {
--- /dev/null
+++ b/io/btentry/ejection.go
@@ -0,0 +1,46 @@
+package btentry
+
+import (
+	"fmt"
+	"time"
+
+	"bilberrytide/core/btroute"
+	"bilberrytide/io/btmetric"
+)
+
+// route carries out the router's effects.
+func (f *fleet) route(effects []btroute.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case btroute.Ejected:
+			f.ejected[e.Target] = e
+			f.decided.Add(btmetric.Decision{
+				Time:     f.clock(),
+				Act:      "target_ejected",
+				Subject:  "target " + string(e.Target),
+				Cause:    string(e.Cause),
+				Evidence: fmt.Sprintf("%+v", e.Evidence),
+				Expected: "its work goes to others until " + e.Until.UTC().Format(time.RFC3339),
+			})
+		case btroute.Restored:
+			delete(f.ejected, e.Target)
+			f.decided.Add(btmetric.Decision{
+				Time:     f.clock(),
+				Act:      "target_restored",
+				Subject:  "target " + string(e.Target),
+				Cause:    string(e.Cause),
+				Evidence: "out for " + e.Out.String(),
+				Expected: "it takes its part of the work again",
+			})
+		case btroute.Withheld:
+			f.decided.Add(btmetric.Decision{
+				Time:     f.clock(),
+				Act:      "ejection_withheld",
+				Subject:  "target " + string(e.Target),
+				Cause:    string(e.Cause),
+				Evidence: fmt.Sprintf("%+v", e.Evidence),
+				Expected: "it stays in rotation, as the share of ejected targets is at its cap",
+			})
+		}
+	}
+}
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -163,103 +162,6 @@
 	})
 }
 
-// route carries out the router's effects.
-func (f *fleet) route(effects []btroute.Effect) {
-	for _, effect := range effects {
-		switch e := effect.(type) {
-		case btroute.Ejected:
-			f.ejected[e.Target] = e
-			f.decided.Add(btmetric.Decision{
-				Time:     f.clock(),
-				Act:      "target_ejected",
-				Subject:  "target " + string(e.Target),
-				Cause:    string(e.Cause),
-				Evidence: fmt.Sprintf("%+v", e.Evidence),
-				Expected: "its work goes to others until " + e.Until.UTC().Format(time.RFC3339),
-			})
-		case btroute.Restored:
-			delete(f.ejected, e.Target)
-			f.decided.Add(btmetric.Decision{
-				Time:     f.clock(),
-				Act:      "target_restored",
-				Subject:  "target " + string(e.Target),
-				Cause:    string(e.Cause),
-				Evidence: "out for " + e.Out.String(),
-				Expected: "it takes its part of the work again",
-			})
-		case btroute.Withheld:
-			f.decided.Add(btmetric.Decision{
-				Time:     f.clock(),
-				Act:      "ejection_withheld",
-				Subject:  "target " + string(e.Target),
-				Cause:    string(e.Cause),
-				Evidence: fmt.Sprintf("%+v", e.Evidence),
-				Expected: "it stays in rotation, as the share of ejected targets is at its cap",
-			})
-		}
-	}
-}
-
-// pick is where a request goes.
-type pick struct {
-	executor btid.Executor
-	choice   btroute.Choice
-	// serial numbers the attempt for the load tracker.
-	serial uint64
-}
-
-// pick chooses a target and counts the request as sent there. The error is a
-// *btroute.NoTargetError.
-func (f *fleet) pick(request btroute.Request) (pick, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	for {
-		choice, err := f.router.Pick(now, request)
-		if err != nil {
-			return pick{}, err
-		}
-		executor, admitted := f.member.Admit(now, choice.Target)
-		if admitted {
-			return pick{executor: executor, choice: choice}, nil
-		}
-		request.Tried = append(request.Tried, choice.Target)
-	}
-}
-
-// sent counts a request as on its way to the target.
-func (f *fleet) sent(p *pick, request btroute.Request) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.serial++
-	p.serial = f.serial
-	f.load(btload.Sent{Target: p.executor.Target, Number: p.serial, Tokens: request.Tokens, Prefixes: request.Prefixes})
-}
-
-// started counts the first byte of an answer.
-func (f *fleet) started(p pick) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.load(btload.Started{Target: p.executor.Target, Number: p.serial})
-}
-
-// finished counts the end of an attempt; failed tells that the target or the
-// way to it is at fault.
-func (f *fleet) finished(p pick, result attempt) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	f.load(btload.Finished{Target: p.executor.Target, Number: p.serial, Refused: result.outcome == btrequest.NotRun})
-	f.report(now, result.load)
-	if result.atFault {
-		f.route(f.router.Step(now, btroute.Failed{Target: p.executor.Target, Reason: result.reason}))
-	}
-}
-
-func (f *fleet) load(event btload.Event) {
-	f.route(f.router.Step(f.clock(), btroute.Load{Event: event}))
-}
-
 // hostLeaving tells whether the host list is why a target gets no work.
 func (f *fleet) hostLeaving(target btid.Target) bool {
 	f.mu.Lock()
@@ -268,23 +170,18 @@
 	return cause == btmember.CauseHostList
 }
 
-// cached takes changes of a target's prefix cache.
-func (f *fleet) cached(batch btload.CacheEvents) {
+// stopped tells whether a target's agent said good-bye, and nobody has answered
+// in its place since.
+func (f *fleet) stopped(target btid.Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.load(btload.Cached{Batch: batch})
-}
-
-// request counts a first attempt for the retry budget.
-func (f *fleet) request() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.budget.Request()
+	cause, _ := f.member.Cause(target)
+	return cause == btmember.CauseStopped
 }
 
-// decide tells whether a failed attempt is tried again.
-func (f *fleet) decide(a btretry.Attempt) btretry.Decision {
+// cached takes changes of a target's prefix cache.
+func (f *fleet) cached(batch btload.CacheEvents) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.decider.Decide(f.clock(), a)
+	f.load(btload.Cached{Batch: batch})
 }
--- a/io/btentry/identify.go
+++ b/io/btentry/identify.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/io/bthttp"
 )
@@ -19,8 +20,12 @@
 // bearer is the scheme of the callers' credentials, in any case.
 const bearer = "Bearer"
 
+// unlistedWait is when a caller should come back, who then reaches another entry.
+const unlistedWait = time.Second
+
 // identify finds the client account and the service, and reads the request.
 type identify struct {
+	self    btid.Entry
 	current func() *btbundle.Approved
 	bodies  *bthttp.Bodies
 }
@@ -37,6 +42,9 @@
 	}
 	x.call = call
 	defer call.Release()
+	if refusal := f.listed(x); refusal != nil {
+		return refusal
+	}
 	x.deadline = x.received.Add(f.timeout(x))
 	if refusal := f.read(x); refusal != nil {
 		return refusal
@@ -46,6 +54,18 @@
 	return next(ctx, x)
 }
 
+// listed refuses what comes to an entry that the bundle does not list. A request
+// with a key may have run before, which only its home knows.
+func (f *identify) listed(x *exchange) *btrequest.Refusal {
+	if _, found := x.bundle.Index.Entry(f.self); found {
+		return nil
+	}
+	if x.keyed() {
+		return btrequest.Lose(ReasonUnlisted, unlistedWait, "bundle %d does not list this entry, which can't tell whether the key was used before", x.bundle.Bundle.Version)
+	}
+	return btrequest.Refuse(ReasonUnlisted, unlistedWait, "bundle %d does not list this entry", x.bundle.Bundle.Version)
+}
+
 // read reads the body and finds the service, in the order in which each is
 // known. A body that trickles in is given up at the request's deadline.
 func (f *identify) read(x *exchange) *btrequest.Refusal {
--- a/io/btentry/outcome_test.go
+++ b/io/btentry/outcome_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,8 +16,11 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btmember"
 	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btprocess"
 	"bilberrytide/io/btstandin"
+	"bilberrytide/io/btstandin/btinprocess"
 )
 
 const notRun = "not_run"
@@ -77,6 +83,7 @@
 		many = append(many, fmt.Sprintf("X-%d", i), "1")
 	}
 	w.checkRefusal(w.do("GET", "/services/pages/x", "", many...), 400, "bad_header", notRun)
+	assert.Equal(t, w.do("GET", "/services/pages/x", "", "X-Long", strings.Repeat("x", 72<<10)).StatusCode, 431)
 	assert.Equal(t, pages.Executions().Total+engine.Executions().Total, 0)
 	list := w.do("GET", "/v1/models", "", "Authorization", "Bearer guest")
 	assert.Assert(t, strings.Contains(list.body, `"id":"drafting"`) && !strings.Contains(list.body, "pages"), list.body)
@@ -103,6 +110,29 @@
 	w.checkRefusal(r, 400, "body_cut", notRun)
 }
 
+// TestCallerThatReadsNothing: a caller that takes no answer holds its request
+// only for a while after the deadline.
+func TestCallerThatReadsNothing(t *testing.T) {
+	t.Parallel()
+	endless := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for data := make([]byte, 1<<20); ; {
+			if _, err := w.Write(data); err != nil {
+				return
+			}
+		}
+	})
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: endless}}, func(b *btbundle.Bundle) {
+		b.Timeouts.Request.Duration, b.Timeouts.RequestMax.Duration = 3*time.Second, 3*time.Second
+	})
+	caller, err := net.Dial("tcp", strings.TrimPrefix(w.entry.URL, "http://"))
+	assert.NilError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET /services/pages/x HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer "+btinprocess.CallerKey+"\r\n\r\n")
+	assert.NilError(t, err)
+	w.await(func() bool { return w.Meters["e1"].Counter("outcome.unknown").Count() == 1 })
+	assert.Equal(t, w.refused("e1", "caller_gone"), int64(1))
+}
+
 // TestOverLimit: a client account over its limit is refused at once and told
 // when to come back.
 func TestOverLimit(t *testing.T) {
@@ -191,13 +221,39 @@
 	w := newWorld(t, []place{{name: "p1", service: plain, handler: pages}}, nil)
 	w.grants("POST", "/services/pages/x", "")
 	key := w.key()
-	assert.Equal(t, w.do("POST", "/services/pages/x", "", "Idempotency-Key", key).StatusCode, 200)
+	first := w.do("POST", "/services/pages/x", "", "Idempotency-Key", key)
+	assert.Equal(t, first.StatusCode, 200, "%s", first.body)
 	w.restart("p1")
 	r := w.do("POST", "/services/pages/x", "", "Idempotency-Key", key)
 	assert.Equal(t, r.outcome(), "unknown", r.body)
 	assert.Equal(t, pages.Executions().Keys[key], 1)
 }
 
+// TestStoppedHomeIsNotAsked: a key home whose agent said good-bye is asked no
+// more, and its caller is told at once.
+func TestStoppedHomeIsNotAsked(t *testing.T) {
+	t.Parallel()
+	_, places := plains(t)
+	w := newWorld(t, places, nil)
+	w.agents["p1"].Stop().Terminate()
+	w.await(func() bool {
+		return slices.ContainsFunc(w.entry.Status().Targets, func(s btprocess.TargetStatus) bool {
+			return s.Target == "p1" && s.Cause == string(btmember.CauseStopped)
+		})
+	})
+	told := false
+	for range 20 {
+		r := w.do("POST", "/services/pages/x", "", "Idempotency-Key", w.key())
+		if r.reason() == string(btclaim.HomeUnreachable) {
+			w.checkRefusal(r, 502, r.reason(), "unknown")
+			assert.Equal(t, r.Header.Get("Retry-After"), "1")
+			told = true
+		}
+	}
+	assert.Assert(t, told)
+	assert.Equal(t, w.refused("e1", "key_home_silent"), int64(0))
+}
+
 // TestKeyedStreamCut: a stream that may run only once is not run again when it
 // breaks off.
 func TestKeyedStreamCut(t *testing.T) {
@@ -215,7 +271,7 @@
 // TestNoTarget: nothing is sent where no target can take it.
 func TestNoTarget(t *testing.T) {
 	w := newWorld(t, []place{{name: "p1", service: plain, handler: newPlain(t, "p1")}}, func(b *btbundle.Bundle) { b.Timeouts.TargetLease.Duration = time.Second })
-	w.agents["p1"].end()
+	w.agents["p1"].End()
 	w.await(func() bool { return !w.entry.Status().Targets[0].Eligible })
 	r := w.do("GET", "/services/pages/x", "")
 	w.checkRefusal(r, 503, "route_no_live_target", notRun)
--- a/io/btentry/reason.go
+++ b/io/btentry/reason.go
@@ -16,6 +16,9 @@
 const (
 	// ReasonNoBundle: no bundle is in force yet.
 	ReasonNoBundle btrequest.Reason = "no_bundle"
+	// ReasonUnlisted: the bundle in force does not list this entry, which has
+	// therefore no share of any limit.
+	ReasonUnlisted btrequest.Reason = "entry_unlisted"
 	// ReasonNoCredentials: the request carries no bearer key.
 	ReasonNoCredentials btrequest.Reason = "no_credentials"
 	// ReasonBadCredentials: no client account holds the bearer key.
@@ -45,6 +48,7 @@
 // statuses gives the reasons their HTTP status.
 var statuses = bthttp.StatusTable{
 	ReasonNoBundle:              http.StatusServiceUnavailable,
+	ReasonUnlisted:              http.StatusServiceUnavailable,
 	ReasonNoCredentials:         http.StatusUnauthorized,
 	ReasonBadCredentials:        http.StatusUnauthorized,
 	ReasonUnknownService:        http.StatusNotFound,
--- a/io/btentry/reserve.go
+++ b/io/btentry/reserve.go
@@ -12,6 +12,7 @@
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/io/btloop"
+	"bilberrytide/io/btmetric"
 )
 
 // capacityReasons are the refusals after which room is kept for the caller's
@@ -27,6 +28,7 @@
 // back, and keeps room for them then, so that their return is no second peak.
 type reserve struct {
 	clock btloop.Clock
+	meter *btmetric.Meter
 
 	mu       sync.Mutex
 	services map[btid.Service]*btretry.Reservations
@@ -34,8 +36,8 @@
 
 var _ filter = (*reserve)(nil)
 
-func newReserve(clock btloop.Clock) *reserve {
-	return &reserve{clock: clock, services: map[btid.Service]*btretry.Reservations{}}
+func newReserve(clock btloop.Clock, meter *btmetric.Meter) *reserve {
+	return &reserve{clock: clock, meter: meter, services: map[btid.Service]*btretry.Reservations{}}
 }
 
 func (f *reserve) handle(ctx context.Context, x *exchange, next handler) *btrequest.Refusal {
@@ -55,11 +57,14 @@
 	return f.of(service).Claim(f.clock(), fingerprint)
 }
 
-// book puts the time to come back into the refusal.
+// book puts the time to come back into the refusal, and counts whether room is
+// kept then.
 func (f *reserve) book(service btid.Service, fingerprint uint64, refusal *btrequest.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	refusal.RetryAfter, _ = f.of(service).Refuse(f.clock(), fingerprint, refusal.RetryAfter)
+	after, kept := f.of(service).Refuse(f.clock(), fingerprint, refusal.RetryAfter)
+	refusal.RetryAfter = after
+	f.meter.Refused(kept)
 }
 
 // served counts an answer that has begun.
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -54,6 +54,7 @@
 			return refusalOf(f.last, f.ran)
 		}
 		d.entry.options.Meter.Retried(f.last.reason)
+		d.entry.options.Meter.Retried(again.Reason)
 		if !wait(ctx, again.At.Sub(d.entry.options.Clock())) {
 			return refusalOf(f.last, f.ran)
 		}
@@ -123,7 +124,7 @@
 	if last.outcome == btrequest.NotRun && last.reason == btqueue.ReasonDraining {
 		// A planned stop moves work and adds none, so that it draws on no budget.
 		// Each target that drains is asked once: this ends by itself.
-		return btretry.Decision{Retry: true, At: now}
+		return btretry.Decision{Retry: true, At: now, Reason: btretry.RetryNotRun}
 	}
 	return f.dispatch.entry.fleet.decide(btretry.Attempt{
 		Outcome:       last.outcome,
--- a/io/btentry/retry_test.go
+++ b/io/btentry/retry_test.go
@@ -3,14 +3,17 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/btprocess"
 	"bilberrytide/io/btstandin"
 )
 
@@ -31,12 +34,12 @@
 func TestRetriedElsewhere(t *testing.T) {
 	none := 0
 	for _, c := range []struct {
-		reason string
-		fault  btstandin.TargetFault
+		reason, decided string
+		fault           btstandin.TargetFault
 	}{
-		{"target_error", btstandin.TargetFault{Refuse: true}},
-		{"target_lost", btstandin.TargetFault{CrashAfter: &none}},
-		{"answer_cut", btstandin.TargetFault{CutBody: true}},
+		{"target_error", "retry_unknown", btstandin.TargetFault{Refuse: true}},
+		{"target_lost", "retry_unknown", btstandin.TargetFault{CrashAfter: &none}},
+		{"answer_cut", "retry_unknown", btstandin.TargetFault{CutBody: true}},
 	} {
 		t.Run(c.reason, func(t *testing.T) {
 			targets, places := plains(t)
@@ -49,6 +52,7 @@
 				assert.Equal(t, r.Header.Get("Retry-After"), "")
 			}
 			assert.Assert(t, w.retried(c.reason) > 0)
+			assert.Equal(t, w.retried(c.decided), w.retried(c.reason))
 			assert.Equal(t, w.refused("e1", c.reason), int64(0))
 			assert.Equal(t, targets[1].Executions().Total, 16)
 		})
@@ -69,15 +73,86 @@
 		assert.Equal(t, w.do("POST", "/services/pages/x", "").StatusCode, 200)
 	}
 	assert.Equal(t, w.retried("target_unreachable"), int64(3))
+	assert.Equal(t, w.retried("retry_not_run"), int64(3))
 	assert.Equal(t, w.refused("p1", "target_unreachable"), int64(3))
 }
 
+// TestUnusualPicks: a target that is out is tried at times, and where all are
+// out the best of them is taken; each such pick is counted.
+func TestUnusualPicks(t *testing.T) {
+	targets, places := plains(t)
+	w := newWorld(t, places, func(b *btbundle.Bundle) {
+		generous(b)
+		b.Ejection.Failures, b.Ejection.MaxShare, b.Ejection.Duration.Duration = 1, 1, 20*time.Millisecond
+	})
+	for i, reason := range []string{"route_probe", "route_last_resort"} {
+		assert.NilError(t, targets[i].SetFault(btstandin.TargetFault{Refuse: true}))
+		w.await(func() bool {
+			w.do("POST", "/services/pages/x", "")
+			return w.Meters["e1"].Counter("picked."+reason).Count() > 0
+		})
+	}
+	assert.Equal(t, w.Meters["e1"].Counter("picked.route_best").Count(), int64(0))
+}
+
+// slowly wraps an engine whose events come late, as an engine's do that doesn't
+// know that it is slow.
+type slowly struct{ http.Handler }
+
+type slowWriter struct{ http.ResponseWriter }
+
+func (w slowWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	return w.ResponseWriter.Write(p)
+}
+
+func (s slowly) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.Handler.ServeHTTP(slowWriter{w}, r)
+}
+
+// TestSlowEngineIsEjected: the entry learns the time between the events of each
+// engine's streams, and leaves the engine that is far slower than the others.
+func TestSlowEngineIsEjected(t *testing.T) {
+	t.Parallel()
+	var places []place
+	for _, name := range []btid.Target{"m1", "m2", "m3"} {
+		engine, err := btstandin.NewEngine(btstandin.EngineOptions{Name: name, Clock: btstandin.SystemClock{}, PrefillRate: 1e9, DecodeRate: 1e3})
+		assert.NilError(t, err)
+		places = append(places, place{name: name, service: model, handler: engine, slots: 4})
+	}
+	places[0].handler = slowly{places[0].handler}
+	w := newWorld(t, places, func(b *btbundle.Bundle) { b.Ejection.MaxShare, b.Ejection.SlowFactor = 0.4, 5 })
+	out := func(name btid.Target) bool {
+		return slices.ContainsFunc(w.entry.Status().Targets, func(s btprocess.TargetStatus) bool {
+			return s.Target == name && s.Ejected != nil
+		})
+	}
+	// As many requests at once as there are slots, or the slow one gets hardly any.
+	w.await(func() bool {
+		answered := make(chan reply, 12)
+		for range cap(answered) {
+			go func() {
+				r, err := w.try(t.Context(), "POST", completions, strings.NewReader(prompt(true, 8)))
+				assert.Check(t, err)
+				answered <- r
+			}()
+		}
+		for range cap(answered) {
+			<-answered
+		}
+		return out("m1")
+	})
+	assert.Assert(t, !out("m2") && !out("m3"))
+}
+
 // TestDeadAgent: a request whose agent can't be reached was not run there.
 func TestDeadAgent(t *testing.T) {
 	t.Parallel()
 	targets, places := plains(t)
 	w := newWorld(t, places, generous)
-	w.agents["p1"].end()
+	w.agents["p1"].End()
 	for range 8 {
 		assert.Equal(t, w.do("POST", "/services/pages/x", "").StatusCode, 200)
 	}
@@ -155,8 +230,9 @@
 		total, first = waiting()
 		return total == requests-2 && first > 0
 	})
-	w.agents["p1"].agent.Stop().Terminate()
+	w.agents["p1"].Stop().Terminate()
 	w.await(func() bool { return w.retried("draining") == int64(first) })
+	assert.Equal(t, w.retried("retry_not_run"), int64(first))
 	close(g.release)
 	for range requests {
 		assert.Equal(t, (<-answered).body, "done")
--- a/io/btprocess/bundles_test.go
+++ b/io/btprocess/bundles_test.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"crypto/ed25519"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -22,130 +18,64 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btmember"
 	"bilberrytide/io/btkeys"
-	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
-	"bilberrytide/io/btplatform"
 	"bilberrytide/io/btprocess"
 	"bilberrytide/io/btstandin"
+	"bilberrytide/io/btstandin/btinprocess"
 )
 
-const configKey = "bundle"
-
 // fleet is processes that do nothing but keep the bundle, and a platform.
 type fleet struct {
-	t         *testing.T
-	authority *btkeys.Authority
-	approver  ed25519.PrivateKey
-	approvers btbundle.Approvers
-	store     *btstandin.Platform
-	platform  netip.AddrPort
-	bundle    btbundle.Bundle
+	*btinprocess.Fleet
 }
 
 // process is one of them.
 type process struct {
 	*btprocess.Bundles
-	node      *btpeer.Node
-	meter     *btmetric.Meter
-	decisions *btmetric.Decisions
+	*btinprocess.Process
 }
 
 func newFleet(t *testing.T) *fleet {
-	authority, err := btkeys.NewAuthority("fleet", time.Now(), time.Hour)
-	assert.NilError(t, err)
-	public, private, err := ed25519.GenerateKey(nil)
-	assert.NilError(t, err)
-	store, err := btstandin.NewPlatform(btstandin.PlatformOptions{Clock: btstandin.SystemClock{}})
-	assert.NilError(t, err)
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	t.Cleanup(server.CloseClientConnections)
-	return &fleet{
-		t:         t,
-		authority: authority,
-		approver:  private,
-		approvers: btbundle.Approvers{Keys: []btbundle.Approver{{Name: "ann", Key: btbundle.PublicKey(public)}}},
-		store:     store,
-		platform:  netip.MustParseAddrPort(server.Listener.Addr().String()),
-		bundle:    draft(),
-	}
+	f := &fleet{Fleet: btinprocess.New(t)}
+	f.Bundle = draft()
+	return f
 }
 
+// draft returns a bundle of one target, whose agent isn't there.
 func draft() btbundle.Bundle {
-	span := func(d time.Duration) btbundle.Span { return btbundle.Span{Duration: d} }
-	now := time.Now().UTC().Truncate(time.Second)
-	target := btbundle.Target{
-		Name: "t1", Service: "pages", Host: "h1", DataCentre: "north", Slots: 1,
+	b := btinprocess.Draft()
+	b.Timeouts.Heartbeat.Duration = time.Second
+	b.Ejection.SlowFactor = 5
+	b.Accounts[0].Rate, b.Accounts[0].Burst, b.Accounts[0].Concurrency = 1, 1, 1
+	b.Services = []btbundle.Service{{Name: "pages", Kind: btbundle.Plain, MaxBody: 1 << 20, Epochs: []btbundle.HomeEpoch{{Number: 1, Since: b.Created, Homes: []btid.Target{"t1"}}}}}
+	b.Targets = []btbundle.Target{{
+		Name: "t1", Service: "pages", Host: "h1", DataCentre: btinprocess.DataCentre, Slots: 1,
 		Address:  netip.MustParseAddrPort("127.0.0.1:7101"),
 		Endpoint: netip.MustParseAddrPort("127.0.0.1:7201"),
-	}
-	return btbundle.Bundle{
-		Version:     1,
-		Created:     now,
-		Timeouts:    btbundle.Timeouts{Request: span(20 * time.Second), RequestMax: span(30 * time.Second), Heartbeat: span(time.Second), TargetLease: span(5 * time.Second), Drain: span(30 * time.Second)},
-		Idempotency: btbundle.Idempotency{Retention: span(10 * time.Minute), ClockError: span(500 * time.Millisecond), Lease: span(3 * time.Second)},
-		Retry:       btbundle.Retry{BudgetShare: 0.2, MaxAttempts: 3, Backoff: span(time.Millisecond)},
-		Ejection:    btbundle.Ejection{MaxShare: 0.3, Failures: 5, SlowFactor: 5, Duration: span(5 * time.Second)},
-		Placement:   btbundle.Placement{SkewWeight: 1, MoveWeight: 1, Interval: span(10 * time.Second), Horizon: span(5 * time.Minute)},
-		DataCentres: []btbundle.DataCentre{{Name: "north", Region: "home"}},
-		Services:    []btbundle.Service{{Name: "pages", Kind: btbundle.Plain, MaxBody: 1 << 20, Epochs: []btbundle.HomeEpoch{{Number: 1, Since: now, Homes: []btid.Target{"t1"}}}}},
-		Targets:     []btbundle.Target{target},
-		Accounts:    []btbundle.Account{{Name: "families", KeyHashes: []btbundle.Digest{btbundle.HashKey("key")}, Rate: 1, Burst: 1, Concurrency: 1, Weight: 1}},
-	}
+	}}
+	return b
 }
 
 // process makes a process that has not started; entries come into the bundle.
 func (f *fleet) process(id btpeer.Identity, seeds ...btpeer.Endpoint) *process {
-	issued, err := f.authority.Issue(id, time.Now(), time.Hour)
-	assert.NilError(f.t, err)
-	files, err := issued.Write(f.t.TempDir())
-	assert.NilError(f.t, err)
-	keys, err := btkeys.New(btkeys.Options{Files: files})
-	assert.NilError(f.t, err)
-	node, err := btpeer.New(btpeer.Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Keys: keys})
-	assert.NilError(f.t, err)
-	log := slog.New(slog.DiscardHandler)
-	p := &process{node: node, meter: btmetric.New(nil), decisions: btmetric.NewDecisions(8, log)}
-	p.Bundles = btprocess.NewBundles(btprocess.BundlesOptions{
-		DataCentre: "north", Host: btid.Host("host-" + id.Name), Node: node, Key: configKey, Approvers: f.approvers, Seeds: seeds,
-		Platform: btplatform.New(btplatform.Options{Address: f.platform, Registry: p.meter.Registry()}),
-		Meter:    p.meter, Decisions: p.decisions, Log: log, Clock: time.Now,
-		Assert: btassert.New(btassert.Panic()), Random: rand.New(rand.NewPCG(1, uint64(len(id.Name)))),
-	})
+	made := f.Process(f.Node(id), seeds...)
 	if id.Role == btkeys.Entry {
-		f.bundle.Entries = append(f.bundle.Entries, btbundle.Entry{Name: btid.Entry(id.Name), Host: btid.Host("host-" + id.Name), DataCentre: "north", Address: node.Address()})
+		f.AddEntry(btid.Entry(id.Name), made.Node.Address())
 	}
-	return p
+	return &process{Bundles: made.Bundles, Process: made}
 }
 
 func (f *fleet) run(p *process) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { _ = p.Run(ctx) })
-	group.Go(func() { _ = p.node.Serve(ctx) })
-	f.t.Cleanup(func() {
-		cancel()
-		_ = p.node.Close(ctx)
-		group.Wait()
+	f.Run(p.Node, func(ctx context.Context) error {
+		var group errgroup.Group
+		group.Go(func() error { return p.Bundles.Run(ctx) })
+		group.Go(func() error { return p.Node.Serve(ctx) })
+		return group.Wait()
 	})
 }
 
-// publish approves and publishes the bundle as the given version.
-func (f *fleet) publish(version btid.BundleVersion) {
-	f.bundle.Version = version
-	if version > 1 {
-		f.bundle.Parent = btbundle.DigestOf([]byte("parent"))
-	}
-	document, err := toml.Marshal(f.bundle)
-	assert.NilError(f.t, err)
-	document = btbundle.TerminateDocument(document)
-	signed := btbundle.Signed{Document: document, Signatures: []btbundle.Signature{btbundle.Sign(document, f.approver)}}
-	_, err = f.store.PutConfig(configKey, signed.Bytes())
-	assert.NilError(f.t, err)
-}
-
 func (p *process) endpoint() btpeer.Endpoint {
-	return btpeer.Endpoint{Identity: p.node.Identity(), Address: p.node.Address()}
+	return btpeer.Endpoint{Identity: p.Node.Identity(), Address: p.Node.Address()}
 }
 
 func await(t *testing.T, p *process, version btid.BundleVersion) {
@@ -154,7 +84,7 @@
 		if p.Current().Order().Version == version {
 			return poll.Success()
 		}
-		return poll.Continue("%s: %v", p.node.Identity(), p.Current().Order())
+		return poll.Continue("%s: %v", p.Node.Identity(), p.Current().Order())
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
 }
 
@@ -163,10 +93,10 @@
 func TestSeedsTakeThePlaceOfTheService(t *testing.T) {
 	f := newFleet(t)
 	seed := f.process(btprocess.EntryIdentity("e1"))
-	f.publish(1)
+	f.Publish(1)
 	f.run(seed)
 	await(t, seed, 1)
-	assert.NilError(t, f.store.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformDown}))
+	assert.NilError(t, f.Store.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformDown}))
 	var late []*process
 	for i := range 6 {
 		late = append(late, f.process(btprocess.AgentIdentity(btid.Target(fmt.Sprintf("late-%d", i))), seed.endpoint()))
@@ -177,13 +107,13 @@
 	for _, p := range late {
 		await(t, p, 1)
 	}
-	assert.NilError(t, f.store.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformSound}))
-	f.publish(2)
+	assert.NilError(t, f.Store.SetFault(btstandin.PlatformFault{Mode: btstandin.PlatformSound}))
+	f.Publish(2)
 	for _, p := range late {
 		await(t, p, 2)
 		assert.Equal(t, p.Readers().Calls, int64(0))
 		assert.Equal(t, p.Listing(), btprocess.Unlisted)
-		assert.Equal(t, p.decisions.List()[1].Act, "process_unlisted")
+		assert.Equal(t, p.Decisions.List()[1].Act, "process_unlisted")
 	}
 	assert.Assert(t, seed.Readers().Calls > 0)
 	assert.Assert(t, seed.Readers().Reads)
@@ -197,14 +127,14 @@
 	for i := range 8 {
 		entries = append(entries, f.process(btprocess.EntryIdentity(btid.Entry(fmt.Sprintf("e%d", i)))))
 	}
-	f.publish(1)
+	f.Publish(1)
 	for _, p := range entries {
 		f.run(p)
 	}
 	for _, p := range entries {
 		await(t, p, 1)
 	}
-	f.publish(2)
+	f.Publish(2)
 	reading := 0
 	for _, p := range entries {
 		await(t, p, 2)
@@ -220,18 +150,15 @@
 func large(t *testing.T, entries int) *btbundle.Approved {
 	f := newFleet(t)
 	for i := range 7 {
-		f.bundle.DataCentres = append(f.bundle.DataCentres, btbundle.DataCentre{Name: btid.DataCentre(fmt.Sprintf("dc-%d", i)), Region: fmt.Sprint(i % 2)})
+		f.Bundle.DataCentres = append(f.Bundle.DataCentres, btbundle.DataCentre{Name: btid.DataCentre(fmt.Sprintf("dc-%d", i)), Region: fmt.Sprint(i % 2)})
 	}
 	for i := range entries {
-		f.bundle.Entries = append(f.bundle.Entries, btbundle.Entry{
+		f.Bundle.Entries = append(f.Bundle.Entries, btbundle.Entry{
 			Name: btid.Entry(fmt.Sprintf("e%d", i)), Host: btid.Host(fmt.Sprintf("edge-%d", i)), DataCentre: btid.DataCentre(fmt.Sprintf("dc-%d", i%7)),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7001),
 		})
 	}
-	document, err := toml.Marshal(f.bundle)
-	assert.NilError(t, err)
-	document = btbundle.TerminateDocument(document)
-	approved, err := f.approvers.Verify(btbundle.Signed{Document: document, Signatures: []btbundle.Signature{btbundle.Sign(document, f.approver)}})
+	approved, err := f.Approvers.Verify(f.Sign())
 	assert.NilError(t, err)
 	return approved
 }
@@ -308,7 +235,7 @@
 	f.run(seed)
 	late := f.process(btprocess.AgentIdentity("t1"), seed.endpoint())
 	f.run(late)
-	f.publish(1)
+	f.Publish(1)
 	await(t, seed, 1)
 	await(t, late, 1)
 	assert.Equal(t, late.Listing(), btprocess.Misplaced)
--- a/io/btprocess/listing.go
+++ b/io/btprocess/listing.go
@@ -17,7 +17,7 @@
 const (
 	// Listed: by its name, at the host of its settings.
 	Listed Listing = "listed"
-	// Unlisted: not at all; it gets no work.
+	// Unlisted: not at all; an agent gets no work, an entry refuses its callers.
 	Unlisted Listing = "unlisted"
 	// Misplaced: by its name, but at another host or data centre than its
 	// settings say.
@@ -82,13 +82,19 @@
 		Subject:  b.self.String(),
 		Cause:    fmt.Sprintf("bundle %d came into force", a.Bundle.Version),
 		Evidence: evidence,
-		Expected: expectations[listing],
+		Expected: expected(listing, b.self.Role),
 	})
 }
 
-// expectations tells operators what follows from a listing.
-var expectations = map[Listing]string{
-	Listed:    "it takes its part of the work",
-	Unlisted:  "it gets no new work; it can be stopped, or a next bundle lists it",
-	Misplaced: "it works; words on the bundle's host, such as the host list's, concern it",
+// expected tells operators what follows from a listing.
+func expected(listing Listing, role btkeys.Role) string {
+	switch {
+	case listing == Listed:
+		return "it takes its part of the work"
+	case listing == Misplaced:
+		return "it works; words on the bundle's host, such as the host list's, concern it"
+	case role == btkeys.Entry:
+		return "it is not ready and refuses every caller; it can be stopped, or a next bundle lists it"
+	}
+	return "it gets no new work; it can be stopped, or a next bundle lists it"
 }
--- a/io/btprocess/runtime.go
+++ b/io/btprocess/runtime.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"bilberrytide/core/btassert"
-	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/io/btkeys"
 	"bilberrytide/io/btloop"
@@ -29,12 +28,7 @@
 	Host       btid.Host
 	DataCentre btid.DataCentre
 	PeerListen netip.AddrPort
-	Platform   btsettings.Platform
-	Peers      []btsettings.Peer
-	Approvers  btbundle.Approvers
-	TLS        btsettings.TLS
-	Log        btsettings.Log
-	Status     btsettings.Status
+	btsettings.Tables
 }
 
 // Runtime is what every process is made of, built from its settings.
--- a/io/btprocess/status.go
+++ b/io/btprocess/status.go
@@ -44,7 +44,8 @@
 	Home *btclaim.Status `json:"home,omitempty"`
 	// Group is set at an agent whose target is a rank of a group.
 	Group *GroupStatus `json:"group,omitempty"`
-	// Counters lists refusals, retries and outcomes that have happened.
+	// Counters lists refusals, retries, unusual picks and outcomes that have
+	// happened.
 	Counters  []CounterStatus     `json:"counters"`
 	Decisions []btmetric.Decision `json:"decisions"`
 }
@@ -136,8 +137,11 @@
 	return found
 }
 
+// PrefixPicked is the prefix of the counters of unusual picks of a target.
+const PrefixPicked = "picked."
+
 func byReason(name string) bool {
-	for _, prefix := range []string{btmetric.PrefixRefused, btmetric.PrefixRetried, btmetric.PrefixOutcome, btmetric.PrefixViolated} {
+	for _, prefix := range []string{PrefixPicked, btmetric.PrefixRefused, btmetric.PrefixRetried, btmetric.PrefixOutcome, btmetric.PrefixViolated} {
 		if strings.HasPrefix(name, prefix) {
 			return true
 		}
--- a/io/btsettings/btsettings.go
+++ b/io/btsettings/btsettings.go
@@ -8,7 +8,6 @@
 package btsettings
 
 import (
-	"fmt"
 	"log/slog"
 	"net/netip"
 
@@ -25,28 +24,28 @@
 	Listen     netip.AddrPort  `toml:"listen" json:"listen" required:"true" doc:"Where callers reach the entry, over HTTP. Port 0 takes a free one, which the log tells."`
 	PeerListen netip.AddrPort  `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
 	// BalancerLag is how long the listener stays open after readiness is false.
-	BalancerLag btbundle.Span      `toml:"balancer_lag" json:"balancer_lag" doc:"How long a stopping entry still takes callers after /readyz turned false: the time that the balancer needs to notice."`
-	Platform    Platform           `toml:"platform" json:"platform"`
-	Peers       []Peer             `toml:"peers" json:"peers"`
-	Approvers   btbundle.Approvers `toml:"approvers" json:"approvers"`
-	TLS         TLS                `toml:"tls" json:"tls"`
-	Log         Log                `toml:"log" json:"log"`
-	Status      Status             `toml:"status" json:"status"`
+	BalancerLag btbundle.Span `toml:"balancer_lag" json:"balancer_lag" doc:"How long a stopping entry still takes callers after /readyz turned false: the time that the balancer needs to notice."`
+	Tables
 }
 
 // Agent holds the settings of the process beside one target. Its doc tags are
 // the printed reference.
 type Agent struct {
-	Target     btid.Target        `toml:"target" json:"target" required:"true" doc:"The target's name, as the bundle and the certificate (agent/<target>) have it."`
-	Host       btid.Host          `toml:"host" json:"host" required:"true" doc:"The host that the process runs on."`
-	DataCentre btid.DataCentre    `toml:"data_centre" json:"data_centre" required:"true" doc:"The data centre that the host stands in."`
-	PeerListen netip.AddrPort     `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
-	Platform   Platform           `toml:"platform" json:"platform"`
-	Peers      []Peer             `toml:"peers" json:"peers"`
-	Approvers  btbundle.Approvers `toml:"approvers" json:"approvers"`
-	TLS        TLS                `toml:"tls" json:"tls"`
-	Log        Log                `toml:"log" json:"log"`
-	Status     Status             `toml:"status" json:"status"`
+	Target     btid.Target     `toml:"target" json:"target" required:"true" doc:"The target's name, as the bundle and the certificate (agent/<target>) have it."`
+	Host       btid.Host       `toml:"host" json:"host" required:"true" doc:"The host that the process runs on."`
+	DataCentre btid.DataCentre `toml:"data_centre" json:"data_centre" required:"true" doc:"The data centre that the host stands in."`
+	PeerListen netip.AddrPort  `toml:"peer_listen" json:"peer_listen" required:"true" doc:"Where other processes reach it, over UDP: the address that the bundle lists. Port 0 takes a free one."`
+	Tables
+}
+
+// Tables are the tables that every settings file has.
+type Tables struct {
+	Platform  Platform           `toml:"platform" json:"platform"`
+	Peers     []Peer             `toml:"peers" json:"peers"`
+	Approvers btbundle.Approvers `toml:"approvers" json:"approvers"`
+	TLS       TLS                `toml:"tls" json:"tls"`
+	Log       Log                `toml:"log" json:"log"`
+	Status    Status             `toml:"status" json:"status"`
 }
 
 // Platform tells where the platform's services are.
@@ -91,13 +90,3 @@
 	Text LogFormat = "text"
 	JSON LogFormat = "json"
 )
-
-// UnmarshalText reads one of the two formats.
-func (f *LogFormat) UnmarshalText(text []byte) error {
-	format := LogFormat(text)
-	if format != Text && format != JSON {
-		return fmt.Errorf("%q must be %q or %q", text, Text, JSON)
-	}
-	*f = format
-	return nil
-}
--- a/io/btsettings/defaults.go
+++ b/io/btsettings/defaults.go
@@ -16,31 +16,17 @@
 
 // DefaultEntry returns an entry's settings before its file is read.
 func DefaultEntry() Entry {
-	return Entry{
-		BalancerLag: btbundle.Span{Duration: defaultBalancerLag},
-		Platform:    defaultPlatform(),
-		Approvers:   defaultApprovers(),
-		Log:         defaultLog(),
-		Status:      defaultStatus(),
-	}
+	return Entry{BalancerLag: btbundle.Span{Duration: defaultBalancerLag}, Tables: defaultTables()}
 }
 
 // DefaultAgent returns an agent's settings before its file is read.
-func DefaultAgent() Agent {
-	return Agent{
-		Platform:  defaultPlatform(),
-		Approvers: defaultApprovers(),
-		Log:       defaultLog(),
-		Status:    defaultStatus(),
+func DefaultAgent() Agent { return Agent{Tables: defaultTables()} }
+
+func defaultTables() Tables {
+	return Tables{
+		Platform:  Platform{BundleKey: defaultBundleKey},
+		Approvers: btbundle.Approvers{Required: 1},
+		Log:       Log{Level: slog.LevelInfo, Format: Text},
+		Status:    Status{Listen: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)},
 	}
 }
-
-func defaultPlatform() Platform { return Platform{BundleKey: defaultBundleKey} }
-
-func defaultApprovers() btbundle.Approvers { return btbundle.Approvers{Required: 1} }
-
-func defaultLog() Log { return Log{Level: slog.LevelInfo, Format: Text} }
-
-func defaultStatus() Status {
-	return Status{Listen: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)}
-}
--- a/io/btsettings/load.go
+++ b/io/btsettings/load.go
@@ -37,13 +37,10 @@
 // *Error with every fault.
 func LoadEntry(path string) (*Entry, error) {
 	s := DefaultEntry()
-	err := load(path, &s, func(c *bttoml.Checker) {
-		s.check(c)
-		s.TLS.resolve(path)
-	})
-	if err != nil {
+	if err := load(path, &s, s.check); err != nil {
 		return nil, err
 	}
+	s.TLS.resolve(path)
 	return &s, nil
 }
 
@@ -51,13 +48,10 @@
 // *Error with every fault.
 func LoadAgent(path string) (*Agent, error) {
 	s := DefaultAgent()
-	err := load(path, &s, func(c *bttoml.Checker) {
-		s.check(c)
-		s.TLS.resolve(path)
-	})
-	if err != nil {
+	if err := load(path, &s, s.check); err != nil {
 		return nil, err
 	}
+	s.TLS.resolve(path)
 	return &s, nil
 }
 
@@ -84,19 +78,17 @@
 
 func (s *Entry) check(c *bttoml.Checker) {
 	c.Require(s.BalancerLag.Duration >= 0, "balancer_lag", "must not be negative")
-	s.Platform.check(c)
-	checkPeers(c, s.Peers)
-	checkApprovers(c, s.Approvers.Validate())
-	s.Status.check(c)
+	s.Tables.check(c)
 	taken := s.Status.Listen == s.Listen && s.Listen.Port() != 0
 	c.Require(!taken, "status.listen", "%s is already listen", s.Status.Listen)
 }
 
-func (s *Agent) check(c *bttoml.Checker) {
-	s.Platform.check(c)
-	checkPeers(c, s.Peers)
-	checkApprovers(c, s.Approvers.Validate())
-	s.Status.check(c)
+func (t *Tables) check(c *bttoml.Checker) {
+	t.Platform.check(c)
+	checkPeers(c, t.Peers)
+	checkApprovers(c, t.Approvers.Validate())
+	t.Log.check(c)
+	t.Status.check(c)
 }
 
 func checkPeers(c *bttoml.Checker, peers []Peer) {
@@ -124,6 +116,11 @@
 	c.Require(err == nil, "platform.bundle_key", "%v", err)
 }
 
+func (l *Log) check(c *bttoml.Checker) {
+	known := l.Format == Text || l.Format == JSON
+	c.Require(known, "log.format", "%q must be %q or %q", l.Format, Text, JSON)
+}
+
 func (s *Status) check(c *bttoml.Checker) {
 	c.Require(s.Listen.Addr().IsLoopback(), "status.listen", "%s is not on loopback: it tells of client accounts and takes no key", s.Listen)
 }
--- a/io/btsettings/reference.go
+++ b/io/btsettings/reference.go
@@ -59,7 +59,8 @@
 	return text.String()
 }
 
-// writeFields writes a struct's plain keys, then its tables.
+// writeFields writes a struct's plain keys, then its tables; those of an embedded
+// struct come as its own.
 func writeFields(text *strings.Builder, v reflect.Value) {
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
@@ -78,6 +79,10 @@
 		if f.Tag.Get("doc") != "" {
 			continue
 		}
+		if f.Anonymous {
+			writeFields(text, v.Field(i))
+			continue
+		}
 		if list, found := listReferences[f.Name]; found {
 			text.WriteString("\n" + list)
 			continue
@@ -133,6 +138,10 @@
 func requireIn(c *bttoml.Checker, path string, v reflect.Value) {
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
+		if f.Anonymous {
+			requireIn(c, path, v.Field(i))
+			continue
+		}
 		key := path + f.Tag.Get("toml")
 		if f.Tag.Get("required") != "" {
 			c.Require(!v.Field(i).IsZero(), key, "is missing: %s", f.Tag.Get("doc"))
