Membership and limits take the bundle's clock error and longest request

A bundle that shortens target_lease left longer leases at hand, on which the program's own assertion member_no_work_without_lease failed. Ruled out: keeping the ends of leases at hand (they admit on evidence that the bundle in force calls old). Conclusion: leases end sooner where the new times say so. Left: the pause limit and the relay's times still don't follow the bundle's heartbeat; that the longest request arrives in limits has no test.

--- a/core/btlimit/btlimit.go
+++ b/core/btlimit/btlimit.go
@@ -117,7 +117,7 @@
 func (h *Holder) limits(e Limits) {
 	if len(h.terms.entries) > 0 {
 		settled := h.now.Add(h.settings.Settle)
-		h.history = append(h.history, past{terms: h.terms, tokens: settled, slots: settled.Add(h.settings.Longest)})
+		h.history = append(h.history, past{terms: h.terms, tokens: settled, slots: settled.Add(h.terms.longestOr(h.settings.Longest))})
 		h.history = h.history[max(0, len(h.history)-historyKept):]
 	}
 	h.terms = newTerms(e)
--- a/core/btlimit/home.go
+++ b/core/btlimit/home.go
@@ -106,10 +106,11 @@
 	next := newTerms(e)
 	first := len(h.terms.entries) == 0
 	moved := next.digest != h.terms.digest
+	longest := h.terms.longestOr(h.settings.Longest)
 	h.terms = next
 	if moved && !first {
 		settled := h.now.Add(h.settings.Settle)
-		h.slotsFrom = later(h.slotsFrom, settled.Add(max(h.settings.slotsHeld(), h.settings.Longest)))
+		h.slotsFrom = later(h.slotsFrom, settled.Add(max(h.settings.slotsHeld(), longest)))
 		h.tokensFrom = later(h.tokensFrom, settled.Add(h.settings.tokensHeld()))
 	}
 	for name, l := range h.accounts {
--- a/core/btlimit/share.go
+++ b/core/btlimit/share.go
@@ -27,6 +27,8 @@
 type Limits struct {
 	Entries  []btid.Entry
 	Accounts []Limit
+	// Longest is how long any request runs at most; zero leaves it to Settings.
+	Longest time.Duration
 }
 
 func (Limits) holderEvent() {}
@@ -112,10 +114,20 @@
 	entries  []btid.Entry
 	accounts map[btid.Account]Limit
 	digest   uint64
+	longest  time.Duration
+}
+
+// longestOr returns how long a request runs at most that was admitted under the
+// terms.
+func (t *terms) longestOr(otherwise time.Duration) time.Duration {
+	if t.longest > 0 {
+		return t.longest
+	}
+	return otherwise
 }
 
 func newTerms(l Limits) *terms {
-	t := &terms{entries: slices.Clone(l.Entries), accounts: make(map[btid.Account]Limit, len(l.Accounts))}
+	t := &terms{longest: l.Longest, entries: slices.Clone(l.Entries), accounts: make(map[btid.Account]Limit, len(l.Accounts))}
 	slices.Sort(t.entries)
 	var d xxhash.Digest
 	d.Reset()
--- a/core/btmember/btmember.go
+++ b/core/btmember/btmember.go
@@ -17,6 +17,7 @@
 package btmember
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -106,13 +107,25 @@
 	case Bundle:
 		m.bundle(e)
 	case Configured:
-		m.settings.Lease = e.Lease
+		m.configure(e)
 	case Tick:
 		m.tick()
 	}
 	return m.effects
 }
 
+func (m *Member) configure(e Configured) {
+	m.settings.Lease = cmp.Or(e.Lease, m.settings.Lease)
+	m.settings.ClockError = cmp.Or(e.ClockError, m.settings.ClockError)
+	m.settings.PauseLimit = cmp.Or(e.PauseLimit, m.settings.PauseLimit)
+	for _, name := range m.names {
+		r := m.records[name]
+		if evidence := r.evidence(); !evidence.IsZero() {
+			r.until = earlier(r.until, m.leaseEnd(evidence))
+		}
+	}
+}
+
 // advance moves the time and forgets every lease after a pause.
 func (m *Member) advance(now time.Time) {
 	if now.Before(m.now) {
--- a/core/btmember/event.go
+++ b/core/btmember/event.go
@@ -42,8 +42,13 @@
 	Targets []Place
 }
 
-// Configured replaces how long a lease lasts. Leases at hand keep their ends.
-type Configured struct{ Lease time.Duration }
+// Configured replaces settings; zero keeps one. Leases at hand keep their ends,
+// or end sooner where the new settings say so.
+type Configured struct {
+	Lease      time.Duration
+	ClockError time.Duration
+	PauseLimit time.Duration
+}
 
 // Tick is the passing of time, due at least every Settings.PauseLimit.
 type Tick struct{}
--- a/io/btentry/configure.go
+++ b/io/btentry/configure.go
@@ -96,10 +96,11 @@
 	if !plan.Mesh() {
 		lease = max(lease, summaryLease)
 	}
-	f.lease = lease + memberSettings().ClockError
+	clockError := a.Bundle.Idempotency.ClockError.Duration
+	f.lease = lease + clockError
 	f.links = plan.Links(f.place)
 	f.relay.Step(now, btmember.Planned{Links: f.links})
-	f.joined(f.member.Step(now, btmember.Configured{Lease: lease}))
+	f.joined(f.member.Step(now, btmember.Configured{Lease: lease, ClockError: clockError}))
 	order := a.Order()
 	f.joined(f.member.Step(now, btmember.Bundle{Version: order.Version, Digest: order.Digest, Targets: btprocess.PlacesOf(a)}))
 }
--- a/io/btentry/limit.go
+++ b/io/btentry/limit.go
@@ -105,7 +105,7 @@
 }
 
 func limitsOf(a *btbundle.Approved) btlimit.Limits {
-	var limits btlimit.Limits
+	limits := btlimit.Limits{Longest: a.Bundle.Timeouts.RequestMax.Duration}
 	for _, e := range a.Bundle.Entries {
 		limits.Entries = append(limits.Entries, e.Name)
 	}
