--- a/commands/btbundlecmd/btbundlecmd_test.go
+++ b/commands/btbundlecmd/btbundlecmd_test.go
@@ -95,6 +95,7 @@
 	assert.NilError(t, os.WriteFile(in("tampered"), []byte(tampered), 0o600))
 	refusedWith(t, "either was changed", "verify", in("tampered"), "--approver", "anna="+key.Key)
 	refusedWith(t, "0 of the known approvers", "verify", in("2.toml"), "--approver", "anna="+key.Key)
+	refusedWith(t, "want NAME=KEY", "verify", in("2.toml"), "--approver", "anna")
 }
 
 // withoutTarget removes a target's table.
--- a/commands/btbundlecmd/verify.go
+++ b/commands/btbundlecmd/verify.go
@@ -40,7 +40,10 @@
 func (c *verifyCommand) run(*kingpin.ParseContext) error {
 	anchor := btbundle.Approvers{Required: c.required}
 	for _, text := range c.approvers {
-		name, encoded, _ := strings.Cut(text, "=")
+		name, encoded, pair := strings.Cut(text, "=")
+		if !pair {
+			return fmt.Errorf("%w: --approver %s: want NAME=KEY", ErrRefused, text)
+		}
 		approver := btbundle.Approver{Name: name}
 		if err := approver.Key.UnmarshalText([]byte(encoded)); err != nil {
 			return fmt.Errorf("%w: --approver %s: %w", ErrRefused, name, err)
--- a/commands/btsettingscmd/btsettingscmd.go
+++ b/commands/btsettingscmd/btsettingscmd.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	if err := files.CheckFiles(); err != nil {
-		return fmt.Errorf("%w: %w", ErrRefused, err)
+		return fmt.Errorf("%w: %s: %w", ErrRefused, c.path, err)
 	}
 	return nil
 }
--- a/commands/btstatuscmd/print.go
+++ b/commands/btstatuscmd/print.go
@@ -102,6 +102,10 @@
 	if s.Home == nil {
 		return
 	}
+	if s.Home.Since.IsZero() {
+		fmt.Fprintf(w, "key home: grants nothing, %s\n", s.Home.Reason)
+		return
+	}
 	fmt.Fprintf(w, "key home: epoch %d, leased %t since %s, %d records %s\n",
 		s.Home.Epoch, s.Home.Leased, s.Home.Since.UTC().Format(time.RFC3339), s.Home.Records, s.Home.Reason)
 }
--- a/core/btbundle/approve.go
+++ b/core/btbundle/approve.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"strings"
 
 	"bilberrytide/core/btid"
 )
@@ -167,7 +168,21 @@
 	}
 	required := max(a.Required, 1)
 	if len(signers) < required {
-		return nil, fmt.Errorf("%w: %d of the known approvers signed, %d must", ErrSignature, len(signers), required)
+		return nil, fmt.Errorf("%w: %d of the known approvers signed, %d must; the file has %s",
+			ErrSignature, len(signers), required, a.describe(signed))
 	}
 	return signers, nil
 }
+
+// describe tells what signatures a file has, so that a wrong approver can be
+// told from a file that nobody signed.
+func (a Approvers) describe(signed Signed) string {
+	if len(signed.Signatures) == 0 {
+		return "no signature"
+	}
+	ids := make([]string, 0, len(signed.Signatures))
+	for _, s := range signed.Signatures {
+		ids = append(ids, s.KeyID.String())
+	}
+	return "signatures of the keys " + strings.Join(ids, ", ")
+}
--- a/core/btbundle/register_step.go
+++ b/core/btbundle/register_step.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"bilberrytide/core/btrequest"
@@ -159,16 +160,19 @@
 	}
 }
 
+// errLower is wrapped by the error of a bundle below the one in force.
+var errLower = errors.New("not above the bundle in force")
+
 // refuseLower tells of a bundle that the one in force outranks.
 func (r *Register) refuseLower(approved *Approved, source Source) {
 	order := approved.Order()
 	current := r.order
 	if order.Version < current.Version {
-		r.refuse(ReasonOlder, nil, source)
+		r.refuse(ReasonOlder, fmt.Errorf("%w: version %d is below %d", errLower, order.Version, current.Version), source)
 		return
 	}
 	r.report(current, order, source)
-	r.refuse(ReasonConflict, nil, source)
+	r.refuse(ReasonConflict, fmt.Errorf("%w: version %d with a lower digest", errLower, order.Version), source)
 }
 
 // report tells of two bundles with one version, once each pair.
--- a/io/btentry/claim.go
+++ b/io/btentry/claim.go
@@ -143,5 +143,8 @@
 	if e.Reason == btclaim.ExecutorUnreachable && c.silent != "" {
 		e.Reason = c.silent
 	}
+	if _, timed := c.x.call.Key.Time(); e.Reason == btclaim.HistoryLost && !timed {
+		return btrequest.Lose(e.Reason, e.RetryAfter, "the key holds no time, so that its home, which started lately, can't tell whether it was used before; a UUID of version 7 can be told")
+	}
 	return btrequest.Lose(e.Reason, e.RetryAfter, "the request may have run; sending it again with the same %s is safe", "Idempotency-Key")
 }
--- a/io/btprocess/bundles.go
+++ b/io/btprocess/bundles.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btreader"
+	"bilberrytide/core/btrequest"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
@@ -42,6 +44,8 @@
 	random *rand.Rand
 	// changed is closed, and replaced, when a bundle comes into force.
 	changed chan struct{}
+	// lastRefusal is the last refused bundle told; the register's loop owns it.
+	lastRefusal string
 	// boot is the service's first value, whose entries are asked before it is
 	// believed.
 	boot *btbundle.Approved
@@ -155,8 +159,7 @@
 	case btbundle.Fetch:
 		go b.fetch(e)
 	case btbundle.Refused:
-		o.Meter.Refused(e.Reason)
-		o.Log.Warn("bundle refused", "reason", e.Reason, "source", e.Source, "error", e.Err)
+		b.refused(e)
 	case btbundle.Conflict:
 		b.conflict(e)
 	case btbundle.Held:
@@ -189,12 +192,44 @@
 		Time:     o.Clock(),
 		Act:      "bundle_in_force",
 		Subject:  fmt.Sprintf("bundle %d", order.Version),
-		Cause:    "an approved bundle that is higher than the one before came from the " + e.Source.String(),
+		Cause:    "an approved bundle that is higher than the one before; source: " + e.Source.String(),
 		Evidence: fmt.Sprintf("previous version %d, approved by %v", e.Previous.Order().Version, e.Approved.Signers),
 		Expected: "all processes have it in force within seconds",
 	})
 }
 
+// refused counts and logs a refused bundle. An operator's fault leaves a line
+// among the decisions, once until another comes; what races and restarts bring
+// about does not.
+func (b *Bundles) refused(e btbundle.Refused) {
+	o := b.options
+	o.Meter.Refused(e.Reason)
+	o.Log.Warn("bundle refused", "reason", e.Reason, "source", e.Source, "error", e.Err)
+	if !slices.Contains(operatorFaults, e.Reason) {
+		return
+	}
+	cause := fmt.Sprintf("%s: %v", e.Reason, e.Err)
+	if cause == b.lastRefusal {
+		return
+	}
+	b.lastRefusal = cause
+	o.Decisions.Add(btmetric.Decision{
+		Time:     o.Clock(),
+		Act:      "bundle_refused",
+		Subject:  "a bundle from " + e.Source.String(),
+		Cause:    cause,
+		Evidence: fmt.Sprintf("version %d is in force", b.Current().Order().Version),
+		Expected: "the bundle in force stays until one that is approved and whole comes",
+	})
+}
+
+// operatorFaults are the refusals that a person has to see to.
+var operatorFaults = []btrequest.Reason{
+	btbundle.ReasonTooLarge,
+	btbundle.ReasonSignature,
+	btbundle.ReasonMalformed,
+}
+
 func (b *Bundles) conflict(e btbundle.Conflict) {
 	o := b.options
 	o.Meter.Counter("bundle.conflicts").Inc(1)
--- a/io/btprocess/bundles_test.go
+++ b/io/btprocess/bundles_test.go
@@ -266,3 +266,25 @@
 	})
 	assert.DeepEqual(t, steps, []string{"unready", "close", "goodbye", "exit"})
 }
+
+// TestRefusedBundleLeavesALine: an operator sees why what was published is not
+// in force.
+func TestRefusedBundleLeavesALine(t *testing.T) {
+	f := newFleet(t)
+	p := f.process(btprocess.EntryIdentity("e1"))
+	f.Publish(1)
+	f.run(p)
+	await(t, p, 1)
+	f.Bundle.Version = 2
+	unsigned := btbundle.Signed{Document: f.Sign().Document}
+	f.PublishRaw(unsigned.Bytes())
+	f.Await("a line for the refused bundle", func() bool {
+		for _, d := range p.Decisions.List() {
+			if d.Act == "bundle_refused" {
+				return strings.Contains(d.Cause, "the file has no signature") && strings.Contains(d.Evidence, "version 1")
+			}
+		}
+		return false
+	})
+	assert.Equal(t, p.Current().Bundle.Version, btid.BundleVersion(1))
+}
--- a/io/btsettings/btsettings_test.go
+++ b/io/btsettings/btsettings_test.go
@@ -54,7 +54,9 @@
 	assert.Equal(t, s.Log, btsettings.Log{Level: slog.LevelWarn, Format: btsettings.Text})
 	assert.Equal(t, s.TLS.CA, filepath.Join(filepath.Dir(path), "ca.pem"))
 	assert.Equal(t, s.TLS.Cert, "/etc/e1.pem")
-	assert.ErrorIs(t, s.TLS.CheckFiles(), btsettings.ErrRead)
+	err = s.TLS.CheckFiles()
+	assert.ErrorIs(t, err, btsettings.ErrTLSFile)
+	assert.ErrorContains(t, err, "tls.cert: open /etc/e1.pem")
 }
 
 func TestLoadListsEveryProblem(t *testing.T) {
--- a/io/btsettings/load.go
+++ b/io/btsettings/load.go
@@ -15,6 +15,10 @@
 // ErrRead is wrapped by the error of a settings file that can't be read.
 var ErrRead = errors.New("settings file can't be read")
 
+// ErrTLSFile is wrapped by the error of a file that the tls table names and that
+// can't be read.
+var ErrTLSFile = errors.New("file of the tls table can't be read")
+
 // Error lists every fault of a settings file.
 type Error struct {
 	File     string          `json:"file"`
@@ -134,16 +138,20 @@
 	}
 }
 
-// CheckFiles reports the files that can't be read.
+// CheckFiles reports the files that can't be read, by their keys. The error
+// wraps ErrTLSFile.
 func (t *TLS) CheckFiles() error {
-	var errs []error
-	for _, file := range []string{t.CA, t.Cert, t.Key} {
-		f, err := os.Open(file)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("%w: %w", ErrRead, err))
-			continue
-		}
-		errs = append(errs, f.Close())
+	return errors.Join(
+		checkFile("tls.ca", t.CA),
+		checkFile("tls.cert", t.Cert),
+		checkFile("tls.key", t.Key),
+	)
+}
+
+func checkFile(key, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrTLSFile, key, err)
 	}
-	return errors.Join(errs...)
+	return f.Close()
 }
--- a/io/btstandin/btinprocess/btinprocess.go
+++ b/io/btstandin/btinprocess/btinprocess.go
@@ -156,7 +156,13 @@
 	if version > 1 {
 		f.Bundle.Parent = btbundle.DigestOf([]byte("parent"))
 	}
-	_, err := f.Store.PutConfig(configKey, f.Sign().Bytes())
+	f.PublishRaw(f.Sign().Bytes())
+}
+
+// PublishRaw publishes any bytes in the bundle's place.
+func (f *Fleet) PublishRaw(data []byte) {
+	f.TB.Helper()
+	_, err := f.Store.PutConfig(configKey, data)
 	assert.NilError(f.TB, err)
 }
 
