--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -86,3 +86,40 @@
 listen = "127.0.0.1:${PORT[status_$1]}"
 EOF
 }
+
+# bundle_policy HEARTBEAT TARGET_LEASE prints the head of a bundle: version,
+# times and policy.
+bundle_policy() {
+	cat <<EOF
+version = 1
+created = $(date -u +%Y-%m-%dT%H:%M:%SZ)
+
+[timeouts]
+request = "15s"
+request_max = "30s"
+heartbeat = "$1"
+target_lease = "$2"
+
+[idempotency]
+retention = "10m"
+clock_error = "500ms"
+lease = "3s"
+
+[retry]
+budget_share = 0.2
+max_attempts = 3
+backoff = "20ms"
+
+[ejection]
+max_share = 0.4
+failures = 5
+slow_factor = 4.0
+duration = "5s"
+
+[placement]
+skew_weight = 4.0
+move_weight = 1.0
+interval = "2s"
+horizon = "1m"
+EOF
+}
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -27,32 +27,8 @@
 # write_bundle prints the bundle of a case.
 write_bundle() {
 	local name i s homes
+	bundle_policy 1s 3s
 	cat <<END
-version = 1
-created = $CREATED
-[timeouts]
-request = "15s"
-request_max = "30s"
-heartbeat = "1s"
-target_lease = "3s"
-[idempotency]
-retention = "10m"
-clock_error = "500ms"
-lease = "3s"
-[retry]
-budget_share = 0.2
-max_attempts = 3
-backoff = "20ms"
-[ejection]
-max_share = 0.4
-failures = 5
-slow_factor = 4.0
-duration = "5s"
-[placement]
-skew_weight = 4.0
-move_weight = 1.0
-interval = "2s"
-horizon = "1m"
 [[data_centres]]
 name = "north"
 region = "home"
