The bundle check bounds the heartbeat's interval

Cause: summaries and the pause limit are made for heartbeats of up to a second; a bundle with a longer one would have every target called silent. Ruled out: following the bundle's interval in relays (two times that must agree at all entries while bundles differ). Figures: a row of the decode table fails without the check and passes with it. Conclusion: refused by name, line and key.

--- a/core/btbundle/btbundle.go
+++ b/core/btbundle/btbundle.go
@@ -18,6 +18,10 @@
 // voters for as long, so that every process must know the same one.
 const MaxLease = 5 * time.Second
 
+// MaxHeartbeat is the longest interval between heartbeats. Entries that tell each
+// other of targets in summaries call one silent after two and a half of it.
+const MaxHeartbeat = time.Second
+
 // Span is a duration that is written in TOML as Go writes durations: "30s".
 type Span struct {
 	time.Duration
--- a/core/btbundle/check.go
+++ b/core/btbundle/check.go
@@ -56,6 +56,7 @@
 	c.positive(t.Request, "timeouts.request")
 	c.positive(t.RequestMax, "timeouts.request_max")
 	c.positive(t.Heartbeat, "timeouts.heartbeat")
+	c.Require(t.Heartbeat.Duration <= MaxHeartbeat, "timeouts.heartbeat", "%s must be at most %s, or summaries would call targets silent", t.Heartbeat, MaxHeartbeat)
 	c.positive(t.TargetLease, "timeouts.target_lease")
 	c.relate(t.Request, t.RequestMax, t.Request.Duration <= t.RequestMax.Duration, "timeouts.request",
 		"%s is over request_max, which is %s", t.Request, t.RequestMax)
--- a/core/btbundle/decode_test.go
+++ b/core/btbundle/decode_test.go
@@ -28,6 +28,7 @@
 		{old: `2026-01-31T12:00:00Z`, replacement: `2026-01-31T12:00:00`, want: `line 2: created: time without an offset`},
 		{old: `request_max = "30s"`, replacement: `request_max = "9s"`, want: `line 5: timeouts.request: 10s is over request_max, which is 9s`},
 		{old: `request_max = "30s"`, replacement: ``, want: `timeouts.request_max: is missing or zero`},
+		{old: `heartbeat = "500ms"`, replacement: `heartbeat = "1001ms"`, want: `line 7: timeouts.heartbeat: 1.001s must be at most 1s`},
 		{old: `heartbeat = "500ms"`, replacement: `heartbeat = "1s"`, want: `line 8: timeouts.target_lease: 2s must be over twice the heartbeat`},
 		{old: `# Line 9.`, replacement: `drain = "29s"`, want: `line 9: timeouts.drain: unknown key`},
 		{old: `retention = "1h"`, replacement: `retention = "32s"`, want: `line 12: idempotency.retention: 32s must be over request_max + 2 * clock_error, which is 32s`},
