Agent: slot and kept answer come before the answer's end; times told from the drain

Cause: the agent sent the last frame of an answer, then kept the answer in the ledger and freed the slot. A caller that had its whole answer and sent its next request at once could be refused with 503 queue_full, or with 409 in_progress on repeating its key. Ruled out: readiness of targets or homes (refusals came at random places in a long run); the agent's own booking taken away (callers without an entry's reservation need it: TestWhoComesBackAsToldIsMostlyServed fails without). Flaky under load: TestQueuedPastDeadline, TestCallerThatReadsNothing (both before this change too), TestDeadAgent (once).

--- a/core/btserve/btserve.go
+++ b/core/btserve/btserve.go
@@ -159,6 +159,10 @@
 	Reason   btrequest.Reason  `cbor:"reason,omitempty"`
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
+	// Drained is when a refusing agent expects that all which waits with it has
+	// started. An entry that keeps room for the caller counts from there;
+	// RetryAfter is for callers who come back without.
+	Drained time.Duration `cbor:"drained,omitempty"`
 	// Status and Header are the target's, for an accepted request.
 	Status int    `cbor:"status,omitempty"`
 	Header Header `cbor:"header,omitempty"`
--- a/io/btagent/fleet_test.go
+++ b/io/btagent/fleet_test.go
@@ -24,6 +24,8 @@
 	nodes   map[btpeer.Identity]*btpeer.Node
 	entries map[btid.Entry]*btinprocess.Entry
 	agents  map[btid.Target]*btinprocess.Agent
+	// startAgent starts the agent behind a node.
+	startAgent func(*btpeer.Node) *btinprocess.Agent
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -33,6 +35,7 @@
 		entries: map[btid.Entry]*btinprocess.Entry{},
 		agents:  map[btid.Target]*btinprocess.Agent{},
 	}
+	f.startAgent = f.StartAgent
 	f.Bundle.Ejection = btbundle.Ejection{MaxShare: 0.4, Failures: 3, SlowFactor: 50, Duration: btbundle.Span{Duration: time.Minute}}
 	return f
 }
@@ -63,7 +66,7 @@
 		f.entries[e.Name] = f.StartEntry(f.nodes[btprocess.EntryIdentity(e.Name)])
 	}
 	for _, t := range f.Bundle.Targets {
-		f.agents[t.Name] = f.StartAgent(f.nodes[btprocess.AgentIdentity(t.Name)])
+		f.agents[t.Name] = f.startAgent(f.nodes[btprocess.AgentIdentity(t.Name)])
 	}
 	for _, e := range f.Bundle.Entries {
 		for _, t := range f.Bundle.Targets {
--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -26,7 +26,8 @@
 type keeper struct {
 	limit int
 	data  []byte
-	whole bool
+	// ended takes what was gathered, once the target's answer has ended.
+	ended func(data []byte, whole bool)
 }
 
 func (k *keeper) add(data []byte) {
@@ -36,9 +37,9 @@
 	k.data = append(k.data, data...)
 }
 
-func (k *keeper) finish() {
+func (k *keeper) finish(whole bool) {
 	if k != nil {
-		k.whole = true
+		k.ended(k.data, whole)
 	}
 }
 
@@ -70,19 +71,21 @@
 	}
 }
 
-// finish sends the end of the answer: whole only where the target said so.
+// finish sends the end of the answer: whole only where the target said so. The
+// answer is kept and the slot given back first: a caller that has its whole
+// answer may use the slot, or repeat its key, at once.
 func (v *serving) finish(cutter *btanswer.Cutter, whole bool, kept *keeper, sendErr error) error {
-	if whole {
-		kept.finish()
-	}
+	kept.finish(whole)
+	v.release()
 	if sendErr != nil {
 		return sendErr
 	}
 	return btpeer.Send(v.stream, cutter.Last(!whole))
 }
 
-// replay sends a kept answer.
+// replay sends a kept answer, for which the target's slot isn't needed.
 func (v *serving) replay(saved answer) error {
+	v.release()
 	head := v.head(btserve.Replayed)
 	head.Status = saved.status
 	head.Header = saved.header
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,6 +28,8 @@
 	deadline time.Time
 	// grant is set for a request that may run only once.
 	grant *btclaim.Grant
+	// release gives the slot back, once; it does nothing where none was got.
+	release func()
 }
 
 // serve takes one attempt from an entry and answers it.
@@ -43,6 +46,7 @@
 		stream:   s,
 		request:  request,
 		deadline: a.options.Clock().Add(request.Remaining),
+		release:  func() {},
 	}
 	a.stop.Began(request.ID, v.deadline)
 	defer a.stop.Ended(request.ID)
@@ -70,7 +74,8 @@
 		return v.turnAway(refusal)
 	}
 	began := v.agent.options.Clock()
-	defer func() { p.admission.finish(v.request.ID, v.agent.options.Clock().Sub(began)) }()
+	v.release = sync.OnceFunc(func() { p.admission.finish(v.request.ID, v.agent.options.Clock().Sub(began)) })
+	defer v.release()
 	if v.grant != nil {
 		return v.serveOnce(ctx)
 	}
@@ -155,28 +160,31 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), v.deadline)
 	defer cancel()
-	lost := func() { v.place.ledger.ask(btclaim.RunLost{Claim: v.grant.Claim}) }
 	response, err := v.place.client.Do(ctx, v.toTarget())
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
 		return v.answerWord(v.place.ledger.ask(btclaim.RunNotSent{Grant: *v.grant, Reason: ReasonTargetUnreachable}))
 	}
 	if err != nil {
-		lost()
+		v.lost()
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
 	}
 	defer response.Body.Close()
-	kept := &keeper{limit: keptAnswerBytes}
-	err = v.relay(response, kept)
-	if !kept.whole {
-		lost()
-		return err
-	}
-	v.place.ledger.keep(v.grant.Claim, answer{
-		status: response.Status,
-		header: btserve.HeaderOf(response.Header),
-		body:   kept.data,
-	})
-	return err
+	return v.relay(response, &keeper{limit: keptAnswerBytes, ended: func(body []byte, whole bool) {
+		if !whole {
+			v.lost()
+			return
+		}
+		v.place.ledger.keep(v.grant.Claim, answer{
+			status: response.Status,
+			header: btserve.HeaderOf(response.Header),
+			body:   body,
+		})
+	}})
+}
+
+// lost tells the ledger that the answer of a granted run will not come.
+func (v *serving) lost() {
+	v.place.ledger.ask(btclaim.RunLost{Claim: v.grant.Claim})
 }
 
 // answerWord answers a claim that the ledger does not start.
@@ -199,6 +207,14 @@
 // inProgressWait is when a caller should ask again for a running request.
 const inProgressWait = time.Second
 
+// drained returns how long the queue needs for what waits in it now.
+func (v *serving) drained() time.Duration {
+	if v.place.admission == nil {
+		return 0
+	}
+	return v.place.admission.load().Wait
+}
+
 // refuseClaim carries the ledger's refusal, with its seal, to the entry.
 func (v *serving) refuseClaim(refused btclaim.Refused) error {
 	data, err := btwire.Encode(refused)
@@ -232,11 +248,13 @@
 
 // refuse answers that this agent gives no answer of the target.
 func (v *serving) refuse(outcome btrequest.Outcome, reason btrequest.Reason, after time.Duration, refused cbor.RawMessage) error {
+	v.release()
 	v.agent.refused(reason)
 	head := v.head(btserve.Refused)
 	head.Outcome = outcome
 	head.Reason = reason
 	head.RetryAfter = after
+	head.Drained = v.drained()
 	head.Sealed = refused
 	return btpeer.Send(v.stream, head)
 }
--- /dev/null
+++ b/io/btagent/slot_test.go
@@ -0,0 +1,79 @@
+package btagent_test
+
+import (
+	"crypto/rand"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btclaim"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btagent"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/btstandin/btinprocess"
+)
+
+// startPaused starts an agent that, once paused is set, stands still for a
+// moment at every few readings of its clock, as a process does on a busy host.
+func (f *fleet) startPaused(node *btpeer.Node, paused *atomic.Bool) *btinprocess.Agent {
+	const pause, every = 10 * time.Millisecond, 4
+	var readings atomic.Int64
+	p := f.Process(node)
+	agent := btagent.New(btagent.Options{
+		Target:     btid.Target(node.Identity().Name),
+		DataCentre: btinprocess.DataCentre,
+		Node:       node,
+		Bundles:    p.Bundles,
+		Meter:      p.Meter,
+		Decisions:  p.Decisions,
+		Log:        slog.New(slog.DiscardHandler),
+		Clock: func() time.Time {
+			if paused.Load() && readings.Add(1)%every == 0 {
+				time.Sleep(pause)
+			}
+			return time.Now()
+		},
+		Assert: btassert.New(btassert.Panic()),
+		Random: mathrand.New(mathrand.NewPCG(1, 1)),
+	})
+	return &btinprocess.Agent{Agent: agent, Node: node, End: f.Run(node, agent.Run)}
+}
+
+// TestSlotIsFreeAfterAnswer: a caller that has its whole answer may send its
+// next request, or the same key again, at once: the only slot is free and the
+// answer is kept, however slow the agent is.
+func TestSlotIsFreeAfterAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.Bundle.Idempotency.ClockError.Duration = 20 * time.Millisecond
+	f.Bundle.Idempotency.Lease.Duration = 500 * time.Millisecond
+	f.addEntries(1)
+	f.addTarget("t0", "pages", btbundle.Plain, f.Listen(f.plain("t0")))
+	f.Bundle.Targets[0].Slots, f.Bundle.Targets[0].Queue = 1, 0
+	var paused atomic.Bool
+	f.startAgent = func(node *btpeer.Node) *btinprocess.Agent { return f.startPaused(node, &paused) }
+	f.start()
+	f.Await("keys granted", func() bool {
+		status, _ := f.callOnce("e0", "/services/pages/x")
+		return status == http.StatusOK
+	})
+	paused.Store(true)
+	for range 20 {
+		status, body := f.call("e0", "/services/pages/x", "x")
+		assert.Equal(t, status, http.StatusOK, body)
+		key, err := btclaim.NewKey(time.Now(), rand.Reader)
+		assert.NilError(t, err)
+		first, kept := f.do("e0", "/services/pages/x", "x", string(key))
+		assert.Equal(t, first.StatusCode, http.StatusOK, kept)
+		again, body := f.do("e0", "/services/pages/x", "x", string(key))
+		assert.Equal(t, again.StatusCode, http.StatusOK, body)
+		assert.Equal(t, body, kept)
+	}
+}
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -27,6 +27,8 @@
 	outcome    btrequest.Outcome
 	reason     btrequest.Reason
 	retryAfter time.Duration
+	// drained is when the agent expects to have started what waits with it.
+	drained time.Duration
 	// refused is the executor's word on a claim that it doesn't run.
 	refused *btclaim.Refused
 	// load is the agent's report, encoded.
@@ -131,7 +133,9 @@
 // take goes on from the agent's first word.
 func (s *sender) take(ctx context.Context, x *exchange, o order, stream *btpeer.Stream, head btserve.Head) attempt {
 	if head.Verdict == btserve.Refused {
-		return s.refused(head)
+		result := s.refused(head)
+		x.drained = result.drained
+		return result
 	}
 	result := attempt{load: head.Load, status: head.Status}
 	header := head.Header.HTTP()
@@ -172,7 +176,7 @@
 }
 
 func (s *sender) refused(head btserve.Head) attempt {
-	result := attempt{outcome: head.Outcome, reason: head.Reason, retryAfter: head.RetryAfter, load: head.Load}
+	result := attempt{outcome: head.Outcome, reason: head.Reason, retryAfter: head.RetryAfter, drained: head.Drained, load: head.Load}
 	if len(head.Sealed) == 0 {
 		result.atFault = head.Reason == btserve.ReasonTargetUnreachable || head.Reason == btserve.ReasonTargetLost
 		return result
--- a/io/btentry/exchange.go
+++ b/io/btentry/exchange.go
@@ -31,6 +31,8 @@
 	// reserved tells that room was kept for the request when it was refused
 	// before.
 	reserved bool
+	// drained is what the last agent that refused expects of its queue.
+	drained time.Duration
 	// target is where the last attempt went, for the log.
 	target btid.Target
 	// attempts counts the attempts sent to agents.
--- a/io/btentry/reserve.go
+++ b/io/btentry/reserve.go
@@ -47,7 +47,7 @@
 	if refusal == nil || refusal.Outcome != btrequest.NotRun || !slices.Contains(capacityReasons, refusal.Reason) {
 		return refusal
 	}
-	f.book(x.service.Name, fingerprint, refusal)
+	f.book(x, fingerprint, refusal)
 	return refusal
 }
 
@@ -58,11 +58,12 @@
 }
 
 // book puts the time to come back into the refusal, and counts whether room is
-// kept then.
-func (f *reserve) book(service btid.Service, fingerprint uint64, refusal *btrequest.Refusal) {
+// kept then. It counts from when the agent's queue has drained and not from the
+// agent's own time to come back, which is booked one behind the other already.
+func (f *reserve) book(x *exchange, fingerprint uint64, refusal *btrequest.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	after, kept := f.of(service).Refuse(f.clock(), fingerprint, refusal.RetryAfter)
+	after, kept := f.of(x.service.Name).Refuse(f.clock(), fingerprint, x.drained)
 	refusal.RetryAfter = after
 	f.meter.Refused(kept)
 }
