--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -122,7 +122,7 @@
 	// kept for the agent's word on a request whose deadline has passed: without
 	// it a request that only waited would have to be told as unknown.
 	evidenceShare = 8
-	evidenceWait  = 50 * time.Millisecond
+	evidenceWait  = 200 * time.Millisecond
 )
 
 // remaining returns the time that an agent has of the time left.
