--- a/cmd/bilberrytide/main.go
+++ b/cmd/bilberrytide/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"bilberrytide/commands/btbundlecmd"
+	"bilberrytide/commands/btdirectcmd"
 	"bilberrytide/commands/btkeyscmd"
 	"bilberrytide/commands/btruncmd"
 	"bilberrytide/commands/btsettingscmd"
@@ -34,6 +35,7 @@
 	btsettingscmd.Register(app, os.Stdout)
 	btkeyscmd.Register(app, os.Stdout)
 	btstatuscmd.Register(app, os.Stdout)
+	btdirectcmd.Register(app, os.Stdout)
 	app.Command("version", "Print the version that this program was built from.").Action(printVersion)
 	// The application's own action runs once the command line is understood, so
 	// that an error before it is one of usage.
--- /dev/null
+++ b/core/btexpert/rapid_test.go
@@ -0,0 +1,129 @@
+package btexpert_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btexpert"
+)
+
+// skewedLoad returns a load whose popularity falls with the rank in a shuffled
+// order, as it does for engines in use.
+func skewedLoad(s btexpert.Shape, random *rand.Rand) btexpert.Load {
+	load := make(btexpert.Load, s.Layers)
+	for l := range load {
+		load[l] = make([]float64, s.Experts)
+		for i, e := range random.Perm(s.Experts) {
+			load[l][e] = 1000 / math.Pow(float64(i+1), 0.9)
+		}
+	}
+	return load
+}
+
+func shapes() map[string]btexpert.Shape {
+	return map[string]btexpert.Shape{
+		"16 ranks": {Ranks: 16, Layers: 4, Experts: 64, Slots: 5, ExpertBytes: 1},
+		"72 ranks": {Ranks: 72, Layers: 12, Experts: 144, Slots: 3, ExpertBytes: 1},
+	}
+}
+
+// firstMap returns the map that engines start from: experts in turn, with the
+// remaining slots empty.
+func firstMap(s btexpert.Shape) btexpert.Map {
+	m := btexpert.Map{Shape: s, Layers: make([]btexpert.Layer, s.Layers)}
+	for l := range m.Layers {
+		m.Layers[l].Ranks = make([][]btexpert.Expert, s.Ranks)
+		for e := range s.Experts {
+			r := e % s.Ranks
+			m.Layers[l].Ranks[r] = append(m.Layers[l].Ranks[r], btexpert.Expert(e))
+		}
+	}
+	return m
+}
+
+func TestRapidKeepsItsLimits(t *testing.T) {
+	limits := btexpert.RapidLimits{NewPerRank: 1, Gain: 0.01, Rounds: 40}
+	for name, s := range shapes() {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(7, 7))
+			m := firstMap(s)
+			for range 6 {
+				plan := btexpert.Rapid(m, skewedLoad(s, random), limits)
+				assert.NilError(t, plan.Map.Validate())
+				assert.Assert(t, plan.After <= plan.Before)
+				assert.Equal(t, plan.Loads, loadsOf(t, m, plan.Map, limits.NewPerRank))
+				m = plan.Map
+			}
+		})
+	}
+}
+
+// loadsOf counts the experts that are new to a rank, and checks the limit.
+func loadsOf(t *testing.T, from, to btexpert.Map, most int) int {
+	t.Helper()
+	total := 0
+	for l := range to.Layers {
+		for r, experts := range to.Layers[l].Ranks {
+			count := 0
+			for _, e := range experts {
+				if !contains(from.Layers[l].Ranks[r], e) {
+					count++
+				}
+			}
+			assert.Assert(t, count <= most, "layer %d rank %d: %d new", l, r, count)
+			total += count
+		}
+	}
+	return total
+}
+
+func contains(list []btexpert.Expert, e btexpert.Expert) bool {
+	for _, v := range list {
+		if v == e {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRapidEvensAGroupInTwoMaps(t *testing.T) {
+	s := shapes()["16 ranks"]
+	load := skewedLoad(s, rand.New(rand.NewPCG(1, 2)))
+	limits := btexpert.RapidLimits{NewPerRank: 2, Gain: 0.005, Rounds: 60}
+	first := btexpert.Rapid(firstMap(s), load, limits)
+	second := btexpert.Rapid(first.Map, load, limits)
+	t.Logf("peak over mean: %.2f, %.2f, %.2f; loads %d, %d", first.Before, first.After, second.After, first.Loads, second.Loads)
+	assert.Assert(t, second.After < 1.15)
+}
+
+func TestRapidLeavesAnEvenMapAlone(t *testing.T) {
+	s := shapes()["16 ranks"]
+	load := make(btexpert.Load, s.Layers)
+	for l := range load {
+		load[l] = make([]float64, s.Experts)
+		for e := range load[l] {
+			load[l][e] = 100
+		}
+	}
+	plan := btexpert.Rapid(firstMap(s), load, btexpert.RapidLimits{NewPerRank: 2, Gain: 0.01, Rounds: 60})
+	assert.Equal(t, plan.Loads, 0)
+}
+
+func BenchmarkRapid(b *testing.B) {
+	for name, s := range shapes() {
+		b.Run(name, func(b *testing.B) {
+			load := skewedLoad(s, rand.New(rand.NewPCG(1, 2)))
+			m := firstMap(s)
+			limits := btexpert.RapidLimits{NewPerRank: 1, Gain: 0.01, Rounds: 40}
+			var plan btexpert.RapidPlan
+			for b.Loop() {
+				plan = btexpert.Rapid(m, load, limits)
+			}
+			b.ReportMetric(plan.After, "peak/mean")
+			b.ReportMetric(float64(plan.Loads), "loads")
+		})
+	}
+}
--- /dev/null
+++ b/core/btinventory/btinventory.go
@@ -0,0 +1,219 @@
+// Package btinventory keeps what is known of the targets that a fleet's
+// platform lists: one record per incarnation, from ready through draining to
+// gone.
+//
+// The list reaches an entry late and with interruptions, so a target that
+// vanished while the list could not be read stays usable for a grace period
+// after contact is regained: it may only have been unable to renew its record.
+package btinventory
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
+)
+
+// State is how much a target may be used.
+type State string
+
+const (
+	// Ready targets take new work.
+	Ready State = "ready"
+	// Draining targets finish what they have.
+	Draining State = "draining"
+)
+
+// ID names one incarnation of a target; each start has a new one.
+type ID string
+
+// Target is one listed target.
+type Target struct {
+	ID         ID              `json:"id"`
+	Service    btid.Service    `json:"service"`
+	Address    netip.AddrPort  `json:"address"`
+	DataCentre btid.DataCentre `json:"data_centre"`
+	Slots      int             `json:"slots"`
+	State      State           `json:"state"`
+	// Member is set for ranks of a lock-step group.
+	Member *Member `json:"member,omitempty"`
+}
+
+// Member is a target's place in a lock-step group.
+type Member struct {
+	Group string `json:"group"`
+	Rank  int    `json:"rank"`
+	Size  int    `json:"size"`
+}
+
+// Validate reports a target that can't be used.
+func (t Target) Validate() error {
+	if t.ID == "" || t.Service == "" || !t.Address.IsValid() {
+		return fmt.Errorf("target %q of service %q at %v: incomplete", t.ID, t.Service, t.Address)
+	}
+	if t.State != Ready && t.State != Draining {
+		return fmt.Errorf("target %q: unknown state %q", t.ID, t.State)
+	}
+	return nil
+}
+
+// Roster is what entries tell agents of a fleet.
+type Roster struct {
+	// Digest identifies the targets and the group, which are left out where the
+	// agent that asks has them.
+	Digest  uint64   `json:"digest"`
+	Targets []Target `json:"targets,omitempty"`
+	// Group is the shape of the service's expert maps, if it has any.
+	Group *btcatalog.Group `json:"group,omitempty"`
+	// Entries are the peer addresses of the entries that are known.
+	Entries []netip.AddrPort `json:"entries"`
+}
+
+// Validate reports a roster with a target that can't be used.
+func (r Roster) Validate() error {
+	for _, t := range r.Targets {
+		if err := t.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// record is a target with what is known of its listing.
+type record struct {
+	target Target
+	// missingUntil is set while a target that vanished during an interruption
+	// may still come back.
+	missingUntil time.Time
+}
+
+// Change is one thing that the register learned.
+type Change struct {
+	ID     ID
+	Target Target
+	What   string
+}
+
+// Kinds of changes.
+const (
+	Added   = "target_added"
+	Changed = "target_changed"
+	Drained = "target_draining"
+	Missing = "target_missing"
+	Gone    = "target_gone"
+)
+
+// Register keeps the listed targets. It is not safe for concurrent use.
+type Register struct {
+	grace       time.Duration
+	records     map[ID]*record
+	interrupted bool
+	regained    time.Time
+}
+
+// NewRegister returns an empty register. Grace is how long after an
+// interruption a target that vanished meanwhile is kept.
+func NewRegister(grace time.Duration) *Register {
+	return &Register{grace: grace, records: make(map[ID]*record)}
+}
+
+// Interrupted notes that the list can't be read.
+func (r *Register) Interrupted() { r.interrupted = true }
+
+// Regained notes that the list is read again.
+func (r *Register) Regained(now time.Time) {
+	if r.interrupted {
+		r.interrupted = false
+		r.regained = now
+	}
+}
+
+// Put takes a record in.
+func (r *Register) Put(t Target) []Change {
+	old, found := r.records[t.ID]
+	r.records[t.ID] = &record{target: t}
+	switch {
+	case !found:
+		return []Change{{ID: t.ID, Target: t, What: Added}}
+	case old.target.State == Ready && t.State == Draining:
+		return []Change{{ID: t.ID, Target: t, What: Drained}}
+	case !same(old.target, t):
+		return []Change{{ID: t.ID, Target: t, What: Changed}}
+	}
+	return nil
+}
+
+func same(a, b Target) bool {
+	ma, mb := a.Member, b.Member
+	a.Member, b.Member = nil, nil
+	if a != b || (ma == nil) != (mb == nil) {
+		return false
+	}
+	return ma == nil || *ma == *mb
+}
+
+// Remove takes a removal in. It is final unless the list has just come back.
+func (r *Register) Remove(now time.Time, id ID) []Change {
+	rec, found := r.records[id]
+	if !found {
+		return nil
+	}
+	forgivenUntil := r.regained.Add(r.grace)
+	if rec.target.State == Ready && !r.regained.IsZero() && now.Before(forgivenUntil) {
+		rec.missingUntil = forgivenUntil
+		return []Change{{ID: id, Target: rec.target, What: Missing}}
+	}
+	delete(r.records, id)
+	return []Change{{ID: id, Target: rec.target, What: Gone}}
+}
+
+// Replace takes a whole list in: targets that it lacks are removed.
+func (r *Register) Replace(now time.Time, list []Target) []Change {
+	var changes []Change
+	listed := make(map[ID]bool, len(list))
+	for _, t := range list {
+		listed[t.ID] = true
+		changes = append(changes, r.Put(t)...)
+	}
+	for _, id := range r.ids() {
+		if !listed[id] && r.records[id].missingUntil.IsZero() {
+			changes = append(changes, r.Remove(now, id)...)
+		}
+	}
+	return changes
+}
+
+// Expire removes missing targets whose grace is over.
+func (r *Register) Expire(now time.Time) []Change {
+	var changes []Change
+	for _, id := range r.ids() {
+		rec := r.records[id]
+		if !rec.missingUntil.IsZero() && !now.Before(rec.missingUntil) {
+			delete(r.records, id)
+			changes = append(changes, Change{ID: id, Target: rec.target, What: Gone})
+		}
+	}
+	return changes
+}
+
+// Targets lists all known targets in the order of their IDs.
+func (r *Register) Targets() []Target {
+	list := make([]Target, 0, len(r.records))
+	for _, id := range r.ids() {
+		list = append(list, r.records[id].target)
+	}
+	return list
+}
+
+func (r *Register) ids() []ID {
+	ids := make([]ID, 0, len(r.records))
+	for id := range r.records {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b ID) int { return strings.Compare(string(a), string(b)) })
+	return ids
+}
--- /dev/null
+++ b/core/btpick/btpick.go
@@ -0,0 +1,58 @@
+// Package btpick chooses the target of a request among those that may take it.
+package btpick
+
+// Candidate is a target as one entry sees it.
+type Candidate struct {
+	// Requests is how many requests of this entry are at the target.
+	Requests int
+	// Tokens is how many prompt tokens of them are still to be read.
+	Tokens int
+	// Others is how many requests of other entries are believed to be there.
+	Others float64
+	// Near tells that the target is in the entry's data centre.
+	Near bool
+	// Pace is how slow the target is; 1 is as usual.
+	Pace float64
+}
+
+const (
+	// tokensPerRequest is how many prompt tokens weigh as much as a running
+	// request: an engine reads them in the time that the request adds to the
+	// passes of its answer.
+	tokensPerRequest = 2000
+	// farPrice is what a target of another data centre costs, in requests:
+	// less than one, so that it breaks ties and never piles requests up.
+	farPrice = 0.6
+)
+
+func (c Candidate) cost() float64 {
+	load := float64(c.Requests) + c.Others + float64(c.Tokens)/tokensPerRequest
+	if c.Pace > 1 {
+		load = (load + 1) * c.Pace
+	}
+	if !c.Near {
+		load += farPrice
+	}
+	return load
+}
+
+// Best returns the index of the candidate that costs least, or -1 without any.
+// The draw, a uniform number in [0, 1), decides between equals, so that several
+// entries don't all choose the same.
+func Best(candidates []Candidate, draw float64) int {
+	best := -1
+	least := 0.0
+	if len(candidates) == 0 {
+		return best
+	}
+	start := int(draw * float64(len(candidates)))
+	for i := range candidates {
+		at := (start + i) % len(candidates)
+		cost := candidates[at].cost()
+		if best < 0 || cost < least {
+			best = at
+			least = cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/btround/lead.go
@@ -0,0 +1,294 @@
+package btround
+
+import (
+	"time"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btexpert"
+)
+
+// Invariants of a round.
+const (
+	// GoesOnWhole: a group goes on only when all of its ranks are armed for the
+	// same map and step, or none is armed.
+	GoesOnWhole btassert.Name = "round_goes_on_whole"
+)
+
+// Phase is how far a round has come.
+type Phase string
+
+const (
+	// Idle: there is no round.
+	Idle Phase = "idle"
+	// Preparing: ranks load the map's experts.
+	Preparing Phase = "preparing"
+	// Holding: the lead's rank is asked to hold the group.
+	Holding Phase = "holding"
+	// Arming: ranks are armed while the group is held.
+	Arming Phase = "arming"
+	// Disarming: ranks are disarmed, as some can't be armed.
+	Disarming Phase = "disarming"
+	// Going: the hold is ended.
+	Going Phase = "going"
+	// Claiming: the rank that holds the group is fenced against another lead.
+	Claiming Phase = "claiming"
+	// Looking: all ranks' states are read to take over another lead's round.
+	Looking Phase = "looking"
+)
+
+// Settings are the times of a round.
+type Settings struct {
+	// Prepare bounds the loading of experts; a round that takes longer is given
+	// up, which harms nothing.
+	Prepare time.Duration
+	// Again is when a command without a final answer is repeated.
+	Again time.Duration
+	// Ahead is how many steps ahead of the last one the group is held.
+	Ahead int64
+	// Fresh is how old a member's state may be for a round to begin.
+	Fresh time.Duration
+}
+
+// pendingPause is the wait before a command is repeated whose end isn't known.
+const pendingPause = 20 * time.Millisecond
+
+// Defaults returns the settings in use. A step of a group takes some 60 to 100
+// ms and an order within the host about 1 ms, so that a hold two steps ahead is
+// placed in time and waited for no longer than needed; copying two experts takes
+// about half a second. An agent works on a command for up to 400 ms.
+func Defaults() Settings {
+	return Settings{
+		Prepare: 3 * time.Second,
+		Again:   600 * time.Millisecond,
+		Ahead:   2,
+		Fresh:   time.Second,
+	}
+}
+
+// Lead drives the rounds of one group. It is not safe for concurrent use.
+type Lead struct {
+	settings Settings
+	asserter *btassert.Asserter
+	self     btexpert.Rank
+
+	size    int
+	epoch   uint64
+	ballot  Ballot
+	members map[btexpert.Rank]*member
+
+	phase   Phase
+	round   uint64
+	version Version
+	layers  []btexpert.Layer
+	step    int64
+	// holder is the rank that holds the group.
+	holder btexpert.Rank
+	began  time.Time
+	heldAt time.Time
+	// Outcomes are taken by the caller.
+	outcome *Outcome
+}
+
+// member is what the lead knows of one rank.
+type member struct {
+	state State
+	at    time.Time
+	// The fields below belong to the round.
+	reached bool
+	refused bool
+	asked   time.Time
+}
+
+// Outcome is how a round ended.
+type Outcome struct {
+	Version  Version
+	Switched bool
+	// Adopted tells that another lead had begun the round.
+	Adopted bool
+	Reason  string
+	Took    time.Duration
+	// Held is for how long the group was held.
+	Held time.Duration
+}
+
+// NewLead returns the lead of a group at the agent of rank self.
+func NewLead(s Settings, self btexpert.Rank, asserter *btassert.Asserter) *Lead {
+	return &Lead{settings: s, self: self, asserter: asserter, phase: Idle, members: make(map[btexpert.Rank]*member)}
+}
+
+// Phase returns how far the round has come.
+func (l *Lead) Phase() Phase { return l.phase }
+
+// Ballot returns the ballot of the lead's commands.
+func (l *Lead) Ballot() Ballot { return l.ballot }
+
+// Outcome returns the outcome of a round that has ended since the last call.
+func (l *Lead) Outcome() *Outcome {
+	o := l.outcome
+	l.outcome = nil
+	return o
+}
+
+// Report takes a member's state in, and the highest ballot that it has heard.
+func (l *Lead) Report(now time.Time, s State, heard Ballot) {
+	if s.Validate() != nil {
+		return
+	}
+	if s.Epoch > l.epoch || s.Epoch == l.epoch && s.Size != l.size {
+		l.restart(now, s)
+	}
+	if s.Epoch < l.epoch {
+		return
+	}
+	m := l.member(s.Rank)
+	if s.newer(m.state) {
+		m.state = s
+		m.at = now
+	}
+	if heard > l.ballot {
+		l.outranked(now, heard)
+	}
+}
+
+// newer tells whether a state of one epoch is at least as new as another: each
+// accepted order and each step count up.
+func (s State) newer(old State) bool {
+	if s.Orders != old.Orders {
+		return s.Orders > old.Orders
+	}
+	return s.Step >= old.Step
+}
+
+// restart begins anew with a group that has formed anew: nothing is prepared,
+// armed or held there.
+func (l *Lead) restart(now time.Time, s State) {
+	l.end(now, false, "group formed anew")
+	l.epoch = s.Epoch
+	l.size = s.Size
+	l.members = make(map[btexpert.Rank]*member)
+}
+
+func (l *Lead) member(r btexpert.Rank) *member {
+	m, found := l.members[r]
+	if !found {
+		m = &member{}
+		l.members[r] = m
+	}
+	return m
+}
+
+// outranked ends the round of a lead that another has overtaken: whoever has
+// the higher ballot brings it to its end.
+func (l *Lead) outranked(now time.Time, heard Ballot) {
+	l.end(now, false, "outranked")
+	l.ballot = heard.Next(l.self)
+}
+
+// Whole tells whether every rank has reported of late and the group is open.
+func (l *Lead) Whole(now time.Time) bool {
+	if l.size == 0 || len(l.members) < l.size {
+		return false
+	}
+	for _, m := range l.members {
+		if !m.state.Open || now.Sub(m.at) > l.settings.Fresh {
+			return false
+		}
+	}
+	return true
+}
+
+// Stale lists the ranks without a state of late.
+func (l *Lead) Stale(now time.Time) []btexpert.Rank {
+	var ranks []btexpert.Rank
+	for r := range l.size {
+		m, found := l.members[btexpert.Rank(r)]
+		if !found || now.Sub(m.at) > l.settings.Fresh/2 {
+			ranks = append(ranks, btexpert.Rank(r))
+		}
+	}
+	return ranks
+}
+
+// Epoch returns the group's epoch.
+func (l *Lead) Epoch() uint64 { return l.epoch }
+
+// Size returns how many ranks the group has.
+func (l *Lead) Size() int { return l.size }
+
+// InForce returns the version of the map in force; false while ranks differ.
+func (l *Lead) InForce() (Version, bool) {
+	var version Version
+	for r := range l.size {
+		m, found := l.members[btexpert.Rank(r)]
+		if !found || r > 0 && m.state.Map != version {
+			return 0, false
+		}
+		version = m.state.Map
+	}
+	return version, l.size > 0
+}
+
+// newest returns the highest version that any rank has heard of.
+func (l *Lead) newest() Version {
+	var newest Version
+	for _, m := range l.members {
+		newest = max(newest, m.state.Map, m.state.Prepared, m.state.Armed)
+	}
+	return newest
+}
+
+// Begin starts a round for a new map and returns its version. The group must be
+// whole and the lead idle; Step returns the commands.
+func (l *Lead) Begin(now time.Time, layers []btexpert.Layer, nonce uint32) (Version, bool) {
+	if l.phase != Idle || !l.Whole(now) || l.foreign() || !l.noneArmed() {
+		return 0, false
+	}
+	l.enter(now, Preparing)
+	l.began = now
+	l.heldAt = time.Time{}
+	l.version = max(l.newest(), l.version).Next(nonce)
+	l.layers = layers
+	return l.version, true
+}
+
+// foreign tells whether a rank holds the group, or some ranks and not all are
+// armed, though this lead has no round.
+func (l *Lead) foreign() bool {
+	var armed Version
+	for _, m := range l.members {
+		if m.state.Held {
+			return true
+		}
+		armed = max(armed, m.state.Armed)
+	}
+	return armed != 0 && !l.allOn(armed)
+}
+
+// enter goes to a phase in which every rank is asked anew.
+func (l *Lead) enter(now time.Time, p Phase) {
+	if l.ballot == 0 {
+		l.ballot = Ballot(0).Next(l.self)
+	}
+	l.phase = p
+	l.round++
+	for _, m := range l.members {
+		m.reached = false
+		m.refused = false
+		m.asked = time.Time{}
+	}
+	_ = now
+}
+
+// end leaves the round.
+func (l *Lead) end(now time.Time, switched bool, reason string) {
+	if l.phase == Idle {
+		return
+	}
+	o := &Outcome{Version: l.version, Switched: switched, Reason: reason, Took: now.Sub(l.began), Adopted: l.layers == nil}
+	if !l.heldAt.IsZero() {
+		o.Held = now.Sub(l.heldAt)
+	}
+	l.outcome = o
+	l.phase = Idle
+	l.layers = nil
+}
--- /dev/null
+++ b/io/btdirect/admission.go
@@ -0,0 +1,134 @@
+package btdirect
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btgate"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btloop"
+)
+
+const (
+	// waitShare is the part of a request's objective for which it may wait at
+	// the entry: one that is refused after a quarter of it was kept too long.
+	waitShare = 0.2
+	// leastShare is the part of a group's places that is always admitted.
+	leastShare = 0.25
+	// queuePerSlot is how many requests beyond its slots a plain target is sent:
+	// its own short queue keeps it busy.
+	queuePerSlot = 1.0
+)
+
+// admission bounds the requests at work by service.
+type admission struct {
+	clock btloop.Clock
+	fleet *fleet
+	// entries estimates how many entries share the targets.
+	entries func() int
+
+	mu    sync.Mutex
+	gates map[btid.Service]*serviceGate
+}
+
+// serviceGate is a gate with the rate at which its requests end.
+type serviceGate struct {
+	gate    *btgate.Gate[chan struct{}]
+	left    time.Time
+	between time.Duration
+}
+
+func newAdmission(o Options, f *fleet, entries func() int) *admission {
+	return &admission{clock: o.Clock, fleet: f, entries: entries, gates: make(map[btid.Service]*serviceGate)}
+}
+
+// of returns the service's gate with its bounds brought up to date. The lock is
+// held.
+func (a *admission) of(s *btcatalog.Service) *serviceGate {
+	slots, targets := a.fleet.slots(s.Name)
+	most := max(float64(slots)/float64(max(a.entries(), 1)), 1)
+	config := btgate.Config{Least: max(most*leastShare, 1), Most: most, Start: most}
+	if s.Engine == nil || s.Engine.Group == nil {
+		// Plain targets bound themselves: the gate only keeps a burst from
+		// filling their queues beyond what they answer in time.
+		most = float64(slots) * (1 + queuePerSlot)
+		config = btgate.Config{Least: most, Most: most, Start: most}
+	}
+	g, found := a.gates[s.Name]
+	if !found {
+		g = &serviceGate{gate: btgate.New[chan struct{}](config)}
+		a.gates[s.Name] = g
+	}
+	if targets > 0 {
+		g.gate.Configure(config)
+	}
+	return g
+}
+
+// enter admits a request, after a wait where that promises to help. It returns
+// false where the request is refused.
+func (a *admission) enter(ctx context.Context, s *btcatalog.Service, r *btcatalog.Route, priority int) bool {
+	a.mu.Lock()
+	g := a.of(s)
+	if g.gate.Enter() {
+		a.mu.Unlock()
+		return true
+	}
+	now := a.clock()
+	wait := time.Duration(float64(r.Objective) * waitShare)
+	admitted := make(chan struct{})
+	ticket := g.gate.Wait(now, now.Add(wait), priority, g.between, admitted)
+	a.mu.Unlock()
+	if ticket == nil {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-admitted:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !g.gate.Abandon(ticket)
+}
+
+// leave gives a request's place back.
+func (a *admission) leave(s *btcatalog.Service) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.of(s)
+	now := a.clock()
+	if !g.left.IsZero() {
+		const weight = 0.1
+		g.between += time.Duration(weight * float64(now.Sub(g.left)-g.between))
+	}
+	g.left = now
+	for _, t := range g.gate.Leave(now) {
+		close(t.Waiter)
+	}
+}
+
+// pause takes a pause between two events of a stream in.
+func (a *admission) pause(s *btcatalog.Service, pause, allowed time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g, found := a.gates[s.Name]; found {
+		g.gate.Pause(a.clock(), pause, allowed)
+	}
+}
+
+// load describes a service's gate for logs.
+func (a *admission) load(name btid.Service) (running, waiting, limit int, pause float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, found := a.gates[name]
+	if !found {
+		return 0, 0, 0, 0
+	}
+	return g.gate.Running(), g.gate.Waiting(), g.gate.Limit(), g.gate.Load()
+}
--- /dev/null
+++ b/io/btdirect/entry.go
@@ -0,0 +1,232 @@
+package btdirect
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btretry"
+	"bilberrytide/io/btloop"
+	"bilberrytide/io/btmetric"
+)
+
+// Options are an entry's dependencies.
+type Options struct {
+	Settings Settings
+	Source   Source
+	Headers  Headers
+	// ReadyPath is where the balancer asks whether the entry takes requests.
+	ReadyPath string
+	Meter     *btmetric.Meter
+	Log       *slog.Logger
+	Clock     btloop.Clock
+}
+
+// Entry takes callers' requests and sends them to targets directly.
+type Entry struct {
+	options   Options
+	log       *slog.Logger
+	meter     *btmetric.Meter
+	knowledge *knowledge
+	fleet     *fleet
+	admission *admission
+
+	servedCount atomic.Uint64
+	stopping    atomic.Bool
+	stop        chan struct{}
+	stopOnce    sync.Once
+
+	mu      sync.Mutex
+	budgets map[btid.Service]*budget
+}
+
+// New returns an entry; it learns everything once it runs.
+func New(o Options) *Entry {
+	e := &Entry{
+		options: o,
+		log:     o.Log,
+		meter:   o.Meter,
+		fleet:   newFleet(o),
+		stop:    make(chan struct{}),
+		budgets: make(map[btid.Service]*budget),
+	}
+	e.knowledge = newKnowledge(o, e.configure)
+	e.admission = newAdmission(o, e.fleet, e.entries)
+	return e
+}
+
+func (e *Entry) configure(index *btcatalog.Index, list []btinventory.Target) {
+	e.fleet.configure(index, list)
+}
+
+// entries estimates how many entries share the fleet: at least those that the
+// settings name.
+func (e *Entry) entries() int { return max(len(e.options.Settings.Seeds), 1) }
+
+// Ready tells whether the entry takes requests.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.knowledge.index.Load() != nil && e.fleet.ready()
+}
+
+// Stop begins the planned stop; a second call changes nothing.
+func (e *Entry) Stop() {
+	e.stopOnce.Do(func() {
+		e.stopping.Store(true)
+		e.log.Info("stop begun", "grace_ms", e.options.Settings.StopGrace.Milliseconds())
+		close(e.stop)
+	})
+}
+
+const (
+	// headerWait bounds the reading of a request's header, headerBytes its size:
+	// above what any catalog is known to allow.
+	headerWait  = 10 * time.Second
+	headerBytes = 64 << 10
+	// idleWait is how long a caller's connection is kept without a request:
+	// longer than callers reuse one, so that no request crosses its close.
+	idleWait = 75 * time.Second
+	// balancerLag is how long the balancer may send new connections after the
+	// readiness check began to fail: it asks each second and acts on the second
+	// miss.
+	balancerLag = 2500 * time.Millisecond
+	// stopMargin is kept of the grace for the end of the process itself.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Run serves until a planned stop is complete or the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	front, err := net.Listen("tcp", e.options.Settings.Front.String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           http.HandlerFunc(e.serveHTTP),
+		ReadHeaderTimeout: headerWait,
+		MaxHeaderBytes:    headerBytes,
+		IdleTimeout:       idleWait,
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	ready, err := e.serveReady()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { e.knowledge.run(ctx); return nil })
+	group.Go(func() error { return serve(server, front) })
+	group.Go(func() error { return e.servePeers(ctx) })
+	group.Go(func() error {
+		defer cancel()
+		defer ready.Close()
+		e.finish(ctx, server)
+		return nil
+	})
+	return group.Wait()
+}
+
+// serve runs a server until it is shut down.
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// serveReady answers the balancer's readiness check.
+func (e *Entry) serveReady() (*http.Server, error) {
+	listener, err := net.Listen("tcp", e.options.Settings.Ready.String())
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(e.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("/metrics", e.meter)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerWait}
+	go func() {
+		if err := serve(server, listener); err != nil {
+			e.log.Error("readiness check ended", "error", err)
+		}
+	}()
+	return server, nil
+}
+
+// finish waits for the stop and carries it out: new connections are taken until
+// the balancer has turned away, and what was read is answered.
+func (e *Entry) finish(ctx context.Context, server *http.Server) {
+	select {
+	case <-ctx.Done():
+		_ = server.Close()
+		return
+	case <-e.stop:
+	}
+	began := e.options.Clock()
+	sleep(ctx, balancerLag)
+	left := e.options.Settings.StopGrace - stopMargin - e.options.Clock().Sub(began)
+	bounded, cancel := context.WithTimeout(ctx, max(left, 0))
+	defer cancel()
+	if err := server.Shutdown(bounded); err != nil {
+		e.log.Warn("stop cuts requests", "error", err)
+		_ = server.Close()
+	}
+	e.log.Info("stopped", "took_ms", e.options.Clock().Sub(began).Milliseconds())
+}
+
+// budget is the retry budget of one service, safe for concurrent use.
+type budget struct {
+	mu     sync.Mutex
+	window *btretry.Window
+}
+
+func (b *budget) request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window.Request(now)
+}
+
+func (b *budget) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window.Take(now)
+}
+
+const (
+	// budgetShare is the part of this entry's own share that it uses: what it
+	// counts as sent may be counted by others a little earlier or later.
+	budgetShare = 0.85
+	// slackEntries is the number of entries that the slack is divided by beside
+	// those that are known, as some may not be.
+	slackEntries = 2
+)
+
+// budget returns the service's retry budget.
+func (e *Entry) budget(name btid.Service) *budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, found := e.budgets[name]
+	if !found {
+		r := e.options.Settings.Retry
+		b = &budget{window: btretry.NewWindow(btretry.WindowConfig{
+			Share:  r.Share * budgetShare,
+			Slack:  r.Slack * budgetShare / float64(e.entries()+slackEntries),
+			Window: r.Window,
+		})}
+		e.budgets[name] = b
+	}
+	return b
+}
--- /dev/null
+++ b/io/btdirect/exchange.go
@@ -0,0 +1,296 @@
+package btdirect
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btrequest"
+)
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	entry    *Entry
+	writer   http.ResponseWriter
+	caller   *http.Request
+	call     Call
+	body     []byte
+	index    *btcatalog.Index
+	route    *btcatalog.Route
+	service  *btcatalog.Service
+	account  btid.Account
+	priority int
+	received time.Time
+	deadline time.Time
+
+	tried    map[btinventory.ID]bool
+	attempts int
+	dials    int
+	// stream is the part of a streamed answer that went out.
+	stream *streamWriter
+	// mayHaveRun is set once a target may have begun to work on the request.
+	mayHaveRun bool
+	ended      bool
+}
+
+// refusal is an answer of the entry's own.
+type refusal struct {
+	status     int
+	reason     btrequest.Reason
+	retryAfter time.Duration
+}
+
+const (
+	// retryShare is the part of the time left after which a refused caller is
+	// asked back where nothing better is known: callers follow up to a third.
+	retryShare = 0.32
+	// defaultDeadline is for callers that state none.
+	defaultDeadline = time.Minute
+)
+
+// serveHTTP answers a caller's request.
+func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		entry:    e,
+		writer:   w,
+		caller:   r,
+		call:     e.options.Headers.Call(r.Header),
+		received: e.options.Clock(),
+		tried:    make(map[btinventory.ID]bool),
+	}
+	e.meter.Counter(metricRequests).Inc(1)
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refused := x.identify(); refused != nil {
+		x.refuse(refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.serve(ctx)
+}
+
+// identify finds the route and the account, and reads the body.
+func (x *exchange) identify() *refusal {
+	x.index = x.entry.knowledge.index.Load()
+	if x.index == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoCatalog, retryAfter: time.Second}
+	}
+	path, _, _ := strings.Cut(x.caller.RequestURI, "?")
+	route, found := x.index.Route(x.caller.Host, path)
+	if !found {
+		return &refusal{status: http.StatusNotFound, reason: ReasonNoRoute}
+	}
+	x.route = route
+	x.priority = route.Priority
+	if refused := x.authenticate(); refused != nil {
+		return refused
+	}
+	wait := defaultDeadline
+	if x.call.HasDeadline {
+		wait = x.call.Deadline
+	}
+	x.deadline = x.received.Add(min(wait, route.Timeout))
+	service, found := x.index.Service(route.Split(rand.Float64()))
+	if !found {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()}
+	}
+	x.service = service
+	return x.readBody()
+}
+
+// authenticate finds the account that holds the caller's key.
+func (x *exchange) authenticate() *refusal {
+	if !x.index.Keyed() {
+		return nil
+	}
+	account, found := x.index.Account(x.call.Key)
+	if found {
+		x.account = account.Name
+		if account.Priority != nil {
+			x.priority = *account.Priority
+		}
+		return nil
+	}
+	if x.route.Public {
+		return nil
+	}
+	return &refusal{status: http.StatusUnauthorized, reason: ReasonKeyUnknown}
+}
+
+// readBody reads the whole body, so that an attempt can be repeated and a
+// caller that leaves is noticed.
+func (x *exchange) readBody() *refusal {
+	limit := x.index.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.caller.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
+	}
+	if x.caller.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.caller.Body, limit))
+	var tooBig *http.MaxBytesError
+	if errors.As(err, &tooBig) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
+	}
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyCut}
+	}
+	x.body = body
+	return nil
+}
+
+// defaultBodyBytes is the body limit of a catalog that states none.
+const defaultBodyBytes = 4 << 20
+
+// later is when a refused caller should come back where nothing better is
+// known.
+func (x *exchange) later() time.Duration {
+	left := x.deadline.Sub(x.entry.options.Clock())
+	return time.Duration(float64(max(left, 0)) * retryShare)
+}
+
+// serve admits the request and has it answered.
+func (x *exchange) serve(ctx context.Context) {
+	e := x.entry
+	if !e.fleet.open(x.service.Name) {
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
+		return
+	}
+	if !e.admission.enter(ctx, x.service, x.route, x.priority) {
+		if x.gone() {
+			return
+		}
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: x.later()})
+		return
+	}
+	defer e.admission.leave(x.service)
+	e.budget(x.service.Name).request(e.options.Clock())
+	x.run(ctx)
+}
+
+// run makes attempts until the request has its final answer.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		t := x.entry.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried)
+		if t == nil {
+			x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()})
+			return
+		}
+		result := x.attempt(ctx, t)
+		if result.done {
+			x.served(result)
+			return
+		}
+		if !x.again(ctx, result) {
+			return
+		}
+	}
+}
+
+// again decides on another attempt; where there is none it gives the final
+// answer.
+func (x *exchange) again(ctx context.Context, result attemptResult) bool {
+	e := x.entry
+	now := e.options.Clock()
+	if x.gone() {
+		e.caseOf(x, ReasonCallerGone, result)
+		x.abort()
+		return false
+	}
+	if ctx.Err() != nil {
+		e.caseOf(x, ReasonTimeout, result)
+		x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: ReasonTimeout})
+		return false
+	}
+	reason := x.mayRetry(result, now)
+	if reason == "" {
+		e.meter.Retried(result.reason)
+		e.retryLine(x, result)
+		return true
+	}
+	x.failed(result, reason)
+	return false
+}
+
+// maxDials is how many targets are tried that take no connection: nothing was
+// sent to them.
+const maxDials = 3
+
+// mayRetry returns why the request is not tried again, or "".
+func (x *exchange) mayRetry(result attemptResult, now time.Time) btrequest.Reason {
+	if !result.notRun && !x.route.Repeatable() {
+		return result.reason
+	}
+	if result.reason == ReasonNotSent {
+		x.dials++
+		if x.dials >= maxDials {
+			return result.reason
+		}
+		return ""
+	}
+	if result.groupBroken || x.attempts >= x.route.Attempts {
+		return result.reason
+	}
+	if !x.entry.budget(x.service.Name).take(now) {
+		return ReasonBudget
+	}
+	return ""
+}
+
+// failed gives the final answer after the last attempt.
+func (x *exchange) failed(result attemptResult, reason btrequest.Reason) {
+	x.entry.caseOf(x, reason, result)
+	if result.held != nil && !x.streaming() {
+		x.relayHeld(result.held)
+		return
+	}
+	if x.mayHaveRun {
+		x.giveUp(&refusal{status: http.StatusBadGateway, reason: reason})
+		return
+	}
+	x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.later()})
+}
+
+// giveUp ends the request with an answer of the entry's own; a stream of which
+// a part went out is cut off visibly.
+func (x *exchange) giveUp(r *refusal) {
+	if x.streaming() {
+		x.entry.caseOf(x, r.reason, attemptResult{reason: r.reason})
+		x.abort()
+		return
+	}
+	x.refuse(r)
+}
+
+func (x *exchange) streaming() bool { return x.stream != nil && x.stream.begun }
+
+// gone tells whether the caller has left.
+func (x *exchange) gone() bool { return x.caller.Context().Err() != nil }
+
+// abort closes the caller's connection so that its answer can't look whole.
+func (x *exchange) abort() { panic(http.ErrAbortHandler) }
+
+// refuse answers at once.
+func (x *exchange) refuse(r *refusal) {
+	e := x.entry
+	e.meter.Refused(r.reason)
+	e.refusedLine(x, r)
+	h := x.writer.Header()
+	e.options.Headers.Refuse(h, x.call.ID, r.retryAfter)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	x.writer.WriteHeader(r.status)
+	// The caller that left is the only error, and hears nothing more.
+	_, _ = io.WriteString(x.writer, string(r.reason)+"\n")
+}
--- /dev/null
+++ b/io/btdirect/fleet.go
@@ -0,0 +1,253 @@
+package btdirect
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btpick"
+	"bilberrytide/io/btloop"
+	"bilberrytide/io/bttarget"
+)
+
+const (
+	// dialTimeout bounds connecting to a target. Data centres of a region are a
+	// few milliseconds apart; a target that takes longer is better passed over.
+	dialTimeout = 250 * time.Millisecond
+	// connectionIdle is how long a connection to a target is kept: shorter than
+	// any target's own timeout, as a request that crosses its close is lost.
+	connectionIdle = 2 * time.Second
+	// silenceTimeout ends connections to hosts that have gone dark.
+	silenceTimeout = 3 * time.Second
+	// suspendFirst and suspendMost bound the time for which a target that failed
+	// is passed over; it doubles with each failure.
+	suspendFirst = 150 * time.Millisecond
+	suspendMost  = 3 * time.Second
+)
+
+// target is one target as this entry uses it.
+type target struct {
+	info btinventory.Target
+	// kept reuses connections, fresh makes one for each request.
+	kept, fresh *bttarget.Client
+	// The fields below belong to the fleet's lock.
+	requests  int
+	tokens    int
+	failures  int
+	suspended time.Time
+}
+
+// fleet chooses targets and keeps count of what is at each.
+type fleet struct {
+	near  btid.DataCentre
+	clock btloop.Clock
+
+	mu       sync.Mutex
+	targets  map[btinventory.ID]*target
+	services map[btid.Service]*service
+}
+
+// service is what the entry keeps for one service.
+type service struct {
+	name    btid.Service
+	targets []*target
+	// down is set while the service's group is known to be broken.
+	down    bool
+	downAt  time.Time
+	probeAt time.Time
+}
+
+func newFleet(o Options) *fleet {
+	return &fleet{
+		near:     o.Settings.DataCentre,
+		clock:    o.Clock,
+		targets:  make(map[btinventory.ID]*target),
+		services: make(map[btid.Service]*service),
+	}
+}
+
+// configure takes the list of targets in.
+func (f *fleet) configure(_ *btcatalog.Index, list []btinventory.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[btinventory.ID]bool, len(list))
+	for _, s := range f.services {
+		s.targets = s.targets[:0]
+	}
+	for _, info := range list {
+		listed[info.ID] = true
+		t := f.target(info)
+		s := f.service(info.Service)
+		s.targets = append(s.targets, t)
+	}
+	for id, t := range f.targets {
+		if !listed[id] {
+			delete(f.targets, id)
+			t.kept.Close()
+		}
+	}
+}
+
+func (f *fleet) target(info btinventory.Target) *target {
+	t, found := f.targets[info.ID]
+	if found {
+		t.info = info
+		return t
+	}
+	options := bttarget.Options{
+		Endpoint:       info.Address,
+		DialTimeout:    dialTimeout,
+		IdleTimeout:    connectionIdle,
+		SilenceTimeout: silenceTimeout,
+	}
+	once := options
+	once.Fresh = true
+	t = &target{info: info, kept: bttarget.New(options), fresh: bttarget.New(once)}
+	f.targets[info.ID] = t
+	return t
+}
+
+func (f *fleet) service(name btid.Service) *service {
+	s, found := f.services[name]
+	if !found {
+		s = &service{name: name}
+		f.services[name] = s
+	}
+	return s
+}
+
+// ready tells whether any target is known.
+func (f *fleet) ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.targets) > 0
+}
+
+// pick chooses a target for a request and counts the request there. It passes
+// over those that the request has tried and those that failed of late, unless
+// there is no other. It returns nil without any.
+func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.ID]bool) *target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	var usable, failing []*target
+	for _, t := range f.service(name).targets {
+		switch {
+		case t.info.State != btinventory.Ready || tried[t.info.ID]:
+		case now.Before(t.suspended):
+			failing = append(failing, t)
+		default:
+			usable = append(usable, t)
+		}
+	}
+	if len(usable) == 0 {
+		usable = failing
+	}
+	candidates := make([]btpick.Candidate, len(usable))
+	for i, t := range usable {
+		candidates[i] = btpick.Candidate{
+			Requests: t.requests,
+			Tokens:   t.tokens,
+			Near:     t.info.DataCentre == f.near,
+		}
+	}
+	best := btpick.Best(candidates, rand.Float64())
+	if best < 0 {
+		return nil
+	}
+	t := usable[best]
+	t.requests++
+	t.tokens += tokens
+	return t
+}
+
+// read notes that a target has read a prompt.
+func (f *fleet) read(t *target, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.tokens -= tokens
+}
+
+// done notes that a request is no longer at a target.
+func (f *fleet) done(t *target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.requests--
+}
+
+// succeeded notes an answer of a target.
+func (f *fleet) succeeded(t *target) (opened bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.failures = 0
+	t.suspended = time.Time{}
+	s := f.service(t.info.Service)
+	opened = s.down
+	s.down = false
+	return opened
+}
+
+// failed notes that a target failed, and returns for how long it is passed
+// over.
+func (f *fleet) failed(t *target) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.failures++
+	wait := suspendFirst << min(t.failures-1, 10)
+	wait = min(wait, suspendMost)
+	t.suspended = f.clock().Add(wait)
+	return wait
+}
+
+// probeEvery is how often a request is sent to a group that is known to be
+// broken, to learn when it is open again.
+const probeEvery = 250 * time.Millisecond
+
+// closed notes that a service's group is broken; it tells whether that is new.
+func (f *fleet) closed(name btid.Service) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(name)
+	now := f.clock()
+	fresh := !s.down
+	if fresh {
+		s.down = true
+		s.downAt = now
+	}
+	s.probeAt = now.Add(probeEvery)
+	return fresh
+}
+
+// open tells whether requests may be sent to the service. While its group is
+// broken one at a time may, as a probe.
+func (f *fleet) open(name btid.Service) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(name)
+	if !s.down {
+		return true
+	}
+	now := f.clock()
+	if now.Before(s.probeAt) {
+		return false
+	}
+	s.probeAt = now.Add(probeEvery)
+	return true
+}
+
+// slots returns how many requests the service's targets run at once, and how
+// many targets there are.
+func (f *fleet) slots(name btid.Service) (slots, targets int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.service(name).targets {
+		if t.info.State == btinventory.Ready {
+			slots += t.info.Slots
+			targets++
+		}
+	}
+	return slots, targets
+}
--- /dev/null
+++ b/io/btdirect/knowledge.go
@@ -0,0 +1,223 @@
+package btdirect
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btinventory"
+	"bilberrytide/io/btloop"
+	"bilberrytide/io/btmetric"
+)
+
+const (
+	// readEvery is the pace at which changes are read. Targets renew their
+	// records every second or so, so that a read at each change would cost a
+	// call for each; a read at this pace stays well within the time that a
+	// target serves on after its leaving is listed (2 s on the platform).
+	readEvery = 700 * time.Millisecond
+	// readWait is how long a read waits where nothing has changed.
+	readWait = 500 * time.Millisecond
+	// readAgain is the wait after a failed read.
+	readAgain = 400 * time.Millisecond
+	// lapseGrace is how long after an interruption a target that vanished is
+	// kept: live targets are listed again within about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// Names of metrics.
+const (
+	metricReads      = "source.reads"
+	metricReadErrors = "source.read_errors"
+	metricMalformed  = "source.malformed"
+)
+
+// knowledge is what the process has learned of the fleet.
+type knowledge struct {
+	source Source
+	clock  btloop.Clock
+	log    *slog.Logger
+	meter  *btmetric.Meter
+	// published is called with the lock held whenever something has changed.
+	published func(*btcatalog.Index, []btinventory.Target)
+
+	index atomic.Pointer[btcatalog.Index]
+
+	mu       sync.Mutex
+	register *btinventory.Register
+	revision uint64
+	known    bool
+	// readAt is when the source was last read.
+	readAt time.Time
+	lost   bool
+	// catalogBytes is the catalog as it was published.
+	catalogBytes []byte
+}
+
+func newKnowledge(o Options, published func(*btcatalog.Index, []btinventory.Target)) *knowledge {
+	return &knowledge{
+		source:    o.Source,
+		clock:     o.Clock,
+		log:       o.Log,
+		meter:     o.Meter,
+		published: published,
+		register:  btinventory.NewRegister(lapseGrace),
+	}
+}
+
+// run reads the source until the context ends.
+func (k *knowledge) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := k.clock()
+		pause := readAgain
+		if k.read(ctx) {
+			pause = readEvery - k.clock().Sub(began)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// read makes one read and tells whether it succeeded.
+func (k *knowledge) read(ctx context.Context) bool {
+	k.meter.Counter(metricReads).Inc(1)
+	revision, known := k.position()
+	var update Update
+	var err error
+	if known {
+		update, err = k.source.Changes(ctx, revision, readWait)
+	} else {
+		update, err = k.source.Snapshot(ctx)
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		k.failed(err)
+		return false
+	}
+	k.apply(update)
+	return true
+}
+
+func (k *knowledge) position() (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.revision, k.known
+}
+
+// failed notes a failed read.
+func (k *knowledge) failed(err error) {
+	k.meter.Counter(metricReadErrors).Inc(1)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if errors.Is(err, ErrHistoryGone) {
+		k.known = false
+		k.log.Info("history gone", "revision", k.revision, "outcome", "read in full")
+		return
+	}
+	k.register.Interrupted()
+	if !k.lost {
+		k.lost = true
+		k.log.Warn("dependency lost", "dependency", "store", "revision", k.revision, "age_ms", k.age().Milliseconds(), "error", err)
+	}
+}
+
+// age returns how old the last read is.
+func (k *knowledge) age() time.Duration {
+	if k.readAt.IsZero() {
+		return 0
+	}
+	return k.clock().Sub(k.readAt)
+}
+
+// apply takes an update in.
+func (k *knowledge) apply(u Update) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock()
+	if k.lost {
+		k.lost = false
+		k.log.Info("dependency regained", "dependency", "store", "revision", u.Revision, "age_ms", k.age().Milliseconds())
+	}
+	k.register.Regained(now)
+	k.readAt = now
+	k.revision = u.Revision
+	k.known = true
+	for _, err := range u.Malformed {
+		k.meter.Counter(metricMalformed).Inc(1)
+		k.log.Warn("record refused", "revision", u.Revision, "error", err, "outcome", "earlier record stays")
+	}
+	changes := k.targets(now, u)
+	renewed := k.adopt(u.Catalog, u.CatalogBytes, "store")
+	for _, c := range changes {
+		k.log.Info(c.What, "target", c.ID, "service", c.Target.Service, "address", c.Target.Address, "revision", u.Revision)
+	}
+	if renewed || len(changes) > 0 {
+		k.publish()
+	}
+}
+
+// targets brings the register up to the update.
+func (k *knowledge) targets(now time.Time, u Update) []btinventory.Change {
+	changes := k.register.Expire(now)
+	if u.Full {
+		list := make([]btinventory.Target, 0, len(u.Changes))
+		for _, c := range u.Changes {
+			list = append(list, c.Target)
+		}
+		return append(changes, k.register.Replace(now, list)...)
+	}
+	for _, c := range u.Changes {
+		if c.Removed {
+			changes = append(changes, k.register.Remove(now, c.ID)...)
+			continue
+		}
+		changes = append(changes, k.register.Put(c.Target)...)
+	}
+	return changes
+}
+
+// adopt puts a catalog in force if it is newer, and tells whether it did.
+func (k *knowledge) adopt(c *btcatalog.Catalog, data []byte, from string) bool {
+	if c == nil {
+		return false
+	}
+	before := uint64(0)
+	if current := k.index.Load(); current != nil {
+		before = current.Version()
+	}
+	if c.Version <= before {
+		if c.Version < before {
+			k.log.Warn("catalog refused", "version", c.Version, "in_force", before, "from", from)
+		}
+		return false
+	}
+	k.catalogBytes = data
+	k.index.Store(btcatalog.NewIndex(c))
+	k.log.Info("catalog in force", "version", c.Version, "before", before, "from", from, "routes", len(c.Routes), "accounts", len(c.Accounts))
+	return true
+}
+
+// publish hands on what is known. The lock is held.
+func (k *knowledge) publish() {
+	if index := k.index.Load(); index != nil {
+		k.published(index, k.register.Targets())
+	}
+}
+
+// sleep waits, unless the context ends before.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/btdirect/source.go
@@ -0,0 +1,101 @@
+package btdirect
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+)
+
+// ErrHistoryGone means that a source no longer has the changes after a
+// revision, so that everything must be read again.
+var ErrHistoryGone = errors.New("history is gone")
+
+// Source publishes the configuration and the list of targets.
+type Source interface {
+	// Snapshot returns everything.
+	Snapshot(ctx context.Context) (Update, error)
+	// Changes returns what changed after the revision, as soon as there is
+	// anything, and else an empty update once the wait is over.
+	Changes(ctx context.Context, revision uint64, wait time.Duration) (Update, error)
+}
+
+// Update is what was read at once.
+type Update struct {
+	// Revision orders updates of one source.
+	Revision uint64
+	// Full tells that targets which are not listed are gone.
+	Full bool
+	// Catalog is nil where it didn't change; CatalogBytes is how it was
+	// published, for entries that can't read it themselves.
+	Catalog      *btcatalog.Catalog
+	CatalogBytes []byte
+	Changes      []TargetChange
+	// Malformed lists what could not be decoded.
+	Malformed []error
+}
+
+// TargetChange is a target's new record, or its removal.
+type TargetChange struct {
+	ID      btinventory.ID
+	Removed bool
+	Target  btinventory.Target
+}
+
+// Headers reads and writes the header fields that the platform defines.
+type Headers interface {
+	// Call reads a caller's request.
+	Call(h http.Header) Call
+	// Forward sets the fields of a request to a target and removes the
+	// caller's credentials.
+	Forward(h http.Header, f Forward)
+	// Answer reads a target's answer.
+	Answer(status int, h http.Header) Answer
+	// Refuse sets the fields of an answer of the entry's own.
+	Refuse(h http.Header, id string, retryAfter time.Duration)
+}
+
+// Call is what a caller's request says of itself.
+type Call struct {
+	// ID is the caller's identifier of this attempt.
+	ID  string
+	Key string
+	// Deadline is how long the caller waits, if HasDeadline.
+	Deadline    time.Duration
+	HasDeadline bool
+	// LastEvent is the last event that the caller has of a broken stream.
+	LastEvent string
+	// PromptTokens and OutputTokens are the caller's estimates; zero if absent.
+	PromptTokens, OutputTokens int
+}
+
+// Forward is what the entry says in a request to a target.
+type Forward struct {
+	Account btid.Account
+	// Target is the incarnation that is meant.
+	Target    btinventory.ID
+	Remaining time.Duration
+	Priority  int
+	// LastEvent goes before the caller's own where it is set.
+	LastEvent string
+}
+
+// Answer is what a target's answer says of itself.
+type Answer struct {
+	// ID is the request that the answer belongs to.
+	ID string
+	// NotRun is the target's word that it did not run the request.
+	NotRun bool
+	// Misdirected tells that another incarnation has the address.
+	Misdirected bool
+	// Stamped tells that the answer is the target's own.
+	Stamped bool
+	// Encoded tells that the body isn't the target's.
+	Encoded bool
+	// AtFault is the group member that the answer blames, if any.
+	AtFault btinventory.ID
+}
--- /dev/null
+++ b/io/btrank/engine.go
@@ -0,0 +1,219 @@
+// Package btrank runs the agent beside a model engine that is a rank of a
+// lock-step group and takes orders by itself.
+//
+// Each agent reads its engine's state and expert counts, which costs nothing
+// from its host, and reports them to the group's lead: the first agent in the
+// order of addresses that answers. The lead plans expert maps and drives the
+// rounds of package btround, whose commands the agents carry out at their
+// engines. An agent that is away is stood in for by the lead.
+//
+// An agent learns of the others from the entries, which read the platform's
+// list. It keeps nothing.
+package btrank
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btround"
+)
+
+// Counts are how often a rank's requests chose each expert since it started.
+type Counts struct {
+	Epoch uint64
+	Step  int64
+	// Values is flat, layer by layer.
+	Values []int64
+}
+
+// Held is what a rank holds by the map in force.
+type Held struct {
+	Epoch   uint64              `cbor:"epoch"`
+	Version btround.Version     `cbor:"version"`
+	Layers  [][]btexpert.Expert `cbor:"layers"`
+}
+
+// OrderAnswer is what an engine says to an order.
+type OrderAnswer string
+
+const (
+	// OrderBegun: the order is accepted and counted.
+	OrderBegun OrderAnswer = "begun"
+	// OrderHolds: the state is already as ordered.
+	OrderHolds OrderAnswer = "holds"
+	// OrderRefused: the order does not fit the engine's state.
+	OrderRefused OrderAnswer = "refused"
+	// OrderFenced: the engine has heard a higher ballot.
+	OrderFenced OrderAnswer = "fenced"
+)
+
+// Engine is one engine's own interface.
+type Engine interface {
+	Report(ctx context.Context) (btround.State, error)
+	Counts(ctx context.Context) (Counts, error)
+	Held(ctx context.Context) (Held, error)
+	// Order gives an order that is refused unless the engine has accepted just
+	// so many before. With OrderRefused the error says why; any other error
+	// means that the order may be carried out at any later time.
+	Order(ctx context.Context, c btround.Command, accepted uint64) (OrderAnswer, error)
+	Close()
+}
+
+const (
+	// workTime is how long an agent works on one command before it answers that
+	// the end isn't known.
+	workTime = 400 * time.Millisecond
+	// orderTime bounds an order's answer, which takes about a millisecond; an
+	// engine that loses an order never answers it.
+	orderTime = 40 * time.Millisecond
+	// reportTime bounds the reading of an engine's state.
+	reportTime = 150 * time.Millisecond
+	// preparePoll is how often the loading of experts is looked at.
+	preparePoll = 40 * time.Millisecond
+)
+
+// carryOut brings an engine into the state that a command asks for, as far as
+// it gets within the work time. An order without an answer is given again with
+// the same number of accepted orders before it, so that only one of them can
+// take effect.
+func carryOut(ctx context.Context, e Engine, c btround.Command) btround.Result {
+	result := btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Pending, Ballot: c.Ballot}
+	ctx, cancel := context.WithTimeout(ctx, workTime)
+	defer cancel()
+	w := &work{engine: e, command: c}
+	for ctx.Err() == nil {
+		s, err := report(ctx, e)
+		if err != nil {
+			pause(ctx, preparePoll)
+			continue
+		}
+		result.State = s
+		if s.Epoch != c.Epoch {
+			result.Verdict = btround.Refused
+			return result
+		}
+		if w.step(ctx, s, &result) {
+			return result
+		}
+	}
+	return result
+}
+
+// work is one command on its way.
+type work struct {
+	engine  Engine
+	command btround.Command
+	// given tells that the engine has accepted the command's order.
+	given bool
+}
+
+// step goes on from a state just read, and tells whether the result stands.
+func (w *work) step(ctx context.Context, s btround.State, result *btround.Result) bool {
+	c := w.command
+	if c.Satisfied(s) && (w.given || !w.due(s)) {
+		result.Verdict = btround.Reached
+		return true
+	}
+	if c.Kind == btround.Prepare && w.given {
+		pause(ctx, preparePoll)
+		return false
+	}
+	next := c
+	if c.Kind == btround.Disarm && c.Satisfied(s) {
+		// The rank isn't armed, but an order to arm it may still be on its way.
+		// Once it was armed and disarmed that order finds others accepted.
+		next.Kind = btround.Arm
+	}
+	switch order(ctx, w.engine, next, s) {
+	case OrderBegun:
+		s.Orders++
+		return w.accepted(next, s, result)
+	case OrderHolds:
+		return w.accepted(next, s, result)
+	case OrderFenced:
+		result.Verdict = btround.Outranked
+		result.Ballot = c.Ballot.Next(0)
+		return true
+	case OrderRefused:
+		return final(ctx, w.engine, next, c, s, result)
+	}
+	return false
+}
+
+// due tells whether an order is needed though the state is as asked for.
+func (w *work) due(s btround.State) bool {
+	return w.command.Force || w.command.Kind == btround.Disarm && s.Prepared == w.command.Version
+}
+
+// accepted goes on after an accepted order. Where its effect is immediate the
+// state isn't read again, so that the group isn't held for that.
+func (w *work) accepted(given btround.Command, s btround.State, result *btround.Result) bool {
+	if given.Kind != w.command.Kind {
+		return false
+	}
+	w.given = true
+	switch given.Kind {
+	case btround.Arm:
+		s.Armed = given.Version
+		s.ArmedStep = given.Step
+	case btround.Hold:
+		s.Held = true
+		s.HeldStep = given.Step
+	case btround.Go:
+		s.Held = false
+	default:
+		return false
+	}
+	result.State = s
+	result.Verdict = btround.Reached
+	return true
+}
+
+// final tells whether a refusal stands: the engine's state is still the one in
+// which the order was refused, and not what the command asks for.
+func final(ctx context.Context, e Engine, given, c btround.Command, before btround.State, result *btround.Result) bool {
+	s, err := report(ctx, e)
+	if err != nil {
+		return false
+	}
+	result.State = s
+	switch {
+	case c.Satisfied(s):
+		// A version that can't be armed here needs no disarming either.
+		result.Verdict = btround.Reached
+	case s.Orders != before.Orders || given.Kind != c.Kind:
+		return false
+	default:
+		result.Verdict = btround.Refused
+	}
+	return true
+}
+
+func report(ctx context.Context, e Engine) (btround.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	return e.Report(ctx)
+}
+
+// order gives an order and returns "" where its end isn't known.
+func order(ctx context.Context, e Engine, c btround.Command, s btround.State) OrderAnswer {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	answer, err := e.Order(ctx, c, s.Orders)
+	if answer == "" && !errors.Is(err, context.DeadlineExceeded) {
+		pause(ctx, orderTime)
+	}
+	return answer
+}
+
+// pause waits, unless the context ends before.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/btrank/lead.go
@@ -0,0 +1,264 @@
+package btrank
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btround"
+	"bilberrytide/io/btcall"
+)
+
+const (
+	// idleTick and roundTick are how often the lead looks at the clock, without
+	// and within a round.
+	idleTick  = 100 * time.Millisecond
+	roundTick = 20 * time.Millisecond
+	// commandTime bounds a command's answer, beyond the time that an agent works
+	// on it.
+	commandTime = workTime + 200*time.Millisecond
+	// lookEvery is how often the lead reads the state of an engine whose agent is
+	// away; such a read costs the group a little.
+	lookEvery = 500 * time.Millisecond
+	// leadFor is how long an agent leads after the last report of another: the
+	// others report a few times a second.
+	leadFor = time.Second
+)
+
+// lead drives the group's rounds at the agent that the others report to.
+type lead struct {
+	options Options
+	agent   *Agent
+	calls   *btcall.Client
+	log     *slog.Logger
+	kick    chan struct{}
+
+	mu      sync.Mutex
+	machine *btround.Lead
+	planner *planner
+	// engines is the engine's address by rank, at is when its agent last
+	// reported.
+	engines map[btexpert.Rank]netip.AddrPort
+	at      map[btexpert.Rank]time.Time
+	heardAt time.Time
+	looked  map[btexpert.Rank]time.Time
+	remotes map[netip.AddrPort]Engine
+	leading bool
+	planned time.Time
+}
+
+func newLead(o Options, a *Agent, calls *btcall.Client) *lead {
+	return &lead{
+		options: o,
+		agent:   a,
+		calls:   calls,
+		log:     o.Log,
+		kick:    make(chan struct{}, 1),
+		planner: newPlanner(),
+		engines: make(map[btexpert.Rank]netip.AddrPort),
+		at:      make(map[btexpert.Rank]time.Time),
+		looked:  make(map[btexpert.Rank]time.Time),
+		remotes: make(map[netip.AddrPort]Engine),
+	}
+}
+
+// hear takes a member's report in.
+func (l *lead) hear(_ context.Context, r Report) (Reply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Clock()
+	if l.machine == nil {
+		own := l.agent.own()
+		if own.Size == 0 {
+			return Reply{}, errors.New("own engine isn't known yet")
+		}
+		l.machine = btround.NewLead(btround.Defaults(), own.Rank, l.options.Assert)
+	}
+	epoch := l.machine.Epoch()
+	l.machine.Report(now, r.State, r.Ballot)
+	if l.machine.Epoch() != epoch {
+		l.planner.restart(l.machine.Size())
+		l.log.Info("group formed", "group", r.State.Group, "epoch", r.State.Epoch, "size", r.State.Size)
+	}
+	l.engines[r.State.Rank] = r.Engine
+	l.at[r.State.Rank] = now
+	l.heardAt = now
+	if r.State.Epoch != l.machine.Epoch() {
+		return Reply{}, nil
+	}
+	l.planner.count(now, r.Counts)
+	if r.Held != nil && r.Held.Epoch == l.machine.Epoch() {
+		l.planner.hold(r.State.Rank, *r.Held)
+	}
+	return Reply{WantHeld: l.planner.wants(r.State.Rank, r.State.Map)}, nil
+}
+
+// own returns the state of the agent's own engine.
+func (a *Agent) own() btround.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state
+}
+
+// run drives rounds until the context ends.
+func (l *lead) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		tick := l.step(ctx)
+		timer := time.NewTimer(tick)
+		select {
+		case <-ctx.Done():
+		case <-l.kick:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// step takes the steps that are due and returns when to look again.
+func (l *lead) step(ctx context.Context) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Clock()
+	if l.machine == nil || now.Sub(l.heardAt) > leadFor {
+		l.leading = false
+		return idleTick
+	}
+	if !l.leading {
+		l.leading = true
+		l.log.Info("leads", "group", l.agent.own().Group, "epoch", l.machine.Epoch(), "ballot", l.machine.Ballot())
+	}
+	l.lookAtStale(ctx, now)
+	if l.machine.Phase() == btround.Idle {
+		l.plan(now)
+	}
+	for _, c := range l.machine.Step(now) {
+		go l.give(ctx, c, l.engines[c.Rank])
+	}
+	l.note()
+	if l.machine.Phase() == btround.Idle {
+		return idleTick
+	}
+	return roundTick
+}
+
+// plan begins a round where a better map is worth its price.
+func (l *lead) plan(now time.Time) {
+	group, found := l.agent.directory.shape()
+	version, one := l.machine.InForce()
+	if !found || !one || !l.machine.Whole(now) {
+		return
+	}
+	plan, reason := l.planner.plan(now, group, l.machine.Size(), version)
+	if reason != "" {
+		if now.Sub(l.planned) > time.Second {
+			l.planned = now
+			l.log.Info("map kept", "reason", reason, "version", version, "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads)
+		}
+		return
+	}
+	next, begun := l.machine.Begin(now, plan.Map.Layers, rand.Uint32())
+	if !begun {
+		return
+	}
+	l.planned = now
+	l.planner.begun(next, plan)
+	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "ballot", l.machine.Ballot())
+}
+
+// note logs how a round ended.
+func (l *lead) note() {
+	o := l.machine.Outcome()
+	if o == nil {
+		return
+	}
+	l.planner.ended(l.options.Clock(), *o)
+	l.options.Meter.Counter("rounds." + string(o.Reason)).Inc(1)
+	l.options.Meter.Duration("round_held_us", o.Held)
+	l.log.Info("map round ended", "version", o.Version, "switched", o.Switched, "adopted", o.Adopted, "reason", o.Reason, "took_ms", o.Took.Milliseconds(), "held_ms", o.Held.Milliseconds())
+}
+
+// give gives a command to a rank's agent, or to the engine where the agent
+// can't be reached.
+func (l *lead) give(ctx context.Context, c btround.Command, engine netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, commandTime)
+	defer cancel()
+	var result btround.Result
+	var err error
+	switch {
+	case engine == l.options.Settings.Engine:
+		result, err = l.agent.command(ctx, c)
+	case !engine.IsValid():
+		return
+	case l.away(c.Rank):
+		result = carryOut(ctx, l.remote(engine), c)
+	default:
+		to := agentOf(engine, l.options.Address.Port())
+		result, err = btcall.Call[btround.Result](ctx, l.calls, to, pathCommand, c)
+		if errors.Is(err, btcall.ErrNotReached) {
+			l.log.Info("engine ordered directly", "engine", engine, "kind", c.Kind, "error", err)
+			result = carryOut(ctx, l.remote(engine), c)
+			err = nil
+		}
+	}
+	if err != nil {
+		l.log.Info("command unanswered", "engine", engine, "kind", c.Kind, "round", c.Round, "error", err)
+		return
+	}
+	if result.State.Validate() != nil {
+		return
+	}
+	l.mu.Lock()
+	l.machine.Result(l.options.Clock(), result)
+	l.mu.Unlock()
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// away tells whether a rank's agent hasn't reported of late.
+func (l *lead) away(r btexpert.Rank) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.options.Clock().Sub(l.at[r]) > lookEvery
+}
+
+// lookAtStale reads the states of engines whose agents are away.
+func (l *lead) lookAtStale(ctx context.Context, now time.Time) {
+	for _, r := range l.machine.Stale(now) {
+		engine, found := l.engines[r]
+		if !found || now.Sub(l.looked[r]) < lookEvery {
+			continue
+		}
+		l.looked[r] = now
+		go l.look(ctx, engine)
+	}
+}
+
+// look reads one engine's state from afar.
+func (l *lead) look(ctx context.Context, engine netip.AddrPort) {
+	s, err := report(ctx, l.remote(engine))
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.machine.Report(l.options.Clock(), s, 0)
+}
+
+// remote returns a client of another host's engine.
+func (l *lead) remote(engine netip.AddrPort) Engine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, found := l.remotes[engine]
+	if !found {
+		e = l.options.Remote(engine)
+		l.remotes[engine] = e
+	}
+	return e
+}
--- /dev/null
+++ b/io/btrank/planner.go
@@ -0,0 +1,175 @@
+package btrank
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btround"
+)
+
+const (
+	// countHalfLife is the time in which a count loses half of its weight. The
+	// experts in demand change within seconds; a shorter one follows noise.
+	countHalfLife = 400 * time.Millisecond
+	// leastCounts is how many choices an expert must have had on average for the
+	// counts to tell popular experts from chance.
+	leastCounts = 20
+	// loadGain is the part of a layer's mean load that a loaded expert must take
+	// off the most loaded rank.
+	loadGain = 0.012
+	// leastGain is the part of the mean load by which a new map must be better,
+	// averaged over the layers.
+	leastGain = 0.06
+	// planRounds bounds the changes in one layer.
+	planRounds = 60
+	// failedPause is the wait after a round that put no map in force.
+	failedPause = 300 * time.Millisecond
+)
+
+// Reasons to keep a map.
+const (
+	keepNoCounts  = "too few counts"
+	keepNoMap     = "map in force not known"
+	keepNoShape   = "group doesn't fit its shape"
+	keepSmallGain = "gain too small"
+	keepPause     = "last round failed"
+)
+
+// planner knows the experts in demand and the map in force.
+type planner struct {
+	size    int
+	loads   []float64
+	decayed time.Time
+	held    []Held
+	known   []bool
+	// next is the map of the round under way.
+	next    *btexpert.RapidPlan
+	version btround.Version
+	failed  time.Time
+}
+
+func newPlanner() *planner { return &planner{} }
+
+// restart begins anew with a group that has formed anew.
+func (p *planner) restart(size int) {
+	p.size = size
+	p.held = make([]Held, size)
+	p.known = make([]bool, size)
+	p.next = nil
+}
+
+// count takes choices of experts in.
+func (p *planner) count(now time.Time, counts []int64) {
+	if len(counts) == 0 {
+		return
+	}
+	if len(p.loads) != len(counts) {
+		p.loads = make([]float64, len(counts))
+		p.decayed = now
+	}
+	const decayEvery = 25 * time.Millisecond
+	if age := now.Sub(p.decayed); age >= decayEvery {
+		factor := math.Exp2(-float64(age) / float64(countHalfLife))
+		for i := range p.loads {
+			p.loads[i] *= factor
+		}
+		p.decayed = now
+	}
+	for i, n := range counts {
+		p.loads[i] += float64(n)
+	}
+}
+
+// hold takes in what a rank holds.
+func (p *planner) hold(r btexpert.Rank, h Held) {
+	if int(r) < p.size {
+		for _, experts := range h.Layers {
+			slices.Sort(experts)
+		}
+		p.held[r] = h
+		p.known[r] = true
+	}
+}
+
+// wants tells whether it isn't known what the rank holds by the version.
+func (p *planner) wants(r btexpert.Rank, v btround.Version) bool {
+	return int(r) < p.size && (!p.known[r] || p.held[r].Version != v)
+}
+
+// plan returns a better map, or why the one in force stays.
+func (p *planner) plan(now time.Time, g *btcatalog.Group, size int, version btround.Version) (btexpert.RapidPlan, string) {
+	if now.Sub(p.failed) < failedPause {
+		return btexpert.RapidPlan{}, keepPause
+	}
+	shape := btexpert.Shape{Ranks: size, Layers: g.Layers, Experts: g.Experts, Slots: g.Slots, ExpertBytes: max(g.ExpertBytes, 1)}
+	if shape.Validate() != nil || len(p.loads) != g.Layers*g.Experts {
+		return btexpert.RapidPlan{}, keepNoShape
+	}
+	m, found := p.inForce(shape, version)
+	if !found {
+		return btexpert.RapidPlan{}, keepNoMap
+	}
+	load := make(btexpert.Load, g.Layers)
+	total := 0.0
+	for l := range load {
+		load[l] = p.loads[l*g.Experts : (l+1)*g.Experts]
+		for _, v := range load[l] {
+			total += v
+		}
+	}
+	if total < leastCounts*float64(len(p.loads)) {
+		return btexpert.RapidPlan{}, keepNoCounts
+	}
+	plan := btexpert.Rapid(m, load, btexpert.RapidLimits{NewPerRank: g.NewPerMap, Gain: loadGain, Rounds: planRounds})
+	if plan.Before-plan.After < leastGain {
+		return plan, keepSmallGain
+	}
+	return plan, ""
+}
+
+// inForce returns the map in force, put together from what the ranks hold.
+func (p *planner) inForce(s btexpert.Shape, version btround.Version) (btexpert.Map, bool) {
+	m := btexpert.Map{Shape: s, Layers: make([]btexpert.Layer, s.Layers)}
+	for l := range m.Layers {
+		m.Layers[l].Ranks = make([][]btexpert.Expert, s.Ranks)
+	}
+	for r := range s.Ranks {
+		if r >= p.size || !p.known[r] || p.held[r].Version != version || len(p.held[r].Layers) != s.Layers {
+			return m, false
+		}
+		for l, experts := range p.held[r].Layers {
+			m.Layers[l].Ranks[r] = experts
+		}
+	}
+	return m, m.Validate() == nil
+}
+
+// begun notes the map of a round.
+func (p *planner) begun(v btround.Version, plan btexpert.RapidPlan) {
+	p.version = v
+	p.next = &plan
+}
+
+// ended takes the outcome of a round in: a map that is in force is known.
+func (p *planner) ended(now time.Time, o btround.Outcome) {
+	if !o.Switched {
+		p.failed = now
+		p.next = nil
+		return
+	}
+	if p.next == nil || o.Version != p.version {
+		return
+	}
+	for r := range p.size {
+		layers := make([][]btexpert.Expert, len(p.next.Map.Layers))
+		for l := range layers {
+			layers[l] = p.next.Map.Layers[l].Ranks[r]
+		}
+		p.held[r] = Held{Version: o.Version, Layers: layers}
+		p.known[r] = true
+	}
+	p.next = nil
+}
--- a/io/bttarget/bttarget.go
+++ b/io/bttarget/bttarget.go
@@ -51,6 +51,8 @@
 // Request is one request for the target.
 type Request struct {
 	Method string
+	// Host is the host name that the caller named; empty means the endpoint.
+	Host string
 	// URI is the path and the query as the caller sent them: "/a?b=c".
 	URI string
 	// Header may hold hop-by-hop fields; they are left out.
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -10,7 +10,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"net/url"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -49,6 +52,12 @@
 	IdleTimeout time.Duration
 	Connections int
 	MaxAnswer   int64
+	// Fresh makes a connection for each request, so that none is written to one
+	// that the target has just closed: such a request may or may not have run.
+	Fresh bool
+	// SilenceTimeout ends a connection whose peer acknowledges nothing for that
+	// long; zero leaves it to the system, which waits for minutes.
+	SilenceTimeout time.Duration
 }
 
 // Client speaks with one target. It is safe for concurrent use.
@@ -69,7 +78,7 @@
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.Connections, DefaultConnections)
 	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
-	dialler := &net.Dialer{Timeout: o.DialTimeout}
+	dialler := &net.Dialer{Timeout: o.DialTimeout, Control: silence(o.SilenceTimeout)}
 	return &Client{
 		options: o,
 		transport: &http.Transport{
@@ -79,6 +88,7 @@
 			IdleConnTimeout:        o.IdleTimeout,
 			MaxResponseHeaderBytes: DefaultMaxHeader,
 			DisableCompression:     true,
+			DisableKeepAlives:      o.Fresh,
 		},
 		requests: metrics.GetOrRegisterCounter(MetricRequests, o.Registry),
 		notSent:  metrics.GetOrRegisterCounter(MetricNotSent, o.Registry),
@@ -86,6 +96,24 @@
 	}
 }
 
+// silence returns a dialler's control function that bounds how long written
+// bytes may stay unacknowledged.
+func silence(limit time.Duration) func(network, address string, c syscall.RawConn) error {
+	if limit <= 0 {
+		return nil
+	}
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
+}
+
+// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
 func setDefault[T ~int | ~int64](value *T, fallback T) {
 	if *value <= 0 {
 		*value = fallback
@@ -155,6 +183,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRequest, err)
 	}
+	if !strings.HasPrefix(r.URI, "//") {
+		// net/http would take such a path for the name of a host.
+		request.URL = c.exactURL(r.URI)
+	}
+	if r.Host != "" {
+		request.Host = r.Host
+	}
 	request.Header = outgoing(r.Header)
 	request.GetBody = nil
 	switch {
@@ -171,6 +206,19 @@
 	return request, nil
 }
 
+// exactURL returns a URL that is written byte for byte as the caller sent it;
+// parsing would respell characters that callers leave unescaped.
+func (c *Client) exactURL(uri string) *url.URL {
+	path, query, found := strings.Cut(uri, "?")
+	return &url.URL{
+		Scheme:     "http",
+		Host:       c.options.Endpoint.String(),
+		Opaque:     path,
+		RawQuery:   query,
+		ForceQuery: found && query == "",
+	}
+}
+
 func looksRepeatable(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
