Maps: fewer loads a rank a round, counts in a byte, maps sent as changes

Cause: on 72 ranks reports of expert counts filled the lead's link, and a round waited for the rank with most experts to load; late states undid newer ones, so that the map in force stayed unknown for a second after each round. Ruled out: the engines' order numbers as a guard; they don't count these orders.

--- a/core/btcatalog/btcatalog.go
+++ b/core/btcatalog/btcatalog.go
@@ -98,6 +98,8 @@
 	NewPerMap int `json:"new_per_map"`
 	// ExpertBytes is the size of one expert in one layer.
 	ExpertBytes int64 `json:"expert_bytes"`
+	// CopyTime is how long a rank takes to load one expert.
+	CopyTime time.Duration `json:"copy_time"`
 	// ExpertShare is the part of a token's work that experts do, 0 to 1.
 	ExpertShare float64 `json:"expert_share"`
 	// FormTime is how long the group takes to open once all ranks are there.
--- a/core/btexpert/rapid.go
+++ b/core/btexpert/rapid.go
@@ -14,6 +14,23 @@
 	Gain float64
 	// Rounds bounds the changes in one layer.
 	Rounds int
+	// RankLoads is how many experts one plan may bring to a rank over all
+	// layers, so that no rank keeps the others waiting; zero means any number.
+	RankLoads int
+}
+
+// InTurn returns the map that deals each layer's experts to the ranks in turn,
+// once, and leaves the other slots empty.
+func InTurn(s Shape) Map {
+	m := Map{Shape: s, Layers: make([]Layer, s.Layers)}
+	for l := range m.Layers {
+		m.Layers[l].Ranks = make([][]Expert, s.Ranks)
+		for e := range s.Experts {
+			r := e % s.Ranks
+			m.Layers[l].Ranks[r] = append(m.Layers[l].Ranks[r], Expert(e))
+		}
+	}
+	return m
 }
 
 // RapidPlan is a map that follows a sudden change of load.
@@ -33,14 +50,14 @@
 // experts another replica, to move it away, or to exchange it, at the ranks
 // with least load; the change with the largest gain an expert loaded is kept.
 func Rapid(m Map, load Load, limits RapidLimits) RapidPlan {
-	plan := RapidPlan{Map: Map{Shape: m.Shape, Layers: make([]Layer, len(m.Layers))}}
+	plan := RapidPlan{Map: Map{Shape: m.Shape, Layers: slices.Clone(m.Layers)}}
 	counted := 0
-	for l, layer := range m.Layers {
-		plan.Map.Layers[l] = layer
-		if sum(load[l]) <= 0 {
+	ranks := make([]int, m.Shape.Ranks)
+	for _, y := range rapidLayers(m, load, limits, ranks) {
+		l := y.number
+		if y.mean <= 0 {
 			continue
 		}
-		y := newRapidLayer(m.Shape, layer, load[l], limits)
 		before := y.peak()
 		for range limits.Rounds {
 			if !y.improve() {
@@ -48,6 +65,9 @@
 			}
 		}
 		plan.Map.Layers[l] = y.layer()
+		for r, n := range y.added {
+			ranks[r] += n
+		}
 		plan.Loads += y.loads
 		plan.Before += before
 		plan.After += y.peak()
@@ -60,6 +80,27 @@
 	return plan
 }
 
+// rapidLayers returns a plan's layers, the least even ones first, as they have
+// the first claim on what the ranks may load.
+func rapidLayers(m Map, load Load, limits RapidLimits, ranks []int) []*rapidLayer {
+	layers := make([]*rapidLayer, len(m.Layers))
+	for l, layer := range m.Layers {
+		layers[l] = newRapidLayer(m.Shape, layer, load[l], limits)
+		layers[l].number = l
+		layers[l].ranks = ranks
+	}
+	slices.SortStableFunc(layers, func(a, b *rapidLayer) int {
+		switch pa, pb := a.peak(), b.peak(); {
+		case pa > pb:
+			return -1
+		case pa < pb:
+			return 1
+		}
+		return 0
+	})
+	return layers
+}
+
 const (
 	// rapidPower is the power of the norm that stands for the slowest rank: high
 	// enough to count the slowest most, low enough that a change which relieves
@@ -72,19 +113,29 @@
 	rapidSources = 3
 )
 
-// rapidLayer is one layer under improvement.
+// rapidLayer is one layer under improvement. It keeps each rank's load, and its
+// part of the norm, up to date while replicas come and go.
 type rapidLayer struct {
-	shape   Shape
-	limits  RapidLimits
-	load    []float64
-	mean    float64
+	number int
+	shape  Shape
+	limits RapidLimits
+	load   []float64
+	mean   float64
+	// ranks is how many experts of other layers the plan brings to each rank.
+	ranks   []int
 	held    [][]Expert
 	holders [][]Rank
 	times   []float64
-	added   []int
-	// origin tells by rank and expert what the map in force has.
-	origin map[[2]int]bool
-	loads  int
+	// powers are the times over the mean, to the norm's power, total is their
+	// sum.
+	powers []float64
+	total  float64
+	added  []int
+	// origin and has tell by rank and expert what the map in force holds and
+	// what the ranks hold now.
+	origin, has []bool
+	loads       int
+	order       []Rank
 }
 
 func newRapidLayer(s Shape, layer Layer, load []float64, limits RapidLimits) *rapidLayer {
@@ -93,28 +144,58 @@
 		limits:  limits,
 		load:    load,
 		mean:    sum(load) / float64(s.Ranks),
-		held:    layer.clone().Ranks,
+		held:    make([][]Expert, s.Ranks),
 		holders: make([][]Rank, s.Experts),
 		times:   make([]float64, s.Ranks),
+		powers:  make([]float64, s.Ranks),
 		added:   make([]int, s.Ranks),
-		origin:  make(map[[2]int]bool, s.Ranks*s.Slots),
+		origin:  make([]bool, s.Ranks*s.Experts),
+		has:     make([]bool, s.Ranks*s.Experts),
+		order:   make([]Rank, s.Ranks),
 	}
-	for r, experts := range y.held {
+	for r, experts := range layer.Ranks {
+		y.held[r] = append(make([]Expert, 0, s.Slots+1), experts...)
 		for _, e := range experts {
 			y.holders[e] = append(y.holders[e], Rank(r))
-			y.origin[[2]int{r, int(e)}] = true
+			y.origin[y.at(Rank(r), e)] = true
+			y.has[y.at(Rank(r), e)] = true
 		}
 	}
+	y.settle()
+	return y
+}
+
+func (y *rapidLayer) at(r Rank, e Expert) int { return int(r)*y.shape.Experts + int(e) }
+
+// settle computes the loads anew, so that rounding doesn't add up.
+func (y *rapidLayer) settle() {
+	clear(y.times)
 	for e, ranks := range y.holders {
 		for _, r := range ranks {
-			y.times[r] += load[e] / float64(len(ranks))
+			y.times[r] += y.load[e] / float64(len(ranks))
 		}
 	}
-	return y
+	y.total = 0
+	for r := range y.times {
+		y.powers[r] = y.power(y.times[r])
+		y.total += y.powers[r]
+	}
+}
+
+// power returns a load over the mean, to the power of rapidPower.
+func (y *rapidLayer) power(time float64) float64 {
+	v := time / y.mean
+	v4 := v * v * v * v
+	return v4 * v4 * v4
 }
 
 // peak returns the most loaded rank over the mean.
-func (y *rapidLayer) peak() float64 { return slices.Max(y.times) / y.mean }
+func (y *rapidLayer) peak() float64 {
+	if y.mean <= 0 {
+		return 0
+	}
+	return slices.Max(y.times) / y.mean
+}
 
 func (y *rapidLayer) layer() Layer {
 	l := Layer{Ranks: y.held}.clone()
@@ -125,20 +206,15 @@
 }
 
 // norm stands for the most loaded rank, over the mean.
-func (y *rapidLayer) norm() float64 {
-	total := 0.0
-	for _, t := range y.times {
-		total += math.Pow(t/y.mean, rapidPower)
-	}
-	return math.Pow(total, 1.0/rapidPower)
-}
+func (y *rapidLayer) norm() float64 { return math.Pow(y.total, 1.0/rapidPower) }
 
 // improve makes the best change, and tells whether any is worth its price.
 func (y *rapidLayer) improve() bool {
-	order := y.byTime()
+	y.settle()
+	y.sort()
 	before := y.norm()
-	for _, source := range order[:min(rapidSources, len(order))] {
-		best, gain := y.bestChange(source, order, before)
+	for _, source := range y.order[:min(rapidSources, len(y.order))] {
+		best, gain := y.bestChange(source, before)
 		if gain <= 0 {
 			continue
 		}
@@ -148,13 +224,12 @@
 	return false
 }
 
-// byTime returns the ranks by falling load.
-func (y *rapidLayer) byTime() []Rank {
-	ranks := make([]Rank, y.shape.Ranks)
-	for r := range ranks {
-		ranks[r] = Rank(r)
+// sort orders the ranks by falling load.
+func (y *rapidLayer) sort() {
+	for r := range y.order {
+		y.order[r] = Rank(r)
 	}
-	slices.SortStableFunc(ranks, func(a, b Rank) int {
+	slices.SortStableFunc(y.order, func(a, b Rank) int {
 		switch {
 		case y.times[a] > y.times[b]:
 			return -1
@@ -163,7 +238,6 @@
 		}
 		return 0
 	})
-	return ranks
 }
 
 // rapidChange gives target an expert, which leaves the source if moved; another
@@ -178,72 +252,104 @@
 }
 
 // bestChange returns the change that is worth most above its price.
-func (y *rapidLayer) bestChange(source Rank, order []Rank, before float64) (rapidChange, float64) {
-	var best rapidChange
-	gain := 0.0
-	try := func(c rapidChange) {
-		loads := y.price(c)
-		if loads < 0 {
-			return
-		}
-		y.make(c)
-		worth := before - y.norm() - float64(loads)*y.limits.Gain
-		y.undo(c)
-		if worth > gain {
-			best = c
-			gain = worth
-		}
-	}
-	first := max(len(order)-rapidTargets, 0)
-	for _, e := range slices.Clone(y.held[source]) {
-		for _, target := range order[first:] {
-			if target == source || slices.Contains(y.held[target], e) {
-				continue
+func (y *rapidLayer) bestChange(source Rank, before float64) (rapidChange, float64) {
+	s := rapidSearch{layer: y, before: before, slots: y.shape.Slots}
+	first := max(len(y.order)-rapidTargets, 0)
+	// Trying a change takes experts out and puts them back at the end, so that
+	// the lists are walked by copies.
+	var copied [maxRapidSlots]Expert
+	for _, e := range copied[:copy(copied[:], y.held[source])] {
+		for _, target := range y.order[first:] {
+			if target != source && !y.has[y.at(target, e)] {
+				s.options(source, target, e)
 			}
-			y.options(source, target, e, try)
 		}
 	}
-	return best, gain
+	return s.best, s.gain
+}
+
+// rapidSearch keeps the best change seen.
+type rapidSearch struct {
+	layer  *rapidLayer
+	before float64
+	slots  int
+	best   rapidChange
+	gain   float64
+}
+
+// try values a change.
+func (s *rapidSearch) try(c rapidChange) {
+	y := s.layer
+	loads := y.price(c)
+	if loads < 0 {
+		return
+	}
+	y.make(c)
+	worth := s.before - y.norm() - float64(loads)*y.limits.Gain
+	y.undo(c)
+	if worth > s.gain {
+		s.best = c
+		s.gain = worth
+	}
 }
 
 // options tries the changes that bring an expert of source to target.
-func (y *rapidLayer) options(source, target Rank, e Expert, try func(rapidChange)) {
-	if len(y.held[target]) < y.shape.Slots {
-		try(rapidChange{source: source, target: target, expert: e})
-		try(rapidChange{source: source, target: target, expert: e, moved: true})
+func (s *rapidSearch) options(source, target Rank, e Expert) {
+	y := s.layer
+	if len(y.held[target]) < s.slots {
+		s.try(rapidChange{source: source, target: target, expert: e})
+		s.try(rapidChange{source: source, target: target, expert: e, moved: true})
 	}
-	for _, out := range slices.Clone(y.held[target]) {
+	var copied [maxRapidSlots]Expert
+	for _, out := range copied[:copy(copied[:], y.held[target])] {
 		if len(y.holders[out]) > 1 {
-			try(rapidChange{source: source, target: target, expert: e, out: out, hasOut: true})
-			try(rapidChange{source: source, target: target, expert: e, moved: true, out: out, hasOut: true})
+			s.try(rapidChange{source: source, target: target, expert: e, out: out, hasOut: true})
+			s.try(rapidChange{source: source, target: target, expert: e, moved: true, out: out, hasOut: true})
 		}
-		if !slices.Contains(y.held[source], out) {
-			try(rapidChange{source: source, target: target, expert: e, moved: true, out: out, hasOut: true, exchanged: true})
+		if !y.has[y.at(source, out)] {
+			s.try(rapidChange{source: source, target: target, expert: e, moved: true, out: out, hasOut: true, exchanged: true})
 		}
 	}
 }
 
+// maxRapidSlots is how many of a rank's experts are looked at.
+const maxRapidSlots = 32
+
 // price returns how many experts the change loads, or -1 where a rank would get
 // more than it may.
 func (y *rapidLayer) price(c rapidChange) int {
 	loads := y.loadsAt(c.target, c.expert)
-	if y.added[c.target]+loads > y.limits.NewPerRank {
+	freed := 0
+	if c.hasOut {
+		freed = y.loadsAt(c.target, c.out)
+	}
+	if !y.room(c.target, loads-freed) {
 		return -1
 	}
+	loads -= freed
 	if c.exchanged {
-		back := y.loadsAt(c.source, c.out)
-		if y.added[c.source]+back > y.limits.NewPerRank {
+		back := y.loadsAt(c.source, c.out) - y.loadsAt(c.source, c.expert)
+		if !y.room(c.source, back) {
 			return -1
 		}
 		loads += back
 	}
-	return loads
+	return max(loads, 0)
+}
+
+// room tells whether a rank may load so many experts more.
+func (y *rapidLayer) room(r Rank, loads int) bool {
+	if loads <= 0 {
+		return true
+	}
+	n := y.added[r] + loads
+	return n <= y.limits.NewPerRank && (y.limits.RankLoads == 0 || y.ranks[r]+n <= y.limits.RankLoads)
 }
 
 // loadsAt tells whether a rank must load an expert: one that the map in force
 // has there is still at hand.
 func (y *rapidLayer) loadsAt(r Rank, e Expert) int {
-	if y.origin[[2]int{int(r), int(e)}] {
+	if y.origin[y.at(r, e)] {
 		return 0
 	}
 	return 1
@@ -281,6 +387,7 @@
 	y.share(e, -1)
 	y.holders[e] = append(y.holders[e], r)
 	y.held[r] = append(y.held[r], e)
+	y.has[y.at(r, e)] = true
 	y.share(e, 1)
 	n := y.loadsAt(r, e)
 	y.added[r] += n
@@ -291,6 +398,7 @@
 	y.share(e, -1)
 	y.holders[e] = without(y.holders[e], r)
 	y.held[r] = without(y.held[r], e)
+	y.has[y.at(r, e)] = false
 	y.share(e, 1)
 	n := y.loadsAt(r, e)
 	y.added[r] -= n
@@ -300,7 +408,14 @@
 // share adds an expert's load to its holders, or takes it off.
 func (y *rapidLayer) share(e Expert, sign float64) {
 	ranks := y.holders[e]
+	if len(ranks) == 0 {
+		return
+	}
+	part := sign * y.load[e] / float64(len(ranks))
 	for _, r := range ranks {
-		y.times[r] += sign * y.load[e] / float64(len(ranks))
+		y.times[r] += part
+		p := y.power(y.times[r])
+		y.total += p - y.powers[r]
+		y.powers[r] = p
 	}
 }
--- a/core/btexpert/rapid_test.go
+++ b/core/btexpert/rapid_test.go
@@ -30,26 +30,12 @@
 	}
 }
 
-// firstMap returns the map that engines start from: experts in turn, with the
-// remaining slots empty.
-func firstMap(s btexpert.Shape) btexpert.Map {
-	m := btexpert.Map{Shape: s, Layers: make([]btexpert.Layer, s.Layers)}
-	for l := range m.Layers {
-		m.Layers[l].Ranks = make([][]btexpert.Expert, s.Ranks)
-		for e := range s.Experts {
-			r := e % s.Ranks
-			m.Layers[l].Ranks[r] = append(m.Layers[l].Ranks[r], btexpert.Expert(e))
-		}
-	}
-	return m
-}
-
 func TestRapidKeepsItsLimits(t *testing.T) {
 	limits := btexpert.RapidLimits{NewPerRank: 1, Gain: 0.01, Rounds: 40}
 	for name, s := range shapes() {
 		t.Run(name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(7, 7))
-			m := firstMap(s)
+			m := btexpert.InTurn(s)
 			for range 6 {
 				plan := btexpert.Rapid(m, skewedLoad(s, random), limits)
 				assert.NilError(t, plan.Map.Validate())
@@ -93,7 +79,7 @@
 	s := shapes()["16 ranks"]
 	load := skewedLoad(s, rand.New(rand.NewPCG(1, 2)))
 	limits := btexpert.RapidLimits{NewPerRank: 2, Gain: 0.005, Rounds: 60}
-	first := btexpert.Rapid(firstMap(s), load, limits)
+	first := btexpert.Rapid(btexpert.InTurn(s), load, limits)
 	second := btexpert.Rapid(first.Map, load, limits)
 	t.Logf("peak over mean: %.2f, %.2f, %.2f; loads %d, %d", first.Before, first.After, second.After, first.Loads, second.Loads)
 	assert.Assert(t, second.After < 1.15)
@@ -108,7 +94,7 @@
 			load[l][e] = 100
 		}
 	}
-	plan := btexpert.Rapid(firstMap(s), load, btexpert.RapidLimits{NewPerRank: 2, Gain: 0.01, Rounds: 60})
+	plan := btexpert.Rapid(btexpert.InTurn(s), load, btexpert.RapidLimits{NewPerRank: 2, Gain: 0.01, Rounds: 60})
 	assert.Equal(t, plan.Loads, 0)
 }
 
@@ -116,7 +102,7 @@
 	for name, s := range shapes() {
 		b.Run(name, func(b *testing.B) {
 			load := skewedLoad(s, rand.New(rand.NewPCG(1, 2)))
-			m := firstMap(s)
+			m := btexpert.InTurn(s)
 			limits := btexpert.RapidLimits{NewPerRank: 1, Gain: 0.01, Rounds: 40}
 			var plan btexpert.RapidPlan
 			for b.Loop() {
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -43,8 +43,11 @@
 	Prepare time.Duration
 	// Again is when a command without a final answer is repeated.
 	Again time.Duration
-	// Ahead is how many steps ahead of the last one the group is held.
-	Ahead int64
+	// Ahead is how many steps ahead of the last one the group is held;
+	// RanksPerStep is for how many ranks it is one more, as it takes longer to
+	// arm them all.
+	Ahead        int64
+	RanksPerStep int
 	// Fresh is how old a member's state may be for a round to begin.
 	Fresh time.Duration
 }
@@ -58,10 +61,11 @@
 // about half a second. An agent works on a command for up to 400 ms.
 func Defaults() Settings {
 	return Settings{
-		Prepare: 3 * time.Second,
-		Again:   600 * time.Millisecond,
-		Ahead:   2,
-		Fresh:   time.Second,
+		Prepare:      3 * time.Second,
+		Again:        600 * time.Millisecond,
+		Ahead:        2,
+		RanksPerStep: 36,
+		Fresh:        time.Second,
 	}
 }
 
@@ -150,12 +154,12 @@
 	}
 }
 
-// newer tells whether a state of one epoch is at least as new as another: each
-// accepted order and each step count up.
+// newer tells whether a state of one epoch is at least as new as another.
 func (s State) newer(old State) bool {
-	if s.Orders != old.Orders {
-		return s.Orders > old.Orders
+	if s.Reader == old.Reader {
+		return s.Reading >= old.Reading
 	}
+	// Another reader's numbers tell nothing; steps count up whoever reads them.
 	return s.Step >= old.Step
 }
 
@@ -165,6 +169,7 @@
 	l.end(now, false, "group formed anew")
 	l.epoch = s.Epoch
 	l.size = s.Size
+	l.step = 0
 	l.members = make(map[btexpert.Rank]*member)
 }
 
--- a/core/btround/message.go
+++ b/core/btround/message.go
@@ -5,10 +5,11 @@
 // A round prepares the map at every rank, holds the group before a step, arms
 // every rank for that step, and lets the group go on. From the hold on it only
 // goes forward: all ranks are armed, or none stays armed, before the group goes
-// on, so that no step begins on two maps. Orders carry the engine's order
-// number, so that one that is carried out late is refused once a later one was
-// accepted, and a fencing number, the ballot, by which a newer lead keeps an
-// older one from interfering.
+// on, so that no step begins on two maps. Engines may carry an order out seconds
+// after it was given, without an answer. Versions and steps are therefore never
+// used twice, so that such an order finds its step begun or its version passed
+// over; and orders carry a fencing number, the ballot, by which a newer lead
+// keeps an older one from interfering.
 //
 // A lead that finds a hold or an armed rank of another lead's round takes the
 // round over under a higher ballot and brings it to its end.
@@ -74,8 +75,10 @@
 	// told to go on.
 	Held     bool  `cbor:"held"`
 	HeldStep int64 `cbor:"held_step"`
-	// Orders is the number of orders accepted since the engine started.
-	Orders uint64 `cbor:"orders"`
+	// Reader is the process that read the state, Reading counts its readings, so
+	// that one which arrives late is told from a newer one.
+	Reader  uint64 `cbor:"reader"`
+	Reading uint64 `cbor:"reading"`
 	// Running and Waiting are requests, Pace is above 1 where the engine is slow.
 	Running int     `cbor:"running"`
 	Waiting int     `cbor:"waiting"`
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -57,6 +57,7 @@
 		c.Kind = Arm
 	case Disarming:
 		c.Kind = Disarm
+		c.Force = true
 	case Going:
 		c.Kind = Go
 	case Looking:
@@ -140,10 +141,15 @@
 		return
 	}
 	l.holder = l.self
-	l.step = l.lastStep() + l.settings.Ahead
+	l.step = max(l.lastStep()+l.ahead(), l.step+1)
 	l.enter(now, Holding)
 }
 
+// ahead is how many steps after the last the group is held.
+func (l *Lead) ahead() int64 {
+	return l.settings.Ahead + int64(l.size/l.settings.RanksPerStep)
+}
+
 // lastStep returns the latest step that any rank has begun.
 func (l *Lead) lastStep() int64 {
 	var last int64
@@ -160,7 +166,7 @@
 	if m.refused {
 		// The refused step has begun, so that an order for it which is carried
 		// out late does nothing.
-		l.step = max(l.lastStep(), l.step) + l.settings.Ahead
+		l.step = max(l.lastStep()+l.ahead(), l.step+1)
 		l.enter(now, Holding)
 		return
 	}
@@ -179,7 +185,7 @@
 		return
 	}
 	if l.count(refused) > 0 {
-		l.enter(now, Disarming)
+		l.disarm(now)
 		return
 	}
 	l.enter(now, Going)
@@ -189,7 +195,7 @@
 func (l *Lead) gone(now time.Time) {
 	whole := l.wholeState()
 	l.asserter.That(whole, GoesOnWhole, "version %d, step %d", l.version, l.step)
-	switched := l.members[l.self] != nil && l.allOn(l.version)
+	switched := l.allOn(l.version)
 	l.end(now, switched, "complete")
 }
 
@@ -282,6 +288,13 @@
 		l.enter(now, Arming)
 		return
 	}
+	l.disarm(now)
+}
+
+// disarm has all ranks disarmed under a new ballot, so that an order to arm
+// which is carried out late is refused.
+func (l *Lead) disarm(now time.Time) {
+	l.ballot = l.ballot.Next(l.self)
 	l.enter(now, Disarming)
 }
 
--- a/io/btcall/btcall.go
+++ b/io/btcall/btcall.go
@@ -22,6 +22,9 @@
 // ErrNotReached is wrapped besides where no connection could be had.
 var ErrNotReached = errors.New("peer not reached")
 
+// ErrStatus is wrapped besides where the peer refused.
+var ErrStatus = errors.New("refused with status")
+
 const (
 	// maxMessage bounds a message: a map of 72 ranks, 12 layers and 3 experts
 	// each takes some 8 KB, counts of 1,728 experts as much.
@@ -71,7 +74,7 @@
 		return none, fmt.Errorf("%w: %s%s: %w", ErrCall, to, path, err)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return none, fmt.Errorf("%w: %s%s: status %d", ErrCall, to, path, answer.StatusCode)
+		return none, fmt.Errorf("%w: %s%s: %w: %d %s", ErrCall, to, path, ErrStatus, answer.StatusCode, bytes.TrimSpace(body))
 	}
 	decoded, err := btwire.Decode[A](body)
 	if err != nil {
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytide/core/btassert"
+	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btround"
 	"bilberrytide/io/btcall"
 	"bilberrytide/io/btdirect"
@@ -35,8 +37,17 @@
 
 const (
 	// reportEvery is the pace at which the own engine's state is read and
-	// reported: a sudden change of the experts in demand shows within two.
-	reportEvery = 150 * time.Millisecond
+	// reported; reportPerRank slows it down in a large group, so that the lead
+	// takes at most 250 reports a second, a twentieth of a core.
+	reportEvery   = 150 * time.Millisecond
+	reportPerRank = 4 * time.Millisecond
+	// expectEvery is the pace at which the state is read once a rank is armed, and
+	// expectTime for how long: a few steps.
+	expectEvery = 30 * time.Millisecond
+	expectTime  = 500 * time.Millisecond
+	// countsPerSecond is how many counts all agents together tell the lead, a
+	// byte each: a fifth of the slowest link known, of 8 Mbit/s.
+	countsPerSecond = 200_000
 	// leadTime bounds the lead's answer to a report; a lead that takes longer is
 	// taken for gone.
 	leadTime = 300 * time.Millisecond
@@ -53,6 +64,12 @@
 	calls     *btcall.Client
 	directory *directory
 	lead      *lead
+	// reader tells this process's readings of the engine's state from those of
+	// others, readings counts them.
+	reader   uint64
+	readings atomic.Uint64
+	// kick has the state read at once.
+	kick chan struct{}
 
 	mu    sync.Mutex
 	state btround.State
@@ -60,6 +77,13 @@
 	readAt time.Time
 	heard  btround.Ballot
 	counts counter
+	// expected is the version that the rank was armed for.
+	expected      btround.Version
+	expectedUntil time.Time
+	// countedAt is when the counts were read.
+	countedAt time.Time
+	// maps are the maps that instructions may refer to, by version.
+	maps map[btround.Version][]btexpert.Layer
 	// wantHeld is the lead's wish for the experts that the rank holds.
 	wantHeld bool
 	// misses counts unanswered reports by lead; away tells until when one is
@@ -86,21 +110,28 @@
 	c.latest = counts.Values
 }
 
-// difference returns what the lead hasn't been told.
-func (c *counter) difference() []int64 {
+// sample returns what the lead hasn't been told; nil where there is nothing.
+func (c *counter) sample() *Sample {
 	if len(c.latest) == 0 || len(c.told) != len(c.latest) {
 		return nil
 	}
 	d := make([]int64, len(c.latest))
-	changed := false
 	for i := range d {
-		d[i] = max(c.latest[i]-c.told[i], 0)
-		changed = changed || d[i] > 0
+		d[i] = c.latest[i] - c.told[i]
 	}
-	if !changed {
-		return nil
+	return newSample(d)
+}
+
+// answered notes that the lead has a sample.
+func (c *counter) answered(s *Sample) {
+	if s == nil || len(s.Values) != len(c.told) {
+		return
 	}
-	return d
+	told := make([]int64, len(c.told))
+	for i, n := range c.told {
+		told[i] = n + s.count(i)
+	}
+	c.told = told
 }
 
 // New returns an agent.
@@ -110,6 +141,9 @@
 		options: o,
 		log:     o.Log,
 		calls:   calls,
+		reader:  rand.Uint64(),
+		kick:    make(chan struct{}, 1),
+		maps:    make(map[btround.Version][]btexpert.Layer),
 		misses:  make(map[netip.AddrPort]int),
 		away:    make(map[netip.AddrPort]time.Time),
 	}
@@ -126,7 +160,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("POST "+pathReport, btcall.Handle(a.lead.hear))
-	mux.Handle("POST "+pathCommand, btcall.Handle(a.command))
+	mux.Handle("POST "+pathCommand, btcall.Handle(a.instruct))
 	mux.Handle("GET /metrics", a.options.Meter)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return btcall.Serve(ctx, listener, mux) })
@@ -140,32 +174,79 @@
 // begin at different moments, so that the lead's work is spread.
 func (a *Agent) reports(ctx context.Context) {
 	pause(ctx, time.Duration(rand.Int64N(int64(reportEvery))))
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if a.read(ctx) {
+		began := a.options.Clock()
+		if a.read(ctx) && a.worthTelling() {
 			a.report(ctx)
 		}
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
+		a.wait(ctx, a.interval()-a.options.Clock().Sub(began))
+	}
+}
+
+// expect has the engine's state read at a fast pace until the version is in
+// force, so that the lead learns of it at once.
+func (a *Agent) expect(v btround.Version) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expected = v
+	a.expectedUntil = a.options.Clock().Add(expectTime)
+	select {
+	case a.kick <- struct{}{}:
+	default:
 	}
 }
 
+// expecting tells whether a version is expected to come into force. The lock is
+// held.
+func (a *Agent) expecting(now time.Time) bool {
+	return a.expected != 0 && a.state.Map != a.expected && now.Before(a.expectedUntil)
+}
+
+// interval returns the time between two reports.
+func (a *Agent) interval() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.expecting(a.options.Clock()) {
+		return expectEvery
+	}
+	return max(reportEvery, time.Duration(a.state.Size)*reportPerRank)
+}
+
+// worthTelling tells whether the lead should hear the state now: while a version
+// is expected, it hears once it is in force.
+func (a *Agent) worthTelling() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.expecting(a.options.Clock())
+}
+
+// wait waits until the next report is due.
+func (a *Agent) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.kick:
+	case <-t.C:
+	}
+}
+
+// countsDue tells whether the counts are to be read and told. The lock is held.
+func (a *Agent) countsDue(now time.Time) bool {
+	all := a.state.Size * len(a.counts.latest)
+	return now.Sub(a.countedAt) >= time.Duration(all)*time.Second/countsPerSecond
+}
+
 // read reads the own engine's state and counts.
 func (a *Agent) read(ctx context.Context) bool {
+	reading := a.readings.Add(1)
 	s, err := report(ctx, a.options.Engine)
+	s.Reader = a.reader
+	s.Reading = reading
 	if err != nil {
 		a.lost(err)
 		return false
 	}
-	bounded, cancel := context.WithTimeout(ctx, reportTime)
-	defer cancel()
-	counts, err := a.options.Engine.Counts(bounded)
-	if err != nil {
-		a.log.Info("counts not read", "engine", a.options.Settings.Engine, "error", err)
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.readAt.IsZero() {
@@ -175,12 +256,31 @@
 	}
 	a.state = s
 	a.readAt = a.options.Clock()
-	if err == nil {
-		a.counts.take(counts)
-	}
 	return true
 }
 
+// count reads the own engine's counts where they are due.
+func (a *Agent) count(ctx context.Context) *Sample {
+	a.mu.Lock()
+	due := a.countsDue(a.options.Clock())
+	a.mu.Unlock()
+	if !due {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	counts, err := a.options.Engine.Counts(ctx)
+	if err != nil {
+		a.log.Info("counts not read", "engine", a.options.Settings.Engine, "error", err)
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.countedAt = a.options.Clock()
+	a.counts.take(counts)
+	return a.counts.sample()
+}
+
 // lost notes that the engine doesn't answer.
 func (a *Agent) lost(err error) {
 	a.mu.Lock()
@@ -194,7 +294,9 @@
 // report tells the lead.
 func (a *Agent) report(ctx context.Context) {
 	to := a.candidate()
+	counts := a.count(ctx)
 	r, wanted := a.message()
+	r.Counts = counts
 	if wanted {
 		r.Held = a.held(ctx)
 	}
@@ -207,7 +309,7 @@
 		defer cancel()
 		reply, err = btcall.Call[Reply](bounded, a.calls, to, pathReport, r)
 	}
-	a.answered(to, reply, err)
+	a.answered(to, r, reply, err)
 }
 
 // message returns the report and whether the held experts belong into it.
@@ -218,7 +320,6 @@
 		Engine: a.options.Settings.Engine,
 		State:  a.state,
 		Ballot: a.heard,
-		Counts: a.counts.difference(),
 	}
 	return r, a.wantHeld
 }
@@ -236,12 +337,12 @@
 }
 
 // answered notes whether the lead has answered.
-func (a *Agent) answered(to netip.AddrPort, reply Reply, err error) {
+func (a *Agent) answered(to netip.AddrPort, r Report, reply Reply, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err == nil {
 		a.wantHeld = reply.WantHeld
-		a.counts.told = a.counts.latest
+		a.counts.answered(r.Counts)
 		delete(a.misses, to)
 		if a.follows != to {
 			a.log.Info("lead followed", "lead", to, "before", a.follows)
@@ -272,6 +373,22 @@
 	return a.options.Address
 }
 
+// instruct carries a lead's instruction out.
+func (a *Agent) instruct(ctx context.Context, i Instruction) (btround.Result, error) {
+	c := i.Command
+	if c.Kind == btround.Prepare && len(c.Layers) == 0 {
+		layers, found := a.changed(i)
+		if !found {
+			return btround.Result{}, errBase
+		}
+		c.Layers = layers
+	}
+	if c.Kind == btround.Prepare {
+		a.remember(c.Version, c.Layers)
+	}
+	return a.command(ctx, c)
+}
+
 // command carries a lead's command out at the own engine.
 func (a *Agent) command(ctx context.Context, c btround.Command) (btround.Result, error) {
 	a.mu.Lock()
@@ -283,11 +400,16 @@
 	a.heard = c.Ballot
 	a.mu.Unlock()
 	result := carryOut(ctx, a.options.Engine, c)
+	result.State.Reader = a.reader
+	result.State.Reading = a.readings.Add(1)
 	a.mu.Lock()
 	a.heard = max(a.heard, result.Ballot)
 	a.mu.Unlock()
+	if c.Kind == btround.Arm && result.Verdict == btround.Reached {
+		a.expect(c.Version)
+	}
 	if result.Verdict != btround.Reached {
-		a.log.Info("command not carried out", "kind", c.Kind, "verdict", result.Verdict, "version", c.Version, "step", c.Step, "ballot", c.Ballot, "orders", result.State.Orders)
+		a.log.Info("command not carried out", "kind", c.Kind, "verdict", result.Verdict, "version", c.Version, "step", c.Step, "ballot", c.Ballot)
 	}
 	return result, nil
 }
--- a/io/btrank/engine.go
+++ b/io/btrank/engine.go
@@ -39,10 +39,10 @@
 type OrderAnswer string
 
 const (
-	// OrderBegun: the order is accepted and counted.
+	// OrderBegun: the order is accepted and takes a while.
 	OrderBegun OrderAnswer = "begun"
-	// OrderHolds: the state is already as ordered.
-	OrderHolds OrderAnswer = "holds"
+	// OrderDone: the order is carried out, or the state was as ordered before.
+	OrderDone OrderAnswer = "done"
 	// OrderRefused: the order does not fit the engine's state.
 	OrderRefused OrderAnswer = "refused"
 	// OrderFenced: the engine has heard a higher ballot.
@@ -54,10 +54,9 @@
 	Report(ctx context.Context) (btround.State, error)
 	Counts(ctx context.Context) (Counts, error)
 	Held(ctx context.Context) (Held, error)
-	// Order gives an order that is refused unless the engine has accepted just
-	// so many before. With OrderRefused the error says why; any other error
-	// means that the order may be carried out at any later time.
-	Order(ctx context.Context, c btround.Command, accepted uint64) (OrderAnswer, error)
+	// Order gives the command's order. With OrderRefused the error says why; any
+	// other error means that the order may be carried out at any later time.
+	Order(ctx context.Context, c btround.Command) (OrderAnswer, error)
 	Close()
 }
 
@@ -75,9 +74,8 @@
 )
 
 // carryOut brings an engine into the state that a command asks for, as far as
-// it gets within the work time. An order without an answer is given again with
-// the same number of accepted orders before it, so that only one of them can
-// take effect.
+// it gets within the work time. An order without an answer is given again: each
+// kind has the same effect however often it is carried out.
 func carryOut(ctx context.Context, e Engine, c btround.Command) btround.Result {
 	result := btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Pending, Ballot: c.Ballot}
 	ctx, cancel := context.WithTimeout(ctx, workTime)
@@ -112,7 +110,7 @@
 // step goes on from a state just read, and tells whether the result stands.
 func (w *work) step(ctx context.Context, s btround.State, result *btround.Result) bool {
 	c := w.command
-	if c.Satisfied(s) && (w.given || !w.due(s)) {
+	if c.Satisfied(s) && (w.given || !c.Force) {
 		result.Verdict = btround.Reached
 		return true
 	}
@@ -120,49 +118,35 @@
 		pause(ctx, preparePoll)
 		return false
 	}
-	next := c
-	if c.Kind == btround.Disarm && c.Satisfied(s) {
-		// The rank isn't armed, but an order to arm it may still be on its way.
-		// Once it was armed and disarmed that order finds others accepted.
-		next.Kind = btround.Arm
-	}
-	switch order(ctx, w.engine, next, s) {
-	case OrderBegun:
-		s.Orders++
-		return w.accepted(next, s, result)
-	case OrderHolds:
-		return w.accepted(next, s, result)
+	switch order(ctx, w.engine, c) {
+	case OrderBegun, OrderDone:
+		return w.accepted(s, result)
 	case OrderFenced:
 		result.Verdict = btround.Outranked
 		result.Ballot = c.Ballot.Next(0)
 		return true
 	case OrderRefused:
-		return final(ctx, w.engine, next, c, s, result)
+		return final(ctx, w.engine, c, result)
 	}
 	return false
 }
 
-// due tells whether an order is needed though the state is as asked for.
-func (w *work) due(s btround.State) bool {
-	return w.command.Force || w.command.Kind == btround.Disarm && s.Prepared == w.command.Version
-}
-
 // accepted goes on after an accepted order. Where its effect is immediate the
 // state isn't read again, so that the group isn't held for that.
-func (w *work) accepted(given btround.Command, s btround.State, result *btround.Result) bool {
-	if given.Kind != w.command.Kind {
-		return false
-	}
+func (w *work) accepted(s btround.State, result *btround.Result) bool {
+	c := w.command
 	w.given = true
-	switch given.Kind {
+	switch c.Kind {
 	case btround.Arm:
-		s.Armed = given.Version
-		s.ArmedStep = given.Step
+		s.Armed = c.Version
+		s.ArmedStep = c.Step
 	case btround.Hold:
 		s.Held = true
-		s.HeldStep = given.Step
+		s.HeldStep = c.Step
 	case btround.Go:
 		s.Held = false
+	case btround.Disarm:
+		s.Armed = 0
 	default:
 		return false
 	}
@@ -171,22 +155,17 @@
 	return true
 }
 
-// final tells whether a refusal stands: the engine's state is still the one in
-// which the order was refused, and not what the command asks for.
-func final(ctx context.Context, e Engine, given, c btround.Command, before btround.State, result *btround.Result) bool {
+// final tells whether a refusal stands: the engine's state is not what the
+// command asks for.
+func final(ctx context.Context, e Engine, c btround.Command, result *btround.Result) bool {
 	s, err := report(ctx, e)
 	if err != nil {
 		return false
 	}
 	result.State = s
-	switch {
-	case c.Satisfied(s):
-		// A version that can't be armed here needs no disarming either.
+	result.Verdict = btround.Refused
+	if c.Satisfied(s) {
 		result.Verdict = btround.Reached
-	case s.Orders != before.Orders || given.Kind != c.Kind:
-		return false
-	default:
-		result.Verdict = btround.Refused
 	}
 	return true
 }
@@ -198,10 +177,10 @@
 }
 
 // order gives an order and returns "" where its end isn't known.
-func order(ctx context.Context, e Engine, c btround.Command, s btround.State) OrderAnswer {
+func order(ctx context.Context, e Engine, c btround.Command) OrderAnswer {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	answer, err := e.Order(ctx, c, s.Orders)
+	answer, err := e.Order(ctx, c)
 	if answer == "" && !errors.Is(err, context.DeadlineExceeded) {
 		pause(ctx, orderTime)
 	}
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -47,6 +47,8 @@
 	at      map[btexpert.Rank]time.Time
 	heardAt time.Time
 	looked  map[btexpert.Rank]time.Time
+	// whole tells which ranks lack the map that changes refer to.
+	whole   map[btexpert.Rank]bool
 	remotes map[netip.AddrPort]Engine
 	leading bool
 	planned time.Time
@@ -62,6 +64,7 @@
 		planner: newPlanner(),
 		engines: make(map[btexpert.Rank]netip.AddrPort),
 		at:      make(map[btexpert.Rank]time.Time),
+		whole:   make(map[btexpert.Rank]bool),
 		looked:  make(map[btexpert.Rank]time.Time),
 		remotes: make(map[netip.AddrPort]Engine),
 	}
@@ -166,7 +169,7 @@
 		return
 	}
 	l.planned = now
-	l.planner.begun(next, plan)
+	l.planner.begun(version, next, plan)
 	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "ballot", l.machine.Ballot())
 }
 
@@ -198,7 +201,8 @@
 		result = carryOut(ctx, l.remote(engine), c)
 	default:
 		to := agentOf(engine, l.options.Address.Port())
-		result, err = btcall.Call[btround.Result](ctx, l.calls, to, pathCommand, c)
+		result, err = btcall.Call[btround.Result](ctx, l.calls, to, pathCommand, l.instruction(c))
+		l.fullNext(c, err)
 		if errors.Is(err, btcall.ErrNotReached) {
 			l.log.Info("engine ordered directly", "engine", engine, "kind", c.Kind, "error", err)
 			result = carryOut(ctx, l.remote(engine), c)
@@ -221,11 +225,28 @@
 	}
 }
 
+// instruction returns a command as it travels to its rank.
+func (l *lead) instruction(c btround.Command) Instruction {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.planner.instruction(c, l.whole[c.Rank])
+}
+
+// fullNext notes whether the rank is to be sent the whole map next time.
+func (l *lead) fullNext(c btround.Command, err error) {
+	if c.Kind != btround.Prepare {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.whole[c.Rank] = errors.Is(err, btcall.ErrStatus)
+}
+
 // away tells whether a rank's agent hasn't reported of late.
 func (l *lead) away(r btexpert.Rank) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.options.Clock().Sub(l.at[r]) > lookEvery
+	return l.options.Clock().Sub(l.at[r]) > leadFor
 }
 
 // lookAtStale reads the states of engines whose agents are away.
--- a/io/btrank/message.go
+++ b/io/btrank/message.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
+	"slices"
 
+	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btround"
 )
 
@@ -25,23 +28,68 @@
 	// Ballot is the highest that the agent has heard.
 	Ballot btround.Ballot `cbor:"ballot"`
 	// Counts are the choices of experts since the last report that the lead has
-	// answered, flat, layer by layer; empty where there are none yet.
-	Counts []int64 `cbor:"counts,omitempty"`
+	// answered; nil where they aren't due.
+	Counts *Sample `cbor:"counts,omitempty"`
 	// Held is sent where the lead has asked for it.
 	Held *Held `cbor:"held,omitempty"`
 }
 
+// Sample holds counts in a byte each: what is lost by rounding is told with the
+// next sample. Counts of a large group's experts would else take most of an
+// agent's link.
+type Sample struct {
+	// Unit is the count that one stands for.
+	Unit float64 `cbor:"unit"`
+	// Values are flat, layer by layer.
+	Values []byte `cbor:"values"`
+}
+
+// newSample returns the counts as a sample.
+func newSample(counts []int64) *Sample {
+	largest := slices.Max(counts)
+	if largest <= 0 {
+		return nil
+	}
+	s := &Sample{Unit: max(float64(largest)/math.MaxUint8, 1), Values: make([]byte, len(counts))}
+	for i, n := range counts {
+		s.Values[i] = byte(math.Round(float64(max(n, 0)) / s.Unit))
+	}
+	return s
+}
+
+// count returns what a value stands for.
+func (s *Sample) count(i int) int64 { return int64(math.Round(float64(s.Values[i]) * s.Unit)) }
+
 // maxCounts bounds a report: 1,024 layers of 256 experts.
 const maxCounts = 1 << 18
 
 // Validate reports a report that no agent sends.
 func (r Report) Validate() error {
-	if len(r.Counts) > maxCounts {
-		return fmt.Errorf("%w: %d counts", errMessage, len(r.Counts))
+	if s := r.Counts; s != nil && (len(s.Values) > maxCounts || !(s.Unit >= 1) || math.IsInf(s.Unit, 0)) {
+		return fmt.Errorf("%w: %d counts of unit %v", errMessage, len(s.Values), s.Unit)
 	}
 	return r.State.Validate()
 }
 
+// Change is one rank's experts in one layer of a new map.
+type Change struct {
+	Layer   uint16            `cbor:"layer"`
+	Rank    btexpert.Rank     `cbor:"rank"`
+	Experts []btexpert.Expert `cbor:"experts"`
+}
+
+// Instruction is a command on its way to an agent. The map of a Prepare travels
+// as the changes to one that the agent has, where it has one.
+type Instruction struct {
+	Command btround.Command `cbor:"command"`
+	// Base is the version that the changes refer to.
+	Base    btround.Version `cbor:"base,omitempty"`
+	Changes []Change        `cbor:"changes,omitempty"`
+}
+
+// Validate reports an instruction that no lead gives.
+func (i Instruction) Validate() error { return i.Command.Validate() }
+
 // Reply answers a Report.
 type Reply struct {
 	// WantHeld asks for the experts that the rank holds.
--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -23,6 +23,11 @@
 	// leastGain is the part of the mean load by which a new map must be better,
 	// averaged over the layers.
 	leastGain = 0.06
+	// loadTime is for how long a rank may load experts for one map, and
+	// leastRankLoads how many it may load in any case. A group waits for its
+	// slowest rank, so the changes that matter most come first.
+	loadTime       = 250 * time.Millisecond
+	leastRankLoads = 2
 	// planRounds bounds the changes in one layer.
 	planRounds = 60
 	// failedPause is the wait after a round that put no map in force.
@@ -45,8 +50,11 @@
 	decayed time.Time
 	held    []Held
 	known   []bool
-	// next is the map of the round under way.
+	// next is the map of the round under way, changes what differs in it from
+	// the version base.
 	next    *btexpert.RapidPlan
+	base    btround.Version
+	changes []Change
 	version btround.Version
 	failed  time.Time
 }
@@ -62,12 +70,12 @@
 }
 
 // count takes choices of experts in.
-func (p *planner) count(now time.Time, counts []int64) {
-	if len(counts) == 0 {
+func (p *planner) count(now time.Time, s *Sample) {
+	if s == nil {
 		return
 	}
-	if len(p.loads) != len(counts) {
-		p.loads = make([]float64, len(counts))
+	if len(p.loads) != len(s.Values) {
+		p.loads = make([]float64, len(s.Values))
 		p.decayed = now
 	}
 	const decayEvery = 25 * time.Millisecond
@@ -78,14 +86,14 @@
 		}
 		p.decayed = now
 	}
-	for i, n := range counts {
-		p.loads[i] += float64(n)
+	for i, n := range s.Values {
+		p.loads[i] += float64(n) * s.Unit
 	}
 }
 
 // hold takes in what a rank holds.
 func (p *planner) hold(r btexpert.Rank, h Held) {
-	if int(r) < p.size {
+	if int(r) < p.size && (!p.known[r] || h.Version >= p.held[r].Version) {
 		for _, experts := range h.Layers {
 			slices.Sort(experts)
 		}
@@ -96,7 +104,10 @@
 
 // wants tells whether it isn't known what the rank holds by the version.
 func (p *planner) wants(r btexpert.Rank, v btround.Version) bool {
-	return int(r) < p.size && (!p.known[r] || p.held[r].Version != v)
+	if p.next != nil && v == p.version {
+		return false
+	}
+	return int(r) < p.size && (!p.known[r] || p.held[r].Version < v)
 }
 
 // plan returns a better map, or why the one in force stays.
@@ -104,7 +115,7 @@
 	if now.Sub(p.failed) < failedPause {
 		return btexpert.RapidPlan{}, keepPause
 	}
-	shape := btexpert.Shape{Ranks: size, Layers: g.Layers, Experts: g.Experts, Slots: g.Slots, ExpertBytes: max(g.ExpertBytes, 1)}
+	shape := shapeOf(g, size)
 	if shape.Validate() != nil || len(p.loads) != g.Layers*g.Experts {
 		return btexpert.RapidPlan{}, keepNoShape
 	}
@@ -123,13 +134,31 @@
 	if total < leastCounts*float64(len(p.loads)) {
 		return btexpert.RapidPlan{}, keepNoCounts
 	}
-	plan := btexpert.Rapid(m, load, btexpert.RapidLimits{NewPerRank: g.NewPerMap, Gain: loadGain, Rounds: planRounds})
+	plan := btexpert.Rapid(m, load, btexpert.RapidLimits{
+		NewPerRank: g.NewPerMap,
+		Gain:       loadGain,
+		Rounds:     planRounds,
+		RankLoads:  rankLoads(g),
+	})
 	if plan.Before-plan.After < leastGain {
 		return plan, keepSmallGain
 	}
 	return plan, ""
 }
 
+// rankLoads returns how many experts one map may bring to a rank.
+func rankLoads(g *btcatalog.Group) int {
+	if g.CopyTime <= 0 {
+		return 0
+	}
+	return max(int(loadTime/g.CopyTime), leastRankLoads)
+}
+
+// shapeOf returns the shape of a group's maps.
+func shapeOf(g *btcatalog.Group, size int) btexpert.Shape {
+	return btexpert.Shape{Ranks: size, Layers: g.Layers, Experts: g.Experts, Slots: g.Slots, ExpertBytes: max(g.ExpertBytes, 1)}
+}
+
 // inForce returns the map in force, put together from what the ranks hold.
 func (p *planner) inForce(s btexpert.Shape, version btround.Version) (btexpert.Map, bool) {
 	m := btexpert.Map{Shape: s, Layers: make([]btexpert.Layer, s.Layers)}
@@ -148,9 +177,28 @@
 }
 
 // begun notes the map of a round.
-func (p *planner) begun(v btround.Version, plan btexpert.RapidPlan) {
+func (p *planner) begun(before, v btround.Version, plan btexpert.RapidPlan) {
 	p.version = v
 	p.next = &plan
+	p.base = before
+	p.changes = nil
+	from, found := p.inForce(plan.Map.Shape, before)
+	if before == 0 {
+		from = btexpert.InTurn(plan.Map.Shape)
+	}
+	if found {
+		p.changes = changesBetween(from.Layers, plan.Map.Layers)
+	}
+}
+
+// instruction returns a command as it travels: with the changes in place of the
+// map, unless the whole is wanted.
+func (p *planner) instruction(c btround.Command, whole bool) Instruction {
+	if c.Kind != btround.Prepare || whole || p.next == nil || c.Version != p.version || len(p.changes) == 0 {
+		return Instruction{Command: c}
+	}
+	c.Layers = nil
+	return Instruction{Command: c, Base: p.base, Changes: p.changes}
 }
 
 // ended takes the outcome of a round in: a map that is in force is known.
