--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -64,7 +64,7 @@
 		Prepare:      3 * time.Second,
 		Again:        600 * time.Millisecond,
 		Ahead:        2,
-		RanksPerStep: 36,
+		RanksPerStep: 100,
 		Fresh:        time.Second,
 	}
 }
--- a/core/btround/message.go
+++ b/core/btround/message.go
@@ -54,6 +54,7 @@
 
 // State is what an engine tells of itself.
 type State struct {
+	_     struct{}      `cbor:",toarray"`
 	Rank  btexpert.Rank `cbor:"rank"`
 	Size  int           `cbor:"size"`
 	Group string        `cbor:"group"`
--- a/io/btrank/message.go
+++ b/io/btrank/message.go
@@ -73,6 +73,7 @@
 
 // Change is one rank's experts in one layer of a new map.
 type Change struct {
+	_       struct{}          `cbor:",toarray"`
 	Layer   uint16            `cbor:"layer"`
 	Rank    btexpert.Rank     `cbor:"rank"`
 	Experts []btexpert.Expert `cbor:"experts"`
