An unread prompt weighs as the writers that it delays

Cause: a rank that reads two prompts in one pass holds all ranks back; a prompt of 840 tokens takes 14 ms, as much as four writers in a pass, but counted as 0.4.

--- a/core/btpick/btpick.go
+++ b/core/btpick/btpick.go
@@ -19,7 +19,7 @@
 	// tokensPerRequest is how many prompt tokens weigh as much as a running
 	// request: an engine reads them in the time that the request adds to the
 	// passes of its answer.
-	tokensPerRequest = 2000
+	tokensPerRequest = 250
 	// farPrice is what a target of another data centre costs, in requests:
 	// less than one, so that it breaks ties and never piles requests up.
 	farPrice = 0.6
