Entries know each other, and the load that others bring to each rank

Cause: each of several entries balanced its own requests only, so that one rank of 72 ran 10 while the mean was 6.6; the slowest rank sets every pass. What changed: entries greet the seeds and each other; the lead tells all entries each rank's running and waiting requests; the choice of a target counts them. An entry also passes a newer catalog on to those that greet it.

--- a/commands/btdirectcmd/btdirectcmd.go
+++ b/commands/btdirectcmd/btdirectcmd.go
@@ -81,6 +81,7 @@
 		Settings:  s,
 		Source:    btadapter.NewStore(s.Store),
 		Headers:   btadapter.Headers{},
+		Decode:    btadapter.DecodeCatalog,
 		ReadyPath: btadapter.PathReady,
 		Meter:     btmetric.New(nil),
 		Log:       log,
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -214,6 +214,18 @@
 	return ranks
 }
 
+// States lists the states of late, by rank.
+func (l *Lead) States(now time.Time) []State {
+	var states []State
+	for r := range l.size {
+		m, found := l.members[btexpert.Rank(r)]
+		if found && now.Sub(m.at) <= l.settings.Fresh {
+			states = append(states, m.state)
+		}
+	}
+	return states
+}
+
 // Epoch returns the group's epoch.
 func (l *Lead) Epoch() uint64 { return l.epoch }
 
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -25,6 +25,8 @@
 	Settings Settings
 	Source   Source
 	Headers  Headers
+	// Decode decodes a catalog as it was published.
+	Decode func([]byte) (*btcatalog.Catalog, error)
 	// ReadyPath is where the balancer asks whether the entry takes requests.
 	ReadyPath string
 	Meter     *btmetric.Meter
@@ -40,6 +42,7 @@
 	knowledge *knowledge
 	fleet     *fleet
 	admission *admission
+	peers     *peers
 
 	servedCount atomic.Uint64
 	stopping    atomic.Bool
@@ -61,6 +64,7 @@
 		budgets: make(map[btid.Service]*budget),
 	}
 	e.knowledge = newKnowledge(o, e.configure)
+	e.peers = newPeers(e)
 	e.admission = newAdmission(o, e.fleet, e.entries)
 	return e
 }
@@ -69,9 +73,9 @@
 	e.fleet.configure(index, list)
 }
 
-// entries estimates how many entries share the fleet: at least those that the
-// settings name.
-func (e *Entry) entries() int { return max(len(e.options.Settings.Seeds), 1) }
+// entries estimates how many entries share the fleet: those that are known, and
+// at least those that the settings name.
+func (e *Entry) entries() int { return max(len(e.options.Settings.Seeds), len(e.peers.list())+1) }
 
 // Ready tells whether the entry takes requests.
 func (e *Entry) Ready() bool {
@@ -125,7 +129,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { e.knowledge.run(ctx); return nil })
 	group.Go(func() error { return serve(server, front) })
-	group.Go(func() error { return e.servePeers(ctx) })
+	group.Go(func() error { return e.peers.serve(ctx) })
+	group.Go(func() error { e.peers.run(ctx); return nil })
 	group.Go(func() error {
 		defer cancel()
 		defer ready.Close()
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -38,6 +39,24 @@
 	tokens    int
 	failures  int
 	suspended time.Time
+	// reported is how many requests of all entries the group's lead saw here at
+	// reportedAt, when own of them were this entry's.
+	reported, own int
+	reportedAt    time.Time
+	pace          float64
+}
+
+// loadFresh is how long a lead's word on a target's load counts: the lead sends
+// one a few times a second.
+const loadFresh = time.Second
+
+// others returns how many requests of other entries are believed to be at the
+// target.
+func (t *target) others(now time.Time) float64 {
+	if t.reportedAt.IsZero() || now.Sub(t.reportedAt) > loadFresh {
+		return 0
+	}
+	return float64(max(t.reported-t.own, 0))
 }
 
 // fleet chooses targets and keeps count of what is at each.
@@ -151,7 +170,9 @@
 		candidates[i] = btpick.Candidate{
 			Requests: t.requests,
 			Tokens:   t.tokens,
+			Others:   t.others(now),
 			Near:     t.info.DataCentre == f.near,
+			Pace:     t.pace,
 		}
 	}
 	best := btpick.Best(candidates, rand.Float64())
@@ -164,6 +185,27 @@
 	return t
 }
 
+// hear takes a lead's word on its group in.
+func (f *fleet) hear(l Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	loads := make(map[netip.AddrPort]TargetLoad, len(l.Ranks))
+	for _, r := range l.Ranks {
+		loads[r.Address] = r
+	}
+	for _, t := range f.service(l.Service).targets {
+		r, found := loads[t.info.Address]
+		if !found {
+			continue
+		}
+		t.reported = r.Requests
+		t.own = t.requests
+		t.reportedAt = now
+		t.pace = float64(r.Pace)
+	}
+}
+
 // read notes that a target has read a prompt.
 func (f *fleet) read(t *target, tokens int) {
 	f.mu.Lock()
--- a/io/btdirect/knowledge.go
+++ b/io/btdirect/knowledge.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -39,6 +41,7 @@
 // knowledge is what the process has learned of the fleet.
 type knowledge struct {
 	source Source
+	decode func([]byte) (*btcatalog.Catalog, error)
 	clock  btloop.Clock
 	log    *slog.Logger
 	meter  *btmetric.Meter
@@ -61,6 +64,7 @@
 func newKnowledge(o Options, published func(*btcatalog.Index, []btinventory.Target)) *knowledge {
 	return &knowledge{
 		source:    o.Source,
+		decode:    o.Decode,
 		clock:     o.Clock,
 		log:       o.Log,
 		meter:     o.Meter,
@@ -202,6 +206,53 @@
 	return true
 }
 
+// version returns the catalog's version in force, zero before the first.
+func (k *knowledge) version() uint64 {
+	if index := k.index.Load(); index != nil {
+		return index.Version()
+	}
+	return 0
+}
+
+// newerThan returns the catalog as it was published if it is newer than the
+// version, else nil.
+func (k *knowledge) newerThan(version uint64) []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.version() <= version {
+		return nil
+	}
+	return k.catalogBytes
+}
+
+// learn takes a catalog in that another entry has read.
+func (k *knowledge) learn(data []byte, from netip.AddrPort) {
+	c, err := k.decode(data)
+	if err != nil {
+		k.meter.Counter(metricMalformed).Inc(1)
+		k.log.Warn("record refused", "from", from, "error", err, "outcome", "earlier record stays")
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.adopt(c, data, from.String()) {
+		k.publish()
+	}
+}
+
+// targetsOf lists the targets of a service.
+func (k *knowledge) targetsOf(name btid.Service) []btinventory.Target {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []btinventory.Target
+	for _, t := range k.register.Targets() {
+		if t.Service == name {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // publish hands on what is known. The lock is held.
 func (k *knowledge) publish() {
 	if index := k.index.Load(); index != nil {
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,8 +20,26 @@
 	"bilberrytide/io/btcall"
 )
 
-// PathRoster is where an entry tells agents of the fleet.
-const PathRoster = "/v1/roster"
+// Paths of the calls to an entry.
+const (
+	// PathRoster is where an entry tells agents of the fleet.
+	PathRoster = "/v1/roster"
+	// PathLoad is where an entry hears of a group from the group's lead.
+	PathLoad = "/v1/load"
+	// pathHello is where entries hear of each other.
+	pathHello = "/v1/hello"
+)
+
+const (
+	// helloEvery is how often an entry makes itself known; helloTime bounds the
+	// answer.
+	helloEvery = time.Second
+	helloTime  = 400 * time.Millisecond
+	// peerAway is after how long without a word an entry is forgotten.
+	peerAway = 4 * time.Second
+	// maxPeers bounds the entries that are remembered.
+	maxPeers = 1024
+)
 
 // RosterQuestion asks an entry for a service's targets.
 type RosterQuestion struct {
@@ -26,7 +49,7 @@
 }
 
 // errQuestion means that a question names no service.
-var errQuestion = errors.New("roster question without a service")
+var errQuestion = errors.New("question without a service")
 
 // Validate reports a question that names no service.
 func (q RosterQuestion) Validate() error {
@@ -36,27 +59,203 @@
 	return nil
 }
 
-// errNothingKnown means that the entry has read no list yet.
-var errNothingKnown = errors.New("no list of targets read yet")
+// Load is what a group's lead tells entries of the group.
+type Load struct {
+	Service btid.Service `cbor:"service"`
+	Epoch   uint64       `cbor:"epoch"`
+	// Open tells that the group is whole.
+	Open  bool         `cbor:"open"`
+	Ranks []TargetLoad `cbor:"ranks"`
+}
+
+// TargetLoad is the load of one member.
+type TargetLoad struct {
+	_       struct{}       `cbor:",toarray"`
+	Address netip.AddrPort `cbor:"address"`
+	// Requests are those that run and those that wait.
+	Requests int `cbor:"requests"`
+	// Pace is above 1 where the engine is slow.
+	Pace float32 `cbor:"pace"`
+}
+
+// Validate reports a load of no service.
+func (l Load) Validate() error {
+	if l.Service == "" {
+		return errQuestion
+	}
+	return nil
+}
+
+// Done answers a message that asks nothing.
+type Done struct{}
+
+// Validate accepts it.
+func (Done) Validate() error { return nil }
+
+// hello makes an entry known to another and asks for others.
+type hello struct {
+	From netip.AddrPort `cbor:"from"`
+	// Catalog is the version in force at the sender.
+	Catalog uint64 `cbor:"catalog"`
+}
 
-// servePeers answers the fleet's own processes until the context ends.
-func (e *Entry) servePeers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", e.options.Settings.Peer.String())
+// Validate reports a hello from nowhere.
+func (h hello) Validate() error {
+	if !h.From.IsValid() {
+		return fmt.Errorf("hello without an address")
+	}
+	return nil
+}
+
+// welcome answers a hello.
+type welcome struct {
+	Entries []netip.AddrPort `cbor:"entries"`
+	// Catalog is set where the sender of the hello has an older one.
+	Catalog []byte `cbor:"catalog,omitempty"`
+}
+
+// Validate reports a welcome with too many entries.
+func (w welcome) Validate() error {
+	if len(w.Entries) > maxPeers {
+		return fmt.Errorf("welcome with %d entries", len(w.Entries))
+	}
+	return nil
+}
+
+// peers knows the other entries.
+type peers struct {
+	entry *Entry
+	calls *btcall.Client
+
+	mu   sync.Mutex
+	seen map[netip.AddrPort]time.Time
+}
+
+func newPeers(e *Entry) *peers {
+	return &peers{entry: e, calls: btcall.NewClient(), seen: make(map[netip.AddrPort]time.Time)}
+}
+
+// serve answers the fleet's own processes until the context ends.
+func (p *peers) serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.entry.options.Settings.Peer.String())
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle("POST "+PathRoster, btcall.Handle(e.roster))
+	mux.Handle("POST "+PathRoster, btcall.Handle(p.roster))
+	mux.Handle("POST "+PathLoad, btcall.Handle(p.load))
+	mux.Handle("POST "+pathHello, btcall.Handle(p.hear))
 	return btcall.Serve(ctx, listener, mux)
 }
 
+// run makes the entry known until the context ends.
+func (p *peers) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, to := range p.audience() {
+			go p.greet(ctx, to)
+		}
+		sleep(ctx, helloEvery)
+	}
+}
+
+// audience is whom the entry greets: the seeds, and one other that it knows, so
+// that what the seeds don't know spreads too.
+func (p *peers) audience() []netip.AddrPort {
+	self := p.entry.options.Settings.Peer
+	list := slices.Clone(p.entry.options.Settings.Seeds)
+	known := p.list()
+	if len(known) > 0 {
+		list = append(list, known[rand.IntN(len(known))])
+	}
+	list = slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == self })
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return slices.Compact(list)
+}
+
+// greet sends one hello and takes the answer in.
+func (p *peers) greet(ctx context.Context, to netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, helloTime)
+	defer cancel()
+	h := hello{From: p.entry.options.Settings.Peer, Catalog: p.entry.knowledge.version()}
+	w, err := btcall.Call[welcome](ctx, p.calls, to, pathHello, h)
+	if err != nil {
+		// An entry that is away is forgotten by its age.
+		p.entry.meter.Counter(metricGreetings + "failed").Inc(1)
+		return
+	}
+	p.saw(to)
+	for _, e := range w.Entries {
+		p.heardOf(e)
+	}
+	if len(w.Catalog) > 0 {
+		p.entry.knowledge.learn(w.Catalog, to)
+	}
+}
+
+// metricGreetings counts what came of greetings.
+const metricGreetings = "peers.greetings_"
+
+// hear answers another entry's hello.
+func (p *peers) hear(_ context.Context, h hello) (welcome, error) {
+	p.saw(h.From)
+	return welcome{Entries: p.list(), Catalog: p.entry.knowledge.newerThan(h.Catalog)}, nil
+}
+
+// saw notes an entry that has answered or asked.
+func (p *peers) saw(a netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.seen[a]; !known {
+		if len(p.seen) >= maxPeers {
+			return
+		}
+		p.entry.log.Info("entry known", "entry", a)
+	}
+	p.seen[a] = p.entry.options.Clock()
+}
+
+// heardOf notes an entry that another knows; it is greeted and, if it doesn't
+// answer, forgotten.
+func (p *peers) heardOf(a netip.AddrPort) {
+	if a == p.entry.options.Settings.Peer {
+		return
+	}
+	p.mu.Lock()
+	_, known := p.seen[a]
+	p.mu.Unlock()
+	if !known {
+		p.saw(a)
+	}
+}
+
+// list lists the entries known, without this one, in order.
+func (p *peers) list() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.entry.options.Clock()
+	list := make([]netip.AddrPort, 0, len(p.seen))
+	for a, at := range p.seen {
+		if now.Sub(at) > peerAway {
+			delete(p.seen, a)
+			p.entry.log.Info("entry forgotten", "entry", a, "age_ms", now.Sub(at).Milliseconds())
+			continue
+		}
+		list = append(list, a)
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list
+}
+
+// errNothingKnown means that the entry has read no list yet.
+var errNothingKnown = errors.New("no list of targets read yet")
+
 // roster answers an agent.
-func (e *Entry) roster(_ context.Context, q RosterQuestion) (btinventory.Roster, error) {
-	index := e.knowledge.index.Load()
+func (p *peers) roster(_ context.Context, q RosterQuestion) (btinventory.Roster, error) {
+	index := p.entry.knowledge.index.Load()
 	if index == nil {
 		return btinventory.Roster{}, errNothingKnown
 	}
-	r := btinventory.Roster{Targets: e.knowledge.targetsOf(q.Service)}
+	r := btinventory.Roster{Targets: p.entry.knowledge.targetsOf(q.Service)}
 	if s, found := index.Service(q.Service); found && s.Engine != nil {
 		r.Group = s.Engine.Group
 	}
@@ -69,22 +268,12 @@
 		r.Targets = nil
 		r.Group = nil
 	}
-	r.Entries = e.peers()
+	r.Entries = append(p.list(), p.entry.options.Settings.Peer)
 	return r, nil
 }
 
-// peers lists the peer addresses of the entries that are known.
-func (e *Entry) peers() []netip.AddrPort { return e.options.Settings.Seeds }
-
-// targetsOf lists the targets of a service.
-func (k *knowledge) targetsOf(name btid.Service) []btinventory.Target {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var list []btinventory.Target
-	for _, t := range k.register.Targets() {
-		if t.Service == name {
-			list = append(list, t)
-		}
-	}
-	return list
+// load takes a group's load in.
+func (p *peers) load(_ context.Context, l Load) (Done, error) {
+	p.entry.fleet.hear(l)
+	return Done{}, nil
 }
--- a/io/btrank/directory.go
+++ b/io/btrank/directory.go
@@ -26,9 +26,11 @@
 	options Options
 	calls   *btcall.Client
 
-	mu      sync.Mutex
-	roster  btinventory.Roster
+	mu     sync.Mutex
+	roster btinventory.Roster
+	// entries may be asked; listed are those that an entry knows to be there.
 	entries []netip.AddrPort
+	listed  []netip.AddrPort
 	// turn is the entry that is asked next.
 	turn int
 	lost bool
@@ -84,11 +86,13 @@
 // take puts a roster in force. One without targets only says that nothing has
 // changed.
 func (d *directory) take(r btinventory.Roster) {
+	d.entries = slices.Clone(d.options.Settings.Seeds)
 	for _, e := range r.Entries {
 		if !slices.Contains(d.entries, e) {
 			d.entries = append(d.entries, e)
 		}
 	}
+	d.listed = r.Entries
 	if len(r.Targets) > 0 {
 		d.roster = r
 	}
@@ -116,6 +120,13 @@
 	return d.roster.Group, d.roster.Group != nil
 }
 
+// audience lists the entries that hear of the group's load.
+func (d *directory) audience() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
 // agents lists the addresses of the engines' agents, in order.
 func (d *directory) agents() []netip.AddrPort {
 	engines := d.engines()
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -12,6 +12,7 @@
 	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btround"
 	"bilberrytide/io/btcall"
+	"bilberrytide/io/btdirect"
 )
 
 const (
@@ -25,6 +26,8 @@
 	// lookEvery is how often the lead reads the state of an engine whose agent is
 	// away; such a read costs the group a little.
 	lookEvery = 500 * time.Millisecond
+	// tellEvery is how often the lead tells entries of the group's load.
+	tellEvery = 200 * time.Millisecond
 	// leadFor is how long an agent leads after the last report of another: the
 	// others report a few times a second.
 	leadFor = time.Second
@@ -52,6 +55,7 @@
 	remotes map[netip.AddrPort]Engine
 	leading bool
 	planned time.Time
+	told    time.Time
 }
 
 func newLead(o Options, a *Agent, calls *btcall.Client) *lead {
@@ -136,6 +140,7 @@
 		l.log.Info("leads", "group", l.agent.own().Group, "epoch", l.machine.Epoch(), "ballot", l.machine.Ballot())
 	}
 	l.lookAtStale(ctx, now)
+	l.tell(ctx, now)
 	if l.machine.Phase() == btround.Idle {
 		l.plan(now)
 	}
@@ -149,6 +154,32 @@
 	return roundTick
 }
 
+// tell tells the entries of the group's load.
+func (l *lead) tell(ctx context.Context, now time.Time) {
+	if now.Sub(l.told) < tellEvery {
+		return
+	}
+	l.told = now
+	load := btdirect.Load{Service: l.options.Settings.Service, Epoch: l.machine.Epoch(), Open: l.machine.Whole(now)}
+	for _, s := range l.machine.States(now) {
+		load.Ranks = append(load.Ranks, btdirect.TargetLoad{
+			Address:  l.engines[s.Rank],
+			Requests: s.Running + s.Waiting,
+			Pace:     float32(s.Pace),
+		})
+	}
+	for _, entry := range l.agent.directory.audience() {
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, tellEvery)
+			defer cancel()
+			_, err := btcall.Call[btdirect.Done](bounded, l.calls, entry, btdirect.PathLoad, load)
+			if err != nil {
+				l.options.Meter.Counter("load_untold").Inc(1)
+			}
+		}()
+	}
+}
+
 // plan begins a round where a better map is worth its price.
 func (l *lead) plan(now time.Time) {
 	group, found := l.agent.directory.shape()
