A target is the best of four chosen by chance

Cause: what the lead tells is some 300 ms old; all entries sent to the same few ranks until the next word, up to 15 waited at one rank while others had room.

--- a/core/btpick/btpick.go
+++ b/core/btpick/btpick.go
@@ -36,21 +36,27 @@
 	return load
 }
 
-// Best returns the index of the candidate that costs least, or -1 without any.
-// The draw, a uniform number in [0, 1), decides between equals, so that several
-// entries don't all choose the same.
-func Best(candidates []Candidate, draw float64) int {
+// choices is how many candidates are compared: what is known of others' requests
+// is some 300 ms old, and if each entry took the best of all, all would send to
+// the same few targets until the next word. With a few chosen by chance the load
+// stays nearly as even as with fresh knowledge of all.
+const choices = 4
+
+// Best returns the index of the candidate that costs least among a few that are
+// chosen by chance, or -1 without any. Draw returns uniform numbers in [0, n).
+func Best(candidates []Candidate, draw func(n int) int) int {
 	best := -1
 	least := 0.0
-	if len(candidates) == 0 {
-		return best
+	order := make([]int, len(candidates))
+	for i := range order {
+		order[i] = i
 	}
-	start := int(draw * float64(len(candidates)))
-	for i := range candidates {
-		at := (start + i) % len(candidates)
-		cost := candidates[at].cost()
+	for i := range min(choices, len(order)) {
+		j := i + draw(len(order)-i)
+		order[i], order[j] = order[j], order[i]
+		cost := candidates[order[i]].cost()
 		if best < 0 || cost < least {
-			best = at
+			best = order[i]
 			least = cost
 		}
 	}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -175,7 +175,7 @@
 			Pace:     t.pace,
 		}
 	}
-	best := btpick.Best(candidates, rand.Float64())
+	best := btpick.Best(candidates, rand.IntN)
 	if best < 0 {
 		return nil
 	}
