The price of a loaded expert follows its size

Cause: one threshold stood for 2.5 GB and 0.37 GB experts, of 4 and 12 layers. Conclusion: 0.0024 and 0.05; no gain is claimed.

--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -17,12 +17,12 @@
 	// leastCounts is how many choices an expert must have had on average for the
 	// counts to tell popular experts from chance.
 	leastCounts = 20
-	// loadGain is the part of a layer's mean load that a loaded expert must take
-	// off the most loaded rank.
-	loadGain = 0.012
+	// gainPerGigabyte is the part of a step that loading a gigabyte of experts
+	// must save: moving weights slows the steps meanwhile and is paid for.
+	gainPerGigabyte = 0.0024
 	// leastGain is the part of the mean load by which a new map must be better,
 	// averaged over the layers.
-	leastGain = 0.06
+	leastGain = 0.05
 	// loadTime is for how long a rank may load experts for one map, and
 	// leastRankLoads how many it may load in any case. A group waits for its
 	// slowest rank, so the changes that matter most come first.
@@ -136,7 +136,7 @@
 	}
 	plan := btexpert.Rapid(m, load, btexpert.RapidLimits{
 		NewPerRank: g.NewPerMap,
-		Gain:       loadGain,
+		Gain:       loadGain(g),
 		Rounds:     planRounds,
 		RankLoads:  rankLoads(g),
 	})
@@ -146,6 +146,13 @@
 	return plan, ""
 }
 
+// loadGain returns the part of a layer's mean load that a loaded expert must
+// take off the most loaded rank.
+func loadGain(g *btcatalog.Group) float64 {
+	const gigabyte = 1e9
+	return gainPerGigabyte * float64(g.ExpertBytes) / gigabyte * float64(g.Layers)
+}
+
 // rankLoads returns how many experts one map may bring to a rank.
 func rankLoads(g *btcatalog.Group) int {
 	if g.CopyTime <= 0 {
