Slow ranks hold fewer experts

Cause: one engine at a fourth of its speed held the whole group back; the plan counted its experts like those of the others. What changed: a rank's load counts as many times as the rank is slow.

--- a/core/btexpert/rapid.go
+++ b/core/btexpert/rapid.go
@@ -14,6 +14,9 @@
 	Gain float64
 	// Rounds bounds the changes in one layer.
 	Rounds int
+	// Pace is how slow each rank is; 1 is as usual. A slow rank's load counts so
+	// many times. Nil means that all are as usual.
+	Pace []float64
 	// RankLoads is how many experts one plan may bring to a rank over all
 	// layers, so that no rank keeps the others waiting; zero means any number.
 	RankLoads int
@@ -121,6 +124,7 @@
 	limits RapidLimits
 	load   []float64
 	mean   float64
+	pace   []float64
 	// ranks is how many experts of other layers the plan brings to each rank.
 	ranks   []int
 	held    [][]Expert
@@ -143,7 +147,7 @@
 		shape:   s,
 		limits:  limits,
 		load:    load,
-		mean:    sum(load) / float64(s.Ranks),
+		pace:    limits.paces(s.Ranks),
 		held:    make([][]Expert, s.Ranks),
 		holders: make([][]Rank, s.Experts),
 		times:   make([]float64, s.Ranks),
@@ -161,10 +165,27 @@
 			y.has[y.at(Rank(r), e)] = true
 		}
 	}
+	speed := 0.0
+	for _, p := range y.pace {
+		speed += 1 / p
+	}
+	y.mean = sum(load) / speed
 	y.settle()
 	return y
 }
 
+// paces returns the pace of each rank; values that make no sense count as usual.
+func (l RapidLimits) paces(ranks int) []float64 {
+	paces := make([]float64, ranks)
+	for r := range paces {
+		paces[r] = 1
+		if r < len(l.Pace) && l.Pace[r] > 1 && !math.IsInf(l.Pace[r], 0) {
+			paces[r] = l.Pace[r]
+		}
+	}
+	return paces
+}
+
 func (y *rapidLayer) at(r Rank, e Expert) int { return int(r)*y.shape.Experts + int(e) }
 
 // settle computes the loads anew, so that rounding doesn't add up.
@@ -172,7 +193,7 @@
 	clear(y.times)
 	for e, ranks := range y.holders {
 		for _, r := range ranks {
-			y.times[r] += y.load[e] / float64(len(ranks))
+			y.times[r] += y.pace[r] * y.load[e] / float64(len(ranks))
 		}
 	}
 	y.total = 0
@@ -413,7 +434,7 @@
 	}
 	part := sign * y.load[e] / float64(len(ranks))
 	for _, r := range ranks {
-		y.times[r] += part
+		y.times[r] += y.pace[r] * part
 		p := y.power(y.times[r])
 		y.total += p - y.powers[r]
 		y.powers[r] = p
--- a/core/btexpert/rapid_test.go
+++ b/core/btexpert/rapid_test.go
@@ -85,6 +85,25 @@
 	assert.Assert(t, second.After < 1.15)
 }
 
+func TestRapidRelievesASlowRank(t *testing.T) {
+	s := shapes()["16 ranks"]
+	load := make(btexpert.Load, s.Layers)
+	for l := range load {
+		load[l] = make([]float64, s.Experts)
+		for e := range load[l] {
+			load[l][e] = 100
+		}
+	}
+	limits := btexpert.RapidLimits{NewPerRank: 2, Gain: 0.005, Rounds: 60, Pace: make([]float64, s.Ranks)}
+	limits.Pace[3] = 4
+	m := btexpert.InTurn(s)
+	first := btexpert.Rapid(m, load, limits)
+	second := btexpert.Rapid(first.Map, load, limits)
+	t.Logf("peak over mean: %.2f, %.2f, %.2f; loads %d, %d", first.Before, first.After, second.After, first.Loads, second.Loads)
+	assert.Assert(t, first.Before > 3.5)
+	assert.Assert(t, second.After < 1.5)
+}
+
 func TestRapidLeavesAnEvenMapAlone(t *testing.T) {
 	s := shapes()["16 ranks"]
 	load := make(btexpert.Load, s.Layers)
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -187,7 +187,7 @@
 	if !found || !one || !l.machine.Whole(now) {
 		return
 	}
-	plan, reason := l.planner.plan(now, group, l.machine.Size(), version)
+	plan, reason := l.planner.plan(now, group, l.paces(now), version)
 	if reason != "" {
 		if now.Sub(l.planned) > time.Second {
 			l.planned = now
@@ -204,6 +204,15 @@
 	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "ballot", l.machine.Ballot())
 }
 
+// paces returns how slow each rank is.
+func (l *lead) paces(now time.Time) []float64 {
+	paces := make([]float64, l.machine.Size())
+	for _, s := range l.machine.States(now) {
+		paces[s.Rank] = s.Pace
+	}
+	return paces
+}
+
 // note logs how a round ended.
 func (l *lead) note() {
 	o := l.machine.Outcome()
--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -111,7 +111,8 @@
 }
 
 // plan returns a better map, or why the one in force stays.
-func (p *planner) plan(now time.Time, g *btcatalog.Group, size int, version btround.Version) (btexpert.RapidPlan, string) {
+func (p *planner) plan(now time.Time, g *btcatalog.Group, pace []float64, version btround.Version) (btexpert.RapidPlan, string) {
+	size := len(pace)
 	if now.Sub(p.failed) < failedPause {
 		return btexpert.RapidPlan{}, keepPause
 	}
@@ -139,6 +140,7 @@
 		Gain:       loadGain(g),
 		Rounds:     planRounds,
 		RankLoads:  rankLoads(g),
+		Pace:       pace,
 	})
 	if plan.Before-plan.After < leastGain {
 		return plan, keepSmallGain
