Map rounds: a lead that was outranked yields for a while

Cause: two leads that both thought they led outranked each other without end, and the group stayed held: by the randomised run for up to 58 of 60 s. Test: TestNoStepOnTwoMaps (late, lost orders; leads frozen, killed, replaced, two at a time; idle groups), which failed first; TestNaiveSwitchSplits shows that the run finds a switch without a hold.

--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -48,6 +48,11 @@
 	// arm them all.
 	Ahead        int64
 	RanksPerStep int
+	// Yield is for how long a lead that was outranked leaves the group to the
+	// other; YieldPerRank makes it differ, so that two leads don't go on
+	// outranking each other.
+	Yield        time.Duration
+	YieldPerRank time.Duration
 	// Fresh is how old a member's state may be for a round to begin.
 	Fresh time.Duration
 }
@@ -65,6 +70,8 @@
 		Again:        600 * time.Millisecond,
 		Ahead:        2,
 		RanksPerStep: 100,
+		Yield:        400 * time.Millisecond,
+		YieldPerRank: 20 * time.Millisecond,
 		Fresh:        time.Second,
 	}
 }
@@ -88,6 +95,8 @@
 	// holder is the rank that holds the group.
 	holder btexpert.Rank
 	began  time.Time
+	// quiet is until when another lead has the group to itself.
+	quiet  time.Time
 	heldAt time.Time
 	// Outcomes are taken by the caller.
 	outcome *Outcome
@@ -187,6 +196,7 @@
 func (l *Lead) outranked(now time.Time, heard Ballot) {
 	l.end(now, false, "outranked")
 	l.ballot = heard.Next(l.self)
+	l.quiet = now.Add(l.settings.Yield + time.Duration(l.self)*l.settings.YieldPerRank)
 }
 
 // Whole tells whether every rank has reported of late and the group is open.
@@ -257,7 +267,7 @@
 // Begin starts a round for a new map and returns its version. The group must be
 // whole and the lead idle; Step returns the commands.
 func (l *Lead) Begin(now time.Time, layers []btexpert.Layer, nonce uint32) (Version, bool) {
-	if l.phase != Idle || !l.Whole(now) || l.foreign() || !l.noneArmed() {
+	if l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !l.noneArmed() {
 		return 0, false
 	}
 	l.enter(now, Preparing)
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -8,7 +8,7 @@
 
 // Step returns the commands that are due.
 func (l *Lead) Step(now time.Time) []Command {
-	if l.phase == Idle && l.foreign() && l.Whole(now) {
+	if l.phase == Idle && !now.Before(l.quiet) && l.foreign() && l.Whole(now) {
 		l.takeOver(now)
 	}
 	l.advance(now)
