--- /dev/null
+++ b/core/btevents/btevents_test.go
@@ -0,0 +1,89 @@
+package btevents_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btevents"
+)
+
+func stream(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestPiecesOfAnySizeGiveWholeEvents(t *testing.T) {
+	whole := stream(0, 9)
+	for size := 1; size <= len(whole); size++ {
+		s := btevents.New()
+		var out strings.Builder
+		for at := 0; at < len(whole); at += size {
+			events, err := s.Add([]byte(whole[at:min(at+size, len(whole))]))
+			assert.NilError(t, err)
+			assert.Assert(t, len(events) == 0 || strings.HasSuffix(string(events), "\n\n"))
+			out.Write(events)
+		}
+		assert.Equal(t, out.String(), whole)
+		assert.Equal(t, s.Last(), "9")
+		assert.Equal(t, s.Count(), 10)
+		assert.Assert(t, !s.Partial())
+	}
+}
+
+// A target that continues a stream may begin with events that the caller has,
+// and a broken one may end in the middle of an event.
+func TestContinuedStreamsLoseAndDoubleNothing(t *testing.T) {
+	whole := stream(1, 8)
+	for cut := range len(whole) {
+		first := btevents.New()
+		out, err := first.Add([]byte(whole[:cut]))
+		assert.NilError(t, err)
+		next := btevents.New()
+		if first.Last() != "" {
+			next = btevents.Resumed(first.Last())
+		}
+		rest, err := next.Add([]byte(whole))
+		assert.NilError(t, err)
+		assert.Equal(t, string(out)+string(rest), whole)
+	}
+}
+
+func TestEventsWithoutNumbersPass(t *testing.T) {
+	s := btevents.New()
+	out, err := s.Add([]byte(": hello\n\ndata: x\r\n\r\nid: abc\ndata: y\n\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(out), ": hello\n\ndata: x\r\n\r\nid: abc\ndata: y\n\n")
+	assert.Equal(t, s.Last(), "abc")
+}
+
+func TestAnEndlessEventIsAnError(t *testing.T) {
+	s := btevents.New()
+	_, err := s.Add(make([]byte, btevents.MaxEventBytes+1))
+	assert.ErrorIs(t, err, btevents.ErrTooLong)
+}
+
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte(stream(1, 3)), 7)
+	f.Add([]byte("id:\n\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		if len(data) == 0 {
+			return
+		}
+		cut = (cut%len(data) + len(data)) % len(data)
+		whole := btevents.New()
+		want, err := whole.Add(data)
+		assert.NilError(t, err)
+		parts := btevents.New()
+		a, err := parts.Add(data[:cut])
+		assert.NilError(t, err)
+		b, err := parts.Add(data[cut:])
+		assert.NilError(t, err)
+		assert.Equal(t, string(a)+string(b), string(want))
+	})
+}
--- /dev/null
+++ b/core/btgate/btgate_test.go
@@ -0,0 +1,111 @@
+package btgate_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btgate"
+)
+
+var start = time.Unix(1000, 0)
+
+func gate(limit float64) *btgate.Gate[int] {
+	return btgate.New[int](btgate.Config{Least: 1, Most: limit, Start: limit})
+}
+
+func TestAdmitsUpToTheLimit(t *testing.T) {
+	g := gate(3)
+	for range 3 {
+		assert.Assert(t, g.Enter())
+	}
+	assert.Assert(t, !g.Enter())
+	g.Leave(start)
+	assert.Assert(t, g.Enter())
+}
+
+func TestMoreUrgentRequestsAreAdmittedFirst(t *testing.T) {
+	g := gate(1)
+	g.Enter()
+	until := start.Add(time.Second)
+	g.Wait(start, until, 5, 0, 1)
+	g.Wait(start, until, 5, 0, 2)
+	g.Wait(start, until, 1, 0, 3)
+	var order []int
+	for range 3 {
+		for _, ticket := range g.Leave(start) {
+			assert.Assert(t, ticket.Granted())
+			order = append(order, ticket.Waiter)
+		}
+	}
+	assert.DeepEqual(t, order, []int{3, 1, 2})
+}
+
+// A place that is given to a request which has given up meanwhile is lost for
+// good, until nothing is admitted any more.
+func TestPlacesOfThoseWhoGaveUpAreNotLost(t *testing.T) {
+	g := gate(1)
+	g.Enter()
+	first := g.Wait(start, start.Add(time.Second), 0, 0, 1)
+	second := g.Wait(start, start.Add(time.Second), 0, 0, 2)
+	assert.Assert(t, g.Abandon(first))
+	admitted := g.Leave(start)
+	assert.Equal(t, len(admitted), 1)
+	assert.Equal(t, admitted[0], second)
+	assert.Assert(t, !g.Abandon(second), "admitted meanwhile: its place must be given back")
+	g.Leave(start)
+	assert.Equal(t, g.Running(), 0)
+}
+
+func TestNoWaitThatCannotHelp(t *testing.T) {
+	g := gate(1)
+	g.Enter()
+	until := start.Add(100 * time.Millisecond)
+	assert.Assert(t, g.Wait(start, until, 0, 60*time.Millisecond, 1) != nil)
+	assert.Assert(t, g.Wait(start, until, 0, 60*time.Millisecond, 2) == nil)
+	assert.Equal(t, len(g.Leave(until.Add(1))), 0, "its time is over")
+}
+
+func TestLimitFollowsThePauses(t *testing.T) {
+	g := btgate.New[int](btgate.Config{Least: 4, Most: 40, Start: 40})
+	for range 40 {
+		g.Enter()
+	}
+	now := start
+	feed := func(pause time.Duration) {
+		for range 400 {
+			now = now.Add(10 * time.Millisecond)
+			g.Pause(now, pause, 100*time.Millisecond)
+		}
+	}
+	feed(130 * time.Millisecond)
+	assert.Assert(t, g.Limit() < 25, "limit %d", g.Limit())
+	low := g.Limit()
+	for g.Running() > g.Limit() {
+		g.Leave(now)
+	}
+	feed(85 * time.Millisecond)
+	assert.Assert(t, g.Limit() <= low+1, "limit %d: nothing is changed between the marks", g.Limit())
+	for range 40 {
+		feed(40 * time.Millisecond)
+		for g.Enter() {
+		}
+	}
+	assert.Equal(t, g.Limit(), 40)
+	assert.Assert(t, !g.Pause(now, time.Second, 0), "without an allowed pause there is no limit to follow")
+}
+
+func TestLimitStaysWithinItsBounds(t *testing.T) {
+	g := btgate.New[int](btgate.Config{Least: 4, Most: 40, Start: 40})
+	now := start
+	for range 10000 {
+		now = now.Add(50 * time.Millisecond)
+		g.Pause(now, time.Minute, 100*time.Millisecond)
+	}
+	assert.Equal(t, g.Limit(), 4)
+	g.Configure(btgate.Config{Least: 8, Most: 80, Start: 80})
+	assert.Equal(t, g.Limit(), 8)
+	g.Configure(btgate.Config{Least: 1, Most: 2, Start: 2})
+	assert.Equal(t, g.Limit(), 1)
+}
--- /dev/null
+++ b/core/btinventory/btinventory_test.go
@@ -0,0 +1,113 @@
+package btinventory_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btinventory"
+)
+
+const grace = 2 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func target(id btinventory.ID) btinventory.Target {
+	return btinventory.Target{ID: id, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), State: btinventory.Ready}
+}
+
+func ids(r *btinventory.Register) []btinventory.ID {
+	var list []btinventory.ID
+	for _, t := range r.Targets() {
+		list = append(list, t.ID)
+	}
+	return list
+}
+
+func TestRemovedTargetsAreGoneAtOnce(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(target("a"))
+	r.Put(target("b"))
+	changes := r.Remove(start, "a")
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].What, btinventory.Gone)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"b"})
+}
+
+// A target that can't renew its record while the list is away vanishes from it,
+// and must not be lost to callers for that.
+func TestTargetsThatLapsedMeanwhileStayForAGrace(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(target("back"))
+	r.Put(target("dead"))
+	r.Interrupted()
+	r.Regained(start)
+	r.Remove(start, "back")
+	r.Remove(start, "dead")
+	assert.Equal(t, len(ids(r)), 2)
+	r.Put(target("back"))
+	assert.Equal(t, len(r.Expire(start.Add(grace-1))), 0)
+	changes := r.Expire(start.Add(grace))
+	assert.Equal(t, len(changes), 1)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"back"})
+	// Later removals are final again.
+	r.Remove(start.Add(grace), "back")
+	assert.Equal(t, len(ids(r)), 0)
+}
+
+func TestAnInterruptionWithoutAnEndForgivesNothing(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(target("a"))
+	r.Interrupted()
+	r.Remove(start, "a")
+	assert.Equal(t, len(ids(r)), 0)
+}
+
+func TestDrainingTargetsGetNoGrace(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	a := target("a")
+	r.Put(a)
+	a.State = btinventory.Draining
+	changes := r.Put(a)
+	assert.Equal(t, changes[0].What, btinventory.Drained)
+	r.Interrupted()
+	r.Regained(start)
+	r.Remove(start, "a")
+	assert.Equal(t, len(ids(r)), 0)
+}
+
+func TestAWholeListRemovesWhatItLacks(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Replace(start, []btinventory.Target{target("a"), target("b")})
+	changes := r.Replace(start, []btinventory.Target{target("b"), target("c")})
+	assert.Equal(t, len(changes), 2)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"b", "c"})
+}
+
+func TestRenewalsAreNoChange(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	a := target("a")
+	a.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
+	r.Put(a)
+	b := a
+	b.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
+	assert.Equal(t, len(r.Put(b)), 0)
+	b.Member = &btinventory.Member{Group: "g", Rank: 0, Size: 2}
+	assert.Equal(t, len(r.Put(b)), 1)
+}
+
+func TestIncompleteTargetsAreRefused(t *testing.T) {
+	for _, change := range []func(*btinventory.Target){
+		func(t *btinventory.Target) { t.ID = "" },
+		func(t *btinventory.Target) { t.Service = "" },
+		func(t *btinventory.Target) { t.Address = netip.AddrPort{} },
+		func(t *btinventory.Target) { t.State = "asleep" },
+	} {
+		a := target("a")
+		change(&a)
+		assert.Assert(t, a.Validate() != nil)
+		assert.Assert(t, btinventory.Roster{Targets: []btinventory.Target{a}}.Validate() != nil)
+	}
+}
