--- a/core/btround/world_test.go
+++ b/core/btround/world_test.go
@@ -146,6 +146,7 @@
 		if e.armed != 0 && e.armedStep <= next {
 			e.mapVersion = e.armed
 			e.armed = 0
+			e.prepared = 0
 			if e.rank == 0 {
 				w.switches++
 			}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -31,10 +31,14 @@
 
 // target is one target as this entry uses it.
 type target struct {
+	// info is the record that the target was first known by. Its state and slots
+	// may change and are kept below.
 	info btinventory.Target
 	// kept reuses connections, fresh makes one for each request.
 	kept, fresh *bttarget.Client
 	// The fields below belong to the fleet's lock.
+	state     btinventory.State
+	slots     int
 	requests  int
 	tokens    int
 	failures  int
@@ -113,7 +117,8 @@
 func (f *fleet) target(info btinventory.Target) *target {
 	t, found := f.targets[info.ID]
 	if found {
-		t.info = info
+		t.state = info.State
+		t.slots = info.Slots
 		return t
 	}
 	options := bttarget.Options{
@@ -124,7 +129,7 @@
 	}
 	once := options
 	once.Fresh = true
-	t = &target{info: info, kept: bttarget.New(options), fresh: bttarget.New(once)}
+	t = &target{info: info, state: info.State, slots: info.Slots, kept: bttarget.New(options), fresh: bttarget.New(once)}
 	f.targets[info.ID] = t
 	return t
 }
@@ -155,7 +160,7 @@
 	var usable, failing []*target
 	for _, t := range f.service(name).targets {
 		switch {
-		case t.info.State != btinventory.Ready || tried[t.info.ID]:
+		case t.state != btinventory.Ready || tried[t.info.ID]:
 		case now.Before(t.suspended):
 			failing = append(failing, t)
 		default:
@@ -286,8 +291,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.service(name).targets {
-		if t.info.State == btinventory.Ready {
-			slots += t.info.Slots
+		if t.state == btinventory.Ready {
+			slots += t.slots
 			targets++
 		}
 	}
