A new lead knows the engines whose agents are away

Cause: found by a test in which the lead's agent ends: the next lead had never heard of that rank, neither its address nor what it holds, so that the map stayed as it was until the agent was back. What changed: the lead goes by the list of engines, and reads state and held experts of one without an agent from the engine. Test: TestAgentsFollowTheLoad, which failed first.

--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -49,7 +49,7 @@
 	engines map[btexpert.Rank]netip.AddrPort
 	at      map[btexpert.Rank]time.Time
 	heardAt time.Time
-	looked  map[btexpert.Rank]time.Time
+	looked  map[netip.AddrPort]time.Time
 	// whole tells which ranks lack the map that changes refer to.
 	whole   map[btexpert.Rank]bool
 	remotes map[netip.AddrPort]Engine
@@ -69,7 +69,7 @@
 		engines: make(map[btexpert.Rank]netip.AddrPort),
 		at:      make(map[btexpert.Rank]time.Time),
 		whole:   make(map[btexpert.Rank]bool),
-		looked:  make(map[btexpert.Rank]time.Time),
+		looked:  make(map[netip.AddrPort]time.Time),
 		remotes: make(map[netip.AddrPort]Engine),
 	}
 }
@@ -289,27 +289,65 @@
 	return l.options.Clock().Sub(l.at[r]) > leadFor
 }
 
-// lookAtStale reads the states of engines whose agents are away.
+// lookAtStale reads the states of engines whose agents are away. An agent that
+// has only just begun to lead doesn't know their ranks, so it goes by the list.
 func (l *lead) lookAtStale(ctx context.Context, now time.Time) {
-	for _, r := range l.machine.Stale(now) {
-		engine, found := l.engines[r]
-		if !found || now.Sub(l.looked[r]) < lookEvery {
+	if len(l.machine.Stale(now)) == 0 {
+		return
+	}
+	heard := make(map[netip.AddrPort]bool, len(l.engines))
+	for r, engine := range l.engines {
+		heard[engine] = now.Sub(l.at[r]) <= lookEvery
+	}
+	for _, engine := range l.agent.directory.engines() {
+		if heard[engine] || now.Sub(l.looked[engine]) < lookEvery {
 			continue
 		}
-		l.looked[r] = now
+		l.looked[engine] = now
 		go l.look(ctx, engine)
 	}
 }
 
 // look reads one engine's state from afar.
 func (l *lead) look(ctx context.Context, engine netip.AddrPort) {
-	s, err := report(ctx, l.remote(engine))
+	remote := l.remote(engine)
+	s, err := report(ctx, remote)
 	if err != nil {
+		l.options.Meter.Counter("remote_reports_failed").Inc(1)
 		return
 	}
+	if l.takeRemote(engine, s) {
+		l.holdRemote(ctx, remote, s.Rank)
+	}
+}
+
+// takeRemote takes the state of an engine in whose agent is away, and tells
+// whether it isn't known what the rank holds.
+func (l *lead) takeRemote(engine netip.AddrPort, s btround.State) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.machine.Report(l.options.Clock(), s, 0)
+	if s.Epoch != l.machine.Epoch() {
+		return false
+	}
+	l.engines[s.Rank] = engine
+	return l.planner.wants(s.Rank, s.Map)
+}
+
+// holdRemote reads what a rank holds from its engine.
+func (l *lead) holdRemote(ctx context.Context, remote Engine, r btexpert.Rank) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	h, err := remote.Held(ctx)
+	if err != nil {
+		l.options.Meter.Counter("remote_reports_failed").Inc(1)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h.Epoch == l.machine.Epoch() {
+		l.planner.hold(r, h)
+	}
 }
 
 // remote returns a client of another host's engine.
