A fault soak of our own

cmd/bilberrytide-soak runs entries and agents as processes before stand-ins, with a loopback proxy before the store, the engines and the targets (delay, reset, one way cut, silence), and signals (kill, pause, planned stop, reload); engines are replaced, drained, fail and carry orders out late; configurations change. It checks from callers' and engines' side: whole own answers, at most once, not run is true, drain, versions that don't go back, keys taken away, one map in every step, no request lost in planned work, exits, recovery.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test lint bench fuzz clean
+.PHONY: build demo test lint bench fuzz soak clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -16,6 +16,12 @@
 test: build
 	bash scripts/test.sh
 
+# Faults from outside on the real programs; SOAK takes the program's flags, as in
+# make soak SOAK="--seed 0 --seeds 20 --duration 30s".
+SOAK ?= --seed 1 --duration 20s
+soak: build
+	$(BIN)/bilberrytide-soak --program $(BIN)/bilberrytide $(SOAK)
+
 lint:
 	bash scripts/lint.sh
 
--- /dev/null
+++ b/cmd/bilberrytide-soak/main.go
@@ -0,0 +1,87 @@
+// Command bilberrytide-soak runs the fault soak: the real programs as processes,
+// faults from outside, and the promises checked while they run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bilberrytide/platform/btsoak"
+)
+
+const help = `Run the fault soak, one seed after the other.
+
+Each run starts entries and agents as processes before stand-ins of the platform
+and of engines, on loopback, injects faults and checks the product's promises.
+What a run that broke a promise printed and logged is kept.
+
+Exit codes: 0 all promises kept, 1 one was broken or a run could not start.`
+
+func main() {
+	app := kingpin.New("bilberrytide-soak", help)
+	program := app.Flag("program", "The built program of the product.").Default("bin/bilberrytide").String()
+	first := app.Flag("seed", "The first seed; 0 takes one from the clock.").Default("1").Uint64()
+	seeds := app.Flag("seeds", "How many seeds to run.").Default("1").Int()
+	duration := app.Flag("duration", "How long faults come, for each seed.").Default("20s").Duration()
+	entries := app.Flag("entries", "How many entries.").Default("3").Int()
+	ranks := app.Flag("ranks", "How many engines with agents.").Default("6").Int()
+	pages := app.Flag("targets", "How many plain targets.").Default("3").Int()
+	callers := app.Flag("callers", "How many callers at once.").Default("12").Int()
+	folder := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
+	verbose := app.Flag("verbose", "Print each fault.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *first == 0 {
+		*first = uint64(time.Now().UnixNano())
+	}
+	failed := 0
+	for i := range *seeds {
+		o := btsoak.Options{
+			Program: *program, Seed: *first + uint64(i), Duration: *duration,
+			Entries: *entries, Ranks: *ranks, Pages: *pages, Callers: *callers,
+			Folder: filepath.Join(*folder, strconv.FormatUint(*first+uint64(i), 10)),
+		}
+		if !soak(o, *verbose) {
+			failed++
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", *seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// soak runs one seed, and tells whether all promises were kept.
+func soak(o btsoak.Options, verbose bool) bool {
+	began := time.Now()
+	o.Say = func(format string, args ...any) {
+		if verbose {
+			fmt.Printf("%8.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+		}
+	}
+	if err := os.MkdirAll(o.Folder, 0o755); err != nil {
+		fmt.Println(err)
+		return false
+	}
+	report, err := btsoak.Run(o)
+	if err != nil {
+		fmt.Printf("seed %d: %v; logs in %s\n", o.Seed, err, o.Folder)
+		return false
+	}
+	fmt.Println(report)
+	for _, v := range report.Violations {
+		fmt.Println("  broken:", v)
+	}
+	if len(report.Violations) > 0 {
+		fmt.Println("  logs in", o.Folder)
+		return false
+	}
+	if err := os.RemoveAll(o.Folder); err != nil {
+		fmt.Println(err)
+	}
+	return true
+}
--- a/io/btstandin/btfleet/process.go
+++ b/io/btstandin/btfleet/process.go
@@ -19,8 +19,23 @@
 	ended     chan struct{}
 }
 
+// StartProcess starts a program with more variables in its environment; its
+// output is added to the log file.
+func StartProcess(name, log string, variables []string, arguments ...string) (*Process, error) {
+	return startWith(name, log, append(os.Environ(), variables...), arguments)
+}
+
 // startProcess starts a program; its output is added to the log file.
 func startProcess(name, log string, threads int, arguments []string) (*Process, error) {
+	var environment []string
+	if threads > 0 {
+		environment = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(threads))
+	}
+	return startWith(name, log, environment, arguments)
+}
+
+// startWith starts a program; without an environment it gets this process's.
+func startWith(name, log string, environment, arguments []string) (*Process, error) {
 	output, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -34,9 +49,7 @@
 	}
 	p.command.Stdout = output
 	p.command.Stderr = output
-	if threads > 0 {
-		p.command.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(threads))
-	}
+	p.command.Env = environment
 	endWithParent(p.command)
 	if err := p.command.Start(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
@@ -90,6 +103,9 @@
 // Terminate asks the process for a planned stop.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
+// Reload asks the process to read its settings again.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // signal sends a signal; one to a process that has ended changes nothing.
 func (p *Process) signal(s syscall.Signal) error {
 	err := p.command.Process.Signal(s)
