--- a/cmd/bilberrytide/main.go
+++ b/cmd/bilberrytide/main.go
@@ -15,6 +15,7 @@
 	"bilberrytide/commands/btruncmd"
 	"bilberrytide/commands/btsettingscmd"
 	"bilberrytide/commands/btstatuscmd"
+	"bilberrytide/commands/btwhycmd"
 )
 
 const help = `Load balancer for expert-parallel model groups and the plain services beside them.
@@ -36,6 +37,7 @@
 	btkeyscmd.Register(app, os.Stdout)
 	btstatuscmd.Register(app, os.Stdout)
 	btdirectcmd.Register(app, os.Stdout)
+	btwhycmd.Register(app, os.Stdout)
 	app.Command("version", "Print the version that this program was built from.").Action(printVersion)
 	// The application's own action runs once the command line is understood, so
 	// that an error before it is one of usage.
--- /dev/null
+++ b/commands/btwhycmd/btwhycmd_test.go
@@ -0,0 +1,46 @@
+package btwhycmd_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kingpin/v2"
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/commands/btwhycmd"
+)
+
+const log = `  0.1 edge-1 {"msg":"target_added","process":"edge-1","target":"i-1","service":"s"}
+not json
+  0.2 edge-1 {"msg":"request served","process":"edge-1","request":"r-0","target":"i-1","service":"s"}
+  0.3 edge-1 {"msg":"target passed over","process":"edge-1","target":"i-1","service":"s","reason":"target_lost"}
+  0.4 edge-2 {"msg":"target passed over","process":"edge-2","target":"i-1","service":"s"}
+  0.5 edge-1 {"msg":"request failed","process":"edge-1","request":"r-1","target":"i-1","service":"s","cause":"target_lost"}
+`
+
+func run(t *testing.T, arguments ...string) (string, error) {
+	t.Helper()
+	var out strings.Builder
+	app := kingpin.New("bilberrytide", "")
+	app.Terminate(nil)
+	btwhycmd.Register(app, &out)
+	_, err := app.Parse(append([]string{"why"}, arguments...))
+	return out.String(), err
+}
+
+func TestWhyShowsTheChain(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "edge.log")
+	assert.NilError(t, os.WriteFile(file, []byte(log), 0o600))
+	out, err := run(t, "r-1", file)
+	assert.NilError(t, err)
+	assert.Equal(t, out, `    {"msg":"target_added","process":"edge-1","target":"i-1","service":"s"}
+    {"msg":"target passed over","process":"edge-1","target":"i-1","service":"s","reason":"target_lost"}
+{"msg":"request failed","process":"edge-1","request":"r-1","target":"i-1","service":"s","cause":"target_lost"}
+`)
+	_, err = run(t, "r-2", file)
+	assert.ErrorIs(t, err, btwhycmd.ErrNothing)
+	_, err = run(t, "r-1", file+".none")
+	assert.ErrorContains(t, err, ".none")
+}
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -77,6 +77,10 @@
 // at least those that the settings name.
 func (e *Entry) entries() int { return max(len(e.options.Settings.Seeds), len(e.peers.list())+1) }
 
+// Reload puts changed settings in force: the seeds. Addresses stay until the
+// process starts anew.
+func (e *Entry) Reload(s Settings) { e.peers.reseed(s.Seeds) }
+
 // Ready tells whether the entry takes requests.
 func (e *Entry) Ready() bool {
 	return !e.stopping.Load() && e.knowledge.index.Load() != nil && e.fleet.ready()
@@ -161,7 +165,6 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.Handle("/metrics", e.meter)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerWait}
 	go func() {
 		if err := serve(server, listener); err != nil {
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -129,10 +129,12 @@
 
 	mu   sync.Mutex
 	seen map[netip.AddrPort]time.Time
+	// seeds are those of the settings in force.
+	seeds []netip.AddrPort
 }
 
 func newPeers(e *Entry) *peers {
-	return &peers{entry: e, calls: btcall.NewClient(), seen: make(map[netip.AddrPort]time.Time)}
+	return &peers{entry: e, calls: btcall.NewClient(), seen: make(map[netip.AddrPort]time.Time), seeds: e.options.Settings.Seeds}
 }
 
 // serve answers the fleet's own processes until the context ends.
@@ -162,8 +164,10 @@
 // that what the seeds don't know spreads too.
 func (p *peers) audience() []netip.AddrPort {
 	self := p.entry.options.Settings.Peer
-	list := slices.Clone(p.entry.options.Settings.Seeds)
 	known := p.list()
+	p.mu.Lock()
+	list := slices.Clone(p.seeds)
+	p.mu.Unlock()
 	if len(known) > 0 {
 		list = append(list, known[rand.IntN(len(known))])
 	}
@@ -172,6 +176,13 @@
 	return slices.Compact(list)
 }
 
+// reseed puts other seeds in force.
+func (p *peers) reseed(seeds []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
 // greet sends one hello and takes the answer in.
 func (p *peers) greet(ctx context.Context, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, helloTime)
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -152,6 +152,9 @@
 	return a
 }
 
+// Reload puts changed settings in force: the seeds.
+func (a *Agent) Reload(s btdirect.Settings) { a.directory.reseed(s.Seeds) }
+
 // Run works until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.options.Address.String())
@@ -161,7 +164,6 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST "+pathReport, btcall.Handle(a.lead.hear))
 	mux.Handle("POST "+pathCommand, btcall.Handle(a.instruct))
-	mux.Handle("GET /metrics", a.options.Meter)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return btcall.Serve(ctx, listener, mux) })
 	group.Go(func() error { a.directory.run(ctx); return nil })
--- a/io/btrank/directory.go
+++ b/io/btrank/directory.go
@@ -31,13 +31,15 @@
 	// entries may be asked; listed are those that an entry knows to be there.
 	entries []netip.AddrPort
 	listed  []netip.AddrPort
+	// seeds are those of the settings in force.
+	seeds []netip.AddrPort
 	// turn is the entry that is asked next.
 	turn int
 	lost bool
 }
 
 func newDirectory(o Options, calls *btcall.Client) *directory {
-	return &directory{options: o, calls: calls, entries: o.Settings.Seeds}
+	return &directory{options: o, calls: calls, entries: o.Settings.Seeds, seeds: o.Settings.Seeds}
 }
 
 // run keeps the roster up to date until the context ends.
@@ -86,7 +88,7 @@
 // take puts a roster in force. One without targets only says that nothing has
 // changed.
 func (d *directory) take(r btinventory.Roster) {
-	d.entries = slices.Clone(d.options.Settings.Seeds)
+	d.entries = slices.Clone(d.seeds)
 	for _, e := range r.Entries {
 		if !slices.Contains(d.entries, e) {
 			d.entries = append(d.entries, e)
@@ -113,6 +115,18 @@
 	return slices.Compact(list)
 }
 
+// reseed puts other seeds in force.
+func (d *directory) reseed(seeds []netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeds = seeds
+	for _, s := range seeds {
+		if !slices.Contains(d.entries, s) {
+			d.entries = append(d.entries, s)
+		}
+	}
+}
+
 // shape returns the shape of the service's expert maps.
 func (d *directory) shape() (*btcatalog.Group, bool) {
 	d.mu.Lock()
