A few entries read the list of targets; the others hear it from them

What changed: the first three entries in order of addresses read; the others ask them each half second and read themselves when what they hear is over 1.3 s old.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -187,6 +187,24 @@
 	return changes
 }
 
+// Adopt takes in the whole list of another register, which has already given
+// missing targets their grace: what it lacks is gone.
+func (r *Register) Adopt(list []Target) []Change {
+	var changes []Change
+	listed := make(map[ID]bool, len(list))
+	for _, t := range list {
+		listed[t.ID] = true
+		changes = append(changes, r.Put(t)...)
+	}
+	for _, id := range r.ids() {
+		if !listed[id] {
+			changes = append(changes, Change{ID: id, Target: r.records[id].target, What: Gone})
+			delete(r.records, id)
+		}
+	}
+	return changes
+}
+
 // Expire removes missing targets whose grace is over.
 func (r *Register) Expire(now time.Time) []Change {
 	var changes []Change
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -86,6 +86,17 @@
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"b", "c"})
 }
 
+func TestAnotherRegistersListIsTakenAsItIs(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(target("a"))
+	r.Put(target("b"))
+	r.Interrupted()
+	r.Regained(start)
+	assert.Equal(t, len(r.Adopt([]btinventory.Target{target("b"), target("c")})), 2)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"b", "c"})
+	assert.Equal(t, len(r.Adopt([]btinventory.Target{target("b"), target("c")})), 0)
+}
+
 func TestRenewalsAreNoChange(t *testing.T) {
 	r := btinventory.NewRegister(grace)
 	a := target("a")
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -65,6 +65,7 @@
 	}
 	e.knowledge = newKnowledge(o, e.configure)
 	e.peers = newPeers(e)
+	e.knowledge.reads = e.peers.reads
 	e.admission = newAdmission(o, e.fleet, e.entries)
 	return e
 }
--- a/io/btdirect/knowledge.go
+++ b/io/btdirect/knowledge.go
@@ -24,6 +24,9 @@
 	readEvery = 700 * time.Millisecond
 	// readWait is how long a read waits where nothing has changed.
 	readWait = 500 * time.Millisecond
+	// heardPause is how often an entry that hears the list from others looks
+	// whether it still does.
+	heardPause = 100 * time.Millisecond
 	// readAgain is the wait after a failed read.
 	readAgain = 400 * time.Millisecond
 	// lapseGrace is how long after an interruption a target that vanished is
@@ -57,6 +60,11 @@
 	// readAt is when the source was last read.
 	readAt time.Time
 	lost   bool
+	// reads tells whether the entry is to read the list itself while it hears it
+	// from others.
+	reads func() bool
+	// listedAt is when the list that is known was read, by whichever entry.
+	listedAt time.Time
 	// catalogBytes is the catalog as it was published.
 	catalogBytes []byte
 }
@@ -78,6 +86,10 @@
 	for ctx.Err() == nil {
 		began := k.clock()
 		pause := readAgain
+		if k.heardEnough(began) {
+			sleep(ctx, heardPause)
+			continue
+		}
 		if k.read(ctx) {
 			pause = readEvery - k.clock().Sub(began)
 		}
@@ -149,6 +161,7 @@
 	}
 	k.register.Regained(now)
 	k.readAt = now
+	k.listedAt = now
 	k.revision = u.Revision
 	k.known = true
 	for _, err := range u.Malformed {
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -33,8 +33,16 @@
 const (
 	// helloEvery is how often an entry makes itself known; helloTime bounds the
 	// answer.
-	helloEvery = time.Second
+	helloEvery = 500 * time.Millisecond
 	helloTime  = 400 * time.Millisecond
+	// readers is how many entries read the list of targets while all is well; the
+	// others hear it from them. More than one, so that a reader which is lost
+	// costs nothing.
+	readers = 3
+	// heardFresh is how old a list may be that another entry has read. An entry
+	// that hears none so fresh reads itself; so a change is known everywhere
+	// within two seconds at the most.
+	heardFresh = 1300 * time.Millisecond
 	// peerAway is after how long without a word an entry is forgotten.
 	peerAway = 4 * time.Second
 	// maxPeers bounds the entries that are remembered.
@@ -95,8 +103,10 @@
 // hello makes an entry known to another and asks for others.
 type hello struct {
 	From netip.AddrPort `cbor:"from"`
-	// Catalog is the version in force at the sender.
+	// Catalog is the version in force at the sender, Targets the digest of the
+	// targets that it knows.
 	Catalog uint64 `cbor:"catalog"`
+	Targets uint64 `cbor:"targets"`
 }
 
 // Validate reports a hello from nowhere.
@@ -112,6 +122,19 @@
 	Entries []netip.AddrPort `cbor:"entries"`
 	// Catalog is set where the sender of the hello has an older one.
 	Catalog []byte `cbor:"catalog,omitempty"`
+	// List is what the entry has read itself.
+	List ReadList `cbor:"list"`
+}
+
+// ReadList is what an entry has read of the list of targets.
+type ReadList struct {
+	// Revision is the list's, Age how long ago it was read; an entry that has not
+	// read it itself has no revision.
+	Revision uint64        `cbor:"revision"`
+	Age      time.Duration `cbor:"age"`
+	// Targets are left out where the asking entry knows the same ones.
+	Targets []btinventory.Target `cbor:"targets,omitempty"`
+	Same    bool                 `cbor:"same,omitempty"`
 }
 
 // Validate reports a welcome with too many entries.
@@ -119,6 +142,14 @@
 	if len(w.Entries) > maxPeers {
 		return fmt.Errorf("welcome with %d entries", len(w.Entries))
 	}
+	if w.List.Age < 0 {
+		return fmt.Errorf("welcome with a list read in %s", -w.List.Age)
+	}
+	for _, t := range w.List.Targets {
+		if err := t.Validate(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -160,8 +191,29 @@
 	}
 }
 
-// audience is whom the entry greets: the seeds, and one other that it knows, so
-// that what the seeds don't know spreads too.
+// reads tells whether this entry is one of those that read the list: the first
+// in order of addresses.
+func (p *peers) reads() bool {
+	before := 0
+	for _, a := range p.list() {
+		if a.Compare(p.entry.options.Settings.Peer) < 0 {
+			before++
+		}
+	}
+	return before < readers
+}
+
+// firstReader returns an entry that reads the list, by turns.
+func (p *peers) firstReader() (netip.AddrPort, bool) {
+	list := p.list()
+	if len(list) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return list[rand.IntN(min(readers, len(list)))], true
+}
+
+// audience is whom the entry greets: the seeds, one that reads the list, and one
+// other that it knows, so that what the seeds don't know spreads too.
 func (p *peers) audience() []netip.AddrPort {
 	self := p.entry.options.Settings.Peer
 	known := p.list()
@@ -171,6 +223,9 @@
 	if len(known) > 0 {
 		list = append(list, known[rand.IntN(len(known))])
 	}
+	if reader, found := p.firstReader(); found {
+		list = append(list, reader)
+	}
 	list = slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == self })
 	slices.SortFunc(list, netip.AddrPort.Compare)
 	return slices.Compact(list)
@@ -187,7 +242,8 @@
 func (p *peers) greet(ctx context.Context, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, helloTime)
 	defer cancel()
-	h := hello{From: p.entry.options.Settings.Peer, Catalog: p.entry.knowledge.version()}
+	h := hello{From: p.entry.options.Settings.Peer, Catalog: p.entry.knowledge.version(), Targets: p.entry.knowledge.digest()}
+	asked := p.entry.options.Clock()
 	w, err := btcall.Call[welcome](ctx, p.calls, to, pathHello, h)
 	if err != nil {
 		// An entry that is away is forgotten by its age.
@@ -201,6 +257,7 @@
 	if len(w.Catalog) > 0 {
 		p.entry.knowledge.learn(w.Catalog, to)
 	}
+	p.entry.knowledge.learnList(w.List, asked, to)
 }
 
 // metricGreetings counts what came of greetings.
@@ -209,7 +266,11 @@
 // hear answers another entry's hello.
 func (p *peers) hear(_ context.Context, h hello) (welcome, error) {
 	p.saw(h.From)
-	return welcome{Entries: p.list(), Catalog: p.entry.knowledge.newerThan(h.Catalog)}, nil
+	return welcome{
+		Entries: p.list(),
+		Catalog: p.entry.knowledge.newerThan(h.Catalog),
+		List:    p.entry.knowledge.readList(h.Targets),
+	}, nil
 }
 
 // saw notes an entry that has answered or asked.
