--- a/core/btpick/btpick.go
+++ b/core/btpick/btpick.go
@@ -22,7 +22,7 @@
 	tokensPerRequest = 250
 	// farPrice is what a target of another data centre costs, in requests:
 	// less than one, so that it breaks ties and never piles requests up.
-	farPrice = 0.6
+	farPrice = 0.9
 )
 
 func (c Candidate) cost() float64 {
@@ -39,26 +39,43 @@
 // choices is how many candidates are compared: what is known of others' requests
 // is some 300 ms old, and if each entry took the best of all, all would send to
 // the same few targets until the next word. With a few chosen by chance the load
-// stays nearly as even as with fresh knowledge of all.
-const choices = 4
+// stays nearly as even as with fresh knowledge of all. Most are of the entry's
+// own data centre, as bytes between data centres are paid for, and some are not,
+// so that a data centre with more callers than targets gets help.
+const (
+	nearChoices = 3
+	farChoices  = 2
+)
 
 // Best returns the index of the candidate that costs least among a few that are
 // chosen by chance, or -1 without any. Draw returns uniform numbers in [0, n).
 func Best(candidates []Candidate, draw func(n int) int) int {
+	var near, far []int
+	for i, c := range candidates {
+		if c.Near {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
 	best := -1
 	least := 0.0
-	order := make([]int, len(candidates))
-	for i := range order {
-		order[i] = i
-	}
-	for i := range min(choices, len(order)) {
-		j := i + draw(len(order)-i)
-		order[i], order[j] = order[j], order[i]
-		cost := candidates[order[i]].cost()
+	for _, i := range append(sample(near, nearChoices, draw), sample(far, farChoices, draw)...) {
+		cost := candidates[i].cost()
 		if best < 0 || cost < least {
-			best = order[i]
+			best = i
 			least = cost
 		}
 	}
 	return best
 }
+
+// sample moves some of the list, chosen by chance, to its front and returns them.
+func sample(list []int, count int, draw func(n int) int) []int {
+	count = min(count, len(list))
+	for i := range count {
+		j := i + draw(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:count:count]
+}
