--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -35,7 +35,7 @@
 func TestOperationsListsEveryReason(t *testing.T) {
 	inCode := constants(t, reasonPackage, reasonType)
 	assert.Assert(t, len(inCode) > 0, "no reason found in the code")
-	compare(t, "operations.md", "## Refusals and retries", inCode)
+	compare(t, "OPERATIONS.md", "## Refusals and retries", inCode)
 }
 
 // TestInvariantsListsEveryAssertion compares the list of assertions with the
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -21,8 +21,6 @@
 	ReasonGroupBroken btrequest.Reason = "group_broken"
 	// ReasonNoTarget: no target is known, or none is left to try.
 	ReasonNoTarget btrequest.Reason = "no_target"
-	// ReasonStopping: the entry is about to end.
-	ReasonStopping btrequest.Reason = "stopping"
 	// ReasonNotSent: no connection to the target could be had.
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target said that it did not run the request.
