--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -227,6 +227,8 @@
 		if e.fleet.closed(t.info.Service) {
 			e.log.Warn("group broken", "service", t.info.Service, "target", t.info.ID, "evidence", result.reason, "status", result.status)
 		}
+	case result.reason == ReasonMisdirected:
+		e.targetLine(t, result, e.fleet.misdirected(t))
 	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout:
 	default:
 		wait := e.fleet.failed(t)
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -43,6 +43,9 @@
 	tokens    int
 	failures  int
 	suspended time.Time
+	// replaced is until when the target is taken for gone, as another incarnation
+	// has its address.
+	replaced time.Time
 	// reported is how many requests of all entries the group's lead saw here at
 	// reportedAt, when own of them were this entry's.
 	reported, own int
@@ -160,7 +163,7 @@
 	var usable, failing []*target
 	for _, t := range f.service(name).targets {
 		switch {
-		case t.state != btinventory.Ready || tried[t.info.ID]:
+		case t.state != btinventory.Ready || tried[t.info.ID] || now.Before(t.replaced):
 		case now.Before(t.suspended):
 			failing = append(failing, t)
 		default:
@@ -249,6 +252,19 @@
 	return wait
 }
 
+// replacedFor is for how long a target whose address another incarnation has is
+// passed over: by then the list no longer has it, as records lapse after three
+// missed renewals of some 1.2 s.
+const replacedFor = 5 * time.Second
+
+// misdirected notes that another incarnation has a target's address.
+func (f *fleet) misdirected(t *target) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.replaced = f.clock().Add(replacedFor)
+	return replacedFor
+}
+
 // probeEvery is how often a request is sent to a group that is known to be
 // broken, to learn when it is open again.
 const probeEvery = 250 * time.Millisecond
