--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -98,7 +98,7 @@
 	// quiet is until when another lead has the group to itself.
 	quiet  time.Time
 	heldAt time.Time
-	// Outcomes are taken by the caller.
+	// outcome is that of the last round, until it is asked for.
 	outcome *Outcome
 }
 
@@ -270,7 +270,7 @@
 	if l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !l.noneArmed() {
 		return 0, false
 	}
-	l.enter(now, Preparing)
+	l.enter(Preparing)
 	l.began = now
 	l.heldAt = time.Time{}
 	l.version = max(l.newest(), l.version).Next(nonce)
@@ -292,7 +292,7 @@
 }
 
 // enter goes to a phase in which every rank is asked anew.
-func (l *Lead) enter(now time.Time, p Phase) {
+func (l *Lead) enter(p Phase) {
 	if l.ballot == 0 {
 		l.ballot = Ballot(0).Next(l.self)
 	}
@@ -303,7 +303,6 @@
 		m.refused = false
 		m.asked = time.Time{}
 	}
-	_ = now
 }
 
 // end leaves the round.
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -95,10 +95,10 @@
 	case Holding:
 		l.held(now)
 	case Arming:
-		l.armed(now)
+		l.armed()
 	case Disarming:
 		if l.count(reached) == l.size {
-			l.enter(now, Going)
+			l.enter(Going)
 		}
 	case Going:
 		if l.member(l.holder).reached {
@@ -142,7 +142,7 @@
 	}
 	l.holder = l.self
 	l.step = max(l.lastStep()+l.ahead(), l.step+1)
-	l.enter(now, Holding)
+	l.enter(Holding)
 }
 
 // ahead is how many steps after the last the group is held.
@@ -167,28 +167,28 @@
 		// The refused step has begun, so that an order for it which is carried
 		// out late does nothing.
 		l.step = max(l.lastStep()+l.ahead(), l.step+1)
-		l.enter(now, Holding)
+		l.enter(Holding)
 		return
 	}
 	if !m.reached {
 		return
 	}
 	l.heldAt = now
-	l.enter(now, Arming)
+	l.enter(Arming)
 }
 
 // armed lets the group go on once all ranks are armed. Where one can't be, the
 // others are disarmed before.
-func (l *Lead) armed(now time.Time) {
+func (l *Lead) armed() {
 	answered := l.count(reached) + l.count(refused)
 	if answered < l.size {
 		return
 	}
 	if l.count(refused) > 0 {
-		l.disarm(now)
+		l.disarm()
 		return
 	}
-	l.enter(now, Going)
+	l.enter(Going)
 }
 
 // gone ends the round after the group goes on.
@@ -238,7 +238,7 @@
 			l.holder = btexpert.Rank(r)
 			l.step = s.HeldStep
 			l.heldAt = now
-			l.enter(now, Claiming)
+			l.enter(Claiming)
 			return
 		}
 	}
@@ -246,7 +246,7 @@
 	// that is left is to see to the others being armed too.
 	l.holder = l.self
 	l.step = 0
-	l.enter(now, Looking)
+	l.enter(Looking)
 }
 
 // claimed goes on once the holder obeys this lead, or no longer holds.
@@ -257,7 +257,7 @@
 		return
 	}
 	if m.reached {
-		l.enter(now, Looking)
+		l.enter(Looking)
 	}
 }
 
@@ -281,21 +281,21 @@
 	}
 	if l.version == 0 {
 		// Nothing is armed or can be: the hold itself was carried out late.
-		l.enter(now, Going)
+		l.enter(Going)
 		return
 	}
 	if step == l.step && l.allReady(l.version) {
-		l.enter(now, Arming)
+		l.enter(Arming)
 		return
 	}
-	l.disarm(now)
+	l.disarm()
 }
 
 // disarm has all ranks disarmed under a new ballot, so that an order to arm
 // which is carried out late is refused.
-func (l *Lead) disarm(now time.Time) {
+func (l *Lead) disarm() {
 	l.ballot = l.ballot.Next(l.self)
-	l.enter(now, Disarming)
+	l.enter(Disarming)
 }
 
 // unheld ends a round that another lead has let go on. Where not all ranks are
@@ -306,7 +306,7 @@
 		return
 	}
 	l.step = step
-	l.enter(now, Arming)
+	l.enter(Arming)
 }
 
 // commonPrepared returns the version that all ranks have prepared, or zero.
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -198,7 +198,7 @@
 	x.relayHeld(held)
 	_, err := io.Copy(x.writer, answer.Body)
 	if err != nil {
-		x.entry.caseOf(x, ReasonAnswerCut, attemptResult{reason: ReasonAnswerCut, detail: err})
+		x.entry.logFailure(x, ReasonAnswerCut, attemptResult{reason: ReasonAnswerCut, detail: err})
 		x.abort()
 	}
 	return attemptResult{done: true}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -205,12 +205,12 @@
 	e := x.entry
 	now := e.options.Clock()
 	if x.gone() {
-		e.caseOf(x, ReasonCallerGone, result)
+		e.logFailure(x, ReasonCallerGone, result)
 		x.abort()
 		return false
 	}
 	if ctx.Err() != nil {
-		e.caseOf(x, ReasonTimeout, result)
+		e.logFailure(x, ReasonTimeout, result)
 		x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: ReasonTimeout})
 		return false
 	}
@@ -251,7 +251,7 @@
 
 // failed gives the final answer after the last attempt.
 func (x *exchange) failed(result attemptResult, reason btrequest.Reason) {
-	x.entry.caseOf(x, reason, result)
+	x.entry.logFailure(x, reason, result)
 	if result.held != nil && !x.streaming() {
 		x.relayHeld(result.held)
 		return
@@ -267,7 +267,7 @@
 // a part went out is cut off visibly.
 func (x *exchange) giveUp(r *refusal) {
 	if x.streaming() {
-		x.entry.caseOf(x, r.reason, attemptResult{reason: r.reason})
+		x.entry.logFailure(x, r.reason, attemptResult{reason: r.reason})
 		x.abort()
 		return
 	}
--- a/io/btdirect/knowledge.go
+++ b/io/btdirect/knowledge.go
@@ -86,7 +86,7 @@
 	for ctx.Err() == nil {
 		began := k.clock()
 		pause := readAgain
-		if k.heardEnough(began) {
+		if k.listedByPeer(began) {
 			sleep(ctx, heardPause)
 			continue
 		}
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// caseOf notes why a request ends without its whole answer.
-func (e *Entry) caseOf(x *exchange, reason btrequest.Reason, result attemptResult) {
+// logFailure notes why a request ends without its whole answer.
+func (e *Entry) logFailure(x *exchange, reason btrequest.Reason, result attemptResult) {
 	if x.ended {
 		return
 	}
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -184,7 +184,7 @@
 // run makes the entry known until the context ends.
 func (p *peers) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, to := range p.audience() {
+		for _, to := range p.contacts() {
 			go p.greet(ctx, to)
 		}
 		sleep(ctx, helloEvery)
@@ -212,9 +212,9 @@
 	return list[rand.IntN(min(readers, len(list)))], true
 }
 
-// audience is whom the entry greets: the seeds, one that reads the list, and one
+// contacts is whom the entry greets: the seeds, one that reads the list, and one
 // other that it knows, so that what the seeds don't know spreads too.
-func (p *peers) audience() []netip.AddrPort {
+func (p *peers) contacts() []netip.AddrPort {
 	self := p.entry.options.Settings.Peer
 	known := p.list()
 	p.mu.Lock()
--- a/io/btdirect/hearsay.go
+++ b/io/btdirect/peer_list.go
@@ -10,9 +10,9 @@
 	"bilberrytide/core/btwire"
 )
 
-// heardEnough tells whether the list that is known is fresh though this entry
+// listedByPeer tells whether the list that is known is fresh though this entry
 // doesn't read it: another entry has.
-func (k *knowledge) heardEnough(now time.Time) bool {
+func (k *knowledge) listedByPeer(now time.Time) bool {
 	if k.reads() {
 		return false
 	}
--- a/io/btrank/directory.go
+++ b/io/btrank/directory.go
@@ -134,8 +134,8 @@
 	return d.roster.Group, d.roster.Group != nil
 }
 
-// audience lists the entries that hear of the group's load.
-func (d *directory) audience() []netip.AddrPort {
+// listeners lists the entries that hear of the group's load.
+func (d *directory) listeners() []netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.listed
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -168,7 +168,7 @@
 			Pace:     float32(s.Pace),
 		})
 	}
-	for _, entry := range l.agent.directory.audience() {
+	for _, entry := range l.agent.directory.listeners() {
 		go func() {
 			bounded, cancel := context.WithTimeout(ctx, tellEvery)
 			defer cancel()
