Test of a starting voter goes by a clock that stands still

TestKeyedRequestsPassOverWhatIsGone wanted to see a refusal of a voter that has just started. The voter's clock now stands still until it has refused, which also shows that there is no lease before its vote. The agent's construction in slot_test.go was a second copy of the fleet's and is gone.

--- a/io/btagent/keyed_test.go
+++ b/io/btagent/keyed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/btpeer"
+	"bilberrytide/io/btstandin/btinprocess"
 )
 
 // callOnce sends a request with a new idempotency key.
@@ -51,13 +54,29 @@
 	homes.Number = 2
 	f.Bundle.Services[0].Epochs = []btbundle.HomeEpoch{lost, homes}
 	f.Bundle.DestroyedTargets = []btid.Target{"t8", "t9"}
+	// The voter at t1 stays in its first moment until it has been asked, so that
+	// it refuses the first ask on a host of any speed.
+	var asked atomic.Bool
+	began := time.Now()
+	f.startAgent = func(node *btpeer.Node) *btinprocess.Agent {
+		if node.Identity().Name != "t1" {
+			return f.StartAgent(node)
+		}
+		return f.StartAgentWith(node, func() time.Time {
+			if asked.Load() {
+				return time.Now()
+			}
+			return began
+		})
+	}
 	f.start()
+	f.Await("a starting voter refuses", func() bool { return f.counter("t1", "refused.voter_starting") > 0 })
+	assert.Assert(t, !f.agents["t0"].Status().Home.Leased, "a lease without the vote of t1")
+	asked.Store(true)
 	f.Await("leased", func() bool {
 		s := f.agents["t0"].Status().Home
 		return s != nil && s.Leased && time.Since(s.Since) > 3*f.Bundle.Idempotency.ClockError.Duration
 	})
-	// Both started just now, so that each refused the other's first ask.
-	assert.Assert(t, f.counter("t1", "refused.voter_starting") > 0)
 	tried := false
 	for i := range 40 {
 		status, body := f.callOnce("e0", fmt.Sprintf("/services/pages/%d", i))
--- a/io/btagent/slot_test.go
+++ b/io/btagent/slot_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/rand"
-	"log/slog"
-	mathrand "math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -11,11 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"bilberrytide/core/btassert"
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btclaim"
-	"bilberrytide/core/btid"
-	"bilberrytide/io/btagent"
 	"bilberrytide/io/btpeer"
 	"bilberrytide/io/btstandin/btinprocess"
 )
@@ -25,25 +20,12 @@
 func (f *fleet) startPaused(node *btpeer.Node, paused *atomic.Bool) *btinprocess.Agent {
 	const pause, every = 10 * time.Millisecond, 4
 	var readings atomic.Int64
-	p := f.Process(node)
-	agent := btagent.New(btagent.Options{
-		Target:     btid.Target(node.Identity().Name),
-		DataCentre: btinprocess.DataCentre,
-		Node:       node,
-		Bundles:    p.Bundles,
-		Meter:      p.Meter,
-		Decisions:  p.Decisions,
-		Log:        slog.New(slog.DiscardHandler),
-		Clock: func() time.Time {
-			if paused.Load() && readings.Add(1)%every == 0 {
-				time.Sleep(pause)
-			}
-			return time.Now()
-		},
-		Assert: btassert.New(btassert.Panic()),
-		Random: mathrand.New(mathrand.NewPCG(1, 1)),
+	return f.StartAgentWith(node, func() time.Time {
+		if paused.Load() && readings.Add(1)%every == 0 {
+			time.Sleep(pause)
+		}
+		return time.Now()
 	})
-	return &btinprocess.Agent{Agent: agent, Node: node, End: f.Run(node, agent.Run)}
 }
 
 // TestSlotIsFreeAfterAnswer: a caller that has its whole answer may send its
--- a/io/btstandin/btinprocess/process.go
+++ b/io/btstandin/btinprocess/process.go
@@ -13,6 +13,7 @@
 	"bilberrytide/io/btagent"
 	"bilberrytide/io/btentry"
 	"bilberrytide/io/btkeys"
+	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
 	"bilberrytide/io/btplatform"
@@ -126,7 +127,10 @@
 }
 
 // StartAgent starts an agent behind the node.
-func (f *Fleet) StartAgent(node *btpeer.Node) *Agent {
+func (f *Fleet) StartAgent(node *btpeer.Node) *Agent { return f.StartAgentWith(node, time.Now) }
+
+// StartAgentWith starts an agent behind the node that goes by the clock.
+func (f *Fleet) StartAgentWith(node *btpeer.Node, clock btloop.Clock) *Agent {
 	p := f.Process(node)
 	agent := btagent.New(btagent.Options{
 		Target:     btid.Target(node.Identity().Name),
@@ -136,7 +140,7 @@
 		Meter:      p.Meter,
 		Decisions:  p.Decisions,
 		Log:        quiet,
-		Clock:      time.Now,
+		Clock:      clock,
 		Assert:     panics,
 		Random:     p.random,
 	})
