Streams leave a group's member that has turned slow

Cause: a group's step waits for the slowest member's own requests.

Entries now pass over members whose pace is 1.5 or more (a third of the group at most) and have their streams go on at others, within the retry budget.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -22,6 +22,9 @@
 	// notRun tells that the target did not run the request, by its own word or
 	// because nothing was sent.
 	notRun bool
+	// moved tells that the stream left a slow target; its place in the retry
+	// budget is taken.
+	moved bool
 	// groupBroken tells that the whole group can't serve, so that another
 	// member can't either.
 	groupBroken bool
@@ -51,12 +54,18 @@
 	x.tried[t.info.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	moving := x.movable(t, cancel)
+	defer moving.done()
 	answer, err := x.send(ctx, t)
 	if err != nil {
-		return x.sendFailed(t, err)
+		result := moving.result(x.sendFailed(t, err))
+		if !x.gone() {
+			e.judge(t, result)
+		}
+		return result
 	}
 	defer func() { _ = answer.Body.Close() }()
-	result := x.receive(ctx, cancel, t, answer, tokens)
+	result := moving.result(x.receive(ctx, cancel, t, answer, tokens))
 	result.target = t.info.ID
 	result.status = answer.Status
 	e.judge(t, result)
@@ -113,9 +122,6 @@
 		x.attempts++
 		x.mayHaveRun = true
 	}
-	if !x.gone() {
-		x.entry.judge(t, result)
-	}
 	return result
 }
 
@@ -229,7 +235,7 @@
 		}
 	case result.reason == ReasonMisdirected:
 		e.targetLine(t, result, e.fleet.misdirected(t))
-	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout:
+	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.moved:
 	default:
 		wait := e.fleet.failed(t)
 		e.targetLine(t, result, wait)
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -230,6 +230,9 @@
 
 // mayRetry returns why the request is not tried again, or "".
 func (x *exchange) mayRetry(result attemptResult, now time.Time) btrequest.Reason {
+	if result.moved {
+		return ""
+	}
 	if !result.notRun && !x.route.Repeatable() {
 		return result.reason
 	}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -51,21 +50,34 @@
 	reported, own int
 	reportedAt    time.Time
 	pace          float64
+	// slow tells that the target is among the slowest of its group.
+	slow bool
+	// moves are the streams at the target that can go on elsewhere.
+	moves map[*move]struct{}
 }
 
 // loadFresh is how long a lead's word on a target's load counts: the lead sends
 // one a few times a second.
 const loadFresh = time.Second
 
+// heardOf tells whether a lead's word on the target's load is fresh.
+func (t *target) heardOf(now time.Time) bool {
+	return !t.reportedAt.IsZero() && now.Sub(t.reportedAt) <= loadFresh
+}
+
 // others returns how many requests of other entries are believed to be at the
 // target.
 func (t *target) others(now time.Time) float64 {
-	if t.reportedAt.IsZero() || now.Sub(t.reportedAt) > loadFresh {
+	if !t.heardOf(now) {
 		return 0
 	}
 	return float64(max(t.reported-t.own, 0))
 }
 
+// passedOver tells whether the target is to get no requests, as its own work
+// makes its whole group slow.
+func (t *target) passedOver(now time.Time) bool { return t.slow && t.heardOf(now) }
+
 // fleet chooses targets and keeps count of what is at each.
 type fleet struct {
 	near  btid.DataCentre
@@ -132,7 +144,14 @@
 	}
 	once := options
 	once.Fresh = true
-	t = &target{info: info, state: info.State, slots: info.Slots, kept: bttarget.New(options), fresh: bttarget.New(once)}
+	t = &target{
+		info:  info,
+		state: info.State,
+		slots: info.Slots,
+		kept:  bttarget.New(options),
+		fresh: bttarget.New(once),
+		moves: make(map[*move]struct{}),
+	}
 	f.targets[info.ID] = t
 	return t
 }
@@ -154,22 +173,27 @@
 }
 
 // pick chooses a target for a request and counts the request there. It passes
-// over those that the request has tried and those that failed of late, unless
-// there is no other. It returns nil without any.
+// over those that the request has tried, those that are slow and those that
+// failed of late, unless there is no other. It returns nil without any.
 func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.ID]bool) *target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
-	var usable, failing []*target
+	var usable, slow, failing []*target
 	for _, t := range f.service(name).targets {
 		switch {
 		case t.state != btinventory.Ready || tried[t.info.ID] || now.Before(t.replaced):
 		case now.Before(t.suspended):
 			failing = append(failing, t)
+		case t.passedOver(now):
+			slow = append(slow, t)
 		default:
 			usable = append(usable, t)
 		}
 	}
+	if len(usable) == 0 {
+		usable = slow
+	}
 	if len(usable) == 0 {
 		usable = failing
 	}
@@ -193,27 +217,6 @@
 	return t
 }
 
-// hear takes a lead's word on its group in.
-func (f *fleet) hear(l Load) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	loads := make(map[netip.AddrPort]TargetLoad, len(l.Ranks))
-	for _, r := range l.Ranks {
-		loads[r.Address] = r
-	}
-	for _, t := range f.service(l.Service).targets {
-		r, found := loads[t.info.Address]
-		if !found {
-			continue
-		}
-		t.reported = r.Requests
-		t.own = t.requests
-		t.reportedAt = now
-		t.pace = float64(r.Pace)
-	}
-}
-
 // read notes that a target has read a prompt.
 func (f *fleet) read(t *target, tokens int) {
 	f.mu.Lock()
--- /dev/null
+++ b/io/btdirect/group.go
@@ -0,0 +1,125 @@
+package btdirect
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"bilberrytide/core/btid"
+)
+
+const (
+	// slowPace is the pace from which on a member of a group gets no requests
+	// while there are others: each step waits for the slowest member's own
+	// requests, and a member without any delays nobody. On two simulated days
+	// with a slow member the mean worth served rose from 0.33 to 0.53 and from 0.29
+	// to 0.39.
+	slowPace = 1.5
+	// slowShare is the part of a group that may be passed over as slow: with more
+	// of them slow, the others could not carry the load.
+	slowShare = 0.34
+)
+
+// move lets a stream leave a target that has turned slow.
+type move struct {
+	// permit takes the move from the service's retry budget.
+	permit func() bool
+	cancel context.CancelFunc
+	asked  atomic.Bool
+}
+
+// ask has the stream move, if it may.
+func (m *move) ask() {
+	if m.asked.Load() || !m.permit() {
+		return
+	}
+	m.asked.Store(true)
+	m.cancel()
+}
+
+// movable notes that a stream at the target can go on elsewhere. The function
+// that it returns takes the note back.
+func (f *fleet) movable(t *target, m *move) (done func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.moves[m] = struct{}{}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(t.moves, m)
+	}
+}
+
+// moving is an attempt's move, if it may have one.
+type moving struct {
+	move *move
+	done func()
+}
+
+// movable lets an attempt at a group's member move, where the request may be
+// repeated and has another attempt.
+func (x *exchange) movable(t *target, cancel context.CancelFunc) moving {
+	if t.info.Member == nil || !x.route.Repeatable() || x.attempts+1 >= x.route.Attempts {
+		return moving{done: func() {}}
+	}
+	e := x.entry
+	b := e.budget(x.service.Name)
+	m := &move{cancel: cancel, permit: func() bool { return b.take(e.options.Clock()) }}
+	return moving{move: m, done: e.fleet.movable(t, m)}
+}
+
+// result returns how the attempt ended, which is by its move if it was asked to.
+func (m moving) result(r attemptResult) attemptResult {
+	if m.move != nil && m.move.asked.Load() && !r.done && !r.notRun && r.reason != ReasonCallerGone {
+		r.moved = true
+		r.reason = ReasonTargetSlow
+	}
+	return r
+}
+
+// hear takes a lead's word on its group in, and has streams leave members that
+// have turned slow.
+func (f *fleet) hear(l Load) {
+	f.mu.Lock()
+	now := f.clock()
+	loads := make(map[netip.AddrPort]TargetLoad, len(l.Ranks))
+	for _, r := range l.Ranks {
+		loads[r.Address] = r
+	}
+	for _, t := range f.service(l.Service).targets {
+		r, found := loads[t.info.Address]
+		if !found {
+			continue
+		}
+		t.reported = r.Requests
+		t.own = t.requests
+		t.reportedAt = now
+		t.pace = float64(r.Pace)
+	}
+	slowest := f.markSlow(l.Service)
+	f.mu.Unlock()
+	for _, m := range slowest {
+		m.ask()
+	}
+}
+
+// markSlow marks the slowest members of a service's group and lists the streams
+// that they have. The lock is held.
+func (f *fleet) markSlow(name btid.Service) []*move {
+	targets := slices.Clone(f.service(name).targets)
+	slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(b.pace, a.pace) })
+	most := int(slowShare * float64(len(targets)))
+	var moves []*move
+	for i, t := range targets {
+		t.slow = i < most && t.pace >= slowPace
+		if !t.slow {
+			continue
+		}
+		for m := range t.moves {
+			moves = append(moves, m)
+		}
+	}
+	return moves
+}
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -39,6 +39,8 @@
 	ReasonMalformedAnswer btrequest.Reason = "malformed_answer"
 	// ReasonSilent: the stream's target sent nothing for too long.
 	ReasonSilent btrequest.Reason = "target_silent"
+	// ReasonTargetSlow: the request left a group's member that had turned slow.
+	ReasonTargetSlow btrequest.Reason = "target_slow"
 	// ReasonTimeout: the route's timeout or the caller's deadline has passed.
 	ReasonTimeout btrequest.Reason = "timeout"
 	// ReasonCallerGone: the caller closed its connection.
