The gate's limit is back within two seconds of a slow spell

Cause: after a slow member had stopped to hold its group the limit grew by 3 in 100 of the largest each 250 ms, so that for six seconds callers were refused while steps took a third of the allowed time.

It now grows by up to half of itself, by how much room the pauses leave.

Test: TestLimitIsBackSoonAfterASlowSpell, which failed before.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -31,6 +31,9 @@
 	// additive increase; the step is a share of the largest limit.
 	shrinkFactor = 0.92
 	growStep     = 0.03
+	// growRate is the part of itself by which the limit grows where pauses are
+	// near none, so that it is back within two seconds of a slow spell's end.
+	growRate = 0.5
 	// smoothing is the weight of one pause in the moving average.
 	smoothing = 0.05
 	// busyShare is how much of the limit must be in use for it to grow.
@@ -175,7 +178,8 @@
 		// Only what is in use can be at fault.
 		g.limit = min(g.limit, max(float64(g.running), g.config.Least)) * shrinkFactor
 	case g.pause < growBelow && float64(g.running) >= busyShare*g.limit:
-		g.limit += growStep * g.config.Most
+		room := (growBelow - g.pause) / growBelow
+		g.limit += max(growStep*g.config.Most, growRate*room*g.limit)
 	}
 	g.limit = min(max(g.limit, g.config.Least), g.config.Most)
 	return g.limit != before
--- a/core/btgate/btgate_test.go
+++ b/core/btgate/btgate_test.go
@@ -109,3 +109,28 @@
 	g.Configure(btgate.Config{Least: 1, Most: 2, Start: 2})
 	assert.Equal(t, g.Limit(), 1)
 }
+
+// Once a slow spell is over the whole limit is in use again within two seconds:
+// until then callers are refused though there is room.
+func TestLimitIsBackSoonAfterASlowSpell(t *testing.T) {
+	g := btgate.New[int](btgate.Config{Least: 10, Most: 40, Start: 40})
+	now := start
+	step := func(pause time.Duration) {
+		for g.Enter() {
+		}
+		now = now.Add(10 * time.Millisecond)
+		g.Pause(now, pause, 100*time.Millisecond)
+		for g.Running() > g.Limit() {
+			g.Leave(now)
+		}
+	}
+	for range 1000 {
+		step(300 * time.Millisecond)
+	}
+	assert.Equal(t, g.Limit(), 10)
+	over := now
+	for g.Limit() < 40 {
+		step(30 * time.Millisecond)
+	}
+	assert.Assert(t, now.Sub(over) <= 2*time.Second, "took %s", now.Sub(over))
+}
