A request that can hardly come back waits for its group, and goes first

Cause: callers follow one refusal.

A request with less than three quarters of its route's timeout left now waits for a broken group to open or for a place, up to a quarter of that time and 1.5 s, and before those that can come back. It is sent as soon as there is room, and refused at once when the wait is over.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -99,18 +99,18 @@
 }
 
 // Wait queues a request until the time, more urgent ones first. It returns nil
-// where more wait already than can be admitted by then: at the rate at which
+// where more wait before it than can be admitted by then: at the rate at which
 // requests leave, given as the mean time between two.
 func (g *Gate[W]) Wait(now, until time.Time, priority int, between time.Duration, w W) *Ticket[W] {
-	expected := time.Duration(len(g.queue)+1) * between
-	if now.Add(expected).After(until) {
-		return nil
-	}
-	t := &Ticket[W]{Waiter: w, Until: until, priority: priority}
 	at := len(g.queue)
 	for at > 0 && g.queue[at-1].priority > priority {
 		at--
 	}
+	expected := time.Duration(at+1) * between
+	if now.Add(expected).After(until) {
+		return nil
+	}
+	t := &Ticket[W]{Waiter: w, Until: until, priority: priority}
 	g.queue = append(g.queue, nil)
 	copy(g.queue[at+1:], g.queue[at:])
 	g.queue[at] = t
--- a/core/btgate/btgate_test.go
+++ b/core/btgate/btgate_test.go
@@ -67,6 +67,16 @@
 	assert.Equal(t, len(g.Leave(until.Add(1))), 0, "its time is over")
 }
 
+// How long an urgent request would wait goes by those before it only.
+func TestUrgentRequestsWaitBehindMoreOfOthers(t *testing.T) {
+	g := gate(1)
+	g.Enter()
+	until := start.Add(100 * time.Millisecond)
+	assert.Assert(t, g.Wait(start, until, 3, 60*time.Millisecond, 1) != nil)
+	assert.Assert(t, g.Wait(start, until, 3, 60*time.Millisecond, 2) == nil)
+	assert.Assert(t, g.Wait(start, until, 2, 60*time.Millisecond, 3) != nil)
+}
+
 func TestLimitFollowsThePauses(t *testing.T) {
 	g := btgate.New[int](btgate.Config{Least: 4, Most: 40, Start: 40})
 	for range 40 {
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// waitShare is the part of a request's objective for which it may wait at
-	// the entry: one that is refused after a quarter of it was kept too long.
-	waitShare = 0.2
 	// leastShare is the part of a group's places that is always admitted.
 	leastShare = 0.25
 	// queuePerSlot is how many requests beyond its slots a plain target is sent:
@@ -67,9 +64,9 @@
 	return g
 }
 
-// enter admits a request, after a wait where that promises to help. It returns
-// false where the request is refused.
-func (a *admission) enter(ctx context.Context, s *btcatalog.Service, r *btcatalog.Route, priority int) bool {
+// enter admits a request, after a wait where that promises to help. Lower urgency
+// goes first. It returns false where the request is refused.
+func (a *admission) enter(ctx context.Context, s *btcatalog.Service, wait time.Duration, urgency int) bool {
 	a.mu.Lock()
 	g := a.of(s)
 	if g.gate.Enter() {
@@ -77,9 +74,8 @@
 		return true
 	}
 	now := a.clock()
-	wait := time.Duration(float64(r.Objective) * waitShare)
 	admitted := make(chan struct{})
-	ticket := g.gate.Wait(now, now.Add(wait), priority, g.between, admitted)
+	ticket := g.gate.Wait(now, now.Add(wait), urgency, g.between, admitted)
 	a.mu.Unlock()
 	if ticket == nil {
 		return false
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -164,11 +164,15 @@
 // serve admits the request and has it answered.
 func (x *exchange) serve(ctx context.Context) {
 	e := x.entry
-	if !e.fleet.open(x.service.Name) {
+	wait := x.patience()
+	if !x.awaitGroup(ctx, wait.group) {
+		if x.gone() {
+			return
+		}
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
 		return
 	}
-	if !e.admission.enter(ctx, x.service, x.route, x.priority) {
+	if !e.admission.enter(ctx, x.service, wait.place, x.urgency()) {
 		if x.gone() {
 			return
 		}
@@ -180,6 +184,25 @@
 	x.run(ctx)
 }
 
+// awaitGroup waits for a broken group to open, and tells whether the request may
+// be sent.
+func (x *exchange) awaitGroup(ctx context.Context, most time.Duration) bool {
+	open, opened := x.entry.fleet.open(x.service.Name)
+	if open || most <= 0 {
+		return open
+	}
+	x.entry.meter.Counter(metricGroupWaits).Inc(1)
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-opened:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // run makes attempts until the request has its final answer.
 func (x *exchange) run(ctx context.Context) {
 	for {
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -96,6 +96,8 @@
 	down    bool
 	downAt  time.Time
 	probeAt time.Time
+	// opened is closed when the group is open again.
+	opened chan struct{}
 }
 
 func newFleet(o Options) *fleet {
@@ -238,9 +240,12 @@
 	t.failures = 0
 	t.suspended = time.Time{}
 	s := f.service(t.info.Service)
-	opened = s.down
+	if !s.down {
+		return false
+	}
 	s.down = false
-	return opened
+	close(s.opened)
+	return true
 }
 
 // failed notes that a target failed, and returns for how long it is passed
@@ -282,26 +287,28 @@
 	if fresh {
 		s.down = true
 		s.downAt = now
+		s.opened = make(chan struct{})
 	}
 	s.probeAt = now.Add(probeEvery)
 	return fresh
 }
 
 // open tells whether requests may be sent to the service. While its group is
-// broken one at a time may, as a probe.
-func (f *fleet) open(name btid.Service) bool {
+// broken one at a time may, as a probe; else it returns what is closed once the
+// group is open.
+func (f *fleet) open(name btid.Service) (bool, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.service(name)
 	if !s.down {
-		return true
+		return true, nil
 	}
 	now := f.clock()
 	if now.Before(s.probeAt) {
-		return false
+		return false, s.opened
 	}
 	s.probeAt = now.Add(probeEvery)
-	return true
+	return true, nil
 }
 
 // slots returns how many requests the service's targets run at once, and how
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -13,6 +13,7 @@
 	metricFirstEvent = "first_event_us"
 	metricWhole      = "answer_us"
 	metricTargetFail = "target_failures"
+	metricGroupWaits = "group_waits"
 )
 
 // servedSample is how many served requests there are for each that is logged:
