An entry's part of the retry slack follows the entries that it knows

Cause: the part was worked out once, at a service's first request. An entry that starts beside others knows at first only as many as the settings name seeds (3), so that of 16 entries that start together each took a fifth of the slack, over three times as much as there is.

It is worked out at each request from the most entries known so far.

Test: TestWindowKeepsItsCountAcrossAChange.

--- a/core/btretry/window_test.go
+++ b/core/btretry/window_test.go
@@ -64,3 +64,18 @@
 	w.Configure(btretry.WindowConfig{Slack: 5, Window: time.Second})
 	assert.Assert(t, w.Left(now.Add(time.Hour)) == 5)
 }
+
+// An entry's part of the slack shrinks as it learns of other entries; retries that
+// it has sent count towards the smaller part.
+func TestWindowKeepsItsCountAcrossAChange(t *testing.T) {
+	w := btretry.NewWindow(btretry.WindowConfig{Slack: 10, Window: time.Second})
+	now := time.Unix(1000, 0)
+	for range 4 {
+		assert.Assert(t, w.Take(now))
+	}
+	w.Configure(btretry.WindowConfig{Slack: 4, Window: time.Second})
+	assert.Assert(t, !w.Take(now))
+	w.Configure(btretry.WindowConfig{Slack: 5, Window: time.Second})
+	assert.Assert(t, w.Take(now))
+	assert.Assert(t, !w.Take(now))
+}
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -15,7 +15,6 @@
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
-	"bilberrytide/core/btretry"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 )
@@ -55,6 +54,8 @@
 
 	mu      sync.Mutex
 	budgets map[btid.Service]*budget
+	// mostEntries is the largest number of entries known so far.
+	mostEntries int
 }
 
 // New returns an entry; it learns everything once it runs.
@@ -80,7 +81,7 @@
 
 // entries estimates how many entries share the fleet: those that are known, and
 // at least those that the settings name.
-func (e *Entry) entries() int { return max(len(e.options.Settings.Seeds), len(e.peers.list())+1) }
+func (e *Entry) entries() int { return max(len(e.options.Settings.Seeds), e.peers.count()+1) }
 
 // Reload puts changed settings in force: the seeds. Addresses stay until the
 // process starts anew.
@@ -208,47 +209,3 @@
 	}
 	e.log.Info("stopped", "took_ms", e.options.Clock().Sub(began).Milliseconds())
 }
-
-// budget is the retry budget of one service, safe for concurrent use.
-type budget struct {
-	mu     sync.Mutex
-	window *btretry.Window
-}
-
-func (b *budget) request(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.window.Request(now)
-}
-
-func (b *budget) take(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.window.Take(now)
-}
-
-const (
-	// budgetShare is the part of this entry's own share that it uses: what it
-	// counts as sent may be counted by others a little earlier or later.
-	budgetShare = 0.85
-	// slackEntries is the number of entries that the slack is divided by beside
-	// those that are known, as some may not be.
-	slackEntries = 2
-)
-
-// budget returns the service's retry budget.
-func (e *Entry) budget(name btid.Service) *budget {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b, found := e.budgets[name]
-	if !found {
-		r := e.options.Settings.Retry
-		b = &budget{window: btretry.NewWindow(btretry.WindowConfig{
-			Share:  r.Share * budgetShare,
-			Slack:  r.Slack * budgetShare / float64(e.entries()+slackEntries),
-			Window: r.Window,
-		})}
-		e.budgets[name] = b
-	}
-	return b
-}
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -300,6 +300,13 @@
 	}
 }
 
+// count returns how many entries are known, without this one.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.seen)
+}
+
 // list lists the entries known, without this one, in order.
 func (p *peers) list() []netip.AddrPort {
 	p.mu.Lock()
