--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bilberrytide/core/btassert"
 	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btround"
 )
@@ -243,3 +244,19 @@
 	assert.ErrorIs(t, btround.Command{Kind: "burn"}.Validate(), btround.ErrMessage)
 	assert.ErrorIs(t, btround.Result{Verdict: "perhaps"}.Validate(), btround.ErrMessage)
 }
+
+// Ranks of another group of the service have the same numbers.
+func TestOtherGroupsArePassedOver(t *testing.T) {
+	l := btround.NewLead(btround.Defaults(), "g", 0, btassert.New(btassert.Panic()))
+	now := time.Unix(1000, 0)
+	state := btround.State{Rank: 0, Size: 2, Group: "g", Epoch: 3, Open: true, Step: 9, Reader: 1, Reading: 1}
+	l.Report(now, state, 0)
+	other := state
+	other.Group, other.Rank, other.Epoch = "h", 1, 5
+	l.Report(now, other, 0)
+	assert.Equal(t, l.Epoch(), uint64(3))
+	assert.Assert(t, !l.Whole(now))
+	state.Rank, state.Reader = 1, 2
+	l.Report(now, state, 0)
+	assert.Assert(t, l.Whole(now))
+}
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -92,6 +92,7 @@
 	settings Settings
 	asserter *btassert.Asserter
 	self     btexpert.Rank
+	group    string
 
 	size    int
 	epoch   uint64
@@ -141,9 +142,9 @@
 	Held time.Duration
 }
 
-// NewLead returns the lead of a group at the agent of rank self.
-func NewLead(s Settings, self btexpert.Rank, asserter *btassert.Asserter) *Lead {
-	return &Lead{settings: s, self: self, asserter: asserter, phase: Idle, members: make(map[btexpert.Rank]*member)}
+// NewLead returns the lead of the named group at the agent of rank self.
+func NewLead(s Settings, group string, self btexpert.Rank, asserter *btassert.Asserter) *Lead {
+	return &Lead{settings: s, group: group, self: self, asserter: asserter, phase: Idle, members: make(map[btexpert.Rank]*member)}
 }
 
 // Phase returns how far the round has come.
@@ -159,9 +160,11 @@
 	return o
 }
 
-// Report takes a member's state in, and the highest ballot that it has heard.
+// Report takes a member's state in, and the highest ballot that it has heard. A
+// service may have several groups with the same ranks; those of others are passed
+// over.
 func (l *Lead) Report(now time.Time, s State, heard Ballot) {
-	if s.Validate() != nil {
+	if s.Validate() != nil || s.Group != l.group {
 		return
 	}
 	if s.Epoch > l.epoch || s.Epoch == l.epoch && s.Size != l.size {
@@ -267,6 +270,9 @@
 // State returns the last known state of a rank.
 func (l *Lead) State(r btexpert.Rank) State { return l.member(r).state }
 
+// Group returns the name of the lead's group.
+func (l *Lead) Group() string { return l.group }
+
 // Self returns the rank of the lead.
 func (l *Lead) Self() btexpert.Rank { return l.self }
 
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -127,9 +127,9 @@
 
 // receive reads the answer and passes it on.
 func (x *exchange) receive(ctx context.Context, cancel context.CancelFunc, t *target, answer *bttarget.Response, tokens *promptTokens) attemptResult {
-	x.attempts++
 	said := x.entry.options.Headers.Answer(answer.Status, answer.Header)
 	if said.ID != x.call.ID {
+		x.attempts++
 		x.mayHaveRun = true
 		return attemptResult{reason: ReasonForeignAnswer}
 	}
@@ -140,6 +140,7 @@
 		broken := answer.Status == http.StatusServiceUnavailable && said.AtFault != "" && t.info.Member != nil
 		return attemptResult{reason: ReasonTargetRefused, notRun: true, groupBroken: broken}
 	}
+	x.attempts++
 	x.mayHaveRun = true
 	if said.Encoded {
 		return attemptResult{reason: ReasonMalformedAnswer}
@@ -230,7 +231,7 @@
 			e.log.Info("group open", "service", t.info.Service, "target", t.info.ID, "evidence", "answer")
 		}
 	case result.groupBroken:
-		if e.fleet.closed(t.info.Service) {
+		if e.fleet.closed(t) {
 			e.log.Warn("group broken", "service", t.info.Service, "target", t.info.ID, "evidence", result.reason, "status", result.status)
 		}
 	case result.reason == ReasonMisdirected:
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -30,9 +30,11 @@
 	received time.Time
 	deadline time.Time
 
-	tried    map[btinventory.ID]bool
-	attempts int
-	dials    int
+	tried map[btinventory.ID]bool
+	// attempts are those that a target may have begun to work on, turnedAway those
+	// that none has.
+	attempts   int
+	turnedAway int
 	// stream is the part of a streamed answer that went out.
 	stream *streamWriter
 	// mayHaveRun is set once a target may have begun to work on the request.
@@ -255,26 +257,27 @@
 	return false
 }
 
-// maxDials is how many targets are tried that take no connection: nothing was
-// sent to them.
-const maxDials = 3
+// maxTurnedAway is how many targets may turn a request away, by their own word or
+// as they take no connection: it has run at none of them.
+const maxTurnedAway = 3
 
 // mayRetry returns why the request is not tried again, or "".
 func (x *exchange) mayRetry(result attemptResult, now time.Time) btrequest.Reason {
 	if result.moved {
 		return ""
 	}
-	if !result.notRun && !x.route.Repeatable() {
-		return result.reason
-	}
-	if result.reason == ReasonNotSent {
-		x.dials++
-		if x.dials >= maxDials {
+	if result.notRun {
+		x.turnedAway++
+		if x.turnedAway >= maxTurnedAway {
 			return result.reason
 		}
-		return ""
+		if result.reason == ReasonNotSent {
+			return ""
+		}
+	} else if !x.route.Repeatable() {
+		return result.reason
 	}
-	if result.groupBroken || x.attempts >= x.route.Attempts {
+	if result.groupBroken && !x.otherGroup() || x.attempts >= x.route.Attempts {
 		return result.reason
 	}
 	if !x.entry.budget(x.service.Name).take(now) {
@@ -283,6 +286,12 @@
 	return ""
 }
 
+// otherGroup tells whether a group of the service is left that is not broken.
+func (x *exchange) otherGroup() bool {
+	open, _ := x.entry.fleet.open(x.service.Name)
+	return open
+}
+
 // failed gives the final answer after the last attempt.
 func (x *exchange) failed(result attemptResult, reason btrequest.Reason) {
 	x.entry.logFailure(x, reason, result)
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -92,11 +92,9 @@
 type service struct {
 	name    btid.Service
 	targets []*target
-	// down is set while the service's group is known to be broken.
-	down    bool
-	downAt  time.Time
-	probeAt time.Time
-	// opened is closed when the group is open again.
+	// broken are the groups that are known to be broken, by name.
+	broken map[string]*brokenGroup
+	// opened is closed when one of them is open again.
 	opened chan struct{}
 }
 
@@ -161,7 +159,7 @@
 func (f *fleet) service(name btid.Service) *service {
 	s, found := f.services[name]
 	if !found {
-		s = &service{name: name}
+		s = &service{name: name, broken: make(map[string]*brokenGroup), opened: make(chan struct{})}
 		f.services[name] = s
 	}
 	return s
@@ -181,10 +179,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
-	var usable, slow, failing []*target
-	for _, t := range f.service(name).targets {
+	s := f.service(name)
+	var usable, slow, failing, broken []*target
+	for _, t := range s.targets {
 		switch {
 		case t.state != btinventory.Ready || tried[t.info.ID] || now.Before(t.replaced):
+		case s.closed(t, now):
+			broken = append(broken, t)
 		case now.Before(t.suspended):
 			failing = append(failing, t)
 		case t.passedOver(now):
@@ -199,6 +200,9 @@
 	if len(usable) == 0 {
 		usable = failing
 	}
+	if len(usable) == 0 {
+		usable = broken
+	}
 	candidates := make([]btpick.Candidate, len(usable))
 	for i, t := range usable {
 		candidates[i] = btpick.Candidate{
@@ -214,6 +218,7 @@
 		return nil
 	}
 	t := usable[best]
+	s.probed(t, now)
 	t.requests++
 	t.tokens += tokens
 	return t
@@ -239,13 +244,7 @@
 	defer f.mu.Unlock()
 	t.failures = 0
 	t.suspended = time.Time{}
-	s := f.service(t.info.Service)
-	if !s.down {
-		return false
-	}
-	s.down = false
-	close(s.opened)
-	return true
+	return f.service(t.info.Service).open(t.group())
 }
 
 // failed notes that a target failed, and returns for how long it is passed
@@ -273,44 +272,6 @@
 	return replacedFor
 }
 
-// probeEvery is how often a request is sent to a group that is known to be
-// broken, to learn when it is open again.
-const probeEvery = 250 * time.Millisecond
-
-// closed notes that a service's group is broken; it tells whether that is new.
-func (f *fleet) closed(name btid.Service) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.service(name)
-	now := f.clock()
-	fresh := !s.down
-	if fresh {
-		s.down = true
-		s.downAt = now
-		s.opened = make(chan struct{})
-	}
-	s.probeAt = now.Add(probeEvery)
-	return fresh
-}
-
-// open tells whether requests may be sent to the service. While its group is
-// broken one at a time may, as a probe; else it returns what is closed once the
-// group is open.
-func (f *fleet) open(name btid.Service) (bool, <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.service(name)
-	if !s.down {
-		return true, nil
-	}
-	now := f.clock()
-	if now.Before(s.probeAt) {
-		return false, s.opened
-	}
-	s.probeAt = now.Add(probeEvery)
-	return true, nil
-}
-
 // slots returns how many requests the service's targets run at once, and how
 // many targets there are.
 func (f *fleet) slots(name btid.Service) (slots, targets int) {
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -322,7 +322,7 @@
 // candidate returns the agent to report to: the first in order of addresses
 // that isn't away. An agent that knows no other leads itself.
 func (a *Agent) candidate() netip.AddrPort {
-	agents := a.directory.agents()
+	agents := a.directory.agents(a.own().Group)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.options.Clock()
--- a/io/btrank/directory.go
+++ b/io/btrank/directory.go
@@ -100,14 +100,14 @@
 	}
 }
 
-// engines lists the addresses of the service's engines that are in use, in
-// order.
-func (d *directory) engines() []netip.AddrPort {
+// engines lists the addresses of a group's engines, in order. A service may have
+// several groups.
+func (d *directory) engines(group string) []netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []netip.AddrPort
 	for _, t := range d.roster.Targets {
-		if t.Member != nil {
+		if t.Member != nil && t.Member.Group == group {
 			list = append(list, t.Address)
 		}
 	}
@@ -141,9 +141,9 @@
 	return d.listed
 }
 
-// agents lists the addresses of the engines' agents, in order.
-func (d *directory) agents() []netip.AddrPort {
-	engines := d.engines()
+// agents lists the addresses of the agents of a group's engines, in order.
+func (d *directory) agents(group string) []netip.AddrPort {
+	engines := d.engines(group)
 	agents := make([]netip.AddrPort, 0, len(engines))
 	for _, e := range engines {
 		agents = append(agents, agentOf(e, d.options.Address.Port()))
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -85,12 +86,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Clock()
-	if l.machine == nil {
-		own := l.agent.own()
-		if own.Size == 0 {
-			return Reply{}, errors.New("own engine isn't known yet")
-		}
-		l.machine = btround.NewLead(btround.Defaults(), own.Rank, l.options.Assert)
+	own := l.agent.own()
+	if own.Size == 0 {
+		return Reply{}, errors.New("own engine isn't known yet")
+	}
+	if l.machine == nil || l.machine.Self() != own.Rank || l.machine.Group() != own.Group {
+		l.machine = btround.NewLead(btround.Defaults(), own.Group, own.Rank, l.options.Assert)
+	}
+	if r.State.Group != own.Group {
+		return Reply{}, fmt.Errorf("report of group %q to the lead of group %q", r.State.Group, own.Group)
 	}
 	epoch := l.machine.Epoch()
 	l.machine.Report(now, r.State, r.Ballot)
--- a/io/btrank/remote.go
+++ b/io/btrank/remote.go
@@ -19,7 +19,7 @@
 	for r, engine := range l.engines {
 		heard[engine] = now.Sub(l.at[r]) <= lookEvery
 	}
-	for _, engine := range l.agent.directory.engines() {
+	for _, engine := range l.agent.directory.engines(l.machine.Group()) {
 		if heard[engine] || now.Sub(l.looked[engine]) < lookEvery {
 			continue
 		}
@@ -47,7 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.machine.Report(l.options.Clock(), s, 0)
-	if s.Epoch != l.machine.Epoch() {
+	if s.Group != l.machine.Group() || s.Epoch != l.machine.Epoch() {
 		return false
 	}
 	l.engines[s.Rank] = engine
