An agent that does not know its group does not lead

After all processes had been killed each of 16 agents reported to itself until an entry had told it of its group, and led for a second more: they read all engines from afar and outranked each other's rounds, while the experts in demand had just changed.

Test: TestOneAgentLeadsAfterAllHaveStarted.

--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -255,7 +255,10 @@
 
 // report tells the lead.
 func (a *Agent) report(ctx context.Context) {
-	to := a.candidate()
+	to, known := a.candidate()
+	if !known {
+		return
+	}
 	counts := a.count(ctx)
 	r, wanted := a.message()
 	r.Counts = counts
@@ -319,17 +322,19 @@
 	}
 }
 
-// candidate returns the agent to report to: the first in order of addresses
-// that isn't away. An agent that knows no other leads itself.
-func (a *Agent) candidate() netip.AddrPort {
+// candidate returns the agent to report to: the first of its group in order of
+// addresses that isn't away. Until it knows its group from an entry it follows
+// nobody, and doesn't lead either: after all processes had started at once, each of
+// 16 agents led for a second, and they outranked each other's rounds.
+func (a *Agent) candidate() (netip.AddrPort, bool) {
 	agents := a.directory.agents(a.own().Group)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.options.Clock()
 	for _, address := range agents {
 		if now.After(a.away[address]) {
-			return address
+			return address, true
 		}
 	}
-	return a.options.Address
+	return a.options.Address, len(agents) > 0
 }
