Test of keyed requests: the refusing port is on an address of its own

TestKeyedRequestsPassOverWhatIsGone failed once in the whole run with 404 page not found: the port that it had closed was given to another test's server, which answered.

--- a/io/btagent/keyed_test.go
+++ b/io/btagent/keyed_test.go
@@ -44,7 +44,8 @@
 	f := newFleet(t)
 	f.addEntries(1)
 	f.addTarget("t0", "pages", btbundle.Plain, f.Listen(f.plain("t0")))
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	// On an address of its own, so that no other test's server gets the port.
+	closed, err := net.Listen("tcp", "127.0.0.9:0")
 	assert.NilError(t, err)
 	refusing := netip.MustParseAddrPort(closed.Addr().String())
 	assert.NilError(t, closed.Close())
