Places of a group follow what each entry has at work

Change: beyond its even part an entry takes half of its share of what is free by the lead's last word, by what it has at work. No entry asks another, and the limit is now the whole group's.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -1,10 +1,13 @@
-// Package btgate bounds how many requests of one service an entry has at work.
+// Package btgate decides which requests of one service an entry sends on, which
+// wait, in what order, and when those that are turned away had better come back.
 //
 // Engines in a lock-step group finish each pass together, so one request too
-// many makes all of them late. The gate admits up to a limit, lets a bounded
-// number wait while they can still be in time, and refuses the rest at once.
-// The limit follows the measured pauses between events: it shrinks when they
-// come near what the operator allows and grows when there is room.
+// many makes all of them late. The gate admits up to a limit for the whole group,
+// of which it takes a part that follows what its callers ask and what it hears of
+// the others; it lets requests wait while that promises more than a refusal, and
+// refuses the rest at once. The limit follows the measured pauses between events:
+// it shrinks when they come near what the operator allows and grows when there is
+// room.
 package btgate
 
 import (
@@ -13,10 +16,12 @@
 
 // Config bounds a gate.
 type Config struct {
-	// Least and Most bound the limit, in requests.
+	// Least and Most bound the limit, in requests of all entries.
 	Least, Most float64
 	// Start is the limit before anything was measured.
 	Start float64
+	// Entries is how many entries share the limit.
+	Entries int
 }
 
 const (
@@ -38,6 +43,9 @@
 	smoothing = 0.05
 	// busyShare is how much of the limit must be in use for it to grow.
 	busyShare = 0.8
+	// heldWeight is the weight of one request in the mean time that requests hold
+	// their places.
+	heldWeight = 0.05
 )
 
 // Gate admits requests of one service. W is what the caller keeps for a waiting
@@ -47,22 +55,15 @@
 	limit    float64
 	running  int
 	queue    []*Ticket[W]
+	group    belief
 	pause    float64
 	adjusted time.Time
+	// held is the mean time for which requests hold their places.
+	held time.Duration
+	// booked is the time up to which refused requests were told to come back.
+	booked time.Time
 }
 
-// Ticket is a waiting request.
-type Ticket[W any] struct {
-	Waiter   W
-	Until    time.Time
-	priority int
-	granted  bool
-	left     bool
-}
-
-// Granted tells whether the request was admitted.
-func (t *Ticket[W]) Granted() bool { return t.granted }
-
 // New returns an open gate.
 func New[W any](c Config) *Gate[W] {
 	return &Gate[W]{config: c, limit: c.Start}
@@ -80,78 +81,38 @@
 	g.limit = min(max(g.limit, c.Least), c.Most)
 }
 
-// Limit returns how many requests may be at work.
+// Limit returns how many requests of all entries may be at work.
 func (g *Gate[W]) Limit() int { return int(g.limit) }
 
-// Running returns how many requests are at work.
+// Running returns how many of this entry's requests are at work.
 func (g *Gate[W]) Running() int { return g.running }
 
 // Waiting returns how many requests wait.
 func (g *Gate[W]) Waiting() int { return len(g.queue) }
 
 // Enter admits a request and returns true, or else false.
-func (g *Gate[W]) Enter() bool {
-	if len(g.queue) > 0 || g.running >= int(g.limit) {
+func (g *Gate[W]) Enter(now time.Time) bool {
+	if len(g.queue) > 0 || g.running >= g.Places(now) {
 		return false
 	}
 	g.running++
 	return true
 }
 
-// Wait queues a request until the time, more urgent ones first. It returns nil
-// where more wait before it than can be admitted by then: at the rate at which
-// requests leave, given as the mean time between two.
-func (g *Gate[W]) Wait(now, until time.Time, priority int, between time.Duration, w W) *Ticket[W] {
-	at := len(g.queue)
-	for at > 0 && g.queue[at-1].priority > priority {
-		at--
-	}
-	expected := time.Duration(at+1) * between
-	if now.Add(expected).After(until) {
-		return nil
-	}
-	t := &Ticket[W]{Waiter: w, Until: until, priority: priority}
-	g.queue = append(g.queue, nil)
-	copy(g.queue[at+1:], g.queue[at:])
-	g.queue[at] = t
-	return t
-}
-
-// Abandon takes a waiting request out. It returns false where the request was
-// admitted meanwhile, so that its place must be given back with Leave.
-func (g *Gate[W]) Abandon(t *Ticket[W]) bool {
-	if t.granted {
-		return false
-	}
-	t.left = true
-	for i, q := range g.queue {
-		if q == t {
-			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			break
-		}
-	}
-	return true
-}
-
-// Leave gives a place back and returns the waiting requests that it admits.
-func (g *Gate[W]) Leave(now time.Time) []*Ticket[W] {
+// Leave gives a place back that was held for the given time, and returns the
+// waiting requests that are admitted.
+func (g *Gate[W]) Leave(now time.Time, held time.Duration) []*Ticket[W] {
 	g.running--
+	if g.held == 0 {
+		g.held = held
+	}
+	g.held += time.Duration(heldWeight * float64(held-g.held))
 	return g.admit(now)
 }
 
-func (g *Gate[W]) admit(now time.Time) []*Ticket[W] {
-	var admitted []*Ticket[W]
-	for len(g.queue) > 0 && g.running < int(g.limit) {
-		t := g.queue[0]
-		g.queue = g.queue[1:]
-		if t.left || now.After(t.Until) {
-			continue
-		}
-		t.granted = true
-		g.running++
-		admitted = append(admitted, t)
-	}
-	return admitted
+// between returns the mean time between two requests that leave.
+func (g *Gate[W]) between() time.Duration {
+	return g.held / time.Duration(max(g.running, 1))
 }
 
 // Pause takes in a pause between two events of one stream, and the longest that
@@ -172,12 +133,18 @@
 		return false
 	}
 	g.adjusted = now
+	return g.adjust(g.total(now))
+}
+
+// adjust changes the limit by the smoothed pause and the requests of all entries
+// that are at work.
+func (g *Gate[W]) adjust(total float64) bool {
 	before := g.limit
 	switch {
 	case g.pause > shrinkAbove:
 		// Only what is in use can be at fault.
-		g.limit = min(g.limit, max(float64(g.running), g.config.Least)) * shrinkFactor
-	case g.pause < growBelow && float64(g.running) >= busyShare*g.limit:
+		g.limit = min(g.limit, max(total, g.config.Least)) * shrinkFactor
+	case g.pause < growBelow && total >= busyShare*g.limit:
 		room := (growBelow - g.pause) / growBelow
 		g.limit += max(growStep*g.config.Most, growRate*room*g.limit)
 	}
--- /dev/null
+++ b/core/btgate/queue.go
@@ -0,0 +1,119 @@
+package btgate
+
+import (
+	"slices"
+	"time"
+)
+
+// Request is what the gate knows of a request that waits.
+type Request struct {
+	// Priority orders requests; lower goes first.
+	Priority int
+	// InTime is until when its work must begin for the answer to be in time.
+	InTime time.Time
+	// Until is how long it waits at the most.
+	Until time.Time
+	// Last tells that its caller hardly comes back after a refusal.
+	Last bool
+}
+
+// Ticket is a waiting request.
+type Ticket[W any] struct {
+	Request
+	Waiter  W
+	granted bool
+}
+
+// Granted tells whether the request was admitted.
+func (t *Ticket[W]) Granted() bool { return t.granted }
+
+// rank orders waiting requests of one priority.
+type rank int
+
+const (
+	// inTime is for requests that can still be answered in time.
+	inTime rank = iota
+	// lateLast is for those that are late already and whose caller hardly comes
+	// back.
+	lateLast
+	// late is for the others.
+	late
+)
+
+// rank tells in which order the request goes. What is late already is no worse
+// off for some more waiting, and what is not yet would be: so requests go first
+// while they can be in time, and then wait for what those leave.
+func (r Request) rank(now time.Time) rank {
+	switch {
+	case !now.After(r.InTime):
+		return inTime
+	case r.Last:
+		return lateLast
+	}
+	return late
+}
+
+// before tells whether one request goes before another that came later.
+func (r Request) before(o Request, now time.Time) bool {
+	if r.Priority != o.Priority {
+		return r.Priority < o.Priority
+	}
+	return r.rank(now) <= o.rank(now)
+}
+
+// Wait queues a request. It returns nil where more wait before it than can be
+// admitted while it waits, at the rate at which requests leave.
+func (g *Gate[W]) Wait(now time.Time, r Request, w W) *Ticket[W] {
+	ahead := 0
+	for _, t := range g.queue {
+		if t.before(r, now) {
+			ahead++
+		}
+	}
+	expected := time.Duration(ahead+1) * g.between()
+	if now.Add(expected).After(r.Until) {
+		return nil
+	}
+	t := &Ticket[W]{Request: r, Waiter: w}
+	g.queue = append(g.queue, t)
+	return t
+}
+
+// Abandon takes a waiting request out. It returns false where the request was
+// admitted meanwhile, so that its place must be given back with Leave.
+func (g *Gate[W]) Abandon(t *Ticket[W]) bool {
+	if t.granted {
+		return false
+	}
+	if i := slices.Index(g.queue, t); i >= 0 {
+		g.queue = slices.Delete(g.queue, i, i+1)
+	}
+	return true
+}
+
+// admit gives free places to waiting requests.
+func (g *Gate[W]) admit(now time.Time) []*Ticket[W] {
+	var admitted []*Ticket[W]
+	g.queue = slices.DeleteFunc(g.queue, func(t *Ticket[W]) bool { return now.After(t.Until) })
+	places := g.Places(now)
+	for len(g.queue) > 0 && g.running < places {
+		i := g.first(now)
+		t := g.queue[i]
+		g.queue = slices.Delete(g.queue, i, i+1)
+		t.granted = true
+		g.running++
+		admitted = append(admitted, t)
+	}
+	return admitted
+}
+
+// first returns the index of the request that goes first; there must be one.
+func (g *Gate[W]) first(now time.Time) int {
+	best := 0
+	for i, t := range g.queue {
+		if !g.queue[best].before(t.Request, now) {
+			best = i
+		}
+	}
+	return best
+}
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -30,11 +30,9 @@
 	gates map[btid.Service]*serviceGate
 }
 
-// serviceGate is a gate with the rate at which its requests end.
+// serviceGate is a gate with what callers of its service see.
 type serviceGate struct {
-	gate    *btgate.Gate[chan struct{}]
-	left    time.Time
-	between time.Duration
+	gate *btgate.Gate[chan struct{}]
 	// pauses and firsts measure the pauses and the first events of streams.
 	pauses, firsts btgate.Strain
 }
@@ -47,13 +45,13 @@
 // held.
 func (a *admission) of(s *btcatalog.Service) *serviceGate {
 	slots, targets := a.fleet.slots(s.Name)
-	most := max(float64(slots)/float64(max(a.entries(), 1)), 1)
-	config := btgate.Config{Least: max(most*leastShare, 1), Most: most, Start: most}
+	most := max(float64(slots), 1)
+	config := btgate.Config{Least: max(most*leastShare, 1), Most: most, Start: most, Entries: a.entries()}
 	if s.Engine == nil || s.Engine.Group == nil {
 		// Plain targets bound themselves: the gate only keeps a burst from
 		// filling their queues beyond what they answer in time.
 		most = float64(slots) * (1 + queuePerSlot)
-		config = btgate.Config{Least: most, Most: most, Start: most}
+		config = btgate.Config{Least: most, Most: most, Start: most, Entries: 1}
 	}
 	g, found := a.gates[s.Name]
 	if !found {
@@ -71,13 +69,13 @@
 func (a *admission) enter(ctx context.Context, s *btcatalog.Service, wait time.Duration, urgency int) bool {
 	a.mu.Lock()
 	g := a.of(s)
-	if g.gate.Enter() {
+	now := a.clock()
+	if g.gate.Enter(now) {
 		a.mu.Unlock()
 		return true
 	}
-	now := a.clock()
 	admitted := make(chan struct{})
-	ticket := g.gate.Wait(now, now.Add(wait), urgency, g.between, admitted)
+	ticket := g.gate.Wait(now, btgate.Request{Priority: urgency, Until: now.Add(wait)}, admitted)
 	a.mu.Unlock()
 	if ticket == nil {
 		return false
@@ -95,18 +93,26 @@
 	return !g.gate.Abandon(ticket)
 }
 
-// leave gives a request's place back.
-func (a *admission) leave(s *btcatalog.Service) {
+// leave gives back a request's place, which it has had since the time.
+func (a *admission) leave(s *btcatalog.Service, since time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	g := a.of(s)
 	now := a.clock()
-	if !g.left.IsZero() {
-		const weight = 0.1
-		g.between += time.Duration(weight * float64(now.Sub(g.left)-g.between))
+	wake(a.of(s).gate.Leave(now, now.Sub(since)))
+}
+
+// hear takes in how many requests of all entries the service's targets have.
+func (a *admission) hear(name btid.Service, total int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g, found := a.gates[name]; found {
+		wake(g.gate.Hear(a.clock(), total))
 	}
-	g.left = now
-	for _, t := range g.gate.Leave(now) {
+}
+
+// wake lets admitted requests go on.
+func wake(admitted []*btgate.Ticket[chan struct{}]) {
+	for _, t := range admitted {
 		close(t.Waiter)
 	}
 }
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -189,7 +189,7 @@
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: x.later()})
 		return
 	}
-	defer e.admission.leave(x.service)
+	defer e.admission.leave(x.service, e.options.Clock())
 	e.budget(x.service.Name).request(e.options.Clock())
 	x.run(ctx)
 }
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
 )
 
 const (
@@ -123,3 +124,31 @@
 	}
 	return moves
 }
+
+// heardShare is the part of a service's targets whose load must be known for the
+// load of all to be told from it.
+const heardShare = 0.5
+
+// total returns how many requests of all entries the service's targets have, where
+// that is known; a target of which nothing was heard counts as the mean of the
+// others.
+func (f *fleet) total(name btid.Service) (total int, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	ready, heard, sum := 0, 0, 0
+	for _, t := range f.service(name).targets {
+		if t.state != btinventory.Ready {
+			continue
+		}
+		ready++
+		if t.heardOf(now) {
+			heard++
+			sum += t.reported
+		}
+	}
+	if heard == 0 || float64(heard) < heardShare*float64(ready) {
+		return 0, false
+	}
+	return sum * ready / heard, true
+}
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -370,5 +370,8 @@
 // load takes a group's load in.
 func (p *peers) load(_ context.Context, l Load) (Strain, error) {
 	p.entry.fleet.hear(l)
+	if total, known := p.entry.fleet.total(l.Service); known {
+		p.entry.admission.hear(l.Service, total)
+	}
 	return p.entry.admission.strain(l.Service), nil
 }
