Requests wait for an open group, and those that can be in time go first

Cause: after all hosts lost power each caller of the broken group was told to come back after 2.4 s; the group opened after 1.5 s, and then they came with all the others, found it full, and were refused again. Those who waited went before callers who could still have been in time, so that both were late.

Change: how a request waits is decided in core (btgate.Caller): up to a quarter of the time left and 1.5 s, for the group and for a place; in time first, then who can't come back, then the others.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -43,9 +43,9 @@
 	smoothing = 0.05
 	// busyShare is how much of the limit must be in use for it to grow.
 	busyShare = 0.8
-	// heldWeight is the weight of one request in the mean time that requests hold
-	// their places.
-	heldWeight = 0.05
+	// timeWeight is the weight of one request in the mean times: those of a second
+	// or so count.
+	timeWeight = 0.05
 )
 
 // Gate admits requests of one service. W is what the caller keeps for a waiting
@@ -60,6 +60,9 @@
 	adjusted time.Time
 	// held is the mean time for which requests hold their places.
 	held time.Duration
+	// began is the mean time from admission until an answer begins, where answers
+	// come in pieces.
+	began time.Duration
 	// booked is the time up to which refused requests were told to come back.
 	booked time.Time
 }
@@ -99,18 +102,39 @@
 	return true
 }
 
-// Leave gives a place back that was held for the given time, and returns the
-// waiting requests that are admitted.
+// Leave gives a place back and returns the waiting requests that are admitted. Held
+// is for how long a request had it that was answered, zero for one that was not:
+// those that fail at once tell nothing of how long answers take.
 func (g *Gate[W]) Leave(now time.Time, held time.Duration) []*Ticket[W] {
 	g.running--
-	if g.held == 0 {
-		g.held = held
+	if held > 0 {
+		g.held = mean(g.held, held)
 	}
-	g.held += time.Duration(heldWeight * float64(held-g.held))
 	return g.admit(now)
 }
 
-// between returns the mean time between two requests that leave.
+// Began takes in how long after its admission an answer in pieces began.
+func (g *Gate[W]) Began(after time.Duration) { g.began = mean(g.began, after) }
+
+// Begin returns how long after its admission an answer begins; whole answers begin
+// as they end.
+func (g *Gate[W]) Begin() time.Duration {
+	if g.began > 0 {
+		return g.began
+	}
+	return g.held
+}
+
+// mean moves a mean by one measured time; the first one is the mean.
+func mean(m, d time.Duration) time.Duration {
+	if m == 0 {
+		return d
+	}
+	return m + time.Duration(timeWeight*float64(d-m))
+}
+
+// between returns the mean time between two requests that leave, zero before any
+// has been answered.
 func (g *Gate[W]) between() time.Duration {
 	return g.held / time.Duration(max(g.running, 1))
 }
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -64,9 +64,17 @@
 	return g
 }
 
-// enter admits a request, after a wait where that promises to help. Lower urgency
-// goes first. It returns false where the request is refused.
-func (a *admission) enter(ctx context.Context, s *btcatalog.Service, wait time.Duration, urgency int) bool {
+// request returns how a request waits.
+func (a *admission) request(x *exchange) btgate.Request {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	caller := btgate.Caller{Left: x.call.Deadline, Usual: x.route.Timeout, Objective: x.route.Objective}
+	return caller.Request(a.clock(), x.priority, a.of(x.service).gate.Begin())
+}
+
+// enter admits a request, after a wait where that promises to help. It returns
+// false where the request is refused.
+func (a *admission) enter(ctx context.Context, s *btcatalog.Service, r btgate.Request) bool {
 	a.mu.Lock()
 	g := a.of(s)
 	now := a.clock()
@@ -75,12 +83,12 @@
 		return true
 	}
 	admitted := make(chan struct{})
-	ticket := g.gate.Wait(now, btgate.Request{Priority: urgency, Until: now.Add(wait)}, admitted)
+	ticket := g.gate.Wait(now, r, admitted)
 	a.mu.Unlock()
 	if ticket == nil {
 		return false
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(r.Until.Sub(now))
 	defer timer.Stop()
 	select {
 	case <-admitted:
@@ -127,12 +135,14 @@
 	}
 }
 
-// first takes the time to a stream's first event in, and the one that is aimed at.
-func (a *admission) first(s *btcatalog.Service, took, objective time.Duration) {
+// first takes in how long a stream's first event took, from when the request came
+// and from when it was admitted, and the time that is aimed at.
+func (a *admission) first(s *btcatalog.Service, took, worked, objective time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g, found := a.gates[s.Name]; found {
 		g.firsts.Add(took, objective)
+		g.gate.Began(worked)
 	}
 }
 
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btgate"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btrequest"
@@ -29,6 +30,10 @@
 	priority int
 	received time.Time
 	deadline time.Time
+	// admitted is when the request got its place.
+	admitted time.Time
+	// wait is how the request waits for an open group and for a place.
+	wait btgate.Request
 
 	tried map[btinventory.ID]bool
 	// attempts are those that a target may have begun to work on, turnedAway those
@@ -174,35 +179,37 @@
 		e.streams.Add(1)
 		defer e.streams.Add(-1)
 	}
-	wait := x.patience()
-	if !x.awaitGroup(ctx, wait.group) {
+	x.wait = e.admission.request(x)
+	if !x.awaitGroup(ctx) {
 		if x.gone() {
 			return
 		}
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
 		return
 	}
-	if !e.admission.enter(ctx, x.service, wait.place, x.urgency()) {
+	if !e.admission.enter(ctx, x.service, x.wait) {
 		if x.gone() {
 			return
 		}
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: x.later()})
 		return
 	}
-	defer e.admission.leave(x.service, e.options.Clock())
+	x.admitted = e.options.Clock()
+	defer e.admission.leave(x.service, x.admitted)
 	e.budget(x.service.Name).request(e.options.Clock())
 	x.run(ctx)
 }
 
 // awaitGroup waits for a broken group to open, and tells whether the request may
 // be sent.
-func (x *exchange) awaitGroup(ctx context.Context, most time.Duration) bool {
-	open, opened := x.entry.fleet.open(x.service.Name)
-	if open || most <= 0 {
-		return open
+func (x *exchange) awaitGroup(ctx context.Context) bool {
+	e := x.entry
+	open, opened := e.fleet.open(x.service.Name)
+	if open {
+		return true
 	}
-	x.entry.meter.Counter(metricGroupWaits).Inc(1)
-	timer := time.NewTimer(most)
+	e.meter.Counter(metricGroupWaits).Inc(1)
+	timer := time.NewTimer(x.wait.Until.Sub(e.options.Clock()))
 	defer timer.Stop()
 	select {
 	case <-opened:
