Callers are told when to come back by what binds

Cause: whatever the reason, a refused caller was told a third of its time, some 2.4 s.

Change: 20 ms where another entry can serve; the booked time of a place in overload; an outage is taken to last as long again as it has lasted.

--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -101,12 +101,24 @@
 	return !g.gate.Abandon(ticket)
 }
 
-// leave gives back a request's place, which it has had since the time.
-func (a *admission) leave(s *btcatalog.Service, since time.Time) {
+// comeBack is when a caller should come back that finds no place, at the most the
+// given time.
+func (a *admission) comeBack(s *btcatalog.Service, most time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.of(s).gate.ComeBack(a.clock(), most)
+}
+
+// leave gives back a request's place.
+func (a *admission) leave(x *exchange) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock()
-	wake(a.of(s).gate.Leave(now, now.Sub(since)))
+	held := time.Duration(0)
+	if x.whole {
+		held = now.Sub(x.admitted)
+	}
+	wake(a.of(x.service).gate.Leave(now, held))
 }
 
 // hear takes in how many requests of all entries the service's targets have.
@@ -135,14 +147,14 @@
 	}
 }
 
-// first takes in how long a stream's first event took, from when the request came
-// and from when it was admitted, and the time that is aimed at.
-func (a *admission) first(s *btcatalog.Service, took, worked, objective time.Duration) {
+// first takes in how long after its admission a stream's first event came, and the
+// time that is aimed at.
+func (a *admission) first(s *btcatalog.Service, took, objective time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g, found := a.gates[s.Name]; found {
 		g.firsts.Add(took, objective)
-		g.gate.Began(worked)
+		g.gate.Began(took)
 	}
 }
 
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -15,6 +15,8 @@
 type brokenGroup struct {
 	// probeAt is when the next request may be sent to it.
 	probeAt time.Time
+	// since is when it was first found broken.
+	since time.Time
 }
 
 // group returns the name of the target's group; empty without one.
@@ -57,11 +59,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.service(t.info.Service)
-	_, found := s.broken[t.group()]
-	s.broken[t.group()] = &brokenGroup{probeAt: f.clock().Add(probeEvery)}
+	now := f.clock()
+	g, found := s.broken[t.group()]
+	if !found {
+		g = &brokenGroup{since: now}
+		s.broken[t.group()] = g
+	}
+	g.probeAt = now.Add(probeEvery)
 	return !found
 }
 
+// brokenFor returns for how long the service has had a broken group, at the least
+// of those that it has.
+func (f *fleet) brokenFor(name btid.Service) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	least := time.Duration(0)
+	for _, g := range f.service(name).broken {
+		away := now.Sub(g.since)
+		if least == 0 || away < least {
+			least = away
+		}
+	}
+	return least
+}
+
 // open tells whether requests may be sent to the service: it has a group that is
 // not known to be broken, or one that is to be probed. Else it returns what is
 // closed once a group is open again.
--- /dev/null
+++ b/io/btdirect/comeback.go
@@ -0,0 +1,37 @@
+package btdirect
+
+import (
+	"time"
+
+	"bilberrytide/core/btgate"
+)
+
+const (
+	// retryShare is the part of the time left that a refused caller is told to wait
+	// at the most, and where nothing better is known: callers follow up to a third.
+	retryShare = 0.32
+	// elsewhereAfter is when a caller should come back that another entry can serve
+	// at once: callers take a new connection to another entry for each try.
+	elsewhereAfter = 20 * time.Millisecond
+)
+
+// later is when a refused caller should come back where nothing better is known.
+func (x *exchange) later() time.Duration {
+	left := x.deadline.Sub(x.entry.options.Clock())
+	return time.Duration(float64(max(left, 0)) * retryShare)
+}
+
+// elsewhere is when a caller should come back that this entry can't serve, but
+// another one can.
+func (x *exchange) elsewhere() time.Duration {
+	if x.entry.peers.count() == 0 {
+		return x.later()
+	}
+	return min(elsewhereAfter, x.later())
+}
+
+// outageEnds is when a caller should come back whose service has no open group.
+func (x *exchange) outageEnds() time.Duration {
+	away := x.entry.fleet.brokenFor(x.service.Name)
+	return btgate.OutageEnds(away, probeEvery, x.later())
+}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -44,7 +44,9 @@
 	stream *streamWriter
 	// mayHaveRun is set once a target may have begun to work on the request.
 	mayHaveRun bool
-	ended      bool
+	// whole tells that the caller has its whole answer.
+	whole bool
+	ended bool
 }
 
 // refusal is an answer of the entry's own.
@@ -54,13 +56,8 @@
 	retryAfter time.Duration
 }
 
-const (
-	// retryShare is the part of the time left after which a refused caller is
-	// asked back where nothing better is known: callers follow up to a third.
-	retryShare = 0.32
-	// defaultDeadline is for callers that state none.
-	defaultDeadline = time.Minute
-)
+// defaultDeadline is for callers that state none.
+const defaultDeadline = time.Minute
 
 // serveHTTP answers a caller's request.
 func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
@@ -161,19 +158,12 @@
 // defaultBodyBytes is the body limit of a catalog that states none.
 const defaultBodyBytes = 4 << 20
 
-// later is when a refused caller should come back where nothing better is
-// known.
-func (x *exchange) later() time.Duration {
-	left := x.deadline.Sub(x.entry.options.Clock())
-	return time.Duration(float64(max(left, 0)) * retryShare)
-}
-
 // serve admits the request and has it answered.
 func (x *exchange) serve(ctx context.Context) {
 	e := x.entry
 	if x.route.Kind == btcatalog.Stream {
 		if e.turnsAway.Load() {
-			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: x.later()})
+			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: x.elsewhere()})
 			return
 		}
 		e.streams.Add(1)
@@ -184,18 +174,18 @@
 		if x.gone() {
 			return
 		}
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.outageEnds()})
 		return
 	}
 	if !e.admission.enter(ctx, x.service, x.wait) {
 		if x.gone() {
 			return
 		}
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: x.later()})
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: e.admission.comeBack(x.service, x.later())})
 		return
 	}
 	x.admitted = e.options.Clock()
-	defer e.admission.leave(x.service, x.admitted)
+	defer e.admission.leave(x)
 	e.budget(x.service.Name).request(e.options.Clock())
 	x.run(ctx)
 }
@@ -230,6 +220,7 @@
 		}
 		result := x.attempt(ctx, t)
 		if result.done {
+			x.whole = true
 			x.served(result)
 			return
 		}
