--- a/core/btexpert/caution.go
+++ b/core/btexpert/caution.go
@@ -1,6 +1,9 @@
 package btexpert
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// restStrain is the strain up to which maps rest: a group that a change of
@@ -14,8 +17,35 @@
 	restPrice = 10.0
 )
 
-// Caution returns how many times its price a change of a map has to be worth
-// where answers take the given share of the time that callers are promised. An
+// StrainMemory remembers the worst strain of late. What an even group is worth shows
+// when other experts come into demand: the steps are longer at once, for as long as
+// it takes to follow, and a group that was even before is less uneven then.
+type StrainMemory struct {
+	worst float64
+	at    time.Time
+}
+
+// strainHalfLife is the time in which a strain loses half of its weight: about two
+// changes of demand as they are seen in high load, 3 to 4 s apart.
+const strainHalfLife = 8 * time.Second
+
+// Worst takes a strain in and returns the worst of late. All from which on maps
+// follow as fast as they can counts as the same, so that an outage is not remembered
+// for longer than a change of demand. Where nothing is remembered yet the group is
+// taken for strained.
+func (m *StrainMemory) Worst(now time.Time, strain float64) float64 {
+	if m.at.IsZero() {
+		strain = followStrain
+	}
+	m.worst *= math.Exp2(-float64(now.Sub(m.at)) / float64(strainHalfLife))
+	m.at = now
+	m.worst = max(m.worst, min(strain, followStrain))
+	return m.worst
+}
+
+// Caution returns how many times its price, and how many times the least gain, a
+// change of a map has to be worth where answers take the given share of the time that
+// callers are promised. An
 // even group is of no use to callers whose answers are early all the same, and of
 // much where steps are as long as they may be. On a calm day that follows ten changes
 // of demand at 0.4 of the promised time, maps moved 465 GB of the 1,471 that they
--- a/core/btexpert/caution_test.go
+++ b/core/btexpert/caution_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -25,6 +26,8 @@
 	// loadPrice is the price of one expert in the planner's use of Rapid at a
 	// gigabyte or so in all layers.
 	loadPrice = 0.008
+	// leastGain is the least gain of a map that is made where nothing is asked beyond.
+	leastGain = 0.05
 )
 
 // dayOutcome is what a day's maps cost and gained.
@@ -45,11 +48,16 @@
 	for range shifts {
 		load := skewedLoad(d.shape, random)
 		for range plansPerShift {
-			limits := btexpert.RapidLimits{NewPerRank: 4, Gain: loadPrice * caution(strain), Rounds: 60, RankLoads: 4}
+			c := caution(strain)
+			limits := btexpert.RapidLimits{NewPerRank: 4, Gain: loadPrice * c, Rounds: 60, RankLoads: 4}
 			plan := btexpert.Rapid(m, load, limits)
-			m = plan.Map
-			o.loads += plan.Loads
-			strain = d.even * (1 - d.expertShare + d.expertShare*plan.After)
+			peak := plan.Before
+			if plan.Before-plan.After >= leastGain*c {
+				m = plan.Map
+				o.loads += plan.Loads
+				peak = plan.After
+			}
+			strain = d.even * (1 - d.expertShare + d.expertShare*peak)
 			if strain > 1 {
 				o.late++
 			}
@@ -93,3 +101,16 @@
 	}
 	assert.Equal(t, btexpert.Caution(1), 1.0)
 }
+
+// The worst strain is remembered over the next change of demand and forgotten after
+// some more, and an outage for no longer than that.
+func TestStrainIsRememberedOverAChangeOfDemand(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	for _, worst := range []float64{0.9, 2} {
+		var m btexpert.StrainMemory
+		assert.Equal(t, m.Worst(begin, 0.3), 0.9, "nothing is known yet")
+		m.Worst(begin.Add(time.Minute), worst)
+		assert.Assert(t, m.Worst(begin.Add(time.Minute+4*time.Second), 0.3) > 0.6)
+		assert.Equal(t, m.Worst(begin.Add(2*time.Minute), 0.3), 0.3)
+	}
+}
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -102,7 +102,7 @@
 	epoch := l.machine.Epoch()
 	l.machine.Report(now, r.State, r.Ballot)
 	if l.machine.Epoch() != epoch {
-		l.planner.restart(l.machine.Size())
+		l.planner.restart(now, l.machine.Size())
 		l.log.Info("group formed", "group", r.State.Group, "epoch", r.State.Epoch, "size", r.State.Size)
 	}
 	l.engines[r.State.Rank] = r.Engine
@@ -202,12 +202,11 @@
 	if !found || !one || !l.machine.Whole(now) {
 		return
 	}
-	strain := l.strain(now)
-	plan, reason := l.planner.plan(now, group, l.paces(now), version, btexpert.Caution(strain))
+	plan, reason := l.planner.plan(now, group, l.paces(now), version, l.strain(now))
 	if reason != "" {
 		if now.Sub(l.planned) > time.Second {
 			l.planned = now
-			l.log.Info("map kept", "reason", reason, "version", version, "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "strain", strain)
+			l.log.Info("map kept", "reason", reason, "version", version, "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "strain", l.planner.strain)
 		}
 		return
 	}
@@ -218,7 +217,7 @@
 	}
 	l.planned = now
 	l.planner.begun(version, next, plan)
-	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "strain", strain, "holder", holder, "ballot", l.machine.Ballot())
+	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.Before, "planned_peak", plan.After, "loads", plan.Loads, "strain", l.planner.strain, "holder", holder, "ballot", l.machine.Ballot())
 }
 
 // holder chooses the rank that is to hold the group: the first after the own one
--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -32,6 +32,9 @@
 	leastRankLoads = 2
 	// planRounds bounds the changes in one layer.
 	planRounds = 60
+	// settleTime is how long a group takes after it has formed until it has worked
+	// off who waited for it: callers ask again for some seconds.
+	settleTime = 5 * time.Second
 	// failedPause is the wait after a round that put no map in force.
 	failedPause = 300 * time.Millisecond
 )
@@ -59,12 +62,19 @@
 	changes []Change
 	version btround.Version
 	failed  time.Time
+	// strains remembers how near answers came to what callers are promised; strain
+	// is the worst of late.
+	strains btexpert.StrainMemory
+	strain  float64
+	// formed is when the group formed.
+	formed time.Time
 }
 
 func newPlanner() *planner { return &planner{} }
 
 // restart begins anew with a group that has formed anew.
-func (p *planner) restart(size int) {
+func (p *planner) restart(now time.Time, size int) {
+	p.formed = now
 	p.size = size
 	p.held = make([]Held, size)
 	p.known = make([]bool, size)
@@ -112,9 +122,9 @@
 	return int(r) < p.size && (!p.known[r] || p.held[r].Version < v)
 }
 
-// plan returns a better map, or why the one in force stays. Caution is how many
-// times its price a change has to be worth.
-func (p *planner) plan(now time.Time, g *btcatalog.Group, pace []float64, version btround.Version, caution float64) (btexpert.RapidPlan, string) {
+// plan returns a better map, or why the one in force stays. Strain is how near the
+// last answers came to what callers are promised.
+func (p *planner) plan(now time.Time, g *btcatalog.Group, pace []float64, version btround.Version, strain float64) (btexpert.RapidPlan, string) {
 	size := len(pace)
 	if now.Sub(p.failed) < failedPause {
 		return btexpert.RapidPlan{}, keepPause
@@ -138,6 +148,8 @@
 	if total < leastCounts*float64(len(p.loads)) {
 		return btexpert.RapidPlan{}, keepNoCounts
 	}
+	p.strain = p.worst(now, strain)
+	caution := btexpert.Caution(p.strain)
 	plan := btexpert.Rapid(m, load, btexpert.RapidLimits{
 		NewPerRank: g.NewPerMap,
 		Gain:       caution * loadGain(g),
@@ -145,7 +157,7 @@
 		RankLoads:  rankLoads(g),
 		Pace:       pace,
 	})
-	if plan.Before-plan.After < leastGain*math.Sqrt(caution) {
+	if plan.Before-plan.After < leastGain*caution {
 		return plan, keepSmallGain
 	}
 	return plan, ""
@@ -233,3 +245,13 @@
 	}
 	p.next = nil
 }
+
+// worst returns the worst strain of late. A group that has just formed is uneven
+// and meets all who waited for it, which tells nothing of what a change of demand
+// does: it is made even at once, and what callers see meanwhile is not remembered.
+func (p *planner) worst(now time.Time, strain float64) float64 {
+	if now.Sub(p.formed) < settleTime {
+		return max(strain, 1)
+	}
+	return p.strains.Worst(now, strain)
+}
