Callers who can come back wait for a group while they can be in time

What is late already loses nothing by coming later.

Change: who can come back waits until its answer would be late and is then told a third of its time, which spreads the crowd. Second tries are known by a deadline shorter than the usual one and wait as long as they can. The lead's word opens a group; who finds it broken all the same waits anew, on the retry budget.

--- a/core/btgate/comeback.go
+++ b/core/btgate/comeback.go
@@ -29,11 +29,3 @@
 	g.booked = g.booked.Add(time.Duration(float64(between) / returnShare))
 	return after
 }
-
-// OutageEnds returns after how long a caller should come back to a service that
-// has been away for the given time and whose return isn't known: outages last
-// about as long again as they have lasted (the median of a duration of unknown
-// scale), and least at the least.
-func OutageEnds(away, least, most time.Duration) time.Duration {
-	return min(max(away, least), most)
-}
--- a/core/btgate/patience.go
+++ b/core/btgate/patience.go
@@ -3,16 +3,35 @@
 import "time"
 
 const (
-	// lastShare is the part of the usual deadline below which a caller has so
-	// little time left that it hardly comes back after another refusal: as a rule
-	// it has come back after one already, when at most a third was gone.
-	lastShare = 0.75
+	// againShare is the part of the usual deadline by which a caller's must be
+	// shorter for it to have tried before: what a request takes on its way to the
+	// entry is far less.
+	againShare = 0.05
 	// waitShare is the part of the time left for which a request waits, and
 	// waitMost the most: callers leave a stream that is silent for two seconds.
 	waitShare = 0.25
 	waitMost  = 1500 * time.Millisecond
+	// usualFor is for how long a deadline counts as usual after it was last seen:
+	// callers who come for the first time come far more often.
+	usualFor = 10 * time.Second
 )
 
+// Usual learns with how long a deadline callers come for the first time: the longest
+// of late. One who has been refused or cut off comes back with what is left.
+type Usual struct {
+	longest time.Duration
+	at      time.Time
+}
+
+// Add takes a caller's deadline in and returns the usual one.
+func (u *Usual) Add(now time.Time, left time.Duration) time.Duration {
+	if left >= u.longest || now.Sub(u.at) > usualFor {
+		u.longest = left
+		u.at = now
+	}
+	return u.longest
+}
+
 // Caller is what is known of the caller of a request that has just come.
 type Caller struct {
 	// Left is how long the caller waits from now on, Usual how long callers wait
@@ -21,11 +40,14 @@
 	// Objective is the time from the first try in which an answer is in time; zero
 	// where there is none.
 	Objective time.Duration
+	// Timeout is the longest that the route allows.
+	Timeout time.Duration
 }
 
-// last tells whether a refusal would be the caller's last.
-func (c Caller) last() bool {
-	return c.Left > 0 && float64(c.Left) < lastShare*float64(c.Usual)
+// again tells whether the caller has tried before. It hardly comes back after another
+// refusal, as a rule not at all.
+func (c Caller) again() bool {
+	return c.Left > 0 && float64(c.spent()) > againShare*float64(c.Usual)
 }
 
 // spent is how long ago the caller tried first.
@@ -39,14 +61,14 @@
 // Request returns what the gate knows of the caller's request. Begin is how long
 // work takes until an answer begins.
 func (c Caller) Request(now time.Time, priority int, begin time.Duration) Request {
-	left := c.Left
-	if left <= 0 {
-		left = c.Usual
+	left := c.Timeout
+	if c.Left > 0 {
+		left = min(left, c.Left)
 	}
 	r := Request{
 		Priority: priority,
 		Until:    now.Add(min(time.Duration(float64(left)*waitShare), waitMost)),
-		Last:     c.last(),
+		Last:     c.again(),
 	}
 	if c.Objective > 0 {
 		r.InTime = now.Add(c.Objective - c.spent() - begin)
--- a/core/btgate/queue.go
+++ b/core/btgate/queue.go
@@ -17,6 +17,17 @@
 	Last bool
 }
 
+// ForGroup returns until when the request waits for a broken group to open. One that
+// can come back waits while it can be in time: those who come back later, each when a
+// third of its time has passed, come spread over as long as they came in, and don't
+// keep those waiting who come when the group opens.
+func (r Request) ForGroup() time.Time {
+	if r.Last || r.Until.Before(r.InTime) {
+		return r.Until
+	}
+	return r.InTime
+}
+
 // Ticket is a waiting request.
 type Ticket[W any] struct {
 	Request
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -28,6 +28,8 @@
 
 	mu    sync.Mutex
 	gates map[btid.Service]*serviceGate
+	// usual is the deadline of callers' first tries by route.
+	usual map[string]*btgate.Usual
 }
 
 // serviceGate is a gate with what callers of its service see.
@@ -38,7 +40,7 @@
 }
 
 func newAdmission(o Options, f *fleet, entries func() int) *admission {
-	return &admission{clock: o.Clock, fleet: f, entries: entries, gates: make(map[btid.Service]*serviceGate)}
+	return &admission{clock: o.Clock, fleet: f, entries: entries, gates: make(map[btid.Service]*serviceGate), usual: make(map[string]*btgate.Usual)}
 }
 
 // of returns the service's gate with its bounds brought up to date. The lock is
@@ -68,8 +70,19 @@
 func (a *admission) request(x *exchange) btgate.Request {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	caller := btgate.Caller{Left: x.call.Deadline, Usual: x.route.Timeout, Objective: x.route.Objective}
-	return caller.Request(a.clock(), x.priority, a.of(x.service).gate.Begin())
+	now := a.clock()
+	usual, found := a.usual[x.route.Name]
+	if !found {
+		usual = &btgate.Usual{}
+		a.usual[x.route.Name] = usual
+	}
+	caller := btgate.Caller{
+		Left:      x.call.Deadline,
+		Usual:     usual.Add(now, x.call.Deadline),
+		Objective: x.route.Objective,
+		Timeout:   x.route.Timeout,
+	}
+	return caller.Request(now, x.priority, a.of(x.service).gate.Begin())
 }
 
 // enter admits a request, after a wait where that promises to help. It returns
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -227,9 +227,7 @@
 func (e *Entry) judge(t *target, result attemptResult) {
 	switch {
 	case result.done:
-		if e.fleet.succeeded(t) {
-			e.log.Info("group open", "service", t.info.Service, "target", t.info.ID, "evidence", "answer")
-		}
+		e.succeeded(t, "answer")
 	case result.groupBroken:
 		if e.fleet.closed(t) {
 			e.log.Warn("group broken", "service", t.info.Service, "target", t.info.ID, "evidence", result.reason, "status", result.status)
@@ -242,3 +240,10 @@
 		e.targetLine(t, result, wait)
 	}
 }
+
+// succeeded notes that a target serves.
+func (e *Entry) succeeded(t *target, evidence string) {
+	if e.fleet.succeeded(t) {
+		e.log.Info("group open", "service", t.info.Service, "target", t.info.ID, "evidence", evidence)
+	}
+}
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -15,8 +15,9 @@
 type brokenGroup struct {
 	// probeAt is when the next request may be sent to it.
 	probeAt time.Time
-	// since is when it was first found broken.
-	since time.Time
+	// epoch is the last that its lead had told of when it was found broken; it forms
+	// anew in another.
+	epoch uint64
 }
 
 // group returns the name of the target's group; empty without one.
@@ -43,7 +44,8 @@
 	}
 }
 
-// open notes that a group serves, and tells whether that is new.
+// open notes that a group serves, and tells whether that is new; those who wait for
+// it go on.
 func (s *service) open(group string) bool {
 	if _, found := s.broken[group]; !found {
 		return false
@@ -62,29 +64,13 @@
 	now := f.clock()
 	g, found := s.broken[t.group()]
 	if !found {
-		g = &brokenGroup{since: now}
+		g = &brokenGroup{epoch: s.epochs[t.group()]}
 		s.broken[t.group()] = g
 	}
 	g.probeAt = now.Add(probeEvery)
 	return !found
 }
 
-// brokenFor returns for how long the service has had a broken group, at the least
-// of those that it has.
-func (f *fleet) brokenFor(name btid.Service) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	least := time.Duration(0)
-	for _, g := range f.service(name).broken {
-		away := now.Sub(g.since)
-		if least == 0 || away < least {
-			least = away
-		}
-	}
-	return least
-}
-
 // open tells whether requests may be sent to the service: it has a group that is
 // not known to be broken, or one that is to be probed. Else it returns what is
 // closed once a group is open again.
--- a/io/btdirect/comeback.go
+++ b/io/btdirect/comeback.go
@@ -1,10 +1,6 @@
 package btdirect
 
-import (
-	"time"
-
-	"bilberrytide/core/btgate"
-)
+import "time"
 
 const (
 	// retryShare is the part of the time left that a refused caller is told to wait
@@ -29,9 +25,3 @@
 	}
 	return min(elsewhereAfter, x.later())
 }
-
-// outageEnds is when a caller should come back whose service has no open group.
-func (x *exchange) outageEnds() time.Duration {
-	away := x.entry.fleet.brokenFor(x.service.Name)
-	return btgate.OutageEnds(away, probeEvery, x.later())
-}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -170,24 +170,31 @@
 		defer e.streams.Add(-1)
 	}
 	x.wait = e.admission.request(x)
+	e.budget(x.service.Name).request(e.options.Clock())
+	for x.turn(ctx) {
+		e.meter.Counter(metricWaitsAnew).Inc(1)
+	}
+}
+
+// turn waits for an open group and a place and makes attempts. It returns true where
+// the request waits anew, as the group turned out to be broken.
+func (x *exchange) turn(ctx context.Context) bool {
+	e := x.entry
 	if !x.awaitGroup(ctx) {
-		if x.gone() {
-			return
+		if !x.gone() {
+			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
 		}
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.outageEnds()})
-		return
+		return false
 	}
 	if !e.admission.enter(ctx, x.service, x.wait) {
-		if x.gone() {
-			return
+		if !x.gone() {
+			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: e.admission.comeBack(x.service, x.later())})
 		}
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: e.admission.comeBack(x.service, x.later())})
-		return
+		return false
 	}
 	x.admitted = e.options.Clock()
 	defer e.admission.leave(x)
-	e.budget(x.service.Name).request(e.options.Clock())
-	x.run(ctx)
+	return x.run(ctx)
 }
 
 // awaitGroup waits for a broken group to open, and tells whether the request may
@@ -199,7 +206,7 @@
 		return true
 	}
 	e.meter.Counter(metricGroupWaits).Inc(1)
-	timer := time.NewTimer(x.wait.Until.Sub(e.options.Clock()))
+	timer := time.NewTimer(x.wait.ForGroup().Sub(e.options.Clock()))
 	defer timer.Stop()
 	select {
 	case <-opened:
@@ -210,26 +217,44 @@
 	return false
 }
 
-// run makes attempts until the request has its final answer.
-func (x *exchange) run(ctx context.Context) {
+// run makes attempts until the request has its final answer, and returns false, or
+// until it had better wait for a group to open.
+func (x *exchange) run(ctx context.Context) (waits bool) {
+	e := x.entry
 	for {
-		t := x.entry.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried)
+		t := e.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried)
 		if t == nil {
 			x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()})
-			return
+			return false
 		}
 		result := x.attempt(ctx, t)
 		if result.done {
 			x.whole = true
 			x.served(result)
-			return
+			return false
+		}
+		if x.waitsAnew(result) {
+			e.meter.Retried(result.reason)
+			e.retryLine(x, result)
+			clear(x.tried)
+			return true
 		}
 		if !x.again(ctx, result) {
-			return
+			return false
 		}
 	}
 }
 
+// waitsAnew tells whether the request waits for a group to open after an attempt that
+// found the only one broken. That it is sent once more draws on the retry budget.
+func (x *exchange) waitsAnew(result attemptResult) bool {
+	now := x.entry.options.Clock()
+	if !result.groupBroken || !result.notRun || x.gone() || x.otherGroup() || !now.Before(x.wait.ForGroup()) {
+		return false
+	}
+	return x.entry.budget(x.service.Name).take(now)
+}
+
 // again decides on another attempt; where there is none it gives the final
 // answer.
 func (x *exchange) again(ctx context.Context, result attemptResult) bool {
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -96,6 +96,8 @@
 	broken map[string]*brokenGroup
 	// opened is closed when one of them is open again.
 	opened chan struct{}
+	// epochs are those that the groups' leads told of last.
+	epochs map[string]uint64
 }
 
 func newFleet(o Options) *fleet {
@@ -159,7 +161,7 @@
 func (f *fleet) service(name btid.Service) *service {
 	s, found := f.services[name]
 	if !found {
-		s = &service{name: name, broken: make(map[string]*brokenGroup), opened: make(chan struct{})}
+		s = &service{name: name, broken: make(map[string]*brokenGroup), opened: make(chan struct{}), epochs: make(map[string]uint64)}
 		f.services[name] = s
 	}
 	return s
@@ -238,7 +240,8 @@
 	t.requests--
 }
 
-// succeeded notes an answer of a target.
+// succeeded notes an answer of a target, and tells whether the target's group was
+// broken until now.
 func (f *fleet) succeeded(t *target) (opened bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -81,29 +81,49 @@
 }
 
 // hear takes a lead's word on its group in, and has streams leave members that
-// have turned slow.
-func (f *fleet) hear(l Load) {
+// have turned slow. It tells whether the group was broken until now.
+func (f *fleet) hear(l Load) (opened bool) {
 	f.mu.Lock()
 	now := f.clock()
 	loads := make(map[netip.AddrPort]TargetLoad, len(l.Ranks))
 	for _, r := range l.Ranks {
 		loads[r.Address] = r
 	}
-	for _, t := range f.service(l.Service).targets {
+	s := f.service(l.Service)
+	group := ""
+	for _, t := range s.targets {
 		r, found := loads[t.info.Address]
 		if !found {
 			continue
 		}
+		group = t.group()
 		t.reported = r.Requests
 		t.own = t.requests
 		t.reportedAt = now
 		t.pace = float64(r.Pace)
 	}
+	opened = s.heard(group, l)
 	slowest := f.markSlow(l.Service)
 	f.mu.Unlock()
 	for _, m := range slowest {
 		m.ask()
 	}
+	return opened
+}
+
+// heard notes a group's epoch, and that the group is open where its lead says so of
+// another epoch than that in which it was found broken. An entry that waits for its
+// own probe learns it a quarter of a second and a first event later.
+func (s *service) heard(group string, l Load) bool {
+	if group == "" {
+		return false
+	}
+	s.epochs[group] = l.Epoch
+	g, broken := s.broken[group]
+	if !l.Open || !broken || g.epoch == l.Epoch {
+		return false
+	}
+	return s.open(group)
 }
 
 // markSlow marks the slowest members of a service's group and lists the streams
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -14,6 +14,7 @@
 	metricWhole      = "answer_us"
 	metricTargetFail = "target_failures"
 	metricGroupWaits = "group_waits"
+	metricWaitsAnew  = "group_waits_anew"
 )
 
 // servedSample is how many served requests there are for each that is logged:
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -111,9 +111,7 @@
 	if x.stream.wrote.IsZero() {
 		x.entry.meter.Duration(metricFirstEvent, now.Sub(x.received))
 		x.entry.admission.first(x.service, now.Sub(x.admitted), x.route.Objective)
-		if x.entry.fleet.succeeded(t) {
-			x.entry.log.Info("group open", "service", x.service.Name, "target", t.info.ID, "evidence", "first event")
-		}
+		x.entry.succeeded(t, "first event")
 	} else {
 		x.entry.admission.pause(x.service, now.Sub(x.stream.wrote), x.route.MaxGap)
 	}
