A stopping agent ends after its answers have been received

Cause of the known red TestDrainMovesWork, a fault of the product: an agent counted a request as ended when its last bytes were handed to the connection, and its stop then cancelled the context that the connections live by, so that what was under way was dropped and the entry took the answer for cut.

Ruled out: the test (its conditions hold in the failing runs), the target, the entry's relay.

--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -143,11 +143,23 @@
 		Goodbye: func() { a.heartbeat.sayGoodbye() },
 		Exit: func() {
 			a.settleGroup(ctx)
+			a.deliver(ctx)
 			exit()
 		},
 	})
 }
 
+// deliver closes the node once entries have received all that was sent to them: a
+// request has ended for the agent when its last bytes are handed to the connection,
+// and to end the process then would cut them off.
+func (a *Agent) deliver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopGrace)
+	defer cancel()
+	if err := a.options.Node.Close(ctx); err != nil {
+		a.options.Log.Warn("planned stop: node closed before all was delivered", "error", err)
+	}
+}
+
 func (a *Agent) queue() *admission {
 	a.mu.Lock()
 	defer a.mu.Unlock()
