Rounds that hold their group for long are followed by a rest

Late streams made the strain high, so that maps followed faster still.

The refusal line tells this entry's places beside the limit of all.

--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -17,6 +17,9 @@
 	// queuePerSlot is how many requests beyond its slots a plain target is sent:
 	// its own short queue keeps it busy.
 	queuePerSlot = 1.0
+	// maxRoutes bounds the routes whose callers' deadlines are remembered: routes come
+	// and go with catalogs, and a deadline is learned anew from the next caller.
+	maxRoutes = 4096
 )
 
 // admission bounds the requests at work by service.
@@ -71,11 +74,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock()
-	usual, found := a.usual[x.route.Name]
-	if !found {
-		usual = &btgate.Usual{}
-		a.usual[x.route.Name] = usual
-	}
+	usual := a.usualOf(x.route.Name)
 	caller := btgate.Caller{
 		Left:      x.call.Deadline,
 		Usual:     usual.Add(now, x.call.Deadline),
@@ -85,6 +84,21 @@
 	return caller.Request(now, x.priority, a.of(x.service).gate.Begin())
 }
 
+// usualOf returns what is known of the deadlines of a route's callers. The lock is
+// held.
+func (a *admission) usualOf(route string) *btgate.Usual {
+	usual, found := a.usual[route]
+	if found {
+		return usual
+	}
+	if len(a.usual) >= maxRoutes {
+		clear(a.usual)
+	}
+	usual = &btgate.Usual{}
+	a.usual[route] = usual
+	return usual
+}
+
 // enter admits a request, after a wait where that promises to help. It returns
 // false where the request is refused.
 func (a *admission) enter(ctx context.Context, s *btcatalog.Service, r btgate.Request) bool {
@@ -182,13 +196,28 @@
 	return Strain{Value: max(g.pauses.Value(), g.firsts.Value()), Streams: g.gate.Running()}
 }
 
-// load describes a service's gate for logs.
-func (a *admission) load(name btid.Service) (running, waiting, limit int, pause float64) {
+// gateLoad describes a service's gate for logs.
+type gateLoad struct {
+	// running and waiting are this entry's requests, places how many it may have at
+	// work, limit how many all entries may.
+	running, waiting, places, limit int
+	// pause is the mean pause between events as a share of the allowed one.
+	pause float64
+}
+
+// load returns what a service's gate has.
+func (a *admission) load(name btid.Service) gateLoad {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g, found := a.gates[name]
 	if !found {
-		return 0, 0, 0, 0
+		return gateLoad{}
+	}
+	return gateLoad{
+		running: g.gate.Running(),
+		waiting: g.gate.Waiting(),
+		places:  g.gate.Places(a.clock()),
+		limit:   g.gate.Limit(),
+		pause:   g.gate.Load(),
 	}
-	return g.gate.Running(), g.gate.Waiting(), g.gate.Limit(), g.gate.Load()
 }
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -56,13 +56,13 @@
 
 // refusedLine notes an answer of the entry's own.
 func (e *Entry) refusedLine(x *exchange, r *refusal) {
-	running, waiting, limit, pause := 0, 0, 0, 0.0
+	var load gateLoad
 	if x.service != nil {
-		running, waiting, limit, pause = e.admission.load(x.service.Name)
+		load = e.admission.load(x.service.Name)
 	}
 	e.log.Info("request refused", x.attributes(attemptResult{reason: r.reason, status: r.status},
 		"retry_after_ms", r.retryAfter.Milliseconds(),
-		"running", running, "waiting", waiting, "limit", limit, "pause_share", pause)...)
+		"running", load.running, "waiting", load.waiting, "places", load.places, "limit", load.limit, "pause_share", load.pause)...)
 }
 
 // attributes are what every line about a request holds, and more.
--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -46,6 +46,7 @@
 	keepNoShape   = "group doesn't fit its shape"
 	keepSmallGain = "gain too small"
 	keepPause     = "last round failed"
+	keepHeld      = "rounds hold the group for too long"
 )
 
 // planner knows the experts in demand and the map in force.
@@ -62,6 +63,7 @@
 	changes []Change
 	version btround.Version
 	failed  time.Time
+	holds   btexpert.HoldBudget
 	// strains remembers how near answers came to what callers are promised; strain
 	// is the worst of late.
 	strains btexpert.StrainMemory
@@ -129,6 +131,9 @@
 	if now.Sub(p.failed) < failedPause {
 		return btexpert.RapidPlan{}, keepPause
 	}
+	if !p.holds.Allows(now) {
+		return btexpert.RapidPlan{}, keepHeld
+	}
 	shape := shapeOf(g, size)
 	if shape.Validate() != nil || len(p.loads) != g.Layers*g.Experts {
 		return btexpert.RapidPlan{}, keepNoShape
@@ -227,6 +232,7 @@
 
 // ended takes the outcome of a round in: a map that is in force is known.
 func (p *planner) ended(now time.Time, o btround.Outcome) {
+	p.holds.Held(now, o.Held)
 	if !o.Switched {
 		p.failed = now
 		p.next = nil
