--- /dev/null
+++ b/io/btdirect/wait.go
@@ -0,0 +1,58 @@
+package btdirect
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// turn waits for an open group and a place and makes attempts. It returns true where
+// the request waits anew, as the group turned out to be broken.
+func (x *exchange) turn(ctx context.Context) bool {
+	e := x.entry
+	if !x.awaitGroup(ctx) {
+		if !x.gone() {
+			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
+		}
+		return false
+	}
+	if !e.admission.enter(ctx, x.service, x.wait) {
+		if !x.gone() {
+			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: e.admission.comeBack(x.service, x.later())})
+		}
+		return false
+	}
+	x.admitted = e.options.Clock()
+	defer e.admission.leave(x)
+	return x.run(ctx)
+}
+
+// awaitGroup waits for a broken group to open, and tells whether the request may
+// be sent.
+func (x *exchange) awaitGroup(ctx context.Context) bool {
+	e := x.entry
+	open, opened := e.fleet.open(x.service.Name)
+	if open {
+		return true
+	}
+	e.meter.Counter(metricGroupWaits).Inc(1)
+	timer := time.NewTimer(x.wait.ForGroup().Sub(e.options.Clock()))
+	defer timer.Stop()
+	select {
+	case <-opened:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// waitsAnew tells whether the request waits for a group to open after an attempt that
+// found the only one broken. That it is sent once more draws on the retry budget.
+func (x *exchange) waitsAnew(result attemptResult) bool {
+	now := x.entry.options.Clock()
+	if !result.groupBroken || !result.notRun || x.gone() || x.otherGroup() || !now.Before(x.wait.ForGroup()) {
+		return false
+	}
+	return x.entry.budget(x.service.Name).take(now)
+}
