A request waits for an entry's first catalog

Change: it waits, a quarter of its caller's time and 1.5 s at the most, until the first catalog and its targets are known, and is then told a third of its time.

Ruled out: overload, the engine group, rights.

--- a/core/btgate/patience.go
+++ b/core/btgate/patience.go
@@ -67,7 +67,7 @@
 	}
 	r := Request{
 		Priority: priority,
-		Until:    now.Add(min(time.Duration(float64(left)*waitShare), waitMost)),
+		Until:    now.Add(Patience(left)),
 		Last:     c.again(),
 	}
 	if c.Objective > 0 {
@@ -75,3 +75,9 @@
 	}
 	return r
 }
+
+// Patience returns for how long a request waits at the most whose caller waits for
+// the given time.
+func Patience(left time.Duration) time.Duration {
+	return min(time.Duration(float64(left)*waitShare), waitMost)
+}
--- a/io/btdirect/comeback.go
+++ b/io/btdirect/comeback.go
@@ -14,7 +14,7 @@
 // later is when a refused caller should come back where nothing better is known.
 func (x *exchange) later() time.Duration {
 	left := x.deadline.Sub(x.entry.options.Clock())
-	return time.Duration(float64(max(left, 0)) * retryShare)
+	return share(max(left, 0), retryShare)
 }
 
 // elsewhere is when a caller should come back that this entry can't serve, but
@@ -25,3 +25,8 @@
 	}
 	return min(elsewhereAfter, x.later())
 }
+
+// share returns a part of a duration.
+func share(d time.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * part)
+}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -82,11 +82,19 @@
 	x.serve(ctx)
 }
 
+// patience is how long the caller waits.
+func (x *exchange) patience() time.Duration {
+	if x.call.HasDeadline {
+		return x.call.Deadline
+	}
+	return defaultDeadline
+}
+
 // identify finds the route and the account, and reads the body.
 func (x *exchange) identify() *refusal {
-	x.index = x.entry.knowledge.index.Load()
+	x.index = x.awaitCatalog()
 	if x.index == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoCatalog, retryAfter: time.Second}
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoCatalog, retryAfter: share(x.patience(), retryShare)}
 	}
 	path, _, _ := strings.Cut(x.caller.RequestURI, "?")
 	route, found := x.index.Route(x.caller.Host, path)
@@ -98,11 +106,7 @@
 	if refused := x.authenticate(); refused != nil {
 		return refused
 	}
-	wait := defaultDeadline
-	if x.call.HasDeadline {
-		wait = x.call.Deadline
-	}
-	x.deadline = x.received.Add(min(wait, route.Timeout))
+	x.deadline = x.received.Add(min(x.patience(), route.Timeout))
 	service, found := x.index.Service(route.Split(rand.Float64()))
 	if !found {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()}
--- a/io/btdirect/knowledge.go
+++ b/io/btdirect/knowledge.go
@@ -52,6 +52,9 @@
 	published func(*btcatalog.Index, []btinventory.Target)
 
 	index atomic.Pointer[btcatalog.Index]
+	// first is closed when the first catalog is in force and its targets are known.
+	first     chan struct{}
+	firstOnce sync.Once
 
 	mu       sync.Mutex
 	register *btinventory.Register
@@ -78,6 +81,7 @@
 		meter:     o.Meter,
 		published: published,
 		register:  btinventory.NewRegister(lapseGrace),
+		first:     make(chan struct{}),
 	}
 }
 
@@ -270,6 +274,7 @@
 func (k *knowledge) publish() {
 	if index := k.index.Load(); index != nil {
 		k.published(index, k.register.Targets())
+		k.firstOnce.Do(func() { close(k.first) })
 	}
 }
 
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -14,7 +14,9 @@
 	metricWhole      = "answer_us"
 	metricTargetFail = "target_failures"
 	metricGroupWaits = "group_waits"
-	metricWaitsAnew  = "group_waits_anew"
+	// metricCatalogWaits counts requests that came before the first catalog.
+	metricCatalogWaits = "catalog_waits"
+	metricWaitsAnew    = "group_waits_anew"
 )
 
 // servedSample is how many served requests there are for each that is logged:
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -4,8 +4,31 @@
 	"context"
 	"net/http"
 	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btgate"
 )
 
+// awaitCatalog returns the catalog in force, and waits for the first one of an entry
+// that has only just started: it comes within milliseconds where the store answers,
+// and callers who are refused while the store is away for some seconds have spent
+// their tries before it is back. It returns nil where none comes.
+func (x *exchange) awaitCatalog() *btcatalog.Index {
+	k := x.entry.knowledge
+	if index := k.index.Load(); index != nil {
+		return index
+	}
+	x.entry.meter.Counter(metricCatalogWaits).Inc(1)
+	timer := time.NewTimer(btgate.Patience(x.patience()))
+	defer timer.Stop()
+	select {
+	case <-k.first:
+	case <-timer.C:
+	case <-x.caller.Context().Done():
+	}
+	return k.index.Load()
+}
+
 // turn waits for an open group and a place and makes attempts. It returns true where
 // the request waits anew, as the group turned out to be broken.
 func (x *exchange) turn(ctx context.Context) bool {
