--- a/core/btexpert/caution.go
+++ b/core/btexpert/caution.go
@@ -11,9 +11,10 @@
 	// from which on they follow the load as fast as they can.
 	restStrain   = 0.5
 	followStrain = 0.9
-	// restPrice is how many times its price a change has to be worth at rest. From
-	// there on it matters little: twice as much made no difference to callers (mean
-	// worth of five days 0.767 and 0.769) nor did rest up to 0.65 (0.773).
+	// restPrice is how many times its price a change has to be worth at rest. Twice as
+	// much, with rest up to 0.6, served nobody better where answers are early (mean
+	// worth of five simulated days 0.778 both) and cost 0.02 and 0.03 where steps are
+	// near the allowed pause.
 	restPrice = 10.0
 )
 
@@ -45,11 +46,10 @@
 
 // Caution returns how many times its price, and how many times the least gain, a
 // change of a map has to be worth where answers take the given share of the time that
-// callers are promised. An
-// even group is of no use to callers whose answers are early all the same, and of
-// much where steps are as long as they may be. On a calm day that follows ten changes
-// of demand at 0.4 of the promised time, maps moved 465 GB of the 1,471 that they
-// move without caution, and nobody was served later.
+// callers are promised. An even group is of no use to callers whose answers are early
+// all the same, and of much where steps are as long as they may be. On a simulated calm
+// day with ten changes of demand, first events after 0.4 of the promised time, 50 maps
+// moved 420 GB with caution and 171 maps 1,518 GB without, and as many were in time.
 func Caution(strain float64) float64 {
 	far := (followStrain - strain) / (followStrain - restStrain)
 	return math.Pow(restPrice, min(max(far, 0), 1))
--- a/core/btgate/place.go
+++ b/core/btgate/place.go
@@ -50,11 +50,13 @@
 // Places returns how many requests this entry may have at work. Each entry has an
 // even part of the limit. What is free beyond that, by the last word, goes to the
 // entries by what they have at work already, so that one with many callers grows
-// into what others leave; no entry asks another. Together the entries may exceed
-// the limit by what is free, once, until the next word.
+// into what others leave; no entry asks another. Together the entries may exceed the
+// limit until the next words: in a model with five times the load that a group
+// carries by 53 of 192 places, for 2.4 s.
 //
 // With even parts alone an entry with 36 of 100 callers, one of four, turned some
-// away on a calm day, and half of the entries did so while the others restarted.
+// away on a calm day, and half of the entries did so while the others restarted: mean
+// worth of five simulated days 0.747 against 0.774 to 0.782.
 func (g *Gate[W]) Places(now time.Time) int {
 	even := max(g.limit/float64(max(g.config.Entries, 1)), 1)
 	if !g.heard(now) {
