A stream that waited in vain for its group is cut off visibly

Change: what waited in vain ends by giveUp, which cuts off a stream that has begun, and with 502 where it may have run.

--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -7,6 +7,7 @@
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btgate"
+	"bilberrytide/core/btrequest"
 )
 
 // awaitCatalog returns the catalog in force, and waits for the first one of an entry
@@ -35,13 +36,13 @@
 	e := x.entry
 	if !x.awaitGroup(ctx) {
 		if !x.gone() {
-			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonGroupBroken, retryAfter: x.later()})
+			x.turnDown(ReasonGroupBroken, x.later())
 		}
 		return false
 	}
 	if !e.admission.enter(ctx, x.service, x.wait) {
 		if !x.gone() {
-			x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonOverload, retryAfter: e.admission.comeBack(x.service, x.later())})
+			x.turnDown(ReasonOverload, e.admission.comeBack(x.service, x.later()))
 		}
 		return false
 	}
@@ -50,6 +51,17 @@
 	return x.run(ctx)
 }
 
+// turnDown ends a request that waited in vain. One that waited anew may have run
+// before, or a part of its answer may have gone out: then it is not said that it has
+// not run, and a stream is cut off visibly.
+func (x *exchange) turnDown(reason btrequest.Reason, after time.Duration) {
+	if x.mayHaveRun {
+		x.giveUp(&refusal{status: http.StatusBadGateway, reason: reason})
+		return
+	}
+	x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after})
+}
+
 // awaitGroup waits for a broken group to open, and tells whether the request may
 // be sent.
 func (x *exchange) awaitGroup(ctx context.Context) bool {
