Targets are known by their start, and records of other writers name none

Ruled out: comparing starts by time, as clocks jump (docs/design/restarts.md); keeping the earlier record.

Before: no code read the start; tests of the new behaviour do not compile or fail.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -1,6 +1,7 @@
 // Package btinventory keeps what is known of the targets that a fleet's
-// platform lists: one record per incarnation, from ready through draining to
-// gone.
+// platform lists: one record per ID, from ready through draining to gone. A
+// target that starts again under its ID is another Instance, of which nothing is
+// known that was known of the one before.
 //
 // The list reaches an entry late and with interruptions, so a target that
 // vanished while the list could not be read stays usable for a grace period
@@ -15,6 +16,7 @@
 	"time"
 
 	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btid"
 )
 
@@ -28,9 +30,28 @@
 	Draining State = "draining"
 )
 
-// ID names one incarnation of a target; each start has a new one.
+// ID is the name under which the platform lists a target. A target may start again
+// under its ID.
 type ID string
 
+// Instance is one start of a target. Whatever is remembered of a target is
+// remembered by its instance: a new start holds and counts nothing of before.
+type Instance struct {
+	ID ID
+	// Start is zero where the platform doesn't tell it. It only tells one start from
+	// another: which of two is the later one goes by the order of the list, as the
+	// clock that it is read from may jump.
+	Start btid.Incarnation
+}
+
+// String writes the instance as it stands in logs.
+func (i Instance) String() string {
+	if i.Start == 0 {
+		return string(i.ID)
+	}
+	return string(i.ID) + "@" + i.Start.String()
+}
+
 // Target is one listed target.
 type Target struct {
 	ID         ID              `json:"id"`
@@ -39,6 +60,9 @@
 	DataCentre btid.DataCentre `json:"data_centre"`
 	Slots      int             `json:"slots"`
 	State      State           `json:"state"`
+	// Start tells this start of the target from another under the same ID; zero where
+	// the platform doesn't tell.
+	Start btid.Incarnation `json:"start,omitempty"`
 	// Since is the list's revision at which the record was made; zero if the list
 	// has none. Of two records with one address the later one is right.
 	Since uint64 `json:"since,omitempty"`
@@ -46,6 +70,9 @@
 	Member *Member `json:"member,omitempty"`
 }
 
+// Instance returns the start of the target that the record is of.
+func (t Target) Instance() Instance { return Instance{ID: t.ID, Start: t.Start} }
+
 // Member is a target's place in a lock-step group.
 type Member struct {
 	Group string `json:"group"`
@@ -61,8 +88,26 @@
 	if t.State != Ready && t.State != Draining {
 		return fmt.Errorf("target %q: unknown state %q", t.ID, t.State)
 	}
-	if t.Member != nil && t.Member.Rank < 0 {
-		return fmt.Errorf("target %q: rank %d of group %q", t.ID, t.Member.Rank, t.Member.Group)
+	if t.Slots < 0 || t.Slots > maxSlots {
+		return fmt.Errorf("target %q: %d slots, at most %d", t.ID, t.Slots, maxSlots)
+	}
+	if t.Member != nil {
+		return t.Member.validate(t.ID)
+	}
+	return nil
+}
+
+// maxSlots bounds the requests that a target says it runs at once, far above any
+// engine's batch: the limit of a whole service is the sum of its targets'.
+const maxSlots = 1 << 14
+
+// validate reports a place that no group has.
+func (m *Member) validate(id ID) error {
+	if m.Rank < 0 || m.Size < 0 || m.Size > btexpert.MaxRanks {
+		return fmt.Errorf("target %q: rank %d of %d in group %q", id, m.Rank, m.Size, m.Group)
+	}
+	if m.Size > 0 && m.Rank >= m.Size {
+		return fmt.Errorf("target %q: rank %d of %d in group %q", id, m.Rank, m.Size, m.Group)
 	}
 	return nil
 }
@@ -119,8 +164,8 @@
 	records     map[ID]*record
 	interrupted bool
 	regained    time.Time
-	// left are the records that were dropped of late: when each was made, by
-	// incarnation. Order lists them, the earliest first.
+	// left are the records that were dropped of late: when each was made, by ID.
+	// Order lists them, the earliest first.
 	left  map[ID]uint64
 	order []ID
 }
@@ -146,16 +191,17 @@
 	}
 }
 
-// Put takes a record in. An incarnation whose address a later one has is gone,
-// though its record takes some seconds to lapse. Without this 161 requests were
-// sent to former incarnations on a day on which all engines started anew, and
-// turned away; with it none.
+// Put takes a record in. One of another start than the record before ends that one:
+// nothing that was known of it holds for the new start.
+//
+// A target whose address and place a later one has is gone, though its record takes
+// some seconds to lapse. Without this 161 requests were sent to former targets on a
+// day on which all engines started anew, and turned away; with it none.
 func (r *Register) Put(t Target) []Change {
-	old, found := r.records[t.ID]
 	var changes []Change
 	for _, id := range r.ids() {
 		other := r.records[id].target
-		if id == t.ID || other.Address != t.Address || other.Since == 0 || t.Since == 0 {
+		if !t.takesPlaceOf(other) {
 			continue
 		}
 		if other.Since > t.Since {
@@ -163,6 +209,11 @@
 		}
 		changes = append(changes, r.drop(id)...)
 	}
+	old, found := r.records[t.ID]
+	if found && old.target.Start != t.Start {
+		changes = append(changes, r.drop(t.ID)...)
+		found = false
+	}
 	r.records[t.ID] = &record{target: t}
 	delete(r.left, t.ID)
 	switch {
@@ -176,6 +227,24 @@
 	return changes
 }
 
+// takesPlaceOf tells whether only one of two listed targets can be there: they have
+// one address and are the same part of the same service. A record of another service
+// or rank says nothing of the target at that address: whoever is there tells by
+// itself that a request is meant for another.
+func (t Target) takesPlaceOf(o Target) bool {
+	if t.ID == o.ID || t.Address != o.Address || t.Since == 0 || o.Since == 0 {
+		return false
+	}
+	if t.Service != o.Service || (t.Member == nil) != (o.Member == nil) {
+		return false
+	}
+	return t.Member == nil || *t.Member == *o.Member
+}
+
+// Refuse takes in that the record under an ID can't be used: it names no target,
+// whatever the one before it said. A target that lives renews its record.
+func (r *Register) Refuse(id ID) []Change { return r.drop(id) }
+
 // drop takes a record out for good, if it is there.
 func (r *Register) drop(id ID) []Change {
 	rec, found := r.records[id]
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -18,6 +18,13 @@
 	return btinventory.Target{ID: id, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), State: btinventory.Ready}
 }
 
+// listed returns a target whose record was made at a revision of the list.
+func listed(id btinventory.ID, since uint64) btinventory.Target {
+	t := target(id)
+	t.Since = since
+	return t
+}
+
 func ids(r *btinventory.Register) []btinventory.ID {
 	var list []btinventory.ID
 	for _, t := range r.Targets() {
@@ -125,11 +132,6 @@
 
 // Two records with one address are two incarnations, of which the later one runs.
 func TestALaterIncarnationReplacesTheFormer(t *testing.T) {
-	listed := func(id btinventory.ID, since uint64) btinventory.Target {
-		t := target(id)
-		t.Since = since
-		return t
-	}
 	r := btinventory.NewRegister(grace)
 	r.Put(listed("old", 3))
 	changes := r.Put(listed("new", 7))
--- /dev/null
+++ b/core/btinventory/instance_test.go
@@ -0,0 +1,134 @@
+package btinventory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+)
+
+// started returns a target that was listed at a revision, of one start.
+func started(id btinventory.ID, since uint64, start btid.Incarnation) btinventory.Target {
+	t := listed(id, since)
+	t.Start = start
+	return t
+}
+
+func ExampleInstance() {
+	t := btinventory.Target{ID: "i-1", Start: 0x2a}
+	fmt.Println(t.Instance())
+	// Output: i-1@2a
+}
+
+// A target that starts again under its ID is gone and another is there: whoever keeps
+// something by the instance keeps nothing of the one before.
+func TestANewStartUnderAnIDEndsTheOneBefore(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(started("a", 3, 100))
+	changes := r.Put(started("a", 3, 50))
+	assert.Equal(t, len(changes), 2)
+	assert.Equal(t, changes[0].What, btinventory.Gone)
+	assert.Equal(t, changes[0].Target.Instance(), btinventory.Instance{ID: "a", Start: 100})
+	assert.Equal(t, changes[1].What, btinventory.Added)
+	assert.Equal(t, changes[1].Target.Instance(), btinventory.Instance{ID: "a", Start: 50}, "a clock that went back makes no older start")
+	assert.Equal(t, len(r.Put(started("a", 3, 50))), 0)
+}
+
+// What the old start's record was waiting for does not befall the new one.
+func TestTheGraceOfAnOldStartDoesNotEndTheNewOne(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(started("a", 3, 1))
+	r.Interrupted()
+	r.Regained(start)
+	r.Remove(start, "a")
+	r.Put(started("a", 9, 2))
+	assert.Equal(t, len(r.Expire(start.Add(2*grace))), 0)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"a"})
+}
+
+// A record that can't be used ends the one before at once, also within the grace that
+// a target has whose record lapsed.
+func TestARefusedRecordNamesNoTarget(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(target("a"))
+	r.Put(target("b"))
+	r.Interrupted()
+	r.Regained(start)
+	assert.Equal(t, len(r.Refuse("a")), 1)
+	assert.Equal(t, len(r.Refuse("never listed")), 0)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"b"})
+	r.Put(target("a"))
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"a", "b"})
+}
+
+// A record of another writer that names a target's address does not take the target
+// away, unless it is for the same part of the same service.
+func TestAnAddressUsedTwiceKeepsTheTarget(t *testing.T) {
+	other := listed("foreign", 9)
+	other.Service = "another"
+	rank := listed("rank", 9)
+	rank.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
+	for _, foreign := range []btinventory.Target{other, rank} {
+		r := btinventory.NewRegister(grace)
+		r.Put(listed("a", 3))
+		r.Put(foreign)
+		r.Put(listed("a", 3))
+		assert.Assert(t, len(ids(r)) == 2, "%v", ids(r))
+	}
+}
+
+// Whatever the order of records, removals, refusals and interruptions, the register
+// holds of each ID the start that was listed last, and tells of every start's end.
+func TestRegisterFollowsTheListThroughRestarts(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		r := btinventory.NewRegister(grace)
+		now := start
+		last := map[btinventory.ID]btid.Incarnation{}
+		alive := map[btinventory.Instance]bool{}
+		follow := func(changes []btinventory.Change) {
+			for _, c := range changes {
+				switch c.What {
+				case btinventory.Added:
+					assert.Assert(t, !alive[c.Target.Instance()], "seed %d: %s added twice", seed, c.Target.Instance())
+					alive[c.Target.Instance()] = true
+				case btinventory.Gone:
+					assert.Assert(t, alive[c.Target.Instance()], "seed %d: %s ended twice", seed, c.Target.Instance())
+					delete(alive, c.Target.Instance())
+				}
+			}
+		}
+		for i := range 200 {
+			now = now.Add(grace / 8)
+			number := random.IntN(4)
+			id := btinventory.ID(fmt.Sprint(number))
+			follow(r.Expire(now))
+			switch random.IntN(8) {
+			case 0:
+				follow(r.Remove(now, id))
+			case 1:
+				follow(r.Refuse(id))
+				delete(last, id)
+			case 2:
+				r.Interrupted()
+			case 3:
+				r.Regained(now)
+			default:
+				next := started(id, uint64(i+1), btid.Incarnation(1+random.IntN(3)))
+				next.Address = netip.AddrPortFrom(next.Address.Addr(), uint16(1000+number))
+				follow(r.Put(next))
+				last[id] = next.Start
+			}
+			for _, known := range r.Targets() {
+				assert.Equal(t, known.Start, last[known.ID], "seed %d, step %d", seed, i)
+				assert.Assert(t, alive[known.Instance()], "seed %d, step %d: %s was never told of", seed, i, known.Instance())
+			}
+			assert.Equal(t, len(alive), len(r.Targets()), "seed %d, step %d", seed, i)
+		}
+	}
+}
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -14,6 +14,9 @@
 	GoesOnWhole btassert.Name = "round_goes_on_whole"
 )
 
+// RankRestarted is the reason of a round that ended as a rank's engine started anew.
+const RankRestarted = "rank started anew"
+
 // Phase is how far a round has come.
 type Phase string
 
@@ -94,8 +97,11 @@
 	self     btexpert.Rank
 	group    string
 
-	size    int
-	epoch   uint64
+	size  int
+	epoch uint64
+	// over tells that a rank has started anew in the epoch, so that the group can't
+	// go on in it.
+	over    bool
 	ballot  Ballot
 	members map[btexpert.Rank]*member
 
@@ -174,7 +180,11 @@
 		return
 	}
 	m := l.member(s.Rank)
-	if s.newer(m.state) {
+	anew := s.startedAnew(m.state)
+	if anew {
+		l.restarted(now)
+	}
+	if anew || s.newer(m.state) {
 		m.state = s
 		m.at = now
 		// What an agent reports is what it would answer: the command need not be
@@ -186,6 +196,21 @@
 	}
 }
 
+// startedAnew tells whether two states of a rank are of different starts of its
+// engine.
+func (s State) startedAnew(old State) bool {
+	return s.Start != 0 && old.Start != 0 && s.Start != old.Start
+}
+
+// restarted ends what is believed of an epoch in which a rank's engine has started
+// anew: the new one holds nothing of what the one before had prepared, armed or held.
+// Nothing is begun or gone on with before the group has formed anew, in another epoch.
+// That is also right where the news come in the wrong order, as starts aren't compared.
+func (l *Lead) restarted(now time.Time) {
+	l.end(now, false, RankRestarted)
+	l.over = true
+}
+
 // newer tells whether a state of one epoch is at least as new as another.
 func (s State) newer(old State) bool {
 	if s.Reader == old.Reader {
@@ -200,6 +225,7 @@
 func (l *Lead) restart(now time.Time, s State) {
 	l.end(now, false, "group formed anew")
 	l.epoch = s.Epoch
+	l.over = false
 	l.size = s.Size
 	l.step = 0
 	l.members = make(map[btexpert.Rank]*member)
@@ -320,7 +346,7 @@
 // Begin starts a round for a new map and returns its version. The group must be
 // whole and the lead idle; Step returns the commands.
 func (l *Lead) Begin(now time.Time, p Proposal) (Version, bool) {
-	if l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !l.noneArmed() {
+	if l.over || l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !l.noneArmed() {
 		return 0, false
 	}
 	l.enter(Preparing)
@@ -335,6 +361,9 @@
 // foreign tells whether a rank holds the group, or some ranks and not all are
 // armed, though this lead has no round.
 func (l *Lead) foreign() bool {
+	if l.over {
+		return false
+	}
 	var armed Version
 	for _, m := range l.members {
 		if m.state.Held {
--- a/core/btround/message.go
+++ b/core/btround/message.go
@@ -25,6 +25,7 @@
 	"fmt"
 
 	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btid"
 )
 
 // ErrMessage is wrapped by the error of every malformed message.
@@ -63,6 +64,9 @@
 	Group string        `cbor:"group"`
 	// Epoch changes whenever the group forms anew.
 	Epoch uint64 `cbor:"epoch"`
+	// Start tells one start of the rank's engine from another; zero where the
+	// platform doesn't tell.
+	Start btid.Incarnation `cbor:"start"`
 	// Open tells that the group is whole.
 	Open bool `cbor:"open"`
 	// Step is the last step begun.
--- /dev/null
+++ b/core/btround/restart_test.go
@@ -0,0 +1,78 @@
+package btround_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btround"
+)
+
+// restartable is a group of two ranks whose engines tell their starts.
+type restartable struct {
+	t       *testing.T
+	lead    *btround.Lead
+	now     time.Time
+	reading uint64
+}
+
+func newRestartable(t *testing.T) *restartable {
+	t.Helper()
+	lead := btround.NewLead(btround.Defaults(), "g", 0, btassert.New(btassert.Panic()))
+	r := &restartable{t: t, lead: lead, now: time.Unix(1000, 0)}
+	r.report(0, 1, 10)
+	r.report(1, 1, 20)
+	return r
+}
+
+// report has the lead hear of a rank's state.
+func (r *restartable) report(rank btexpert.Rank, epoch uint64, start btid.Incarnation) {
+	r.now = r.now.Add(10 * time.Millisecond)
+	r.reading++
+	r.lead.Report(r.now, btround.State{Rank: rank, Size: 2, Group: "g", Epoch: epoch, Start: start, Open: true, Reader: 1, Reading: r.reading}, 0)
+}
+
+func (r *restartable) begins() bool {
+	_, begun := r.lead.Begin(r.now, btround.Proposal{Holder: 1})
+	return begun
+}
+
+// A rank that starts again under its ID has nothing of what was prepared or armed. A
+// round that counts on it must not go on, though the epoch is still the same.
+func TestARankThatStartsAnewEndsTheRound(t *testing.T) {
+	r := newRestartable(t)
+	assert.Assert(t, r.begins())
+	r.report(1, 1, 21)
+	outcome := r.lead.Outcome()
+	assert.Assert(t, outcome != nil)
+	assert.Equal(t, outcome.Reason, btround.RankRestarted)
+	assert.Equal(t, len(r.lead.Step(r.now)), 0, "nothing is ordered in an epoch that is over")
+	assert.Assert(t, !r.begins())
+}
+
+// A state of the start before, on its way when the engine died, changes nothing:
+// the epoch stays over until the group has formed anew.
+func TestLateNewsOfAnOldStartDoesNotReviveTheEpoch(t *testing.T) {
+	r := newRestartable(t)
+	r.report(1, 1, 21)
+	r.report(1, 1, 20)
+	r.report(0, 1, 10)
+	assert.Assert(t, !r.begins())
+	r.report(0, 2, 10)
+	r.report(1, 1, 20)
+	assert.Assert(t, !r.begins(), "a rank has not been heard of in the new epoch")
+	r.report(1, 2, 21)
+	assert.Assert(t, r.begins())
+}
+
+// Engines that don't tell their start are known by the epoch alone.
+func TestAStartThatIsNotToldEndsNothing(t *testing.T) {
+	r := newRestartable(t)
+	r.report(1, 1, 0)
+	r.report(1, 1, 20)
+	assert.Assert(t, r.begins())
+}
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -51,7 +51,7 @@
 	tokens := &promptTokens{fleet: e.fleet, target: t, count: x.call.PromptTokens}
 	defer e.fleet.done(t)
 	defer tokens.read()
-	x.tried[t.info.ID] = true
+	x.tried[t.info.Instance()] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	moving := x.movable(t, cancel)
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -36,7 +36,7 @@
 	// wait is how the request waits for an open group and for a place.
 	wait btgate.Request
 
-	tried map[btinventory.ID]bool
+	tried map[btinventory.Instance]bool
 	// attempts are those that a target may have begun to work on, turnedAway those
 	// that none has.
 	attempts   int
@@ -68,7 +68,7 @@
 		caller:   r,
 		call:     e.options.Headers.Call(r.Header),
 		received: e.options.Clock(),
-		tried:    make(map[btinventory.ID]bool),
+		tried:    make(map[btinventory.Instance]bool),
 	}
 	e.meter.Counter(metricRequests).Inc(1)
 	if e.stopping.Load() {
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -42,8 +42,8 @@
 	tokens    int
 	failures  int
 	suspended time.Time
-	// replaced is until when the target is taken for gone, as another incarnation
-	// has its address.
+	// replaced is until when the target is taken for gone, as another one has its
+	// address.
 	replaced time.Time
 	// reported is how many requests of all entries the group's lead saw here at
 	// reportedAt, when own of them were this entry's.
@@ -84,7 +84,7 @@
 	clock btloop.Clock
 
 	mu       sync.Mutex
-	targets  map[btinventory.ID]*target
+	targets  map[btinventory.Instance]*target
 	services map[btid.Service]*service
 }
 
@@ -104,7 +104,7 @@
 	return &fleet{
 		near:     o.Settings.DataCentre,
 		clock:    o.Clock,
-		targets:  make(map[btinventory.ID]*target),
+		targets:  make(map[btinventory.Instance]*target),
 		services: make(map[btid.Service]*service),
 	}
 }
@@ -113,26 +113,26 @@
 func (f *fleet) configure(_ *btcatalog.Index, list []btinventory.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	listed := make(map[btinventory.ID]bool, len(list))
+	listed := make(map[btinventory.Instance]bool, len(list))
 	for _, s := range f.services {
 		s.targets = s.targets[:0]
 	}
 	for _, info := range list {
-		listed[info.ID] = true
+		listed[info.Instance()] = true
 		t := f.target(info)
 		s := f.service(info.Service)
 		s.targets = append(s.targets, t)
 	}
-	for id, t := range f.targets {
-		if !listed[id] {
-			delete(f.targets, id)
+	for instance, t := range f.targets {
+		if !listed[instance] {
+			delete(f.targets, instance)
 			t.kept.Close()
 		}
 	}
 }
 
 func (f *fleet) target(info btinventory.Target) *target {
-	t, found := f.targets[info.ID]
+	t, found := f.targets[info.Instance()]
 	if found {
 		t.state = info.State
 		t.slots = info.Slots
@@ -154,7 +154,7 @@
 		fresh: bttarget.New(once),
 		moves: make(map[*move]struct{}),
 	}
-	f.targets[info.ID] = t
+	f.targets[info.Instance()] = t
 	return t
 }
 
@@ -177,7 +177,7 @@
 // pick chooses a target for a request and counts the request there. It passes
 // over those that the request has tried, those that are slow and those that
 // failed of late, unless there is no other. It returns nil without any.
-func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.ID]bool) *target {
+func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool) *target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
@@ -185,7 +185,7 @@
 	var usable, slow, failing, broken []*target
 	for _, t := range s.targets {
 		switch {
-		case t.state != btinventory.Ready || tried[t.info.ID] || now.Before(t.replaced):
+		case t.state != btinventory.Ready || tried[t.info.Instance()] || now.Before(t.replaced):
 		case s.closed(t, now):
 			broken = append(broken, t)
 		case now.Before(t.suspended):
@@ -262,12 +262,12 @@
 	return wait
 }
 
-// replacedFor is for how long a target whose address another incarnation has is
+// replacedFor is for how long a target whose address another one has is
 // passed over: by then the list no longer has it, as records lapse after three
 // missed renewals of some 1.2 s.
 const replacedFor = 5 * time.Second
 
-// misdirected notes that another incarnation has a target's address.
+// misdirected notes that another target has a target's address.
 func (f *fleet) misdirected(t *target) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/btdirect/knowledge.go
+++ b/io/btdirect/knowledge.go
@@ -68,6 +68,8 @@
 	reads func() bool
 	// listedAt is when the list that is known was read, by whichever entry.
 	listedAt time.Time
+	// logged is how the last malformed record of a key was malformed.
+	logged map[string]string
 	// catalogBytes is the catalog as it was published.
 	catalogBytes []byte
 	// targetsDigest is that of the targets, if digested; rosters are what agents are
@@ -88,6 +90,7 @@
 		register:  btinventory.NewRegister(lapseGrace),
 		first:     make(chan struct{}),
 		rosters:   make(map[btid.Service]btinventory.Roster),
+		logged:    make(map[string]string),
 	}
 }
 
@@ -174,40 +177,69 @@
 	k.listedAt = now
 	k.revision = u.Revision
 	k.known = true
-	for _, err := range u.Malformed {
-		k.meter.Counter(metricMalformed).Inc(1)
-		k.log.Warn("record refused", "revision", u.Revision, "error", err, "outcome", "earlier record stays")
+	for _, m := range u.Malformed {
+		k.malformed(m, u.Revision)
 	}
 	changes := k.targets(now, u)
 	renewed := k.adopt(u.Catalog, u.CatalogBytes, "store")
 	for _, c := range changes {
-		k.log.Info(c.What, "target", c.ID, "service", c.Target.Service, "address", c.Target.Address, "revision", u.Revision)
+		k.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "revision", u.Revision)
 	}
 	if renewed || len(changes) > 0 {
 		k.publish()
 	}
 }
 
+// maxMalformed bounds the keys whose malformed records are remembered as logged.
+const maxMalformed = 1024
+
+// malformed counts a malformed record, and logs it unless the last of its key was
+// malformed in the same way: one that is written anew each second would fill the log.
+// The lock is held.
+func (k *knowledge) malformed(m MalformedRecord, revision uint64) {
+	k.meter.Counter(metricMalformed).Inc(1)
+	reason := m.Err.Error()
+	if k.logged[m.Key] == reason {
+		return
+	}
+	if len(k.logged) >= maxMalformed {
+		clear(k.logged)
+	}
+	k.logged[m.Key] = reason
+	k.log.Warn("record refused", "key", m.Key, "revision", revision, "error", m.Err, "outcome", m.Outcome)
+}
+
 // targets brings the register up to the update.
 func (k *knowledge) targets(now time.Time, u Update) []btinventory.Change {
 	changes := k.register.Expire(now)
 	if u.Full {
 		list := make([]btinventory.Target, 0, len(u.Changes))
 		for _, c := range u.Changes {
+			if c.Refused {
+				changes = append(changes, k.register.Refuse(c.ID)...)
+				continue
+			}
 			list = append(list, c.Target)
 		}
 		return append(changes, k.register.Replace(now, list)...)
 	}
 	for _, c := range u.Changes {
-		if c.Removed {
-			changes = append(changes, k.register.Remove(now, c.ID)...)
-			continue
-		}
-		changes = append(changes, k.register.Put(c.Target)...)
+		changes = append(changes, k.target(now, c)...)
 	}
 	return changes
 }
 
+// target takes one change of the list in.
+func (k *knowledge) target(now time.Time, c TargetChange) []btinventory.Change {
+	switch {
+	case c.Refused:
+		return k.register.Refuse(c.ID)
+	case c.Removed:
+		return k.register.Remove(now, c.ID)
+	}
+	return k.register.Put(c.Target)
+}
+
 // adopt puts a catalog in force if it is newer, and tells whether it did.
 func (k *knowledge) adopt(c *btcatalog.Catalog, data []byte, from string) bool {
 	if c == nil {
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -133,7 +133,7 @@
 	}
 	changes := k.register.Adopt(l.Targets)
 	for _, c := range changes {
-		k.log.Info(c.What, "target", c.ID, "service", c.Target.Service, "address", c.Target.Address, "revision", l.Revision, "from", from, "age_ms", k.clock().Sub(readAt).Milliseconds())
+		k.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "revision", l.Revision, "from", from, "age_ms", k.clock().Sub(readAt).Milliseconds())
 	}
 	if len(changes) > 0 {
 		k.publish()
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -27,7 +27,7 @@
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target said that it did not run the request.
 	ReasonTargetRefused btrequest.Reason = "target_refused"
-	// ReasonMisdirected: another incarnation has the target's address.
+	// ReasonMisdirected: another target has the address.
 	ReasonMisdirected btrequest.Reason = "misdirected"
 	// ReasonTargetError: the target ran the request and answered with an error.
 	ReasonTargetError btrequest.Reason = "target_error"
--- a/io/btdirect/source.go
+++ b/io/btdirect/source.go
@@ -36,13 +36,24 @@
 	CatalogBytes []byte
 	Changes      []TargetChange
 	// Malformed lists what could not be decoded.
-	Malformed []error
+	Malformed []MalformedRecord
 }
 
-// TargetChange is a target's new record, or its removal.
+// MalformedRecord is a record that can't be decoded.
+type MalformedRecord struct {
+	Key string
+	Err error
+	// Outcome says what holds in its place.
+	Outcome string
+}
+
+// TargetChange is a target's new record, its removal, or that what stands there
+// names no target.
 type TargetChange struct {
 	ID      btinventory.ID
 	Removed bool
+	// Refused tells that the record can't be used.
+	Refused bool
 	Target  btinventory.Target
 }
 
@@ -76,7 +87,7 @@
 // Forward is what the entry says in a request to a target.
 type Forward struct {
 	Account btid.Account
-	// Target is the incarnation that is meant.
+	// Target is the target that is meant.
 	Target    btinventory.ID
 	Remaining time.Duration
 	Priority  int
@@ -90,7 +101,7 @@
 	ID string
 	// NotRun is the target's word that it did not run the request.
 	NotRun bool
-	// Misdirected tells that another incarnation has the address.
+	// Misdirected tells that another target has the address.
 	Misdirected bool
 	// Stamped tells that the answer is the target's own.
 	Stamped bool
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -208,6 +208,9 @@
 	} else if s.Open != a.state.Open || s.Epoch != a.state.Epoch {
 		a.log.Info("group changed", "group", s.Group, "rank", s.Rank, "epoch", s.Epoch, "open", s.Open, "step", s.Step)
 	}
+	if s.Start != a.state.Start && a.state.Start != 0 {
+		a.log.Warn("engine started anew", "rank", s.Rank, "group", s.Group, "epoch", s.Epoch, "start", s.Start, "before", a.state.Start)
+	}
 	a.state = s
 	a.readAt = a.options.Clock()
 	return true
--- a/io/btrank/counter.go
+++ b/io/btrank/counter.go
@@ -1,16 +1,20 @@
 package btrank
 
+import "bilberrytide/core/btid"
+
 // counter turns an engine's running counts into what was chosen of late.
 type counter struct {
 	epoch uint64
+	start btid.Incarnation
 	// earlier and latest are the last two readings.
 	earlier, latest []int64
 }
 
 // take takes running counts in.
 func (c *counter) take(counts Counts) {
-	if counts.Epoch != c.epoch || len(counts.Values) != len(c.latest) {
+	if counts.Epoch != c.epoch || counts.Start != c.start || len(counts.Values) != len(c.latest) {
 		c.epoch = counts.Epoch
+		c.start = counts.Start
 		c.latest = nil
 	}
 	c.earlier = c.latest
--- a/io/btrank/engine.go
+++ b/io/btrank/engine.go
@@ -18,12 +18,15 @@
 	"time"
 
 	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btround"
 )
 
 // Counts are how often a rank's requests chose each expert since it started.
 type Counts struct {
 	Epoch uint64
+	// Start is that of the engine, zero where the platform doesn't tell it.
+	Start btid.Incarnation
 	Step  int64
 	// Values is flat, layer by layer.
 	Values []int64
