The first map of a group follows the demand before its outage

Hypothesis: part of the seconds after an outage is the map that a group forms with.

Kept: agents read their engine each 40 ms while the group is broken and tell of its opening at once; the lead plans from the map in turn and from the choices before the outage; entries are told at once.

--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -40,6 +40,9 @@
 	// expectTime for how long: a few steps.
 	expectEvery = 30 * time.Millisecond
 	expectTime  = 300 * time.Millisecond
+	// formingEvery is the pace at which the state is read while the group is broken.
+	// It costs nothing on the engine's own host, and callers wait for the group.
+	formingEvery = 40 * time.Millisecond
 	// answerTime bounds the answer to a report or a bundle; a relay or lead that
 	// takes longer has missed it.
 	answerTime = 300 * time.Millisecond
@@ -70,6 +73,9 @@
 	// expected is the version that the rank was armed for.
 	expected      btround.Version
 	expectedUntil time.Time
+	// toldAt is when the state was told, toldOpen whether the group was open then.
+	toldAt   time.Time
+	toldOpen bool
 	// countedAt is when the counts were told.
 	countedAt time.Time
 	// maps are the maps that instructions may refer to, by version.
@@ -164,15 +170,28 @@
 	if a.expecting(a.options.Clock()) {
 		return expectEvery
 	}
+	if !a.state.Open {
+		return formingEvery
+	}
 	return btrelay.ReportEvery(a.tree.BlockSize())
 }
 
 // worthTelling tells whether the lead should hear the state now: while a version
-// is expected, it hears once it is in force.
+// is expected, it hears once it is in force; while the group is broken, at the usual
+// pace and once it is open.
 func (a *Agent) worthTelling() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.expecting(a.options.Clock())
+	now := a.options.Clock()
+	if a.expecting(now) {
+		return false
+	}
+	if a.state.Open == a.toldOpen && now.Sub(a.toldAt) < btrelay.ReportEvery(a.tree.BlockSize())-formingEvery {
+		return false
+	}
+	a.toldAt = now
+	a.toldOpen = a.state.Open
+	return true
 }
 
 // wait waits until the next report is due.
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -59,6 +59,9 @@
 	sending map[btexpert.Rank]btround.Version
 	remotes map[netip.AddrPort]Engine
 	leading bool
+	// open tells whether the group was whole at the last step. Entries are told of a
+	// change at once.
+	open    bool
 	planned time.Time
 	told    time.Time
 	// tellersAway is until when a rank's agent is not asked to tell entries.
@@ -114,6 +117,9 @@
 		}
 	}
 	l.planner.count(now, b.Counts)
+	if l.machine.Whole(now) != l.open {
+		l.wake()
+	}
 	return reply, nil
 }
 
@@ -182,6 +188,10 @@
 		l.log.Info("leads", "group", l.agent.own().Group, "epoch", l.machine.Epoch(), "ballot", l.machine.Ballot())
 	}
 	l.lookAtStale(ctx, now)
+	if whole := l.machine.Whole(now); whole != l.open {
+		l.open = whole
+		l.told = time.Time{}
+	}
 	l.tell(ctx, now)
 	if l.machine.Phase() == btround.Idle {
 		l.plan(now)
--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -1,7 +1,6 @@
 package btrank
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -11,11 +10,6 @@
 )
 
 const (
-	// countHalfLife is the time in which a count loses half of its weight. The
-	// experts in demand change at once every few seconds; a
-	// half-life of 250 ms served less in time over eight days of high load (mean
-	// worth 0.705 against 0.754).
-	countHalfLife = 150 * time.Millisecond
 	// leastCounts is how many choices an expert must have had on average for the
 	// counts to tell popular experts from chance.
 	leastCounts = 10
@@ -52,8 +46,7 @@
 // planner knows the experts in demand and the map in force.
 type planner struct {
 	size    int
-	loads   []float64
-	decayed time.Time
+	choices btexpert.Choices
 	held    []Held
 	known   []bool
 	// next is the map of the round under way, changes what differs in it from
@@ -81,6 +74,7 @@
 	p.held = make([]Held, size)
 	p.known = make([]bool, size)
 	p.next = nil
+	p.choices.Formed(now)
 }
 
 // count takes choices of experts in.
@@ -88,21 +82,7 @@
 	if s == nil {
 		return
 	}
-	if len(p.loads) != len(s.Values) {
-		p.loads = make([]float64, len(s.Values))
-		p.decayed = now
-	}
-	const decayEvery = 25 * time.Millisecond
-	if age := now.Sub(p.decayed); age >= decayEvery {
-		factor := math.Exp2(-float64(age) / float64(countHalfLife))
-		for i := range p.loads {
-			p.loads[i] *= factor
-		}
-		p.decayed = now
-	}
-	for i, n := range s.Values {
-		p.loads[i] += float64(n) * s.Unit
-	}
+	p.choices.Add(now, s.Values, s.Unit)
 }
 
 // hold takes in what a rank holds.
@@ -118,7 +98,7 @@
 
 // wants tells whether it isn't known what the rank holds by the version.
 func (p *planner) wants(r btexpert.Rank, v btround.Version) bool {
-	if p.next != nil && v == p.version {
+	if v == 0 || p.next != nil && v == p.version {
 		return false
 	}
 	return int(r) < p.size && (!p.known[r] || p.held[r].Version < v)
@@ -135,22 +115,15 @@
 		return btexpert.RapidPlan{}, keepHeld
 	}
 	shape := shapeOf(g, size)
-	if shape.Validate() != nil || len(p.loads) != g.Layers*g.Experts {
+	load, total := p.choices.Load(g.Layers, g.Experts)
+	if shape.Validate() != nil || load == nil {
 		return btexpert.RapidPlan{}, keepNoShape
 	}
 	m, found := p.inForce(shape, version)
 	if !found {
 		return btexpert.RapidPlan{}, keepNoMap
 	}
-	load := make(btexpert.Load, g.Layers)
-	total := 0.0
-	for l := range load {
-		load[l] = p.loads[l*g.Experts : (l+1)*g.Experts]
-		for _, v := range load[l] {
-			total += v
-		}
-	}
-	if total < leastCounts*float64(len(p.loads)) {
+	if total < leastCounts*float64(g.Layers*g.Experts) {
 		return btexpert.RapidPlan{}, keepNoCounts
 	}
 	p.strain = p.worst(now, strain)
@@ -188,8 +161,13 @@
 	return btexpert.Shape{Ranks: size, Layers: g.Layers, Experts: g.Experts, Slots: g.Slots, ExpertBytes: max(g.ExpertBytes, 1)}
 }
 
-// inForce returns the map in force, put together from what the ranks hold.
+// inForce returns the map in force, put together from what the ranks hold. The one
+// that a group forms with is known beforehand: it need not be asked of every rank,
+// which takes half a second in which each step lasts twice as long.
 func (p *planner) inForce(s btexpert.Shape, version btround.Version) (btexpert.Map, bool) {
+	if version == 0 {
+		return btexpert.InTurn(s), true
+	}
 	m := btexpert.Map{Shape: s, Layers: make([]btexpert.Layer, s.Layers)}
 	for l := range m.Layers {
 		m.Layers[l].Ranks = make([][]btexpert.Expert, s.Ranks)
@@ -212,9 +190,6 @@
 	p.base = before
 	p.changes = nil
 	from, found := p.inForce(plan.Map.Shape, before)
-	if before == 0 {
-		from = btexpert.InTurn(plan.Map.Shape)
-	}
 	if found {
 		p.changes = changesBetween(from.Layers, plan.Map.Layers)
 	}
