--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -52,6 +52,9 @@
 	return string(i.ID) + "@" + i.Start.String()
 }
 
+// MarshalText writes the instance as String does, for logs.
+func (i Instance) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
+
 // Target is one listed target.
 type Target struct {
 	ID         ID              `json:"id"`
--- a/core/btinventory/instance_test.go
+++ b/core/btinventory/instance_test.go
@@ -1,6 +1,7 @@
 package btinventory_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -22,7 +23,11 @@
 func ExampleInstance() {
 	t := btinventory.Target{ID: "i-1", Start: 0x2a}
 	fmt.Println(t.Instance())
-	// Output: i-1@2a
+	text, _ := json.Marshal(t.Instance())
+	fmt.Println(string(text))
+	// Output:
+	// i-1@2a
+	// "i-1@2a"
 }
 
 // A target that starts again under its ID is gone and another is there: whoever keeps
