First tries are known by the range of deadlines, and promised places are kept

Hypothesis: after an outage all are late as nobody who could be in time goes first. Cause, by each request's time by stage: what a caller has spent was told from the longest deadline seen. Deadlines are spread from 6.8 to 8.0 s, so that 542 of 1,017 fresh callers of a calm spell counted as 0.4 s old or more and waited with those that were late. The time to begin grew with the crowd beyond the objective, after which none counted as in time.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -63,6 +63,8 @@
 	// began is the mean time from admission until an answer begins, where answers
 	// come in pieces.
 	began time.Duration
+	// promised counts the admissions by their part that goes to callers who come back.
+	promised float64
 	// booked is the time up to which refused requests were told to come back.
 	booked time.Time
 }
--- a/core/btgate/queue.go
+++ b/core/btgate/queue.go
@@ -64,12 +64,20 @@
 	return late
 }
 
-// before tells whether one request goes before another that came later.
+// before tells whether one request goes before another that came later. Of those that
+// can be in time the one with the most time goes first: where not all can be served in
+// time, the first come would each begin just as their time is over. In a group that is
+// asked for three times what it carries 0.36 of the worth was served with the first
+// come first and deadlines learned by the longest, 0.47 with this (one simulated day).
 func (r Request) before(o Request, now time.Time) bool {
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
 	}
-	return r.rank(now) <= o.rank(now)
+	a, b := r.rank(now), o.rank(now)
+	if a == inTime && b == inTime {
+		return !o.InTime.After(r.InTime)
+	}
+	return a <= b
 }
 
 // Wait queues a request. It returns nil where more wait before it than can be
@@ -108,7 +116,7 @@
 	g.queue = slices.DeleteFunc(g.queue, func(t *Ticket[W]) bool { return now.After(t.Until) })
 	places := g.Places(now)
 	for len(g.queue) > 0 && g.running < places {
-		i := g.first(now)
+		i := g.next(now)
 		t := g.queue[i]
 		g.queue = slices.Delete(g.queue, i, i+1)
 		t.granted = true
@@ -118,6 +126,38 @@
 	return admitted
 }
 
+// next returns the index of the request that is admitted next; there must be one.
+// Places that were promised to callers who come back go to them, though others could
+// be in time: they don't come a third time. Without this 1.7 in 100 requests were
+// refused for good on a simulated day with two outages, with it 1.2 to 1.6.
+func (g *Gate[W]) next(now time.Time) int {
+	last := g.firstLast(now)
+	if last < 0 {
+		return g.first(now)
+	}
+	g.promised += returnShare
+	if g.promised < 1 {
+		return g.first(now)
+	}
+	g.promised--
+	return last
+}
+
+// firstLast returns the index of the request that gives up first among those that give
+// up soon and whose callers hardly come back; -1 without one.
+func (g *Gate[W]) firstLast(now time.Time) int {
+	last := -1
+	for i, t := range g.queue {
+		if !t.Last || t.Until.Sub(now) > lastCall {
+			continue
+		}
+		if last < 0 || t.Until.Before(g.queue[last].Until) {
+			last = i
+		}
+	}
+	return last
+}
+
 // first returns the index of the request that goes first; there must be one.
 func (g *Gate[W]) first(now time.Time) int {
 	best := 0
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -29,8 +29,11 @@
 	// entries estimates how many entries share the targets.
 	entries func() int
 
-	mu    sync.Mutex
-	gates map[btid.Service]*serviceGate
+	mu sync.Mutex
+	// refused is when a caller was last turned away who may come back; at first it is
+	// the process's start, as callers come back whom the one before has left.
+	refused time.Time
+	gates   map[btid.Service]*serviceGate
 	// usual is the deadline of callers' first tries by route.
 	usual map[string]*btgate.Usual
 }
@@ -43,7 +46,7 @@
 }
 
 func newAdmission(o Options, f *fleet, entries func() int) *admission {
-	return &admission{clock: o.Clock, fleet: f, entries: entries, gates: make(map[btid.Service]*serviceGate), usual: make(map[string]*btgate.Usual)}
+	return &admission{refused: o.Clock(), clock: o.Clock, fleet: f, entries: entries, gates: make(map[btid.Service]*serviceGate), usual: make(map[string]*btgate.Usual)}
 }
 
 // of returns the service's gate with its bounds brought up to date. The lock is
@@ -77,13 +80,20 @@
 	usual := a.usualOf(x.route.Name)
 	caller := btgate.Caller{
 		Left:      x.call.Deadline,
-		Usual:     usual.Add(now, x.call.Deadline),
+		Usual:     usual.Add(now, x.call.Deadline, a.refused),
 		Objective: x.route.Objective,
 		Timeout:   x.route.Timeout,
 	}
 	return caller.Request(now, x.priority, a.of(x.service).gate.Begin())
 }
 
+// turnedAway notes that a caller was refused or cut off.
+func (a *admission) turnedAway() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused = a.clock()
+}
+
 // usualOf returns what is known of the deadlines of a route's callers. The lock is
 // held.
 func (a *admission) usualOf(route string) *btgate.Usual {
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -272,6 +272,7 @@
 
 // failed gives the final answer after the last attempt.
 func (x *exchange) failed(result attemptResult, reason btrequest.Reason) {
+	x.entry.admission.turnedAway()
 	x.entry.logFailure(x, reason, result)
 	if result.held != nil && !x.streaming() {
 		x.relayHeld(result.held)
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -55,6 +55,7 @@
 // before, or a part of its answer may have gone out: then it is not said that it has
 // not run, and a stream is cut off visibly.
 func (x *exchange) turnDown(reason btrequest.Reason, after time.Duration) {
+	x.entry.admission.turnedAway()
 	if x.mayHaveRun {
 		x.giveUp(&refusal{status: http.StatusBadGateway, reason: reason})
 		return
