--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -41,6 +41,13 @@
 	growRate = 0.5
 	// smoothing is the weight of one pause in the moving average.
 	smoothing = 0.05
+	// standstill is for how long no stream has gone on where a group was away, or the
+	// entry itself: a step takes a tenth of it at most.
+	standstill = time.Second
+	// settleTime is for how long after that pauses tell nothing of the limit: a group
+	// has its first map after 0.3 to 0.8 s and steps of two to three times the length
+	// until then.
+	settleTime = time.Second
 	// busyShare is how much of the limit must be in use for it to grow.
 	busyShare = 0.8
 	// timeWeight is the weight of one request in the mean times: those of a second
@@ -58,6 +65,8 @@
 	group    belief
 	pause    float64
 	adjusted time.Time
+	// paused is when the last pause was measured, settled until when none counts.
+	paused, settled time.Time
 	// held is the mean time for which requests hold their places.
 	held time.Duration
 	// began is the mean time from admission until an answer begins, where answers
@@ -144,7 +153,7 @@
 // Pause takes in a pause between two events of one stream, and the longest that
 // is allowed. It returns true where the limit changed.
 func (g *Gate[W]) Pause(now time.Time, pause, allowed time.Duration) bool {
-	if allowed <= 0 {
+	if allowed <= 0 || g.settles(now) {
 		return false
 	}
 	share := float64(pause) / float64(allowed)
@@ -162,6 +171,18 @@
 	return g.adjust(g.total(now))
 }
 
+// settles tells whether streams go on again after a standstill. The pauses of the first
+// steps are those of a map that is replaced at once. Where they counted, an entry that
+// had only just started took its limit from 720 to 137 places within a second, and was
+// at half of it three seconds later, while the group carried all.
+func (g *Gate[W]) settles(now time.Time) bool {
+	if now.Sub(g.paused) > standstill {
+		g.settled = now.Add(settleTime)
+	}
+	g.paused = now
+	return now.Before(g.settled)
+}
+
 // adjust changes the limit by the smoothed pause and the requests of all entries
 // that are at work.
 func (g *Gate[W]) adjust(total float64) bool {
--- /dev/null
+++ b/core/btgate/settle_test.go
@@ -0,0 +1,41 @@
+package btgate_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btgate"
+)
+
+// An entry that has just started meets a group that has just formed: steps of 250 ms,
+// of which 150 are allowed, until the first map is in force, then steps of 80 ms. The
+// limit must not follow the first ones, as they are over before it could help.
+func TestTheFirstStepsOfAGroupDoNotShrinkTheLimit(t *testing.T) {
+	const allowed = 150 * time.Millisecond
+	g := btgate.New[int](btgate.Config{Least: 180, Most: 720, Start: 720, Entries: 15})
+	now := start
+	steps := func(step, lasting time.Duration) {
+		for end := now.Add(lasting); now.Before(end); now = now.Add(step) {
+			for range g.Running() {
+				g.Pause(now, step, allowed)
+			}
+		}
+	}
+	for range 10 {
+		g.Enter(now)
+	}
+	for range 3 {
+		steps(250*time.Millisecond, 750*time.Millisecond)
+		assert.Equal(t, g.Limit(), 720)
+		steps(80*time.Millisecond, 3*time.Second)
+		assert.Equal(t, g.Limit(), 720)
+		// The group breaks, and forms anew.
+		now = now.Add(4 * time.Second)
+	}
+	for g.Enter(now) {
+	}
+	steps(160*time.Millisecond, 4*time.Second)
+	assert.Assert(t, g.Limit() < 720, "steps that stay long still count")
+}
