--- a/core/btround/restart_test.go
+++ b/core/btround/restart_test.go
@@ -76,3 +76,47 @@
 	r.report(1, 1, 20)
 	assert.Assert(t, r.begins())
 }
+
+// restart has an engine start again under its ID: it has nothing of before, and the
+// group begins no step until it forms anew in the next epoch. Until then the engine
+// answers in the old one.
+func (w *world) restart(e *engine) {
+	*e = engine{world: w, rank: e.rank, started: e.started + 1, reads: e.reads, agent: e.agent, frozen: e.frozen}
+	if w.broken {
+		return
+	}
+	w.broken = true
+	w.heldSince = time.Time{}
+	w.after(w.millis(600, 2500), w.form)
+}
+
+// form forms the group anew: the map is that of the start, and nothing is prepared,
+// armed or held. Only engines that have started anew forget their fences.
+func (w *world) form() {
+	w.epoch++
+	w.broken = false
+	for _, e := range w.engines {
+		e.mapVersion, e.prepared, e.preparing, e.highest, e.armed = 0, 0, 0, 0, 0
+		e.held = false
+	}
+}
+
+// TestNoStepOnTwoMapsThroughRestarts has engines start again under their IDs at any
+// moment of a round, while leads are replaced and orders are lost or carried out late.
+func TestNoStepOnTwoMapsThroughRestarts(t *testing.T) {
+	for _, seed := range run() {
+		w := newWorld(seed, 8, 0.35, 0.05)
+		disturb(w)
+		var again func()
+		again = func() {
+			w.after(w.millis(2000, 12000), again)
+			w.restart(w.engines[w.random.IntN(len(w.engines))])
+		}
+		w.after(3*time.Second, again)
+		w.run(60 * time.Second)
+		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Assert(t, w.epoch > 3, "seed %d: %d epochs", seed, w.epoch)
+		assert.Assert(t, w.switches > 0, "seed %d: no map ever changed", seed)
+		assert.Assert(t, w.longest < longestHold, "seed %d: held for %s", seed, w.longest)
+	}
+}
--- a/core/btround/world_test.go
+++ b/core/btround/world_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btround"
 )
 
@@ -26,6 +27,8 @@
 	reads      uint64
 	// agent is the agent's part in the agreement.
 	agent btround.Acceptor
+	// started counts the engine's starts.
+	started btid.Incarnation
 	// frozen is until when the host can't be reached.
 	frozen time.Time
 }
@@ -49,6 +52,8 @@
 	heldSince  time.Time
 	longest    time.Duration
 	epoch      uint64
+	// broken tells that a rank has started anew and the group not yet formed.
+	broken bool
 	// naive lets the naive variant arm without a hold. Own has each lead hold the
 	// group at its own rank, other at another's.
 	naive, own, other bool
@@ -92,7 +97,7 @@
 	}
 	w.start = w.now
 	for r := range ranks {
-		w.engines = append(w.engines, &engine{world: w, rank: btexpert.Rank(r)})
+		w.engines = append(w.engines, &engine{world: w, rank: btexpert.Rank(r), started: 1})
 	}
 	w.nextAt = w.now
 	return w
@@ -121,7 +126,7 @@
 
 // pass begins the next step where it is due and nobody holds the group.
 func (w *world) pass() {
-	if !w.busy || w.now.Before(w.nextAt) {
+	if !w.busy || w.broken || w.now.Before(w.nextAt) {
 		return
 	}
 	next := w.step + 1
@@ -158,7 +163,7 @@
 func (e *engine) state() btround.State {
 	e.reads++
 	return btround.State{
-		Rank: e.rank, Size: len(e.world.engines), Group: "g", Epoch: e.world.epoch, Open: true,
+		Rank: e.rank, Size: len(e.world.engines), Group: "g", Epoch: e.world.epoch, Start: e.started, Open: !e.world.broken,
 		Step: e.world.step, Map: e.mapVersion, Prepared: e.prepared, Armed: e.armed, ArmedStep: e.armedStep,
 		Held: e.held, HeldStep: e.heldStep, Reader: uint64(e.rank) + 1, Reading: e.reads, Pace: 1,
 	}
