--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -174,7 +174,7 @@
 // settles tells whether streams go on again after a standstill. The pauses of the first
 // steps are those of a map that is replaced at once. Where they counted, an entry that
 // had only just started took its limit from 720 to 137 places within a second, and was
-// at half of it three seconds later, while the group carried all.
+// at half of it three seconds later, with pauses at half of what is allowed.
 func (g *Gate[W]) settles(now time.Time) bool {
 	if now.Sub(g.paused) > standstill {
 		g.settled = now.Add(settleTime)
