Lines tell a request by its content, and that its target ended

An attempt that breaks off was logged by the request's identifier, which is new with each try, and held against the target in the same words whether the answer was cut or the target's process gone. Now the entry asks the target's host for a connection, once for all requests that broke off together: `target ended` where it is refused, and `target_ended`, `began` and `fingerprint` in the lines of the requests that were there. No decision reads it.

Ruled out: the connection's error alone, as streams of all members of a group break off when one of them has ended; the list of targets, which has a target that crashed for three missed renewals.

--- /dev/null
+++ b/core/btquarantine/fingerprint.go
@@ -0,0 +1,76 @@
+// Package btquarantine tells requests by their content and remembers those that end
+// the targets which run them.
+//
+// A caller's identifier is new with each try, so nothing that is kept by it can tell
+// that a request has come before.
+package btquarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash"
+
+	"bilberrytide/core/btid"
+)
+
+// Content is what makes two requests the same one, whichever entry takes them.
+type Content struct {
+	Service btid.Service
+	Account btid.Account
+	Method  string
+	Host    string
+	// URI is the path and the query as the caller sent them.
+	URI  string
+	Body []byte
+}
+
+// FingerprintBytes is the size of a Fingerprint: half of the digest, which no account
+// can make two of its requests share.
+const FingerprintBytes = 16
+
+// Fingerprint stands for a request's content.
+type Fingerprint [FingerprintBytes]byte
+
+// Fingerprint returns that of the content. A request of 1 KB takes some 1 µs, so it is
+// computed where it is needed and not for each request.
+func (c Content) Fingerprint() Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{string(c.Service), string(c.Account), c.Method, c.Host, c.URI} {
+		writePart(h, []byte(part))
+	}
+	writePart(h, c.Body)
+	return Fingerprint(h.Sum(nil)[:FingerprintBytes])
+}
+
+// writePart writes a part behind its length, so that no two contents are written
+// alike. A hash takes everything without an error.
+func writePart(h hash.Hash, part []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+	h.Write(length[:])
+	h.Write(part)
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// MarshalText returns the fingerprint in hexadecimal.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// ErrFingerprint means that a text is no fingerprint.
+var ErrFingerprint = errors.New("malformed fingerprint")
+
+// ParseFingerprint reads what String returns.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	data, err := hex.DecodeString(text)
+	if err != nil {
+		return Fingerprint{}, fmt.Errorf("%w: %q: %w", ErrFingerprint, text, err)
+	}
+	if len(data) != FingerprintBytes {
+		return Fingerprint{}, fmt.Errorf("%w: %q has %d bytes, not %d", ErrFingerprint, text, len(data), FingerprintBytes)
+	}
+	return Fingerprint(data), nil
+}
--- /dev/null
+++ b/core/btquarantine/fingerprint_test.go
@@ -0,0 +1,48 @@
+package btquarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btquarantine"
+)
+
+func content() btquarantine.Content {
+	return btquarantine.Content{Service: "llm", Account: "acme", Method: "POST", Host: "a.example", URI: "/x?y", Body: []byte("body")}
+}
+
+func ExampleContent_Fingerprint() {
+	f := content().Fingerprint()
+	fmt.Println(f == content().Fingerprint(), len(f.String()))
+	// Output: true 32
+}
+
+func TestEachPartMakesAnotherRequest(t *testing.T) {
+	changes := map[string]func(*btquarantine.Content){
+		"service": func(c *btquarantine.Content) { c.Service = "pages" },
+		"account": func(c *btquarantine.Content) { c.Account = "other" },
+		"method":  func(c *btquarantine.Content) { c.Method = "PUT" },
+		"host":    func(c *btquarantine.Content) { c.Host = "b.example" },
+		"uri":     func(c *btquarantine.Content) { c.URI = "/x?z" },
+		"body":    func(c *btquarantine.Content) { c.Body = nil },
+		"border":  func(c *btquarantine.Content) { c.Host, c.URI = "a.example/x", "?y" },
+	}
+	for name, change := range changes {
+		c := content()
+		change(&c)
+		assert.Assert(t, c.Fingerprint() != content().Fingerprint(), name)
+	}
+}
+
+func TestAFingerprintIsReadAsItIsWritten(t *testing.T) {
+	f := content().Fingerprint()
+	read, err := btquarantine.ParseFingerprint(f.String())
+	assert.NilError(t, err)
+	assert.Equal(t, read, f)
+	for _, text := range []string{"", "zz", "00", f.String() + "00"} {
+		_, err := btquarantine.ParseFingerprint(text)
+		assert.ErrorIs(t, err, btquarantine.ErrFingerprint)
+	}
+}
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -32,6 +32,9 @@
 	// held is a whole answer that is passed on unless another attempt follows.
 	held   *heldAnswer
 	detail error
+	// began tells that the target had begun to answer, ended that its process was
+	// gone when the answer broke off.
+	began, ended bool
 }
 
 // heldAnswer is a target's whole answer, not yet passed on.
@@ -58,7 +61,7 @@
 	defer moving.done()
 	answer, err := x.send(ctx, t)
 	if err != nil {
-		result := moving.result(x.sendFailed(t, err))
+		result := x.ended(ctx, t, moving.result(x.sendFailed(t, err)))
 		if !x.gone() {
 			e.judge(t, result)
 		}
@@ -68,10 +71,25 @@
 	result := moving.result(x.receive(ctx, cancel, t, answer, tokens))
 	result.target = t.info.ID
 	result.status = answer.Status
+	result.began = true
+	result = x.ended(ctx, t, result)
 	e.judge(t, result)
 	return result
 }
 
+// ended adds whether the target's process was gone when the attempt broke off.
+func (x *exchange) ended(ctx context.Context, t *target, result attemptResult) attemptResult {
+	if result.done || result.notRun || !brokeOff(result.detail) {
+		return result
+	}
+	ended, first := x.entry.endings.ended(ctx, t)
+	if first {
+		x.entry.endedLine(t)
+	}
+	result.ended = ended
+	return result
+}
+
 // promptTokens counts a prompt at a target until it has been read there.
 type promptTokens struct {
 	fleet  *fleet
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -43,6 +43,7 @@
 	fleet     *fleet
 	admission *admission
 	peers     *peers
+	endings   *endings
 
 	servedCount atomic.Uint64
 	stopping    atomic.Bool
@@ -65,6 +66,7 @@
 		log:     o.Log,
 		meter:   o.Meter,
 		fleet:   newFleet(o),
+		endings: newEndings(o.Clock),
 		stop:    make(chan struct{}),
 		budgets: make(map[btid.Service]*budget),
 	}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -13,6 +13,7 @@
 	"bilberrytide/core/btgate"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btstop"
 )
@@ -47,7 +48,8 @@
 	mayHaveRun bool
 	// whole tells that the caller has its whole answer.
 	whole bool
-	ended bool
+	// logged tells that the request's failure was logged.
+	logged bool
 }
 
 // refusal is an answer of the entry's own.
@@ -57,6 +59,19 @@
 	retryAfter time.Duration
 }
 
+// fingerprint stands for the request's content, by which it is known when it comes
+// again.
+func (x *exchange) fingerprint() btquarantine.Fingerprint {
+	return btquarantine.Content{
+		Service: x.service.Name,
+		Account: x.account,
+		Method:  x.caller.Method,
+		Host:    x.caller.Host,
+		URI:     x.caller.RequestURI,
+		Body:    x.body,
+	}.Fingerprint()
+}
+
 // defaultDeadline is for callers that state none.
 const defaultDeadline = time.Minute
 
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -13,6 +13,8 @@
 	metricFirstEvent = "first_event_us"
 	metricWhole      = "answer_us"
 	metricTargetFail = "target_failures"
+	// metricTargetEnds counts targets that ended with requests at work.
+	metricTargetEnds = "target_ends"
 	metricGroupWaits = "group_waits"
 	// metricCatalogWaits counts requests that came before the first catalog.
 	metricCatalogWaits = "catalog_waits"
@@ -38,10 +40,10 @@
 
 // logFailure notes why a request ends without its whole answer.
 func (e *Entry) logFailure(x *exchange, reason btrequest.Reason, result attemptResult) {
-	if x.ended {
+	if x.logged {
 		return
 	}
-	x.ended = true
+	x.logged = true
 	outcome := btrequest.NotRun
 	if x.mayHaveRun {
 		outcome = btrequest.Unknown
@@ -94,9 +96,20 @@
 	if result.detail != nil {
 		a = append(a, "error", result.detail.Error())
 	}
+	if result.ended {
+		a = append(a, "target_ended", true, "began", result.began, "fingerprint", x.fingerprint())
+	}
 	return append(a, more...)
 }
 
+// endedLine notes that a target's process is gone though its leaving was not listed.
+// The requests that were at work there have its name and their fingerprints in their
+// own lines.
+func (e *Entry) endedLine(t *target) {
+	e.meter.Counter(metricTargetEnds).Inc(1)
+	e.log.Warn("target ended", "target", t.info.Instance(), "service", t.info.Service, "address", t.info.Address)
+}
+
 // targetLine notes that a target failed a request.
 func (e *Entry) targetLine(t *target, result attemptResult, wait time.Duration) {
 	e.meter.Counter(metricTargetFail).Inc(1)
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -123,6 +123,19 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// Refused tells whether the target's host refuses a connection: nothing serves there.
+// A host that is out of reach refuses nothing.
+func (c *Client) Refused(ctx context.Context) bool {
+	dialler := net.Dialer{Timeout: c.options.DialTimeout}
+	connection, err := dialler.DialContext(ctx, "tcp", c.options.Endpoint.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Nothing was written that a close could lose.
+	_ = connection.Close()
+	return false
+}
+
 // Do sends the request once and returns when the head of the answer is there.
 // The context governs the whole exchange, the body included. Redirects are
 // answers like any other.
