Requests that end their targets are kept from them at every entry

Cause: an attempt that broke off was held against the target and never against the request, and what one exchange learned ended with it; a request that ends each target which runs it was sent on, with one more attempt each, at whichever entry it came to and each time it came.

An entry that finds a target's process gone notes it for each request that was there, by content, and tells all entries at once; greetings carry the rest. Two ends under a request that had begun, or three with it sent, keep it from targets for ten minutes: refused at once, not tried again, and withdrawn from where it waits. A request that is served anywhere is free, and one served within the last minute is never kept.

--- /dev/null
+++ b/core/btquarantine/record.go
@@ -0,0 +1,74 @@
+package btquarantine
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Record is what entries tell each other of one request. Times are told as ages, as
+// hosts' clocks differ.
+type Record struct {
+	_           struct{}    `cbor:",toarray"`
+	Fingerprint Fingerprint `cbor:"fingerprint"`
+	// Ends are the targets that ended under the request, the latest MaxEnds of them.
+	Ends []End `cbor:"ends"`
+	// ServedMillis is how long ago a target answered the request whole, in
+	// milliseconds; negative where none has.
+	ServedMillis int64 `cbor:"served_ms"`
+}
+
+// End tells of a target that ended under a request.
+type End struct {
+	_ struct{} `cbor:",toarray"`
+	// Target stands for the start of the target that ended.
+	Target uint64 `cbor:"target"`
+	// Began tells that the target had begun to answer the request.
+	Began bool `cbor:"began"`
+	// AgeMillis is how long ago it was, in milliseconds.
+	AgeMillis int64 `cbor:"age_ms"`
+}
+
+// ErrRecord is wrapped by the error of every record that can't hold.
+var ErrRecord = errors.New("malformed record of a request")
+
+// Validate reports a record that can't hold. The error wraps ErrRecord.
+func (r Record) Validate() error {
+	if len(r.Ends) > MaxEnds {
+		return fmt.Errorf("%w: %d ends, at most %d", ErrRecord, len(r.Ends), MaxEnds)
+	}
+	if r.ServedMillis > Life.Milliseconds() {
+		return fmt.Errorf("%w: served %d ms ago, kept for %s", ErrRecord, r.ServedMillis, Life)
+	}
+	for _, e := range r.Ends {
+		if e.AgeMillis < 0 || e.AgeMillis > Life.Milliseconds() {
+			return fmt.Errorf("%w: an end %d ms ago, kept for %s", ErrRecord, e.AgeMillis, Life)
+		}
+	}
+	return nil
+}
+
+// Records are told in one message.
+type Records []Record
+
+// Validate reports records that are too many or that can't hold. The error wraps
+// ErrRecord.
+func (rs Records) Validate() error {
+	if len(rs) > MaxTold {
+		return fmt.Errorf("%w: %d of them, at most %d", ErrRecord, len(rs), MaxTold)
+	}
+	for _, r := range rs {
+		if err := r.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// age returns a time as an age in milliseconds, for the wire.
+func age(now, at time.Time) int64 { return max(now.Sub(at), 0).Milliseconds() }
+
+// before returns the time that was an age in milliseconds ago.
+func before(now time.Time, millis int64) time.Time {
+	return now.Add(-time.Duration(millis) * time.Millisecond)
+}
--- /dev/null
+++ b/core/btquarantine/register_test.go
@@ -0,0 +1,176 @@
+package btquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bilberrytide/core/btquarantine"
+	"bilberrytide/core/btwire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func request(n int) btquarantine.Fingerprint {
+	return btquarantine.Content{URI: fmt.Sprint("/", n)}.Fingerprint()
+}
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func TestTwoTargetsThatHadBegunOrThreeHoldARequest(t *testing.T) {
+	r := btquarantine.New()
+	assert.Assert(t, !r.Ended(start, request(1), 1, true))
+	assert.Assert(t, !r.Ended(after(10*time.Millisecond), request(1), 1, true), "the same end")
+	assert.Assert(t, !r.Held(after(time.Second), request(1)))
+	assert.Assert(t, r.Ended(after(time.Second), request(1), 2, true))
+	assert.Assert(t, r.Held(after(time.Second), request(1)))
+	assert.Assert(t, !r.Held(after(time.Second), request(2)))
+
+	assert.Assert(t, !r.Ended(start, request(2), 1, false))
+	assert.Assert(t, !r.Ended(start, request(2), 2, true))
+	assert.Assert(t, r.Ended(start, request(2), 3, false))
+}
+
+// A platform that doesn't tell a target's starts apart shows one that ends again.
+func TestOneTargetThatEndsAgainCountsAgain(t *testing.T) {
+	r := btquarantine.New()
+	r.Ended(start, request(1), 1, true)
+	assert.Assert(t, r.Ended(after(5*time.Second), request(1), 1, true))
+}
+
+func TestARequestThatIsServedIsFree(t *testing.T) {
+	r := btquarantine.New()
+	assert.Assert(t, !r.Served(start, request(1)))
+	r.Ended(after(2*time.Minute), request(1), 1, true)
+	assert.Assert(t, r.Served(after(3*time.Minute), request(1)))
+	assert.Assert(t, !r.Ended(after(6*time.Minute), request(1), 2, true), "one end since")
+	assert.Assert(t, r.Ended(after(7*time.Minute), request(1), 3, true))
+}
+
+// A request that many callers send alike is at work at all targets when some end at
+// once.
+func TestARequestServedOfLateIsNotHeld(t *testing.T) {
+	r := btquarantine.New()
+	r.Served(start, request(1))
+	for target := range uint64(3) {
+		assert.Assert(t, !r.Ended(after(time.Second), request(1), target, true))
+	}
+	assert.Assert(t, !r.Held(after(time.Second), request(1)))
+	assert.Assert(t, r.Held(after(3*time.Minute), request(1)), "not served for three minutes")
+}
+
+func TestWhatIsHeldIsFreeAfterItsLife(t *testing.T) {
+	r := btquarantine.New()
+	r.Ended(start, request(1), 1, true)
+	r.Ended(after(time.Minute), request(1), 2, true)
+	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.Life))
+	assert.Assert(t, r.Held(after(btquarantine.Life-time.Second), request(1)))
+	assert.Assert(t, !r.Held(after(btquarantine.Life+time.Second), request(1)))
+	r.Expire(after(2*time.Minute + btquarantine.Life))
+	assert.Assert(t, r.Empty())
+	assert.Equal(t, r.Digest(), uint64(0))
+}
+
+// Two entries that each saw one end hold the request once they have told each other.
+func TestEntriesTellEachOther(t *testing.T) {
+	a, b := btquarantine.New(), btquarantine.New()
+	a.Ended(start, request(1), 1, true)
+	b.Ended(start, request(1), 2, true)
+	assert.Assert(t, a.Digest() != b.Digest())
+	assert.DeepEqual(t, b.Heard(after(time.Second), a.Tell(after(time.Second))), []btquarantine.Fingerprint{request(1)})
+	assert.Equal(t, len(a.Heard(after(time.Second), b.Tell(after(time.Second)))), 1)
+	assert.Equal(t, a.Digest(), b.Digest())
+	assert.Equal(t, len(a.Heard(after(2*time.Second), b.Tell(after(2*time.Second)))), 0, "nothing new")
+
+	a.Served(after(3*time.Second), request(1))
+	b.Heard(after(3*time.Second), a.Tell(after(3*time.Second)))
+	assert.Assert(t, !b.Held(after(3*time.Second), request(1)))
+	a.Heard(after(3*time.Second), b.Tell(after(3*time.Second)))
+	assert.Assert(t, !a.Held(after(3*time.Second), request(1)))
+}
+
+// A target that ends with all that was at work there, again and again, fills the
+// register; what is held stays.
+func TestARegisterIsBounded(t *testing.T) {
+	r := btquarantine.New()
+	r.Ended(start, request(-1), 1, true)
+	r.Ended(start, request(-1), 2, true)
+	for i := range 3 * btquarantine.MaxRecords {
+		r.Ended(after(time.Duration(i)*time.Millisecond), request(i), uint64(i), true)
+	}
+	assert.Equal(t, r.Len(), btquarantine.MaxRecords)
+	now := after(time.Minute)
+	assert.Assert(t, r.Held(now, request(-1)))
+	told := r.Tell(now)
+	assert.Equal(t, len(told), btquarantine.MaxTold)
+	assert.Equal(t, told[0].Fingerprint, request(-1))
+	data, err := btwire.Encode(told)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= tellBytes, "%d bytes", len(data))
+}
+
+// tellBytes is the budget of one message.
+const tellBytes = 4 << 10
+
+func TestRecordsThatCannotHoldAreRefused(t *testing.T) {
+	good := btquarantine.Record{ServedMillis: -1, Ends: []btquarantine.End{{Target: 1}}}
+	assert.NilError(t, good.Validate())
+	for name, change := range map[string]func(*btquarantine.Record){
+		"ends":   func(r *btquarantine.Record) { r.Ends = make([]btquarantine.End, btquarantine.MaxEnds+1) },
+		"age":    func(r *btquarantine.Record) { r.Ends[0].AgeMillis = -1 },
+		"old":    func(r *btquarantine.Record) { r.Ends[0].AgeMillis = btquarantine.Life.Milliseconds() + 1 },
+		"served": func(r *btquarantine.Record) { r.ServedMillis = btquarantine.Life.Milliseconds() + 1 },
+	} {
+		r := good
+		r.Ends = []btquarantine.End{{Target: 1}}
+		change(&r)
+		assert.ErrorIs(t, r.Validate(), btquarantine.ErrRecord, name)
+		assert.ErrorIs(t, btquarantine.Records{r}.Validate(), btquarantine.ErrRecord, name)
+	}
+	assert.ErrorIs(t, make(btquarantine.Records, btquarantine.MaxTold+1).Validate(), btquarantine.ErrRecord)
+}
+
+// Whatever entries see and tell each other in whatever order: they come to the same
+// digest, a request that was never served is held by all once its ends are enough, and
+// one that none ended under never is.
+func TestEntriesComeToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := []*btquarantine.Register{btquarantine.New(), btquarantine.New(), btquarantine.New()}
+		now := start
+		ends := map[int]map[uint64]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			r := entries[rapid.IntRange(0, 2).Draw(t, "entry")]
+			n := rapid.IntRange(0, 3).Draw(t, "request")
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				target := uint64(rapid.IntRange(1, 5).Draw(t, "target"))
+				r.Ended(now, request(n), target, true)
+				if ends[n] == nil {
+					ends[n] = map[uint64]bool{}
+				}
+				ends[n][target] = true
+			case 1:
+				r.Heard(now, entries[rapid.IntRange(0, 2).Draw(t, "from")].Tell(now))
+			case 2:
+				r.Expire(now)
+			}
+		}
+		for range 2 {
+			for _, a := range entries {
+				for _, b := range entries {
+					a.Heard(now, b.Tell(now))
+				}
+			}
+		}
+		for _, r := range entries {
+			for n := range 4 {
+				assert.Check(t, r.Held(now, request(n)) || len(ends[n]) < 2, "request %d with %d ends is sent", n, len(ends[n]))
+				assert.Check(t, !r.Held(now, request(n)) || len(ends[n]) > 0, "request %d is held", n)
+			}
+		}
+	})
+}
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -57,6 +57,7 @@
 	x.tried[t.info.Instance()] = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer e.quarantine.attempting(x, cancel)()
 	moving := x.movable(t, cancel)
 	defer moving.done()
 	answer, err := x.send(ctx, t)
@@ -86,6 +87,9 @@
 	if first {
 		x.entry.endedLine(t)
 	}
+	if ended {
+		x.entry.quarantine.ended(x, t, result.began)
+	}
 	result.ended = ended
 	return result
 }
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -44,6 +44,8 @@
 	admission *admission
 	peers     *peers
 	endings   *endings
+	// quarantine keeps requests that end targets from them.
+	quarantine *quarantine
 
 	servedCount atomic.Uint64
 	stopping    atomic.Bool
@@ -62,13 +64,14 @@
 // New returns an entry; it learns everything once it runs.
 func New(o Options) *Entry {
 	e := &Entry{
-		options: o,
-		log:     o.Log,
-		meter:   o.Meter,
-		fleet:   newFleet(o),
-		endings: newEndings(o.Clock),
-		stop:    make(chan struct{}),
-		budgets: make(map[btid.Service]*budget),
+		options:    o,
+		log:        o.Log,
+		meter:      o.Meter,
+		fleet:      newFleet(o),
+		endings:    newEndings(o.Clock),
+		quarantine: newQuarantine(o),
+		stop:       make(chan struct{}),
+		budgets:    make(map[btid.Service]*budget),
 	}
 	e.knowledge = newKnowledge(o, e.configure)
 	e.peers = newPeers(e)
@@ -139,6 +142,7 @@
 	group.Go(func() error { return serve(server, front) })
 	group.Go(func() error { return e.peers.serve(ctx) })
 	group.Go(func() error { e.peers.run(ctx); return nil })
+	group.Go(func() error { e.quarantine.run(ctx, e.peers.tellQuarantine); return nil })
 	group.Go(func() error {
 		defer cancel()
 		defer ready.Close()
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -13,7 +13,6 @@
 	"bilberrytide/core/btgate"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
-	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btstop"
 )
@@ -59,19 +58,6 @@
 	retryAfter time.Duration
 }
 
-// fingerprint stands for the request's content, by which it is known when it comes
-// again.
-func (x *exchange) fingerprint() btquarantine.Fingerprint {
-	return btquarantine.Content{
-		Service: x.service.Name,
-		Account: x.account,
-		Method:  x.caller.Method,
-		Host:    x.caller.Host,
-		URI:     x.caller.RequestURI,
-		Body:    x.body,
-	}.Fingerprint()
-}
-
 // defaultDeadline is for callers that state none.
 const defaultDeadline = time.Minute
 
@@ -202,6 +188,11 @@
 func (x *exchange) run(ctx context.Context) (waits bool) {
 	e := x.entry
 	for {
+		// Looked at before each attempt: while the request waited, targets may have
+		// ended under another copy of it.
+		if x.quarantined() {
+			return false
+		}
 		t := e.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried)
 		if t == nil {
 			x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()})
@@ -256,6 +247,9 @@
 
 // mayRetry returns why the request is not tried again, or "".
 func (x *exchange) mayRetry(result attemptResult, now time.Time) btrequest.Reason {
+	if _, held := x.entry.quarantine.holds(x); held {
+		return ReasonQuarantined
+	}
 	if result.moved {
 		return ""
 	}
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -15,6 +15,7 @@
 	"bilberrytide/core/btgossip"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/io/btcall"
 )
 
@@ -132,16 +133,21 @@
 	// targets that it knows.
 	Catalog uint64 `cbor:"catalog"`
 	Targets uint64 `cbor:"targets"`
+	// Quarantine is the digest of what the sender knows of requests that end targets.
+	Quarantine uint64 `cbor:"quarantine"`
 }
 
 // Validate reports a hello from nowhere.
 func (h hello) Validate() error {
 	if !h.From.IsValid() {
-		return fmt.Errorf("hello without an address")
+		return errNowhere
 	}
 	return nil
 }
 
+// errNowhere means that a message doesn't say which entry it is from.
+var errNowhere = errors.New("message without its sender's address")
+
 // welcome answers a hello.
 type welcome struct {
 	Entries []btgossip.Sighting `cbor:"entries"`
@@ -149,6 +155,8 @@
 	Catalog []byte `cbor:"catalog,omitempty"`
 	// List is what the entry has read itself.
 	List ReadList `cbor:"list"`
+	// Quarantine is left out where both know the same.
+	Quarantine btquarantine.Records `cbor:"quarantine,omitempty"`
 }
 
 // ReadList is what an entry has read of the list of targets.
@@ -172,6 +180,9 @@
 			return err
 		}
 	}
+	if err := w.Quarantine.Validate(); err != nil {
+		return err
+	}
 	if w.List.Age < 0 {
 		return fmt.Errorf("welcome with a list read in %s", -w.List.Age)
 	}
@@ -215,6 +226,7 @@
 	mux.Handle("POST "+PathRoster, btcall.Handle(p.roster))
 	mux.Handle("POST "+PathLoad, btcall.Handle(p.load))
 	mux.Handle("POST "+pathHello, btcall.Handle(p.hear))
+	mux.Handle("POST "+pathQuarantine, btcall.Handle(p.hearQuarantine))
 	return btcall.Serve(ctx, listener, mux)
 }
 
@@ -259,7 +271,12 @@
 func (p *peers) greet(ctx context.Context, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, helloTime)
 	defer cancel()
-	h := hello{From: p.entry.options.Settings.Peer, Catalog: p.entry.knowledge.version(), Targets: p.entry.knowledge.digest()}
+	h := hello{
+		From:       p.entry.options.Settings.Peer,
+		Catalog:    p.entry.knowledge.version(),
+		Targets:    p.entry.knowledge.digest(),
+		Quarantine: p.entry.quarantine.digest(),
+	}
 	asked := p.entry.options.Clock()
 	w, err := btcall.Call[welcome](ctx, p.calls, to, pathHello, h)
 	if err != nil {
@@ -272,6 +289,7 @@
 		p.entry.knowledge.learn(w.Catalog, to)
 	}
 	p.entry.knowledge.learnList(w.List, asked, to)
+	p.entry.quarantine.hear(w.Quarantine, to)
 }
 
 // metricGreetings counts what came of greetings.
@@ -280,9 +298,10 @@
 // hear answers another entry's hello.
 func (p *peers) hear(_ context.Context, h hello) (welcome, error) {
 	return welcome{
-		Entries: p.greeted(h.From),
-		Catalog: p.entry.knowledge.newerThan(h.Catalog),
-		List:    p.entry.knowledge.readList(h.Targets),
+		Entries:    p.greeted(h.From),
+		Catalog:    p.entry.knowledge.newerThan(h.Catalog),
+		List:       p.entry.knowledge.readList(h.Targets),
+		Quarantine: p.entry.quarantine.newerThan(h.Quarantine),
 	}, nil
 }
 
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -21,6 +21,8 @@
 	ReasonOverload btrequest.Reason = "overload"
 	// ReasonGroupBroken: the service's engine group isn't open.
 	ReasonGroupBroken btrequest.Reason = "group_broken"
+	// ReasonQuarantined: targets have ended under the request, of late.
+	ReasonQuarantined btrequest.Reason = "quarantined"
 	// ReasonNoTarget: no target is known, or none is left to try.
 	ReasonNoTarget btrequest.Reason = "no_target"
 	// ReasonNotSent: no connection to the target could be had.
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -34,6 +34,9 @@
 // the request waits anew, as the group turned out to be broken.
 func (x *exchange) turn(ctx context.Context) bool {
 	e := x.entry
+	if x.quarantined() {
+		return false
+	}
 	if !x.awaitGroup(ctx) {
 		if !x.gone() {
 			x.turnDown(ReasonGroupBroken, x.later())
