Time that a host is suspended counts

The steady clock stands still while a machine is suspended. An entry that woke up took its list of targets, its callers' deadlines and what it had heard of others for as fresh as before, and sent requests on with time that nobody had left. The direct processes now read a clock that counts suspensions: the boot clock, which is read where the time of day and the steady clock have parted by a millisecond, and once a second, so that it costs no system call a request. Timers still go by the steady clock: they are set by differences, and a request that comes out of a wait after its deadline ends there.

--- a/commands/btdirectcmd/btdirectcmd.go
+++ b/commands/btdirectcmd/btdirectcmd.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/netip"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -54,7 +53,7 @@
 		ReadyPath: btadapter.PathReady,
 		Meter:     r.meter,
 		Log:       r.log,
-		Clock:     time.Now,
+		Clock:     r.clock.Now,
 	})
 	r.log.Info("started", "role", "entry", "front", s.Front, "store", s.Store, "data_centre", s.DataCentre)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -81,7 +80,7 @@
 		Remote:   func(a netip.AddrPort) btrank.Engine { return btadapter.NewEngine(a) },
 		Meter:    r.meter,
 		Log:      r.log,
-		Clock:    time.Now,
+		Clock:    r.clock.Now,
 		Assert:   r.assert,
 		Address:  s.Agent,
 	})
--- a/commands/btdirectcmd/common.go
+++ b/commands/btdirectcmd/common.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bilberrytide/core/btassert"
+	"bilberrytide/io/btclock"
 	"bilberrytide/io/btdirect"
 	"bilberrytide/io/btlog"
 	"bilberrytide/io/btmetric"
@@ -50,6 +51,7 @@
 	log      *slog.Logger
 	meter    *btmetric.Meter
 	assert   *btassert.Asserter
+	clock    *btclock.Clock
 }
 
 // newRuntime reads the settings and makes what every process needs.
@@ -72,6 +74,12 @@
 		r.meter.Counter(btmetric.PrefixViolated + string(v.Name)).Inc(1)
 		r.log.Error("invariant violated", "invariant", v.Name, "detail", v.Detail)
 	}))
+	r.clock, err = btclock.New(btclock.NewSystem(), time.Now(), func(slept time.Duration) {
+		r.log.Warn("host was suspended", "for_ms", slept.Milliseconds())
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStart, err)
+	}
 	return r, nil
 }
 
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -79,7 +79,9 @@
 		x.refuse(refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	// A timer goes by the steady clock, the deadline by one that runs on while the host
+	// is suspended: only the time between two of its readings can be handed over.
+	ctx, cancel := context.WithTimeout(r.Context(), x.deadline.Sub(e.options.Clock()))
 	defer cancel()
 	x.serve(ctx)
 }
@@ -193,6 +195,9 @@
 		if x.quarantined() {
 			return false
 		}
+		if x.overdue() {
+			return false
+		}
 		t := e.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried)
 		if t == nil {
 			x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()})
@@ -216,6 +221,16 @@
 	}
 }
 
+// overdue ends a request that waited until after its deadline, and tells whether it is
+// one: the timers of a host that was suspended are late by as much.
+func (x *exchange) overdue() bool {
+	if x.entry.options.Clock().Before(x.deadline) {
+		return false
+	}
+	x.turnDown(ReasonTimeout, 0)
+	return true
+}
+
 // again decides on another attempt; where there is none it gives the final
 // answer.
 func (x *exchange) again(ctx context.Context, result attemptResult) bool {
@@ -226,7 +241,7 @@
 		x.abort()
 		return false
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !now.Before(x.deadline) {
 		e.logFailure(x, ReasonTimeout, result)
 		x.giveUp(&refusal{status: http.StatusGatewayTimeout, reason: ReasonTimeout})
 		return false
