What a process knows of requests that end targets is kept in one place

btisolation holds the register, its lock, its news and its log lines, for both request paths; the direct entry adds its attempts and its messages.

--- a/docs/lines_test.go
+++ b/docs/lines_test.go
@@ -14,7 +14,7 @@
 )
 
 // lineRoots are the packages of the processes on the users' platform.
-var lineRoots = []string{"../io/btdirect", "../io/btrank", "../io/btlog", "../commands/btdirectcmd"}
+var lineRoots = []string{"../io/btdirect", "../io/btrank", "../io/btlog", "../io/btisolation", "../commands/btdirectcmd"}
 
 // TestOperationsListsEveryLine compares the table of log lines with the code, in
 // both directions.
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -80,7 +80,7 @@
 
 // ended adds whether the target's process was gone when the attempt broke off.
 func (x *exchange) ended(ctx context.Context, t *target, result attemptResult) attemptResult {
-	if result.done || result.notRun || !brokeOff(result.detail) {
+	if result.done || result.notRun || !bttarget.BrokeOff(result.detail) {
 		return result
 	}
 	ended, first := x.entry.endings.ended(ctx, t)
@@ -88,7 +88,7 @@
 		x.entry.endedLine(t)
 	}
 	if ended {
-		x.entry.quarantine.ended(x, t, result.began)
+		x.entry.quarantine.Ended(x.fingerprint(), t.info.Instance().String(), result.began, "account", x.account, "path", x.caller.RequestURI)
 	}
 	result.ended = ended
 	return result
--- a/io/btdirect/ended.go
+++ b/io/btdirect/ended.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -83,11 +80,3 @@
 	e.answers[of] = a
 	return a
 }
-
-// brokeOff tells whether the target's side ended a connection with a request on it. A
-// caller that leaves, a time that is over and a target that falls silent end it from
-// this side.
-func brokeOff(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -142,7 +142,7 @@
 	group.Go(func() error { return serve(server, front) })
 	group.Go(func() error { return e.peers.serve(ctx) })
 	group.Go(func() error { e.peers.run(ctx); return nil })
-	group.Go(func() error { e.quarantine.run(ctx, e.peers.tellQuarantine); return nil })
+	group.Go(func() error { e.quarantine.Run(ctx, e.peers.tellQuarantine); return nil })
 	group.Go(func() error {
 		defer cancel()
 		defer ready.Close()
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -262,7 +262,7 @@
 
 // mayRetry returns why the request is not tried again, or "".
 func (x *exchange) mayRetry(result attemptResult, now time.Time) btrequest.Reason {
-	if _, held := x.entry.quarantine.holds(x); held {
+	if _, held := x.entry.quarantine.Left(x.fingerprint); held {
 		return ReasonQuarantined
 	}
 	if result.moved {
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -30,7 +30,7 @@
 func (x *exchange) served(result attemptResult) {
 	e := x.entry
 	took := e.options.Clock().Sub(x.received)
-	e.quarantine.served(x)
+	e.quarantine.Served(x.fingerprint())
 	e.meter.Ended(btrequest.Done)
 	e.meter.Duration(metricWhole, took)
 	number := e.servedCount.Add(1)
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -275,7 +275,7 @@
 		From:       p.entry.options.Settings.Peer,
 		Catalog:    p.entry.knowledge.version(),
 		Targets:    p.entry.knowledge.digest(),
-		Quarantine: p.entry.quarantine.digest(),
+		Quarantine: p.entry.quarantine.Digest(),
 	}
 	asked := p.entry.options.Clock()
 	w, err := btcall.Call[welcome](ctx, p.calls, to, pathHello, h)
@@ -289,7 +289,7 @@
 		p.entry.knowledge.learn(w.Catalog, to)
 	}
 	p.entry.knowledge.learnList(w.List, asked, to)
-	p.entry.quarantine.hear(w.Quarantine, to)
+	p.entry.quarantine.Hear(w.Quarantine, to.String())
 }
 
 // metricGreetings counts what came of greetings.
@@ -301,7 +301,7 @@
 		Entries:    p.greeted(h.From),
 		Catalog:    p.entry.knowledge.newerThan(h.Catalog),
 		List:       p.entry.knowledge.readList(h.Targets),
-		Quarantine: p.entry.quarantine.newerThan(h.Quarantine),
+		Quarantine: p.entry.quarantine.NewerThan(h.Quarantine),
 	}, nil
 }
 
--- /dev/null
+++ b/io/btisolation/btisolation.go
@@ -0,0 +1,203 @@
+// Package btisolation keeps requests that end targets from them, for all goroutines of
+// a process, and gathers what other processes are to be told of them.
+//
+// Each end of a target takes along up to a dozen other requests and, where the target
+// is a rank of a group, closes the group for seconds.
+package btisolation
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"bilberrytide/core/btquarantine"
+	"bilberrytide/io/btloop"
+)
+
+const (
+	// gather is how long news is gathered: all requests that were at a target break
+	// off within some milliseconds of each other.
+	gather = 5 * time.Millisecond
+	// expireEvery is how often what is of no more use is dropped.
+	expireEvery = 10 * time.Second
+)
+
+// Isolation is what a process knows of such requests. It is safe for concurrent use.
+type Isolation struct {
+	clock btloop.Clock
+	log   *slog.Logger
+	// woken is filled when there is news.
+	woken chan struct{}
+
+	mu       sync.Mutex
+	register *btquarantine.Register
+	// news are the requests of which others are to be told.
+	news     map[btquarantine.Fingerprint]bool
+	withdraw func(btquarantine.Fingerprint) int
+}
+
+// New returns one that knows of no request.
+func New(clock btloop.Clock, log *slog.Logger) *Isolation {
+	return &Isolation{
+		clock:    clock,
+		log:      log,
+		woken:    make(chan struct{}, 1),
+		register: btquarantine.New(),
+		news:     make(map[btquarantine.Fingerprint]bool),
+		withdraw: func(btquarantine.Fingerprint) int { return 0 },
+	}
+}
+
+// OnHold sets what withdraws a request from the targets that have it, before they begin
+// to run it. It returns at how many it was, and must not call the isolation. It is to be
+// set before the first request.
+func (i *Isolation) OnHold(withdraw func(btquarantine.Fingerprint) int) { i.withdraw = withdraw }
+
+// Left returns for how long the request is still kept from targets, if it is. The
+// fingerprint is asked for only where any request is remembered.
+func (i *Isolation) Left(fingerprint func() btquarantine.Fingerprint) (left time.Duration, held bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.register.Empty() {
+		return 0, false
+	}
+	now := i.clock()
+	left = i.register.Until(now, fingerprint()).Sub(now)
+	return left, left > 0
+}
+
+// Ended notes that a target ended with the request at work, and has others know. Began
+// tells that it had begun to answer; details are for the log.
+func (i *Isolation) Ended(f btquarantine.Fingerprint, target string, began bool, details ...any) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	newly := i.register.Ended(i.clock(), f, btquarantine.TargetID(target), began)
+	i.tell(f)
+	if newly {
+		i.hold(f, append([]any{"target", target}, details...)...)
+	}
+}
+
+// Served notes that a target answered the request whole.
+func (i *Isolation) Served(f btquarantine.Fingerprint) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.register.Served(i.clock(), f) {
+		i.tell(f)
+	}
+}
+
+// Hear takes in what another process tells, and tells whether that was new.
+func (i *Isolation) Hear(records btquarantine.Records, from string) (changed bool) {
+	if len(records) == 0 {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	before := i.register.Digest()
+	for _, f := range i.register.Heard(i.clock(), records) {
+		i.hold(f, "from", from)
+	}
+	return i.register.Digest() != before
+}
+
+// Pass has others told of what was heard.
+func (i *Isolation) Pass(records btquarantine.Records) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range records {
+		i.tell(r.Fingerprint)
+	}
+}
+
+// Digest identifies what is known.
+func (i *Isolation) Digest() uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.register.Digest()
+}
+
+// NewerThan returns what is known, for a process that knows what the digest identifies.
+func (i *Isolation) NewerThan(digest uint64) btquarantine.Records {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.register.Digest() == digest {
+		return nil
+	}
+	return i.register.Tell(i.clock())
+}
+
+// Record returns what is known of one request.
+func (i *Isolation) Record(f btquarantine.Fingerprint) btquarantine.Record {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.register.TellOf(i.clock(), f)
+}
+
+// Run hands news to tell, and drops what is of no more use, until the context ends.
+func (i *Isolation) Run(ctx context.Context, tell func(context.Context, btquarantine.Records)) {
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.C:
+			i.expire()
+		case <-i.woken:
+			pause(ctx, gather)
+			for records := i.takeNews(); len(records) > 0; records = i.takeNews() {
+				tell(ctx, records)
+			}
+		}
+	}
+}
+
+// tell has the teller tell of a request. The lock is held.
+func (i *Isolation) tell(f btquarantine.Fingerprint) {
+	i.news[f] = true
+	select {
+	case i.woken <- struct{}{}:
+	default:
+	}
+}
+
+// hold logs that a request is kept from targets from now on, and withdraws it. The lock
+// is held.
+func (i *Isolation) hold(f btquarantine.Fingerprint, evidence ...any) {
+	withdrawn := i.withdraw(f)
+	i.log.Warn("request held", append([]any{"fingerprint", f, "for_ms", btquarantine.Life.Milliseconds(), "withdrawn", withdrawn}, evidence...)...)
+}
+
+// takeNews returns what others are to be told, as much as one message holds.
+func (i *Isolation) takeNews() btquarantine.Records {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.clock()
+	var records btquarantine.Records
+	for f := range i.news {
+		if len(records) == btquarantine.MaxTold {
+			break
+		}
+		records = append(records, i.register.TellOf(now, f))
+		delete(i.news, f)
+	}
+	return records
+}
+
+func (i *Isolation) expire() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.register.Expire(i.clock())
+}
+
+// pause waits, unless the context ends before.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -123,6 +123,14 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// BrokeOff tells whether the target's side ended a connection with a request on it. A
+// caller that leaves, a time that is over and a target that falls silent end it from
+// this side.
+func BrokeOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Refused tells whether the target's host refuses a connection: nothing serves there.
 // A host that is out of reach refuses nothing.
 func (c *Client) Refused(ctx context.Context) bool {
