The guarded path sends on a request that ends its targets: the test, which fails

Two entries and 18 plain targets; a request that ends each target comes eight times. The same cause as on the direct path, found by looking for it elsewhere.

--- a/io/btentry/fixture_test.go
+++ b/io/btentry/fixture_test.go
@@ -38,18 +38,31 @@
 // world is one entry and an agent beside each target, in this process.
 type world struct {
 	*btinprocess.Fleet
-	entry  *btinprocess.Entry
+	entry *btinprocess.Entry
+	// other is a second entry, where the world has one.
+	other  *btinprocess.Entry
 	agents map[btid.Target]*btinprocess.Agent
 	client *http.Client
 }
 
 // newWorld starts a world and returns once its entry gives work to all targets.
 func newWorld(tb testing.TB, places []place, change func(*btbundle.Bundle)) *world {
+	tb.Helper()
+	return newWorldOf(tb, 1, places, change)
+}
+
+// newWorldOf starts a world with one entry or two.
+func newWorldOf(tb testing.TB, entries int, places []place, change func(*btbundle.Bundle)) *world {
 	tb.Helper()
 	w := &world{Fleet: btinprocess.New(tb), agents: map[btid.Target]*btinprocess.Agent{}, client: &http.Client{Transport: &http.Transport{}}}
 	w.draft()
 	entryNode := w.Node(btprocess.EntryIdentity("e1"))
 	w.AddEntry("e1", entryNode.Address())
+	var otherNode *btpeer.Node
+	if entries > 1 {
+		otherNode = w.Node(btprocess.EntryIdentity("e2"))
+		w.AddEntry("e2", otherNode.Address())
+	}
 	nodes := map[btid.Target]*btpeer.Node{}
 	for _, p := range places {
 		nodes[p.name] = w.Node(btprocess.AgentIdentity(p.name))
@@ -64,22 +77,32 @@
 	}
 	w.Publish(1)
 	w.entry = w.StartEntry(entryNode)
+	started := []*btinprocess.Entry{w.entry}
+	if otherNode != nil {
+		w.other = w.StartEntry(otherNode)
+		started = append(started, w.other)
+	}
 	for _, p := range places {
 		w.agents[p.name] = w.StartAgent(nodes[p.name])
 	}
 	tb.Cleanup(w.client.CloseIdleConnections)
-	w.await(func() bool {
-		targets := w.entry.Status().Targets
-		for _, t := range targets {
-			if !t.Eligible {
-				return false
-			}
-		}
-		return len(targets) == len(places)
-	})
+	for _, e := range started {
+		w.await(func() bool { return usesAll(e, len(places)) })
+	}
 	return w
 }
 
+// usesAll tells whether an entry gives work to so many targets, which are all.
+func usesAll(e *btinprocess.Entry, count int) bool {
+	targets := e.Status().Targets
+	for _, t := range targets {
+		if !t.Eligible {
+			return false
+		}
+	}
+	return len(targets) == count
+}
+
 // draft sets times that suit tests, and lists a plain service and a model.
 func (w *world) draft() {
 	b := &w.Bundle
@@ -136,7 +159,12 @@
 }
 
 func (w *world) try(ctx context.Context, method, path string, body io.Reader, fields ...string) (reply, error) {
-	request, err := http.NewRequestWithContext(ctx, method, w.entry.URL+path, body)
+	return w.tryAt(ctx, w.entry, method, path, body, fields...)
+}
+
+// tryAt sends a request to an entry.
+func (w *world) tryAt(ctx context.Context, to *btinprocess.Entry, method, path string, body io.Reader, fields ...string) (reply, error) {
+	request, err := http.NewRequestWithContext(ctx, method, to.URL+path, body)
 	if err != nil {
 		return reply{}, err
 	}
--- /dev/null
+++ b/io/btentry/quarantine_test.go
@@ -0,0 +1,112 @@
+package btentry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
+	"bilberrytide/io/btstandin/btinprocess"
+)
+
+// mortal is a target that ends when it begins to run a certain request: its listener
+// and all of its connections are closed.
+type mortal struct {
+	server *httptest.Server
+	ends   *atomic.Int64
+}
+
+func newMortal(t *testing.T, ends *atomic.Int64) *mortal {
+	m := &mortal{ends: ends}
+	m.server = httptest.NewServer(m)
+	t.Cleanup(m.server.CloseClientConnections)
+	return m
+}
+
+func (m *mortal) endpoint() netip.AddrPort {
+	return netip.MustParseAddrPort(m.server.Listener.Addr().String())
+}
+
+func (m *mortal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.Contains(r.URL.Path, "fatal") {
+		return
+	}
+	m.ends.Add(1)
+	// A listener is closed once only.
+	_ = m.server.Listener.Close()
+	m.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
+const (
+	// repeatedCalls is how often the request comes, alternately at two entries.
+	repeatedCalls = 8
+	// endsAllowed is how many targets may end under it: three tell what it does, and
+	// it may reach three more.
+	endsAllowed = 6
+)
+
+// A request that ends each target which runs it came again and again, and agents and
+// entries held it against the target alone ("target_lost"): each time it was sent on, and
+// retried, as if for the first time, until none was left.
+func TestARequestThatEndsItsTargetsIsSentNoMore(t *testing.T) {
+	for _, c := range []struct{ name, method string }{{"repeatable", http.MethodGet}, {"keyed", http.MethodPost}} {
+		t.Run(c.name, func(t *testing.T) { endsItsTargets(t, c.method, c.name == "keyed") })
+	}
+}
+
+func endsItsTargets(t *testing.T, method string, keyed bool) {
+	var ends atomic.Int64
+	var places []place
+	mortals := map[btid.Target]*mortal{}
+	for i := range 2*repeatedCalls + 2 {
+		name := btid.Target(fmt.Sprintf("p%d", i))
+		mortals[name] = newMortal(t, &ends)
+		places = append(places, place{name: name, service: plain, handler: mortals[name], slots: 4})
+	}
+	w := newWorldOf(t, 2, places, func(b *btbundle.Bundle) {
+		generous(b)
+		homes := &b.Services[0].Epochs[0].Homes
+		*homes = (*homes)[:3]
+		for i := range b.Targets {
+			b.Targets[i].Endpoint = mortals[b.Targets[i].Name].endpoint()
+		}
+	})
+	if keyed {
+		w.grants(method, "/services/pages/x", "")
+	}
+	call := func(to *btinprocess.Entry, path string) reply {
+		var fields []string
+		if keyed {
+			fields = []string{"Idempotency-Key", w.key()}
+		}
+		r, err := w.tryAt(context.Background(), to, method, path, strings.NewReader(""), fields...)
+		assert.NilError(t, err)
+		return r
+	}
+	for i := range repeatedCalls {
+		r := call([]*btinprocess.Entry{w.entry, w.other}[i%2], "/services/pages/fatal")
+		assert.Assert(t, r.StatusCode >= http.StatusInternalServerError, "%d", r.StatusCode)
+		// Whether a request with a key has run before only its home knows.
+		assert.Assert(t, !keyed || r.outcome() == "unknown", "%s, %s", r.outcome(), r.reason())
+	}
+	assert.Assert(t, ends.Load() >= 1)
+	assert.Check(t, ends.Load() <= endsAllowed, "%d targets ended", ends.Load())
+	for _, to := range []*btinprocess.Entry{w.entry, w.other} {
+		served := 0
+		for range 10 {
+			if call(to, "/services/pages/x").StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		assert.Check(t, served >= 8, "%d of 10 other requests are served", served)
+	}
+}
