The guarded path keeps requests that end targets from them

Agents find out that their target's process is gone as an answer breaks off, tell the entry that sent the request before it hears of the failure, and their neighbours; entries pass on what is new and compare once a second. Entries refuse at once and do not try again what two targets ended under after they had begun to answer it, or three with it sent; one with an idempotency key is refused as unknown, as only its home knows whether it has run.

--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -54,6 +54,7 @@
 	heartbeat *heartbeat
 	group     *btgroup.Group
 	engine    *engine
+	isolation *btprocess.Isolation
 	stop      *btprocess.Stop
 
 	mu         sync.Mutex
@@ -85,6 +86,7 @@
 	a.heartbeat = newHeartbeat(o, a.self, a.report)
 	a.group = newGroup(o, a.self)
 	a.engine = newEngine(o, a.self, a.modelClient, a.heartbeat.publish, a.heartbeat.hurry)
+	a.isolation = btprocess.NewIsolation(o.Bundles)
 	o.Node.Handle(btprocess.KindServe, a.serve)
 	o.Bundles.OnChange(a.configure)
 	return a
@@ -115,6 +117,7 @@
 	group.Go(func() error { a.heartbeat.run(ctx); return nil })
 	group.Go(func() error { return a.group.Run(ctx) })
 	group.Go(func() error { a.engine.run(ctx); return nil })
+	group.Go(func() error { a.isolation.Run(ctx); return nil })
 	group.Go(func() error { a.runStop(ctx, cancel); return nil })
 	return group.Wait()
 }
--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -1,6 +1,7 @@
 package btagent
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
@@ -45,7 +46,7 @@
 
 // relay sends the target's answer to the entry. Where kept is set, the answer
 // is gathered to its end even if the entry goes away.
-func (v *serving) relay(response *bttarget.Response, kept *keeper) error {
+func (v *serving) relay(ctx context.Context, response *bttarget.Response, kept *keeper) error {
 	head := v.head(btserve.Accepted)
 	head.Status = response.Status
 	head.Header = btserve.HeaderOf(response.Header)
@@ -66,7 +67,13 @@
 			return sendErr
 		}
 		if err != nil {
-			return v.finish(cutter, errors.Is(err, io.EOF) && response.Delimited, kept, sendErr)
+			whole := errors.Is(err, io.EOF) && response.Delimited
+			if whole {
+				v.agent.isolation.Served(v.fingerprint())
+			} else {
+				v.broke(ctx, err, true)
+			}
+			return v.finish(cutter, whole, kept, sendErr)
 		}
 	}
 }
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -145,10 +145,11 @@
 		return v.refuse(btrequest.NotRun, ReasonTargetUnreachable, 0, nil)
 	}
 	if err != nil {
+		v.broke(ctx, err, false)
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
 	}
 	defer response.Body.Close()
-	return v.relay(response, nil)
+	return v.relay(ctx, response, nil)
 }
 
 // serveOnce runs a request that may run only once, under its grant. The run
@@ -165,11 +166,12 @@
 		return v.answerWord(v.place.ledger.ask(btclaim.RunNotSent{Grant: *v.grant, Reason: ReasonTargetUnreachable}))
 	}
 	if err != nil {
+		v.broke(ctx, err, false)
 		v.lost()
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
 	}
 	defer response.Body.Close()
-	return v.relay(response, &keeper{limit: keptAnswerBytes, ended: func(body []byte, whole bool) {
+	return v.relay(ctx, response, &keeper{limit: keptAnswerBytes, ended: func(body []byte, whole bool) {
 		if !whole {
 			v.lost()
 			return
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -58,6 +58,7 @@
 	summaries   *summaries
 	limit       *limit
 	reserve     *reserve
+	isolation   *btprocess.Isolation
 	path        handler
 	server      *http.Server
 	stop        *btprocess.Stop
@@ -95,7 +96,8 @@
 	end := &dispatch{entry: e, sender: sender{entry: e}}
 	e.limit = newLimit(e)
 	e.reserve = newReserve(o.Clock, o.Meter)
-	e.path = chain(end.handle, &identify{self: o.Name, current: o.Bundles.Current, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, e.limit, e.reserve)
+	e.isolation = btprocess.NewIsolation(o.Bundles)
+	e.path = chain(end.handle, &identify{self: o.Name, current: o.Bundles.Current, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, quarantine{e.isolation}, e.limit, e.reserve)
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: headerWait,
@@ -133,6 +135,8 @@
 	group.Go(func() error { e.fleet.run(ctx); return nil })
 	group.Go(func() error { e.summaries.run(ctx); return nil })
 	group.Go(func() error { e.limit.run(ctx); return nil })
+	group.Go(func() error { e.isolation.Run(ctx); return nil })
+	group.Go(func() error { e.isolation.Rounds(ctx); return nil })
 	group.Go(func() error { e.readHosts(ctx); return nil })
 	group.Go(e.serve)
 	group.Go(func() error { e.runStop(ctx, cancel); return nil })
--- a/io/btentry/reason.go
+++ b/io/btentry/reason.go
@@ -31,6 +31,8 @@
 	ReasonWrongKind btrequest.Reason = "wrong_kind"
 	// ReasonKeyRequired: the service takes changes only with Idempotency-Key.
 	ReasonKeyRequired btrequest.Reason = "idempotency_key_required"
+	// ReasonQuarantined: targets have ended under the request, of late.
+	ReasonQuarantined btrequest.Reason = "quarantined"
 	// ReasonAgentUnreachable: the agent saw nothing of the request.
 	ReasonAgentUnreachable btrequest.Reason = "agent_unreachable"
 	// ReasonAgentLost: contact with the agent was lost before the answer.
@@ -54,6 +56,7 @@
 	ReasonUnknownService:        http.StatusNotFound,
 	ReasonForbiddenService:      http.StatusForbidden,
 	ReasonWrongKind:             http.StatusBadRequest,
+	ReasonQuarantined:           http.StatusServiceUnavailable,
 	ReasonKeyRequired:           http.StatusBadRequest,
 	ReasonDeadline:              http.StatusGatewayTimeout,
 	btserve.ReasonDeadline:      http.StatusGatewayTimeout,
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -116,6 +116,9 @@
 		// The attempt's own reason says it all.
 		return btretry.Decision{}
 	}
+	if (quarantine{f.dispatch.entry.isolation}).refuse(f.x) != nil {
+		return btretry.Decision{Reason: ReasonQuarantined}
+	}
 	started := f.x.answer.Started()
 	if !started && !f.alternative() {
 		return btretry.Decision{Reason: reasonNoAlternative}
--- a/io/btprocess/kinds.go
+++ b/io/btprocess/kinds.go
@@ -19,6 +19,8 @@
 	KindSummary btpeer.Kind = "summary"
 	// KindSummaryAsk asks a peer to start its summaries anew.
 	KindSummaryAsk btpeer.Kind = "summary_ask"
+	// KindIsolation compares what two processes know of requests that end targets.
+	KindIsolation btpeer.Kind = "isolation"
 	// KindServe has an agent serve one request.
 	KindServe btpeer.Kind = "serve"
 	// KindAcquire asks a key home for a grant.
