Tests' ports lie below those of outgoing connections

TestFailures failed once, beside a soak and a build: its agent did not start, "status.listen: bind: address already in use" on 127.0.0.1:35489. The port was found free and given up before the process started, and lies where the system takes ports for outgoing connections, of which the soak makes thousands. They are now taken from 22,000 to 31,999. Ruled out: a port given twice by one process, which is kept track of.

--- a/cmd/bilberrytide-standin/ports.go
+++ b/cmd/bilberrytide-standin/ports.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -11,8 +12,14 @@
 // errNoPort means that too few ports are free for both TCP and UDP.
 var errNoPort = errors.New("too few free ports")
 
-// portTries bounds the search for each port.
-const portTries = 100
+const (
+	// portTries bounds the search for each port.
+	portTries = 100
+	// firstPort and ports are the range that is searched: above the ports of known
+	// services and of this project's examples.
+	firstPort = 22_000
+	ports     = 10_000
+)
 
 // registerPorts adds the command that prints ports for a script to hand out.
 func registerPorts(app *kingpin.Application) {
@@ -34,16 +41,20 @@
 	return nil
 }
 
+// freePort takes a port below those that the system gives to outgoing connections
+// (32768 and up by default): one of these may be taken by any connection of the machine
+// between the search and the start of the process that is to have it.
 func freePort() (net.Listener, int, error) {
 	for range portTries {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		port := firstPort + rand.IntN(ports)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, 0, err
+			// Another process has it.
+			continue
 		}
-		address := listener.Addr().(*net.TCPAddr)
-		packets, err := net.ListenUDP("udp", &net.UDPAddr{IP: address.IP, Port: address.Port})
+		packets, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
 		if err == nil {
-			return listener, address.Port, packets.Close()
+			return listener, port, packets.Close()
 		}
 		if err := listener.Close(); err != nil {
 			return nil, 0, err
