Entries that may have forgotten hold a request at the first end

Where all entries start anew at once nothing remembers which requests end targets, and each copy of one that comes before the next is known is one more of the three that it may reach. An entry is cautious until another one that knows all has told it, or for ten minutes; with the fleet's first start there is nothing to know. Ways: two ends as usual (three targets reached by a request that comes in turn at two entries; each copy that waits for a broken group besides), one end always (each crash would refuse a dozen requests that are served at their second try), one end where memory was lost: kept.

Checks of targets are bounded by group, so that a group whose members all break off can't hide the end of a target of another.

--- a/core/btquarantine/register.go
+++ b/core/btquarantine/register.go
@@ -14,16 +14,9 @@
 	// own retries come within seconds, people and batch jobs come back within
 	// minutes; a request that is refused wrongly is refused for that long at most.
 	Life = 10 * time.Minute
-	// endsBegun is how many targets must have ended after they had begun to answer a
-	// request. One alone may be another request's doing, as a target has up to some
-	// dozen at work.
-	endsBegun = 2
-	// endsSent is how many must have ended with the request sent to them, begun or
-	// not: callers see a plain target's answer begin only once its work is done.
-	endsSent = 3
-	// MaxEnds bounds the ends that are remembered of a request: what decides, and
-	// one to spare.
-	MaxEnds = endsSent + 1
+	// MaxEnds bounds the ends that are remembered of a request: what decides by any
+	// policy, and one to spare.
+	MaxEnds = 4
 	// MaxRecords bounds the requests that are remembered: the requests at work at
 	// some forty targets of a dozen places each, at 200 B 100 KB.
 	MaxRecords = 512
@@ -35,9 +28,28 @@
 	sameEnd = time.Second
 )
 
+// Policy is how many targets must have ended under a request for it to be held.
+type Policy struct {
+	// Begun counts targets that had begun to answer it.
+	Begun int
+	// Sent counts all that it was sent to, begun or not: callers see a plain target's
+	// answer begin only once its work is done.
+	Sent int
+}
+
+// Usual is the policy of a register whose memory is whole. One end alone may be another
+// request's doing, as a target has up to some dozen at work, and most are served when
+// they are tried again.
+func Usual() Policy { return Policy{Begun: 2, Sent: 3} }
+
+// Cautious is the policy of a register that may have forgotten what was known, as all
+// that knew it started anew: the first end may be the fourth in truth.
+func Cautious() Policy { return Policy{Begun: 1, Sent: 1} }
+
 // Register remembers under which requests targets have ended, of late. It is not safe
 // for concurrent use.
 type Register struct {
+	policy  Policy
 	records map[Fingerprint]*record
 	// served are the requests that were answered whole here within the last minute.
 	served recent
@@ -59,8 +71,13 @@
 	at     time.Time
 }
 
-// New returns an empty register.
-func New() *Register { return &Register{records: make(map[Fingerprint]*record)} }
+// New returns an empty register that goes by the policy.
+func New(p Policy) *Register {
+	return &Register{policy: p, records: make(map[Fingerprint]*record)}
+}
+
+// SetPolicy has the register go by another policy, also for what it remembers.
+func (r *Register) SetPolicy(p Policy) { r.policy = p }
 
 // Empty tells whether nothing is remembered, so that no fingerprint need be computed.
 func (r *Register) Empty() bool { return len(r.records) == 0 }
@@ -109,7 +126,7 @@
 	if !found || r.served.has(now, f) {
 		return time.Time{}
 	}
-	return c.until(now)
+	return c.until(now, r.policy)
 }
 
 // Forget drops the request. It tells whether it was remembered.
@@ -215,8 +232,8 @@
 	}
 	slices.SortFunc(list, func(a, b Fingerprint) int {
 		x, y := r.records[a], r.records[b]
-		if x.decided() != y.decided() {
-			if x.decided() {
+		if held := x.decided(r.policy); held != y.decided(r.policy) {
+			if held {
 				return -1
 			}
 			return 1
@@ -271,25 +288,25 @@
 }
 
 // decided tells whether the ends that are remembered keep the request from targets.
-func (c *record) decided() bool {
+func (c *record) decided(p Policy) bool {
 	begun := 0
 	for _, e := range c.ends {
 		if e.began {
 			begun++
 		}
 	}
-	return begun >= endsBegun || len(c.ends) >= endsSent
+	return begun >= p.Begun || len(c.ends) >= p.Sent
 }
 
 // until returns until when the request is kept from targets.
-func (c *record) until(now time.Time) time.Time {
+func (c *record) until(now time.Time, p Policy) time.Time {
 	fresh := record{}
 	for _, e := range c.ends {
 		if now.Sub(e.at) < Life {
 			fresh.ends = append(fresh.ends, e)
 		}
 	}
-	if !fresh.decided() {
+	if len(fresh.ends) == 0 || !fresh.decided(p) {
 		return time.Time{}
 	}
 	return fresh.latest().Add(Life)
--- a/core/btquarantine/register_test.go
+++ b/core/btquarantine/register_test.go
@@ -21,7 +21,7 @@
 func after(d time.Duration) time.Time { return start.Add(d) }
 
 func TestTwoTargetsThatHadBegunOrThreeHoldARequest(t *testing.T) {
-	r := btquarantine.New()
+	r := btquarantine.New(btquarantine.Usual())
 	assert.Assert(t, !r.Ended(start, request(1), 1, true))
 	assert.Assert(t, !r.Ended(after(10*time.Millisecond), request(1), 1, true), "the same end")
 	assert.Assert(t, !r.Held(after(time.Second), request(1)))
@@ -36,13 +36,13 @@
 
 // A platform that doesn't tell a target's starts apart shows one that ends again.
 func TestOneTargetThatEndsAgainCountsAgain(t *testing.T) {
-	r := btquarantine.New()
+	r := btquarantine.New(btquarantine.Usual())
 	r.Ended(start, request(1), 1, true)
 	assert.Assert(t, r.Ended(after(5*time.Second), request(1), 1, true))
 }
 
 func TestARequestThatIsServedIsFree(t *testing.T) {
-	r := btquarantine.New()
+	r := btquarantine.New(btquarantine.Usual())
 	assert.Assert(t, !r.Served(start, request(1)))
 	r.Ended(after(2*time.Minute), request(1), 1, true)
 	assert.Assert(t, r.Served(after(3*time.Minute), request(1)))
@@ -53,7 +53,7 @@
 // A request that many callers send alike is at work at all targets when some end at
 // once.
 func TestARequestServedOfLateIsNotHeld(t *testing.T) {
-	r := btquarantine.New()
+	r := btquarantine.New(btquarantine.Usual())
 	r.Served(start, request(1))
 	for target := range uint64(3) {
 		assert.Assert(t, !r.Ended(after(time.Second), request(1), target, true))
@@ -63,7 +63,7 @@
 }
 
 func TestWhatIsHeldIsFreeAfterItsLife(t *testing.T) {
-	r := btquarantine.New()
+	r := btquarantine.New(btquarantine.Usual())
 	r.Ended(start, request(1), 1, true)
 	r.Ended(after(time.Minute), request(1), 2, true)
 	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.Life))
@@ -74,9 +74,19 @@
 	assert.Equal(t, r.Digest(), uint64(0))
 }
 
+// What was forgotten can't be counted, so the first end holds a request until it is known
+// that nothing was.
+func TestACautiousRegisterHoldsAtTheFirstEnd(t *testing.T) {
+	r := btquarantine.New(btquarantine.Cautious())
+	assert.Assert(t, r.Ended(start, request(1), 1, false))
+	assert.Assert(t, !r.Held(start, request(2)))
+	r.SetPolicy(btquarantine.Usual())
+	assert.Assert(t, !r.Held(start, request(1)))
+}
+
 // Two entries that each saw one end hold the request once they have told each other.
 func TestEntriesTellEachOther(t *testing.T) {
-	a, b := btquarantine.New(), btquarantine.New()
+	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
 	a.Ended(start, request(1), 1, true)
 	b.Ended(start, request(1), 2, true)
 	assert.Assert(t, a.Digest() != b.Digest())
@@ -95,7 +105,7 @@
 // A target that ends with all that was at work there, again and again, fills the
 // register; what is held stays.
 func TestARegisterIsBounded(t *testing.T) {
-	r := btquarantine.New()
+	r := btquarantine.New(btquarantine.Usual())
 	r.Ended(start, request(-1), 1, true)
 	r.Ended(start, request(-1), 2, true)
 	for i := range 3 * btquarantine.MaxRecords {
@@ -138,7 +148,7 @@
 // one that none ended under never is.
 func TestEntriesComeToTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := []*btquarantine.Register{btquarantine.New(), btquarantine.New(), btquarantine.New()}
+		entries := []*btquarantine.Register{btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())}
 		now := start
 		ends := map[int]map[uint64]bool{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
--- a/io/btdirect/ended.go
+++ b/io/btdirect/ended.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/io/btloop"
 )
@@ -16,10 +17,12 @@
 	// requests that break off with it ask within some milliseconds of each other,
 	// and a target takes seconds to start again.
 	endingFresh = 500 * time.Millisecond
-	// endingChecks bounds how many targets are looked at in a second. When a group
+	// endingChecks bounds how many targets of a group are looked at in a second. When it
 	// stalls, the streams of all of its members break off though only one has ended;
 	// without a bound each entry would connect to every one of them.
 	endingChecks = 8
+	// maxGroups bounds the groups whose checks are counted.
+	maxGroups = 256
 	// maxEndings bounds the targets whose answers are kept.
 	maxEndings = 1024
 )
@@ -28,10 +31,17 @@
 // It is safe for concurrent use.
 type endings struct {
 	clock btloop.Clock
-	limit *rate.Limiter
 
 	mu      sync.Mutex
 	answers map[btinventory.Instance]*ending
+	// limits are those of the groups, and of services without any.
+	limits map[limitKey]*rate.Limiter
+}
+
+// limitKey names a group of a service; the group is empty for plain targets.
+type limitKey struct {
+	service btid.Service
+	group   string
 }
 
 // ending is what was found out of one target.
@@ -45,8 +55,8 @@
 func newEndings(clock btloop.Clock) *endings {
 	return &endings{
 		clock:   clock,
-		limit:   rate.NewLimiter(endingChecks, endingChecks),
 		answers: make(map[btinventory.Instance]*ending),
+		limits:  make(map[limitKey]*rate.Limiter),
 	}
 }
 
@@ -57,7 +67,7 @@
 func (e *endings) ended(ctx context.Context, t *target) (ended, first bool) {
 	answer := e.answer(t.info.Instance())
 	answer.once.Do(func() {
-		if e.limit.AllowN(e.clock(), 1) {
+		if e.limit(t).AllowN(e.clock(), 1) {
 			answer.ended = t.kept.Refused(context.WithoutCancel(ctx))
 			first = answer.ended
 		}
@@ -65,6 +75,22 @@
 	return answer.ended, first
 }
 
+// limit returns the bound on checks of the target's group.
+func (e *endings) limit(t *target) *rate.Limiter {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	key := limitKey{service: t.info.Service, group: t.group()}
+	if l, found := e.limits[key]; found {
+		return l
+	}
+	if len(e.limits) >= maxGroups {
+		clear(e.limits)
+	}
+	l := rate.NewLimiter(endingChecks, endingChecks)
+	e.limits[key] = l
+	return l
+}
+
 // answer returns what is known of a target, or is about to be.
 func (e *endings) answer(of btinventory.Instance) *ending {
 	e.mu.Lock()
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -155,8 +155,10 @@
 	Catalog []byte `cbor:"catalog,omitempty"`
 	// List is what the entry has read itself.
 	List ReadList `cbor:"list"`
-	// Quarantine is left out where both know the same.
+	// Quarantine is left out where both know the same. KnowsAll tells that the sender
+	// has what was known before it started.
 	Quarantine btquarantine.Records `cbor:"quarantine,omitempty"`
+	KnowsAll   bool                 `cbor:"knows_all,omitempty"`
 }
 
 // ReadList is what an entry has read of the list of targets.
@@ -289,7 +291,7 @@
 		p.entry.knowledge.learn(w.Catalog, to)
 	}
 	p.entry.knowledge.learnList(w.List, asked, to)
-	p.entry.quarantine.Hear(w.Quarantine, to.String())
+	p.entry.quarantine.learn(w, to)
 }
 
 // metricGreetings counts what came of greetings.
@@ -302,6 +304,7 @@
 		Catalog:    p.entry.knowledge.newerThan(h.Catalog),
 		List:       p.entry.knowledge.readList(h.Targets),
 		Quarantine: p.entry.quarantine.NewerThan(h.Quarantine),
+		KnowsAll:   p.entry.quarantine.knowsAll(),
 	}, nil
 }
 
--- a/io/btdirect/quarantine.go
+++ b/io/btdirect/quarantine.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bilberrytide/core/btquarantine"
 	"bilberrytide/io/btcall"
 	"bilberrytide/io/btisolation"
+	"bilberrytide/io/btloop"
 )
 
 // pathQuarantine is where entries hear under which requests targets have ended.
@@ -26,21 +29,60 @@
 // which they are withdrawn.
 type quarantine struct {
 	*btisolation.Isolation
+	clock btloop.Clock
+	log   *slog.Logger
+	// started is when the process did; whole tells that it knows what others knew then.
+	started time.Time
+	whole   atomic.Bool
 
 	mu sync.Mutex
 	// attempts are those at work, with what cancels each.
 	attempts map[*exchange]context.CancelFunc
 }
 
+// newQuarantine returns one that is cautious until it knows what others know: with the
+// fleet's first start there is nothing to know.
 func newQuarantine(o Options) *quarantine {
 	q := &quarantine{
-		Isolation: btisolation.New(o.Clock, o.Log),
+		Isolation: btisolation.New(btquarantine.Cautious(), o.Clock, o.Log),
+		clock:     o.Clock,
+		log:       o.Log,
+		started:   o.Clock(),
 		attempts:  make(map[*exchange]context.CancelFunc),
 	}
 	q.OnHold(q.withdraw)
+	if o.Settings.FirstStart {
+		q.complete("first start")
+	}
 	return q
 }
 
+// knowsAll tells whether this entry knows what any knew before it started. Where all
+// have started anew, what was known then is of no more use after its life.
+func (q *quarantine) knowsAll() bool {
+	if !q.whole.Load() && q.clock().Sub(q.started) >= btquarantine.Life {
+		q.complete("age")
+	}
+	return q.whole.Load()
+}
+
+// learn takes in what another entry knows, and that this is all where the other knows
+// all.
+func (q *quarantine) learn(w welcome, from netip.AddrPort) {
+	q.Hear(w.Quarantine, from.String())
+	if w.KnowsAll && !q.whole.Load() {
+		q.complete(from.String())
+	}
+}
+
+// complete ends the caution.
+func (q *quarantine) complete(evidence string) {
+	if q.whole.CompareAndSwap(false, true) {
+		q.SetPolicy(btquarantine.Usual())
+		q.log.Info("quarantine known", "evidence", evidence)
+	}
+}
+
 // attempting notes that a request is at a target. The function that it returns takes
 // the note back.
 func (q *quarantine) attempting(x *exchange, cancel context.CancelFunc) (done func()) {
--- a/io/btdirect/settings.go
+++ b/io/btdirect/settings.go
@@ -24,6 +24,9 @@
 	Front, Ready, Peer netip.AddrPort
 	// Agent is where agents listen; the port is the same on all hosts.
 	Agent netip.AddrPort
+	// FirstStart tells that the whole fleet starts for the first time, so that there is
+	// nothing to learn from others.
+	FirstStart bool
 	// Seeds are peer addresses of some entries, which may be stale.
 	Seeds []netip.AddrPort
 	// Store is the platform's metadata store.
--- a/io/btisolation/btisolation.go
+++ b/io/btisolation/btisolation.go
@@ -37,13 +37,13 @@
 	withdraw func(btquarantine.Fingerprint) int
 }
 
-// New returns one that knows of no request.
-func New(clock btloop.Clock, log *slog.Logger) *Isolation {
+// New returns one that knows of no request and goes by the policy.
+func New(p btquarantine.Policy, clock btloop.Clock, log *slog.Logger) *Isolation {
 	return &Isolation{
 		clock:    clock,
 		log:      log,
 		woken:    make(chan struct{}, 1),
-		register: btquarantine.New(),
+		register: btquarantine.New(p),
 		news:     make(map[btquarantine.Fingerprint]bool),
 		withdraw: func(btquarantine.Fingerprint) int { return 0 },
 	}
@@ -54,6 +54,13 @@
 // set before the first request.
 func (i *Isolation) OnHold(withdraw func(btquarantine.Fingerprint) int) { i.withdraw = withdraw }
 
+// SetPolicy has it go by another policy, also for what is known.
+func (i *Isolation) SetPolicy(p btquarantine.Policy) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.register.SetPolicy(p)
+}
+
 // Left returns for how long the request is still kept from targets, if it is. The
 // fingerprint is asked for only where any request is remembered.
 func (i *Isolation) Left(fingerprint func() btquarantine.Fingerprint) (left time.Duration, held bool) {
