Agents remind entries of the requests that ended their target

An entry whose agent connects to it hears what the agent remembers, so that entries which all start anew know again. Test: both entries of the guarded path's test start anew and keep the request from targets.

--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -83,10 +83,10 @@
 	}
 	a.stop = btprocess.NewStop(btmember.DrainSettings{Grace: stopGrace}, o.Clock, o.Assert, o.Log)
 	a.home = newKeyHome(o, a.self, o.Bundles)
-	a.heartbeat = newHeartbeat(o, a.self, a.report)
+	a.isolation = btprocess.NewIsolation(o.Bundles)
+	a.heartbeat = newHeartbeat(o, a.self, a.report, a.remind)
 	a.group = newGroup(o, a.self)
 	a.engine = newEngine(o, a.self, a.modelClient, a.heartbeat.publish, a.heartbeat.hurry)
-	a.isolation = btprocess.NewIsolation(o.Bundles)
 	o.Node.Handle(btprocess.KindServe, a.serve)
 	o.Bundles.OnChange(a.configure)
 	return a
--- a/io/btagent/heartbeat.go
+++ b/io/btagent/heartbeat.go
@@ -27,9 +27,11 @@
 
 // heartbeat tells the entries that watch this agent how it and its target are.
 type heartbeat struct {
-	options  Options
-	self     btid.Executor
-	report   func() btload.Report
+	options Options
+	self    btid.Executor
+	report  func() btload.Report
+	// remind tells an entry what this agent remembers.
+	remind   func(context.Context, btpeer.Endpoint)
 	host     *hostWords
 	sequence atomic.Uint64
 
@@ -53,11 +55,12 @@
 	done    chan struct{}
 }
 
-func newHeartbeat(o Options, self btid.Executor, report func() btload.Report) *heartbeat {
+func newHeartbeat(o Options, self btid.Executor, report func() btload.Report, remind func(context.Context, btpeer.Endpoint)) *heartbeat {
 	h := &heartbeat{
 		options:  o,
 		self:     self,
 		report:   report,
+		remind:   remind,
 		interval: firstHeartbeat,
 		watchers: map[btid.Entry]*watcher{},
 	}
@@ -149,6 +152,8 @@
 		return
 	}
 	defer s.Close()
+	// The entry may have started anew, as may all others that knew.
+	go h.remind(ctx, w.endpoint)
 	go h.listen(s, w)
 	for {
 		if err := btpeer.Send(s, h.next()); err != nil {
--- a/io/btagent/quarantine.go
+++ b/io/btagent/quarantine.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// remind tells an entry which requests this agent's target has ended under.
+func (a *Agent) remind(ctx context.Context, to btpeer.Endpoint) {
+	if records := a.isolation.NewerThan(0); len(records) > 0 {
+		a.isolation.Compare(ctx, to, records)
+	}
+}
+
 // asking returns the entry that sent the request, false where the bundle lists none of
 // its name.
 func (v *serving) asking() (btpeer.Endpoint, bool) {
--- a/io/btentry/quarantine_test.go
+++ b/io/btentry/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/btprocess"
 	"bilberrytide/io/btstandin/btinprocess"
 )
 
@@ -100,6 +101,16 @@
 	}
 	assert.Assert(t, ends.Load() >= 1)
 	assert.Check(t, ends.Load() <= endsAllowed, "%d targets ended", ends.Load())
+	// All entries start anew; agents remember.
+	for _, e := range []**btinprocess.Entry{&w.entry, &w.other} {
+		(*e).End()
+		*e = w.StartEntry(w.NodeAt(btprocess.EntryIdentity(btid.Entry((*e).Node.Identity().Name)), (*e).Node.Address()))
+	}
+	for _, to := range []*btinprocess.Entry{w.entry, w.other} {
+		w.await(func() bool { return usesAll(to, len(places)) })
+		w.await(func() bool { return call(to, "/services/pages/fatal").reason() == "quarantined" })
+	}
+	assert.Check(t, ends.Load() <= endsAllowed, "%d targets ended, some after all entries had started anew", ends.Load())
 	for _, to := range []*btinprocess.Entry{w.entry, w.other} {
 		served := 0
 		for range 10 {
--- a/io/btstandin/btinprocess/process.go
+++ b/io/btstandin/btinprocess/process.go
@@ -90,8 +90,11 @@
 // Entry is an entry that runs.
 type Entry struct {
 	*btentry.Entry
+	Node *btpeer.Node
 	// URL is where callers reach it.
 	URL string
+	// End ends it at once, like a killed one.
+	End func()
 }
 
 // StartEntry starts an entry behind the node.
@@ -114,8 +117,7 @@
 		Assert:     panics,
 		Random:     p.random,
 	})
-	f.Run(node, entry.Run)
-	return &Entry{Entry: entry, URL: "http://" + listener.Addr().String()}
+	return &Entry{Entry: entry, Node: node, URL: "http://" + listener.Addr().String(), End: f.Run(node, entry.Run)}
 }
 
 // Agent is an agent that runs.
