--- a/commands/btwhycmd/btwhycmd.go
+++ b/commands/btwhycmd/btwhycmd.go
@@ -22,6 +22,9 @@
 
   bilberrytide why 9c41d07be2a35f68 entry-1.log entry-2.log
 
+A request's fingerprint, as in lines of requests that were at a target when it ended,
+finds it under all identifiers under which it came.
+
 Prints each line that names the request, and each line about a target or service
 that those lines name within the context before them, in the order of the files.
 The clocks of processes differ, so that only lines of one process are compared.
@@ -32,7 +35,7 @@
 func Register(app *kingpin.Application, out io.Writer) {
 	c := &whyCommand{out: out}
 	command := app.Command("why", help)
-	command.Arg("request", "The request's identifier.").Required().StringVar(&c.request)
+	command.Arg("request", "The request's identifier, or its fingerprint.").Required().StringVar(&c.request)
 	command.Arg("files", "Log files; standard input where none is named.").StringsVar(&c.files)
 	command.Flag("context", "How many lines of context to look back for each process.").Default("200").IntVar(&c.context)
 	command.Action(func(*kingpin.ParseContext) error { return c.run(os.Stdin) })
@@ -50,9 +53,11 @@
 	Message string `json:"msg"`
 	Process string `json:"process"`
 	Request string `json:"request"`
-	Target  string `json:"target"`
-	Service string `json:"service"`
-	text    string
+	// Fingerprint is the same for each try of one request.
+	Fingerprint string `json:"fingerprint"`
+	Target      string `json:"target"`
+	Service     string `json:"service"`
+	text        string
 }
 
 func (c *whyCommand) run(stdin io.Reader) error {
@@ -80,7 +85,7 @@
 			return err
 		}
 		for i, l := range lines {
-			if l.Request != c.request {
+			if l.Request != c.request && l.Fingerprint != c.request {
 				continue
 			}
 			found = true
--- a/commands/btwhycmd/btwhycmd_test.go
+++ b/commands/btwhycmd/btwhycmd_test.go
@@ -44,3 +44,17 @@
 	_, err = run(t, "r-1", file+".none")
 	assert.ErrorContains(t, err, ".none")
 }
+
+// A request that comes again has another identifier and the same fingerprint.
+func TestWhyFindsAllTriesOfARequest(t *testing.T) {
+	const tries = `{"msg":"request retried","process":"edge-1","request":"r-1","fingerprint":"0a"}
+{"msg":"request failed","process":"edge-2","request":"r-2","fingerprint":"0a"}
+{"msg":"request failed","process":"edge-2","request":"r-3","fingerprint":"0b"}
+`
+	file := filepath.Join(t.TempDir(), "edge.log")
+	assert.NilError(t, os.WriteFile(file, []byte(tries), 0o600))
+	out, err := run(t, "0a", file)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(out, "\n"), 2)
+	assert.Assert(t, !strings.Contains(out, "r-3"))
+}
