--- a/core/btquarantine/fingerprint.go
+++ b/core/btquarantine/fingerprint.go
@@ -16,12 +16,14 @@
 	"bilberrytide/core/btid"
 )
 
-// Content is what makes two requests the same one, whichever entry takes them.
+// Content is what makes two requests the same one, whichever entry takes them. The
+// service is no part of it: a configuration may move the route to another one, or split
+// it between two, while the request goes on to come.
 type Content struct {
-	Service btid.Service
 	Account btid.Account
 	Method  string
-	Host    string
+	// Host is what the caller named beside the path: a host, or a service by its name.
+	Host string
 	// URI is the path and the query as the caller sent them.
 	URI  string
 	Body []byte
@@ -38,7 +40,7 @@
 // computed where it is needed and not for each request.
 func (c Content) Fingerprint() Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{string(c.Service), string(c.Account), c.Method, c.Host, c.URI} {
+	for _, part := range []string{string(c.Account), c.Method, c.Host, c.URI} {
 		writePart(h, []byte(part))
 	}
 	writePart(h, c.Body)
--- a/io/btagent/quarantine.go
+++ b/io/btagent/quarantine.go
@@ -47,8 +47,8 @@
 // again.
 func (v *serving) fingerprint() btquarantine.Fingerprint {
 	return btquarantine.Content{
-		Service: v.request.Service,
 		Account: v.request.Account,
+		Host:    string(v.request.Service),
 		Method:  v.request.Method,
 		URI:     v.request.Path,
 		Body:    v.request.Body,
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btgate"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btstop"
 )
@@ -47,6 +49,8 @@
 	mayHaveRun bool
 	// whole tells that the caller has its whole answer.
 	whole bool
+	// fingerprint stands for the request's content; it is computed when first asked for.
+	fingerprint func() btquarantine.Fingerprint
 	// logged tells that the request's failure was logged.
 	logged bool
 }
@@ -71,6 +75,7 @@
 		received: e.options.Clock(),
 		tried:    make(map[btinventory.Instance]bool),
 	}
+	x.fingerprint = sync.OnceValue(x.computeFingerprint)
 	e.meter.Counter(metricRequests).Inc(1)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
--- a/io/btdirect/quarantine.go
+++ b/io/btdirect/quarantine.go
@@ -170,11 +170,10 @@
 	return held
 }
 
-// fingerprint stands for the request's content, by which it is known when it comes
-// again.
-func (x *exchange) fingerprint() btquarantine.Fingerprint {
+// computeFingerprint returns what stands for the request's content, by which it is known
+// when it comes again.
+func (x *exchange) computeFingerprint() btquarantine.Fingerprint {
 	return btquarantine.Content{
-		Service: x.service.Name,
 		Account: x.account,
 		Method:  x.caller.Method,
 		Host:    x.caller.Host,
--- a/io/btentry/quarantine.go
+++ b/io/btentry/quarantine.go
@@ -40,8 +40,8 @@
 // again.
 func (x *exchange) fingerprint() btquarantine.Fingerprint {
 	return btquarantine.Content{
-		Service: x.service.Name,
 		Account: x.account.Name,
+		Host:    string(x.service.Name),
 		Method:  x.call.Method,
 		URI:     x.call.Path,
 		Body:    x.call.Body,
