The soak restarts targets under their IDs and has records of other writers

Drawn apart from the other faults, three of each in a run; their addresses refuse connections meanwhile and the old record stays listed.

--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -33,6 +33,7 @@
 	pages := app.Flag("targets", "How many plain targets.").Default("3").Int()
 	callers := app.Flag("callers", "How many callers at once.").Default("12").Int()
 	fatal := app.Flag("fatal", "How many requests come that end the targets which run them.").Default("1").Int()
+	restarts := app.Flag("restarts", "How many targets start again under their IDs, and how many records of other writers come.").Default("3").Int()
 	folder := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -43,7 +44,7 @@
 	for i := range *seeds {
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
-			Entries: *entries, Ranks: *ranks, Pages: *pages, Callers: *callers, Fatal: *fatal,
+			Entries: *entries, Ranks: *ranks, Pages: *pages, Callers: *callers, Fatal: *fatal, Restarts: *restarts,
 			Folder: filepath.Join(*folder, strconv.FormatUint(*first+uint64(i), 10)),
 		}
 		if !soak(o, *verbose) {
