Withdrawn attempts say nothing against their targets

A request that is kept from targets is withdrawn from where it waits; the target there was passed over as if it had failed, and the line said that contact was lost. A caller that leaves no longer has its target looked at, and that a target is alive counts for 20 ms only, as one that has cut an answer may end a moment later.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -78,9 +78,15 @@
 	return result
 }
 
-// ended adds whether the target's process was gone when the attempt broke off.
+// ended adds whether the target's process was gone when the attempt broke off. One that
+// was withdrawn broke off for that.
 func (x *exchange) ended(ctx context.Context, t *target, result attemptResult) attemptResult {
-	if result.done || result.notRun || !bttarget.BrokeOff(result.detail) {
+	if x.withdrawn.Load() && !result.done {
+		result.reason = ReasonQuarantined
+		return result
+	}
+	// A connection to a caller that has left breaks off alike.
+	if result.done || result.notRun || result.reason == ReasonCallerGone || !bttarget.BrokeOff(result.detail) {
 		return result
 	}
 	ended, first := x.entry.endings.ended(ctx, t)
@@ -256,7 +262,7 @@
 		}
 	case result.reason == ReasonMisdirected:
 		e.targetLine(t, result, e.fleet.misdirected(t))
-	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.moved:
+	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
 	default:
 		wait := e.fleet.failed(t)
 		e.targetLine(t, result, wait)
--- a/io/btdirect/ended.go
+++ b/io/btdirect/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -13,10 +14,12 @@
 )
 
 const (
-	// endingFresh is how long the answer counts whether a target has ended: all
-	// requests that break off with it ask within some milliseconds of each other,
-	// and a target takes seconds to start again.
-	endingFresh = 500 * time.Millisecond
+	// endedFresh is how long it counts that a target has ended: it takes seconds to
+	// start again. aliveFresh is how long it counts that one hasn't: all requests that
+	// break off with a target do so within some milliseconds, and one that has cut an
+	// answer may end a moment later.
+	endedFresh = 500 * time.Millisecond
+	aliveFresh = 20 * time.Millisecond
 	// endingChecks bounds how many targets of a group are looked at in a second. When it
 	// stalls, the streams of all of its members break off though only one has ended;
 	// without a bound each entry would connect to every one of them.
@@ -49,7 +52,14 @@
 	once sync.Once
 	// asked is when the question came up.
 	asked time.Time
-	ended bool
+	// known tells that it is answered, and ended how.
+	known, ended atomic.Bool
+}
+
+// fresh tells whether the answer, or the question, still counts.
+func (a *ending) fresh(now time.Time) bool {
+	age := now.Sub(a.asked)
+	return !a.known.Load() || a.ended.Load() && age < endedFresh || age < aliveFresh
 }
 
 func newEndings(clock btloop.Clock) *endings {
@@ -68,11 +78,12 @@
 	answer := e.answer(t.info.Instance())
 	answer.once.Do(func() {
 		if e.limit(t).AllowN(e.clock(), 1) {
-			answer.ended = t.kept.Refused(context.WithoutCancel(ctx))
-			first = answer.ended
+			first = t.kept.Refused(context.WithoutCancel(ctx))
 		}
+		answer.ended.Store(first)
+		answer.known.Store(true)
 	})
-	return answer.ended, first
+	return answer.ended.Load(), first
 }
 
 // limit returns the bound on checks of the target's group.
@@ -96,7 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock()
-	if a, found := e.answers[of]; found && now.Sub(a.asked) < endingFresh {
+	if a, found := e.answers[of]; found && a.fresh(now) {
 		return a
 	}
 	if len(e.answers) >= maxEndings {
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bilberrytide/core/btcatalog"
@@ -51,6 +52,8 @@
 	whole bool
 	// fingerprint stands for the request's content; it is computed when first asked for.
 	fingerprint func() btquarantine.Fingerprint
+	// withdrawn is set when its attempt was cancelled as it is kept from targets.
+	withdrawn atomic.Bool
 	// logged tells that the request's failure was logged.
 	logged bool
 }
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -98,7 +98,10 @@
 		a = append(a, "error", result.detail.Error())
 	}
 	if result.ended {
-		a = append(a, "target_ended", true, "began", result.began, "fingerprint", x.fingerprint())
+		a = append(a, "target_ended", true, "began", result.began)
+	}
+	if result.ended || result.reason == ReasonQuarantined {
+		a = append(a, "fingerprint", x.fingerprint())
 	}
 	return append(a, more...)
 }
--- a/io/btdirect/quarantine.go
+++ b/io/btdirect/quarantine.go
@@ -103,6 +103,7 @@
 	withdrawn := 0
 	for x, cancel := range q.attempts {
 		if x.fingerprint() == f {
+			x.withdrawn.Store(true)
 			cancel()
 			withdrawn++
 		}
