--- /dev/null
+++ b/core/btquarantine/fuzz_test.go
@@ -0,0 +1,37 @@
+package btquarantine_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btquarantine"
+	"bilberrytide/core/btwire"
+)
+
+// Whatever another process sends, a register that takes it in stays within its bounds.
+func FuzzDecodeRecords(f *testing.F) {
+	r := btquarantine.New(btquarantine.Usual())
+	r.Ended(start, request(1), 1, true)
+	r.Ended(start, request(1), 2, false)
+	r.Served(start, request(1))
+	r.Ended(after(1), request(2), 3, true)
+	data, err := btwire.Encode(r.Tell(after(1)))
+	assert.NilError(f, err)
+	f.Add([]byte(data))
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, err := btwire.Decode[btquarantine.Records](data)
+		if err != nil {
+			return
+		}
+		r := btquarantine.New(btquarantine.Usual())
+		r.Heard(start, records)
+		assert.Assert(t, r.Len() <= btquarantine.MaxRecords)
+		told := r.Tell(start)
+		assert.NilError(t, told.Validate())
+		again := btquarantine.New(btquarantine.Usual())
+		again.Heard(start, told)
+		assert.Assert(t, again.Len() <= r.Len())
+	})
+}
