--- a/core/btquarantine/fingerprint.go
+++ b/core/btquarantine/fingerprint.go
@@ -36,7 +36,7 @@
 // Fingerprint stands for a request's content.
 type Fingerprint [FingerprintBytes]byte
 
-// Fingerprint returns that of the content. A request of 1 KB takes some 1 µs, so it is
+// Fingerprint returns that of the content. A request of 1 KB takes some 1.4 µs (BenchmarkFingerprint), so it is
 // computed where it is needed and not for each request.
 func (c Content) Fingerprint() Fingerprint {
 	h := sha256.New()
--- a/core/btquarantine/fingerprint_test.go
+++ b/core/btquarantine/fingerprint_test.go
@@ -45,3 +45,12 @@
 		assert.ErrorIs(t, err, btquarantine.ErrFingerprint)
 	}
 }
+
+// BenchmarkFingerprint takes a request of 1 KB.
+func BenchmarkFingerprint(b *testing.B) {
+	c := content()
+	c.Body = make([]byte, 1<<10)
+	for b.Loop() {
+		c.Fingerprint()
+	}
+}
--- a/core/btquarantine/recent.go
+++ b/core/btquarantine/recent.go
@@ -7,7 +7,7 @@
 	// than a group takes to form anew, some 4 s, again and again.
 	recentFor = time.Minute
 	// maxRecent bounds the requests of a generation: a minute of 34 a second; with
-	// more, the memory is shorter. At 40 B each two generations take 160 KB.
+	// more, the memory is shorter. Two generations take 148 KB of heap.
 	maxRecent = 2048
 )
 
--- a/core/btquarantine/register.go
+++ b/core/btquarantine/register.go
@@ -18,7 +18,7 @@
 	// policy, and one to spare.
 	MaxEnds = 4
 	// MaxRecords bounds the requests that are remembered: the requests at work at
-	// some forty targets of a dozen places each, at 200 B 100 KB.
+	// some forty targets of a dozen places each; 106 KB of heap.
 	MaxRecords = 512
 	// MaxTold bounds the records of one message, some 3 KB.
 	MaxTold = 64
