What nothing uses of the quarantine is gone

Found on reading the change afresh: reading a fingerprint back from text, with its test, and dropping a request by hand were written for commands that there are not.

--- a/core/btquarantine/fingerprint.go
+++ b/core/btquarantine/fingerprint.go
@@ -9,8 +9,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"errors"
-	"fmt"
 	"hash"
 
 	"bilberrytide/core/btid"
@@ -61,18 +59,3 @@
 
 // MarshalText returns the fingerprint in hexadecimal.
 func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
-
-// ErrFingerprint means that a text is no fingerprint.
-var ErrFingerprint = errors.New("malformed fingerprint")
-
-// ParseFingerprint reads what String returns.
-func ParseFingerprint(text string) (Fingerprint, error) {
-	data, err := hex.DecodeString(text)
-	if err != nil {
-		return Fingerprint{}, fmt.Errorf("%w: %q: %w", ErrFingerprint, text, err)
-	}
-	if len(data) != FingerprintBytes {
-		return Fingerprint{}, fmt.Errorf("%w: %q has %d bytes, not %d", ErrFingerprint, text, len(data), FingerprintBytes)
-	}
-	return Fingerprint(data), nil
-}
--- a/core/btquarantine/fingerprint_test.go
+++ b/core/btquarantine/fingerprint_test.go
@@ -35,17 +35,6 @@
 	}
 }
 
-func TestAFingerprintIsReadAsItIsWritten(t *testing.T) {
-	f := content().Fingerprint()
-	read, err := btquarantine.ParseFingerprint(f.String())
-	assert.NilError(t, err)
-	assert.Equal(t, read, f)
-	for _, text := range []string{"", "zz", "00", f.String() + "00"} {
-		_, err := btquarantine.ParseFingerprint(text)
-		assert.ErrorIs(t, err, btquarantine.ErrFingerprint)
-	}
-}
-
 // BenchmarkFingerprint takes a request of 1 KB.
 func BenchmarkFingerprint(b *testing.B) {
 	c := content()
--- a/core/btquarantine/register.go
+++ b/core/btquarantine/register.go
@@ -129,13 +129,6 @@
 	return c.until(now, r.policy)
 }
 
-// Forget drops the request. It tells whether it was remembered.
-func (r *Register) Forget(f Fingerprint) bool {
-	_, found := r.records[f]
-	r.change(f, nil)
-	return found
-}
-
 // Expire drops what is no longer of use.
 func (r *Register) Expire(now time.Time) {
 	for f, c := range r.records {
