Tests hold the ports of their processes until these start

Cause: the agents of a group share a port that was found free at 127.0.0.1 and used at 127.0.7.1 and on, where every engine of an earlier test still listened: servers were never closed. One more listener a test stayed at 127.0.7.1 (1 to 7 over six tests, counted once a second). Shown on a scratch copy: a group whose port is that of an earlier test's engine fails with the same line. An entry that met this started anew with other ports, agents had no such way.

--- a/commands/btdirectcmd/btdirectcmd.go
+++ b/commands/btdirectcmd/btdirectcmd.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"bilberrytide/io/btcall"
 	"bilberrytide/io/btdirect"
 	"bilberrytide/io/btrank"
 	btadapter "bilberrytide/platform"
@@ -54,6 +55,7 @@
 		Meter:     r.meter,
 		Log:       r.log,
 		Clock:     r.clock.Now,
+		Listen:    btcall.Listen,
 	})
 	r.log.Info("started", "role", "entry", "front", s.Front, "store", s.Store, "data_centre", s.DataCentre)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -83,6 +85,7 @@
 		Clock:    r.clock.Now,
 		Assert:   r.assert,
 		Address:  s.Agent,
+		Listen:   btcall.Listen,
 	})
 	r.log.Info("started", "role", "agent", "address", s.Agent, "engine", s.Engine, "service", s.Service)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/btagent/wiring_test.go
+++ b/io/btagent/wiring_test.go
@@ -61,8 +61,13 @@
 	f.addEntries(2)
 	engine, err := btstandin.NewEngine(btstandin.EngineOptions{Name: "m1", Clock: btstandin.SystemClock{}, PrefillRate: 1e9, DecodeRate: 1e5})
 	assert.NilError(t, err)
-	server := httptest.NewServer(engine)
-	endpoint := netip.MustParseAddrPort(server.Listener.Addr().String())
+	// At an address of its own, so that no other test's server gets the port while the
+	// target is away.
+	first, err := net.Listen("tcp", "127.0.0.10:0")
+	assert.NilError(t, err)
+	server := &httptest.Server{Listener: first, Config: &http.Server{Handler: engine}}
+	server.Start()
+	endpoint := netip.MustParseAddrPort(first.Addr().String())
 	f.addTarget("m1", "drafting", btbundle.Model, endpoint)
 	f.start()
 	body := `{"model":"drafting","max_tokens":2,"messages":[{"role":"user","content":"` + strings.Repeat("A long prompt. ", 100) + `"}]}`
--- a/io/btcall/btcall.go
+++ b/io/btcall/btcall.go
@@ -119,6 +119,11 @@
 	})
 }
 
+// Listen listens at an address of this host.
+func Listen(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
+}
+
 // Serve answers calls on the listener until the context ends.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTime}
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	Meter     *btmetric.Meter
 	Log       *slog.Logger
 	Clock     btloop.Clock
+	// Listen listens at an address of this host.
+	Listen func(netip.AddrPort) (net.Listener, error)
 }
 
 // Entry takes callers' requests and sends them to targets directly.
@@ -122,7 +125,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	front, err := net.Listen("tcp", e.options.Settings.Front.String())
+	front, err := e.options.Listen(e.options.Settings.Front)
 	if err != nil {
 		return err
 	}
@@ -163,7 +166,7 @@
 
 // serveReady answers the balancer's readiness check.
 func (e *Entry) serveReady() (*http.Server, error) {
-	listener, err := net.Listen("tcp", e.options.Settings.Ready.String())
+	listener, err := e.options.Listen(e.options.Settings.Ready)
 	if err != nil {
 		return nil, err
 	}
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -220,7 +219,7 @@
 
 // serve answers the fleet's own processes until the context ends.
 func (p *peers) serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.entry.options.Settings.Peer.String())
+	listener, err := p.entry.options.Listen(p.entry.options.Settings.Peer)
 	if err != nil {
 		return err
 	}
--- a/io/btentry/quarantine_test.go
+++ b/io/btentry/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -27,7 +28,12 @@
 
 func newMortal(t *testing.T, ends *atomic.Int64) *mortal {
 	m := &mortal{ends: ends}
-	m.server = httptest.NewServer(m)
+	// At an address of its own, so that no other test's server gets the port of one that
+	// has ended.
+	listener, err := net.Listen("tcp", "127.0.0.13:0")
+	assert.NilError(t, err)
+	m.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: m}}
+	m.server.Start()
 	t.Cleanup(m.server.CloseClientConnections)
 	return m
 }
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -33,6 +33,8 @@
 	Clock   btloop.Clock
 	Assert  *btassert.Asserter
 	Address netip.AddrPort
+	// Listen listens at an address of this host.
+	Listen func(netip.AddrPort) (net.Listener, error)
 }
 
 const (
@@ -112,7 +114,7 @@
 
 // Run works until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", a.options.Address.String())
+	listener, err := a.options.Listen(a.options.Address)
 	if err != nil {
 		return err
 	}
--- a/io/bttarget/bttarget_test.go
+++ b/io/bttarget/bttarget_test.go
@@ -137,7 +137,8 @@
 }
 
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// At an address of its own, so that no other test's server gets the port.
+	listener, err := net.Listen("tcp", "127.0.0.11:0")
 	assert.NilError(t, err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	assert.NilError(t, listener.Close())
--- a/io/bttarget/refused_test.go
+++ b/io/bttarget/refused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -15,7 +16,10 @@
 // A target that cuts an answer and one that ends under it break off alike; the host of
 // the one that has ended refuses connections.
 func TestATargetThatHasEndedIsTold(t *testing.T) {
-	server := httptest.NewUnstartedServer(nil)
+	// At an address of its own, so that no other test's server gets the port.
+	listener, err := net.Listen("tcp", "127.0.0.12:0")
+	assert.NilError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{}}
 	server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/ends" {
 			// A listener is closed once only.
