Deadlines of the guarded path count time that a host is suspended

Hypothesis: after a suspension an entry sends requests again, and an agent begins them, whose callers have given up. Cause: both went by the steady clock, which stands still meanwhile.

Now deadlines, queues and planned stops go by io/btclock, as those of the direct path do; leases, grants and times told to other hosts stay with the time of day, of which the longer time counts. Limits and the retry policy keep their clock and are handed the time that is left on it. Ruled out: one clock for all, as that would not follow the time of day that is compared with other hosts.

--- a/commands/btruncmd/btruncmd.go
+++ b/commands/btruncmd/btruncmd.go
@@ -89,6 +89,7 @@
 		Decisions:   runtime.Decisions,
 		Log:         runtime.Log,
 		Clock:       runtime.Clock,
+		Elapsed:     runtime.Elapsed,
 		Assert:      runtime.Assert,
 		Random:      runtime.Random,
 	})
@@ -117,6 +118,7 @@
 		Decisions:  runtime.Decisions,
 		Log:        runtime.Log,
 		Clock:      runtime.Clock,
+		Elapsed:    runtime.Elapsed,
 		Assert:     runtime.Assert,
 		Random:     runtime.Random,
 	})
--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -42,8 +42,11 @@
 	Decisions *btmetric.Decisions
 	Log       *slog.Logger
 	Clock     btloop.Clock
-	Assert    *btassert.Asserter
-	Random    *rand.Rand
+	// Elapsed tells the time that passes, also while the host is suspended. Its times are
+	// this process's own: none is compared with one of another host.
+	Elapsed btloop.Clock
+	Assert  *btassert.Asserter
+	Random  *rand.Rand
 }
 
 // Agent stands beside one target.
@@ -81,7 +84,7 @@
 		self:     btid.Executor{Target: o.Target, Incarnation: btid.Incarnation(o.Clock().UnixNano())},
 		starting: make(chan func(context.Context), startQueue),
 	}
-	a.stop = btprocess.NewStop(btmember.DrainSettings{Grace: stopGrace}, o.Clock, o.Assert, o.Log)
+	a.stop = btprocess.NewStop(btmember.DrainSettings{Grace: stopGrace}, o.Elapsed, o.Assert, o.Log)
 	a.home = newKeyHome(o, a.self, o.Bundles)
 	a.isolation = btprocess.NewIsolation(o.Bundles)
 	a.heartbeat = newHeartbeat(o, a.self, a.report, a.remind)
--- a/io/btagent/configure.go
+++ b/io/btagent/configure.go
@@ -52,7 +52,7 @@
 // begin makes what needs the first bundle's values.
 func (a *Agent) begin(approved *btbundle.Approved, target *btbundle.Target) {
 	o := a.options
-	a.admission = newAdmission(btqueue.DefaultSettings(target.Slots, target.Queue), o.Clock, o.Random, o.Assert)
+	a.admission = newAdmission(btqueue.DefaultSettings(target.Slots, target.Queue), o.Elapsed, o.Random, o.Assert)
 	service, _ := approved.Index.Service(target.Service)
 	settings := btclaim.DefaultLedgerSettings(a.self, RulesOf(approved, service))
 	a.ledger = newLedger(settings, o.Clock, o.Assert)
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -45,7 +45,7 @@
 		agent:    a,
 		stream:   s,
 		request:  request,
-		deadline: a.options.Clock().Add(request.Remaining),
+		deadline: a.options.Elapsed().Add(request.Remaining),
 		release:  func() {},
 	}
 	a.stop.Began(request.ID, v.deadline)
@@ -118,7 +118,7 @@
 	if v.place.firstToken == 0 {
 		return time.Time{}
 	}
-	return v.agent.options.Clock().Add(v.place.firstToken)
+	return v.agent.options.Elapsed().Add(v.place.firstToken)
 }
 
 // turnAway answers a refusal of the queue. A granted request is sealed first,
@@ -136,9 +136,13 @@
 	return v.refuseClaim(refused)
 }
 
+// left returns the time that the request has. Timers go by the steady clock, which
+// stands still while the host is suspended.
+func (v *serving) left() time.Duration { return v.deadline.Sub(v.agent.options.Elapsed()) }
+
 // serveAny runs a request that may be repeated.
 func (v *serving) serveAny(ctx context.Context) error {
-	ctx, cancel := context.WithDeadline(ctx, v.deadline)
+	ctx, cancel := context.WithTimeout(ctx, v.left())
 	defer cancel()
 	response, err := v.place.client.Do(ctx, v.toTarget())
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
@@ -159,7 +163,7 @@
 	if _, start := word.(btclaim.Start); !start {
 		return v.answerWord(word)
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), v.deadline)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), v.left())
 	defer cancel()
 	response, err := v.place.client.Do(ctx, v.toTarget())
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -100,7 +100,7 @@
 		Account:   x.account.Name,
 		Weight:    x.account.Weight,
 		Priority:  x.call.Priority,
-		Remaining: remaining(x.deadline.Sub(s.entry.options.Clock())),
+		Remaining: remaining(s.entry.left(x.deadline)),
 		Method:    x.call.Method,
 		Path:      x.call.Path,
 		Header:    btserve.HeaderOf(x.call.Header),
@@ -217,7 +217,7 @@
 			pace.begin()
 			s.entry.fleet.started(o.pick)
 			s.entry.reserve.served(x.service.Name)
-			s.entry.options.Meter.Duration("first_byte_us", s.entry.options.Clock().Sub(x.received))
+			s.entry.options.Meter.Duration("first_byte_us", s.entry.options.Elapsed().Sub(x.received))
 		}
 		arrived := s.entry.options.Clock()
 		ended := s.add(x, piece, err, result)
@@ -259,8 +259,7 @@
 // cut ends an attempt whose answer broke off, as one does that an agent ends at
 // its deadline.
 func (s *sender) cut(x *exchange, result *attempt) {
-	now := s.entry.options.Clock()
-	if !now.Before(x.deadline.Add(-evidenceWait)) {
+	if s.entry.left(x.deadline) <= evidenceWait {
 		result.reason = ReasonDeadline
 		return
 	}
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -45,8 +45,11 @@
 	Decisions  *btmetric.Decisions
 	Log        *slog.Logger
 	Clock      btloop.Clock
-	Assert     *btassert.Asserter
-	Random     *rand.Rand
+	// Elapsed tells the time that passes, also while the host is suspended. Its times are
+	// this process's own: none is compared with one of another host.
+	Elapsed btloop.Clock
+	Assert  *btassert.Asserter
+	Random  *rand.Rand
 }
 
 // Entry takes callers' requests.
@@ -92,12 +95,12 @@
 		fleet:       newFleet(o, place, incarnation),
 	}
 	e.summaries = newSummaries(o, e.fleet)
-	e.stop = btprocess.NewStop(btmember.DrainSettings{Lag: o.BalancerLag, Grace: stopGrace}, o.Clock, o.Assert, o.Log)
+	e.stop = btprocess.NewStop(btmember.DrainSettings{Lag: o.BalancerLag, Grace: stopGrace}, o.Elapsed, o.Assert, o.Log)
 	end := &dispatch{entry: e, sender: sender{entry: e}}
 	e.limit = newLimit(e)
 	e.reserve = newReserve(o.Clock, o.Meter)
 	e.isolation = btprocess.NewIsolation(o.Bundles)
-	e.path = chain(end.handle, &identify{self: o.Name, current: o.Bundles.Current, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, quarantine{e.isolation}, e.limit, e.reserve)
+	e.path = chain(end.handle, &identify{self: o.Name, current: o.Bundles.Current, timer: e.timer, bodies: bthttp.NewBodies(bthttp.DefaultBodyBytes)}, quarantine{e.isolation}, e.limit, e.reserve)
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: headerWait,
--- a/io/btentry/http.go
+++ b/io/btentry/http.go
@@ -20,14 +20,14 @@
 		id:       e.nextID(),
 		caller:   r,
 		writer:   w,
-		received: e.options.Clock(),
+		received: e.options.Elapsed(),
 		answer:   bthttp.NewAnswer(w, r.Method, statuses),
 	}
 	w.Header().Set(bthttp.HeaderRequest, x.id.String())
 	if current := e.options.Bundles.Current(); current != nil {
 		w.Header().Set(bthttp.HeaderBundle, strconv.FormatUint(uint64(current.Bundle.Version), 10))
 	}
-	x.answer.SetWriteDeadline(x.received.Add(e.longest() + answerGrace))
+	x.answer.SetWriteDeadline(e.timer(x.received.Add(e.longest() + answerGrace)))
 	switch {
 	case r.URL.Path == bthttp.PathModels && r.Method == http.MethodGet:
 		e.exchange(x, e.listModels)
@@ -54,6 +54,13 @@
 	}
 }
 
+// left returns how long it is until a moment of the clock that runs on while the host
+// is suspended.
+func (e *Entry) left(until time.Time) time.Duration { return until.Sub(e.options.Elapsed()) }
+
+// timer returns the same moment for timers and sockets, which go by the steady clock.
+func (e *Entry) timer(at time.Time) time.Time { return time.Now().Add(e.left(at)) }
+
 // longest is the latest deadline that a request may have.
 func (e *Entry) longest() time.Duration {
 	if current := e.options.Bundles.Current(); current != nil {
@@ -72,7 +79,7 @@
 		e.options.Meter.Refused(reason)
 	}
 	e.options.Meter.Ended(outcome)
-	took := e.options.Clock().Sub(x.received)
+	took := e.options.Elapsed().Sub(x.received)
 	e.options.Meter.Duration("request_us", took)
 	e.options.Log.Info("request",
 		"request", x.id, "outcome", outcome, "reason", reason, "took", took,
--- a/io/btentry/identify.go
+++ b/io/btentry/identify.go
@@ -27,7 +27,9 @@
 type identify struct {
 	self    btid.Entry
 	current func() *btbundle.Approved
-	bodies  *bthttp.Bodies
+	// timer returns a moment of the entry's as timers and sockets know it.
+	timer  func(time.Time) time.Time
+	bodies *bthttp.Bodies
 }
 
 var _ filter = (*identify)(nil)
@@ -49,7 +51,7 @@
 	if refusal := f.read(x); refusal != nil {
 		return refusal
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(evidenceGrace))
+	ctx, cancel := context.WithDeadline(ctx, f.timer(x.deadline.Add(evidenceGrace)))
 	defer cancel()
 	return next(ctx, x)
 }
@@ -69,7 +71,7 @@
 // read reads the body and finds the service, in the order in which each is
 // known. A body that trickles in is given up at the request's deadline.
 func (f *identify) read(x *exchange) *btrequest.Refusal {
-	x.answer.SetReadDeadline(x.deadline)
+	x.answer.SetReadDeadline(f.timer(x.deadline))
 	defer x.answer.SetReadDeadline(time.Time{})
 	if !x.call.Completion {
 		if refusal := f.service(x); refusal != nil {
--- a/io/btentry/limit.go
+++ b/io/btentry/limit.go
@@ -64,7 +64,8 @@
 }
 
 func (l *limit) acquire(x *exchange) *btrequest.Refusal {
-	event := btlimit.Acquire{ID: x.id, Account: x.account.Name, Deadline: x.deadline}
+	until := l.entry.options.Clock().Add(l.entry.left(x.deadline))
+	event := btlimit.Acquire{ID: x.id, Account: x.account.Name, Deadline: until}
 	for _, effect := range l.step(event) {
 		if e, ok := effect.(btlimit.Refused); ok && e.ID == x.id {
 			return btrequest.Refuse(e.Reason, e.RetryAfter, "client account %s is at its limit", x.account.Name)
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -132,7 +132,7 @@
 	return f.dispatch.entry.fleet.decide(btretry.Attempt{
 		Outcome:       last.outcome,
 		Number:        f.number,
-		Deadline:      f.x.deadline,
+		Deadline:      now.Add(f.dispatch.entry.left(f.x.deadline)),
 		Needed:        f.picked.choice.Expected,
 		FirstByteSent: started,
 		Resumable:     resumable(f.x),
--- a/io/btprocess/runtime.go
+++ b/io/btprocess/runtime.go
@@ -15,6 +15,7 @@
 
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/btclock"
 	"bilberrytide/io/btkeys"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -41,8 +42,10 @@
 	Decisions *btmetric.Decisions
 	Log       *slog.Logger
 	Clock     btloop.Clock
-	Assert    *btassert.Asserter
-	Random    *rand.Rand
+	// Elapsed tells the time that passes, also while the host is suspended.
+	Elapsed btloop.Clock
+	Assert  *btassert.Asserter
+	Random  *rand.Rand
 	// StatusListener serves the pages for operators.
 	StatusListener net.Listener
 }
@@ -72,6 +75,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("status.listen: %w", err)
 	}
+	clock, err := btclock.New(btclock.NewSystem(), time.Now(), func(slept time.Duration) {
+		log.Warn("host was suspended", "for_ms", slept.Milliseconds())
+	})
+	if err != nil {
+		return nil, err
+	}
 	r := &Runtime{
 		Keys:           keys,
 		Node:           node,
@@ -80,6 +89,7 @@
 		Decisions:      btmetric.NewDecisions(btmetric.DefaultDecisions, log),
 		Log:            log,
 		Clock:          time.Now,
+		Elapsed:        clock.Now,
 		Assert:         btassert.New(btmetric.NewViolations(meter, log)),
 		Random:         newRandom(),
 		StatusListener: listener,
--- a/io/btstandin/btinprocess/btinprocess.go
+++ b/io/btstandin/btinprocess/btinprocess.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,9 @@
 	Bundle btbundle.Bundle
 	// Meters holds the meter of each process by its name.
 	Meters map[string]*btmetric.Meter
+	// Suspended is for how long, in nanoseconds, all hosts were suspended. Timers and the
+	// steady clock know nothing of it.
+	Suspended atomic.Int64
 
 	authority *btkeys.Authority
 	approver  ed25519.PrivateKey
--- a/io/btstandin/btinprocess/process.go
+++ b/io/btstandin/btinprocess/process.go
@@ -87,6 +87,11 @@
 	return p
 }
 
+// elapsed is the processes' clock that runs on while their hosts are suspended.
+func (f *Fleet) elapsed() time.Time { return time.Now().Add(f.suspended()) }
+
+func (f *Fleet) suspended() time.Duration { return time.Duration(f.Suspended.Load()) }
+
 // Entry is an entry that runs.
 type Entry struct {
 	*btentry.Entry
@@ -114,6 +119,7 @@
 		Decisions:  p.Decisions,
 		Log:        quiet,
 		Clock:      time.Now,
+		Elapsed:    f.elapsed,
 		Assert:     panics,
 		Random:     p.random,
 	})
@@ -143,6 +149,7 @@
 		Decisions:  p.Decisions,
 		Log:        quiet,
 		Clock:      clock,
+		Elapsed:    func() time.Time { return clock().Add(f.suspended()) },
 		Assert:     panics,
 		Random:     p.random,
 	})
