--- /dev/null
+++ b/core/btinventory/completeness_test.go
@@ -0,0 +1,53 @@
+package btinventory_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btinventory"
+)
+
+// ranks lists the ranks of a group of the size.
+func ranks(size int, listed ...int) []btinventory.Target {
+	var list []btinventory.Target
+	for _, r := range listed {
+		list = append(list, btinventory.Target{Service: "llm", Member: &btinventory.Member{Group: "g", Rank: r, Size: size}})
+	}
+	return list
+}
+
+func TestAGroupWithoutAllOfItsRanksIsAbsentAfterAWhile(t *testing.T) {
+	start := time.Unix(1_000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	const short, long = btinventory.AbsentFor - time.Second, btinventory.AbsentFor
+	type listing struct {
+		after time.Duration
+		list  []btinventory.Target
+	}
+	for name, c := range map[string]struct {
+		listings []listing
+		at       time.Duration
+		absent   bool
+	}{
+		"all there":                        {[]listing{{0, ranks(2, 0, 1)}}, 2 * long, false},
+		"one missing for a short time":     {[]listing{{0, ranks(2, 0)}}, short, false},
+		"one missing for long":             {[]listing{{0, ranks(2, 0)}}, long, true},
+		"a rank listed twice is one":       {[]listing{{0, ranks(2, 0, 0)}}, long, true},
+		"missing again after all were":     {[]listing{{0, ranks(2, 0)}, {short, ranks(2, 0, 1)}, {long, ranks(2, 1)}}, long + short, false},
+		"another one missing all the time": {[]listing{{0, ranks(2, 0)}, {short, ranks(2, 1)}}, long, true},
+		"back":                             {[]listing{{0, ranks(2, 0)}, {2 * long, ranks(2, 0, 1)}}, 3 * long, false},
+		"not listed any more":              {[]listing{{0, ranks(2, 0)}, {short, nil}}, long, false},
+		"of unknown size":                  {[]listing{{0, ranks(0, 0)}}, long, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			completeness := btinventory.NewCompleteness()
+			for _, l := range c.listings {
+				completeness.Listed(at(l.after), l.list)
+			}
+			assert.Equal(t, completeness.Absent(at(c.at), "llm", "g"), c.absent)
+			assert.Assert(t, !completeness.Absent(at(c.at), "other", "g"))
+		})
+	}
+}
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -89,3 +89,24 @@
 	}
 	return false, s.opened
 }
+
+// absent tells whether nobody should wait for the service: each of its groups is known to
+// be broken and has not all of its ranks.
+func (f *fleet) absent(name btid.Service) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(name)
+	now := f.clock()
+	found := false
+	for _, t := range s.targets {
+		if t.state != btinventory.Ready {
+			continue
+		}
+		found = true
+		_, broken := s.broken[t.group()]
+		if !broken || !f.completeness.Absent(now, name, t.group()) {
+			return false
+		}
+	}
+	return found
+}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -86,6 +86,8 @@
 	mu       sync.Mutex
 	targets  map[btinventory.Instance]*target
 	services map[btid.Service]*service
+	// completeness tells which groups are not all there.
+	completeness *btinventory.Completeness
 }
 
 // service is what the entry keeps for one service.
@@ -102,10 +104,11 @@
 
 func newFleet(o Options) *fleet {
 	return &fleet{
-		near:     o.Settings.DataCentre,
-		clock:    o.Clock,
-		targets:  make(map[btinventory.Instance]*target),
-		services: make(map[btid.Service]*service),
+		near:         o.Settings.DataCentre,
+		clock:        o.Clock,
+		targets:      make(map[btinventory.Instance]*target),
+		services:     make(map[btid.Service]*service),
+		completeness: btinventory.NewCompleteness(),
 	}
 }
 
@@ -113,6 +116,7 @@
 func (f *fleet) configure(_ *btcatalog.Index, list []btinventory.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.completeness.Listed(f.clock(), list)
 	listed := make(map[btinventory.Instance]bool, len(list))
 	for _, s := range f.services {
 		s.targets = s.targets[:0]
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -21,6 +21,9 @@
 	ReasonOverload btrequest.Reason = "overload"
 	// ReasonGroupBroken: the service's engine group isn't open.
 	ReasonGroupBroken btrequest.Reason = "group_broken"
+	// ReasonGroupIncomplete: the service's engine group isn't open and has not been all
+	// there for so long that nobody should wait for it.
+	ReasonGroupIncomplete btrequest.Reason = "group_incomplete"
 	// ReasonQuarantined: targets have ended under the request, of late.
 	ReasonQuarantined btrequest.Reason = "quarantined"
 	// ReasonNoTarget: no target is known, or none is left to try.
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -37,9 +37,9 @@
 	if x.quarantined() {
 		return false
 	}
-	if !x.awaitGroup(ctx) {
+	if reason := x.awaitGroup(ctx); reason != "" {
 		if !x.gone() {
-			x.turnDown(ReasonGroupBroken, x.later())
+			x.turnDown(reason, x.later())
 		}
 		return false
 	}
@@ -66,24 +66,27 @@
 	x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after})
 }
 
-// awaitGroup waits for a broken group to open, and tells whether the request may
-// be sent.
-func (x *exchange) awaitGroup(ctx context.Context) bool {
+// awaitGroup waits for a broken group to open, and returns why the request may not be
+// sent, empty where it may. It doesn't wait for a group that can't be whole.
+func (x *exchange) awaitGroup(ctx context.Context) btrequest.Reason {
 	e := x.entry
 	open, opened := e.fleet.open(x.service.Name)
 	if open {
-		return true
+		return ""
+	}
+	if e.fleet.absent(x.service.Name) {
+		return ReasonGroupIncomplete
 	}
 	e.meter.Counter(metricGroupWaits).Inc(1)
 	timer := time.NewTimer(x.wait.ForGroup().Sub(e.options.Clock()))
 	defer timer.Stop()
 	select {
 	case <-opened:
-		return true
+		return ""
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false
+	return ReasonGroupBroken
 }
 
 // waitsAnew tells whether the request waits for a group to open after an attempt that
