Nobody waits for a group that is not all there

Cause: entries know from the records how many ranks a group has and which are listed, and did not compare the two. Now a group that is known to be broken and has lacked a rank for 10 s or more (core/btinventory.Completeness) is refused at once, as group_incomplete, with ten seconds as the time to come back.

Ruled out: waiting for it as long as for one that lost a rank a moment ago, which the test of a second's absence keeps.

--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -7,6 +7,7 @@
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btgate"
+	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btrequest"
 )
 
@@ -37,11 +38,16 @@
 	if x.quarantined() {
 		return false
 	}
-	if reason := x.awaitGroup(ctx); reason != "" {
+	switch x.awaitGroup(ctx) {
+	case ReasonGroupBroken:
 		if !x.gone() {
-			x.turnDown(reason, x.later())
+			x.turnDown(ReasonGroupBroken, x.later())
 		}
 		return false
+	case ReasonGroupIncomplete:
+		// It has lasted for so long, and is as likely to last as long again.
+		x.turnDown(ReasonGroupIncomplete, btinventory.AbsentFor)
+		return false
 	}
 	if !e.admission.enter(ctx, x.service, x.wait) {
 		if !x.gone() {
