A failure does not free a request from suspicion on the guarded path

Found by reading: an agent took any whole answer for one that frees the request, also a 5xx; a direct entry does not. The test has one target that comes back, as an agent knows the ends of its own target at once.

--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 
 	"bilberrytide/core/btanswer"
@@ -68,16 +69,24 @@
 		}
 		if err != nil {
 			whole := errors.Is(err, io.EOF) && response.Delimited
-			if whole {
-				v.agent.isolation.Served(v.fingerprint())
-			} else {
-				v.broke(ctx, err, true)
-			}
+			v.learn(ctx, response.Status, whole, err)
 			return v.finish(cutter, whole, kept, sendErr)
 		}
 	}
 }
 
+// learn notes what the end of an answer tells of the request. A failure doesn't free it
+// from suspicion: the next target may end under it.
+func (v *serving) learn(ctx context.Context, status int, whole bool, err error) {
+	if !whole {
+		v.broke(ctx, err, true)
+		return
+	}
+	if status < http.StatusInternalServerError {
+		v.agent.isolation.Served(v.fingerprint())
+	}
+}
+
 // finish sends the end of the answer: whole only where the target said so. The
 // answer is kept and the slot given back first: a caller that has its whole
 // answer may use the slot, or repeat its key, at once.
--- a/io/btentry/quarantine_test.go
+++ b/io/btentry/quarantine_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,34 +23,52 @@
 // mortal is a target that ends when it begins to run a certain request: its listener
 // and all of its connections are closed.
 type mortal struct {
-	server *httptest.Server
+	server atomic.Pointer[httptest.Server]
 	ends   *atomic.Int64
+	// turns, which all targets share, has every other one fail the request instead.
+	turns *atomic.Int64
 }
 
 func newMortal(t *testing.T, ends *atomic.Int64) *mortal {
 	m := &mortal{ends: ends}
 	// At an address of its own, so that no other test's server gets the port of one that
 	// has ended.
-	listener, err := net.Listen("tcp", "127.0.0.13:0")
-	assert.NilError(t, err)
-	m.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: m}}
-	m.server.Start()
-	t.Cleanup(m.server.CloseClientConnections)
+	m.listen(t, "127.0.0.13:0")
 	return m
 }
 
+func (m *mortal) listen(t *testing.T, address string) {
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: m}}
+	server.Start()
+	t.Cleanup(func() {
+		// One that has ended is closed already.
+		_ = listener.Close()
+		server.CloseClientConnections()
+	})
+	m.server.Store(server)
+}
+
+// restart has a target that has ended begin again, at its address.
+func (m *mortal) restart(t *testing.T) { m.listen(t, m.endpoint().String()) }
+
 func (m *mortal) endpoint() netip.AddrPort {
-	return netip.MustParseAddrPort(m.server.Listener.Addr().String())
+	return netip.MustParseAddrPort(m.server.Load().Listener.Addr().String())
 }
 
 func (m *mortal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.Contains(r.URL.Path, "fatal") {
 		return
 	}
+	if m.turns != nil && m.turns.Add(1)%2 == 1 {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	m.ends.Add(1)
 	// A listener is closed once only.
-	_ = m.server.Listener.Close()
-	m.server.CloseClientConnections()
+	_ = m.server.Load().Listener.Close()
+	m.server.Load().CloseClientConnections()
 	panic(http.ErrAbortHandler)
 }
 
@@ -127,3 +146,36 @@
 		assert.Check(t, served >= 8, "%d of 10 other requests are served", served)
 	}
 }
+
+// A target that answers with a failure may end under the request the next time: agents took
+// such an answer for one that frees the request, which went on to end the target each time
+// that it was back.
+func TestAFailureDoesNotFreeARequest(t *testing.T) {
+	t.Parallel()
+	const ends = 3
+	var ended, turns atomic.Int64
+	m := newMortal(t, &ended)
+	m.turns = &turns
+	w := newWorld(t, []place{{name: "p1", service: plain, handler: m, slots: 4}}, func(b *btbundle.Bundle) {
+		generous(b)
+		b.Targets[0].Endpoint = m.endpoint()
+	})
+	for range 4 * ends {
+		before := ended.Load()
+		r := w.do(http.MethodGet, "/services/pages/fatal", "")
+		assert.Assert(t, r.StatusCode >= http.StatusInternalServerError, "%d", r.StatusCode)
+		if ended.Load() == before {
+			continue
+		}
+		// Two ends of one target within a second count as one.
+		time.Sleep(betweenEnds)
+		m.restart(t)
+		w.await(func() bool { return w.do(http.MethodGet, "/services/pages/x", "").StatusCode == http.StatusOK })
+	}
+	assert.Equal(t, ended.Load(), int64(ends))
+	r := w.do(http.MethodGet, "/services/pages/fatal", "")
+	w.checkRefusal(r, http.StatusServiceUnavailable, "quarantined", "not_run")
+}
+
+// betweenEnds is longer than two words on one end of a target may be apart.
+const betweenEnds = 1100 * time.Millisecond
