Lines tell where a request's time went, and `stages` draws it

Now lines of requests have the waits for the group and for a place, the time from the place until the answer began, its longest pause, and served ones whether they were late; histograms have the three waits. `bilberrytide stages` draws them over time from logs, by what a sampled line stands for and by what the limits on lines left out (core/btstage, with a fuzz target).

--- a/cmd/bilberrytide/main.go
+++ b/cmd/bilberrytide/main.go
@@ -14,6 +14,7 @@
 	"bilberrytide/commands/btkeyscmd"
 	"bilberrytide/commands/btruncmd"
 	"bilberrytide/commands/btsettingscmd"
+	"bilberrytide/commands/btstagescmd"
 	"bilberrytide/commands/btstatuscmd"
 	"bilberrytide/commands/btwhycmd"
 )
@@ -37,6 +38,7 @@
 	btkeyscmd.Register(app, os.Stdout)
 	btstatuscmd.Register(app, os.Stdout)
 	btdirectcmd.Register(app, os.Stdout)
+	btstagescmd.Register(app, os.Stdout)
 	btwhycmd.Register(app, os.Stdout)
 	app.Command("version", "Print the version that this program was built from.").Action(printVersion)
 	// The application's own action runs once the command line is understood, so
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -34,8 +34,10 @@
 	priority int
 	received time.Time
 	deadline time.Time
-	// admitted is when the request got its place.
-	admitted time.Time
+	// admitted is when the request got its place, began when its first event went out.
+	admitted, began time.Time
+	// stages is where its time went.
+	stages stages
 	// wait is how the request waits for an open group and for a place.
 	wait btgate.Request
 
--- a/io/btdirect/lines.go
+++ b/io/btdirect/lines.go
@@ -34,8 +34,13 @@
 	e.meter.Ended(btrequest.Done)
 	e.meter.Duration(metricWhole, took)
 	number := e.servedCount.Add(1)
-	if number%servedSample == 0 || x.attempts > 1 {
-		e.log.Info("request served", x.attributes(result, "took_ms", took.Milliseconds(), "sample", servedSample)...)
+	// One that needed several attempts stands for itself.
+	sample := 1
+	if number%servedSample == 0 {
+		sample = servedSample
+	}
+	if sample > 1 || x.attempts > 1 {
+		e.log.Info("request served", x.attributes(result, "took_ms", took.Milliseconds(), "late", x.late(took), "sample", sample)...)
 	}
 }
 
@@ -103,7 +108,7 @@
 	if result.ended || result.reason == ReasonQuarantined {
 		a = append(a, "fingerprint", x.fingerprint())
 	}
-	return append(a, more...)
+	return append(append(a, x.stageAttributes()...), more...)
 }
 
 // endedLine notes that a target's process is gone though its leaving was not listed.
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -109,10 +109,14 @@
 	}
 	now := x.entry.options.Clock()
 	if x.stream.wrote.IsZero() {
+		x.began = now
+		x.stages.begin = now.Sub(x.admitted)
+		x.entry.meter.Duration(metricBegin, x.stages.begin)
 		x.entry.meter.Duration(metricFirstEvent, now.Sub(x.received))
 		x.entry.admission.first(x.service, now.Sub(x.admitted), x.route.Objective)
 		x.entry.succeeded(t, "first event")
 	} else {
+		x.stages.pause = max(x.stages.pause, now.Sub(x.stream.wrote))
 		x.entry.admission.pause(x.service, now.Sub(x.stream.wrote), x.route.MaxGap)
 	}
 	x.stream.wrote = now
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -49,7 +49,10 @@
 		x.turnDown(ReasonGroupIncomplete, btinventory.AbsentFor)
 		return false
 	}
-	if !e.admission.enter(ctx, x.service, x.wait) {
+	asked := e.options.Clock()
+	admitted := e.admission.enter(ctx, x.service, x.wait)
+	x.waited(&x.stages.place, metricPlaceWait, asked)
+	if !admitted {
 		if !x.gone() {
 			x.turnDown(ReasonOverload, e.admission.comeBack(x.service, x.later()))
 		}
@@ -83,6 +86,7 @@
 	if e.fleet.absent(x.service.Name) {
 		return ReasonGroupIncomplete
 	}
+	defer x.waited(&x.stages.group, metricGroupWait, e.options.Clock())
 	e.meter.Counter(metricGroupWaits).Inc(1)
 	timer := time.NewTimer(x.wait.ForGroup().Sub(e.options.Clock()))
 	defer timer.Stop()
