A stale report hides what was read after it: the tests, which fail

By the code the same may let a lead that takes a round over go on with one rank armed, which would be two maps in a step; the second test shows it.

--- /dev/null
+++ b/core/btround/stale_test.go
@@ -0,0 +1,146 @@
+package btround_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btassert"
+	"bilberrytide/core/btexpert"
+	"bilberrytide/core/btround"
+)
+
+// A host stood still for four seconds while its rank was to be armed. The lead ordered the
+// engine itself, and as the host woke up its agent sent a report that it had read before:
+// the group is held, so that no step tells the older state from the newer one, and two
+// readers' numbers don't compare. The lead took the rank for one that isn't armed, "invariant
+// violated", round_goes_on_whole, and the round for failed, though all ranks had the map.
+//
+// A lead that takes such a round over decides by the same states. It may let the group go on
+// with one rank armed.
+
+const (
+	// steps is the last step that all ranks have begun.
+	steps = 10
+	// far is the reader's number of a lead that reads an engine itself.
+	far = 0
+)
+
+// stale is a group of three ranks whose lead is at rank 0.
+type stale struct {
+	t       *testing.T
+	lead    *btround.Lead
+	now     time.Time
+	reading uint64
+}
+
+func newStale(t *testing.T) *stale {
+	s := &stale{t: t, now: time.Unix(1000, 0)}
+	s.lead = btround.NewLead(btround.Defaults(), "g", 0, btassert.New(btassert.Panic()))
+	return s
+}
+
+// state is what a rank's agent reads of its engine.
+func (s *stale) state(r btexpert.Rank) btround.State {
+	s.reading++
+	return btround.State{Rank: r, Size: 3, Group: "g", Epoch: 1, Open: true, Step: steps, Reader: uint64(r) + 1, Reading: s.reading}
+}
+
+func (s *stale) report(state btround.State) { s.lead.Report(s.now, state, 0) }
+
+// answer has the ranks answer the commands that are due, the last rank first, as the
+// function tells; then is called after each.
+func (s *stale) answer(state func(btround.Command) btround.State, then func(btround.Command)) {
+	s.now = s.now.Add(20 * time.Millisecond)
+	for _, c := range slices.Backward(s.lead.Step(s.now)) {
+		s.lead.Result(s.now, btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Reached, Ballot: c.Ballot, State: state(c)})
+		then(c)
+	}
+}
+
+// obeyed is the state of a rank that has done what a command says.
+func (s *stale) obeyed(c btround.Command) btround.State {
+	state := s.state(c.Rank)
+	state.Prepared = c.Version
+	switch c.Kind {
+	case btround.Hold:
+		state.Held, state.HeldStep = true, c.Step
+	case btround.Arm:
+		state.Armed, state.ArmedStep = c.Version, c.Step
+		if c.Rank == 2 {
+			// Its agent doesn't answer, and the lead orders the engine.
+			state.Reader, state.Reading = far, 0
+		}
+	}
+	return state
+}
+
+func TestAStaleReportDoesNotFailARound(t *testing.T) {
+	s := newStale(t)
+	for r := range btexpert.Rank(3) {
+		s.report(s.state(r))
+	}
+	version, begun := s.lead.Begin(s.now, btround.Proposal{Holder: 1})
+	assert.Assert(t, begun)
+	var read btround.State
+	for range 20 {
+		if s.lead.Phase() == btround.Arming {
+			read = s.state(2)
+			read.Prepared = version
+		}
+		s.answer(s.obeyed, func(btround.Command) {
+			if read.Prepared != 0 {
+				s.report(read)
+			}
+		})
+	}
+	outcome := s.lead.Outcome()
+	assert.Assert(t, outcome != nil)
+	assert.Assert(t, outcome.Switched, "reason %s", outcome.Reason)
+}
+
+func TestAStaleReportDoesNotHideAnArmedRank(t *testing.T) {
+	s := newStale(t)
+	const version, step = btround.Version(1 << 20), int64(steps + 1)
+	states := func(r btexpert.Rank) btround.State {
+		state := s.state(r)
+		switch r {
+		case 0:
+			state.Prepared = version
+		case 1:
+			state.Held, state.HeldStep = true, step
+		case 2:
+			state.Armed, state.ArmedStep = version, step
+		}
+		return state
+	}
+	read := s.state(2)
+	for r := range btexpert.Rank(3) {
+		s.report(states(r))
+	}
+	looks := 0
+	for range 20 {
+		s.answer(func(c btround.Command) btround.State {
+			if c.Kind == btround.Look {
+				looks++
+			}
+			assert.Assert(t, c.Kind != btround.Go, "the group goes on with one rank armed")
+			state := states(c.Rank)
+			if c.Rank == 2 {
+				state.Reader, state.Reading = far, 0
+			}
+			return state
+		}, func(c btround.Command) {
+			if c.Kind == btround.Look && c.Rank == 2 {
+				s.report(read)
+			}
+		})
+		if s.lead.Phase() == btround.Disarming {
+			break
+		}
+	}
+	assert.Equal(t, looks, 3)
+	assert.Equal(t, s.lead.Phase(), btround.Disarming)
+}
