A round is decided by states that answered its own commands

Cause: states that two readers read of one rank were ordered by its step alone, and while a group is held no step tells them apart. A report read before an order, and sent by a host that woke up later, took the place of the order's own answer.

Now what a lead decides under its fence, and what it asserts as the group goes on, goes by the states with which ranks answered this round's looks and orders; reports only tell it where to look. A hold that another lead has ended is left alone where no rank is armed.

--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -87,6 +87,21 @@
 	}
 }
 
+// TestNoStepOnTwoMapsThroughSuspensions has reports that were read before their hosts were
+// suspended and arrive after newer states that the leads have read themselves.
+func TestNoStepOnTwoMapsThroughSuspensions(t *testing.T) {
+	for _, seed := range run() {
+		w := newWorld(seed, 8, 0.35, 0.05)
+		w.suspended = true
+		disturb(w)
+		isolate(w)
+		w.run(60 * time.Second)
+		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, len(w.violations), 0, "seed %d: %v", seed, w.violations)
+		assert.Assert(t, w.switches > 0, "seed %d: no map ever changed", seed)
+	}
+}
+
 // disturb changes who leads every few seconds.
 func disturb(w *world) {
 	w.leadBy(0)
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -134,6 +134,11 @@
 	reached bool
 	refused bool
 	asked   time.Time
+	// answered is the state with which the rank last answered an order to arm or disarm,
+	// or a look: it was read after the order, as reports need not be. A report that was
+	// read before, on a host that stood still meanwhile, had a lead let the group go on
+	// with one rank armed.
+	answered *State
 }
 
 // Outcome is how a round ended.
@@ -311,7 +316,7 @@
 // Begin starts a round for a new map and returns its version. The group must be
 // whole and the lead idle; Step returns the commands.
 func (l *Lead) Begin(now time.Time, p Proposal) (Version, bool) {
-	if l.over || l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !l.noneArmed() {
+	if l.over || l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !noneArmed(l.states()) {
 		return 0, false
 	}
 	l.enter(Preparing)
@@ -320,9 +325,28 @@
 	l.version = max(l.newest(), l.version).Next(p.Nonce)
 	l.layers = p.Layers
 	l.holder = p.Holder
+	l.forget()
 	return l.version, true
 }
 
+// forget drops what ranks have answered in a round before.
+func (l *Lead) forget() {
+	for _, m := range l.members {
+		m.answered = nil
+	}
+}
+
+// answered lists the states that ranks have answered with in this round.
+func (l *Lead) answered() []State {
+	var states []State
+	for r := range l.size {
+		if m := l.member(btexpert.Rank(r)); m.answered != nil {
+			states = append(states, *m.answered)
+		}
+	}
+	return states
+}
+
 // foreign tells whether a rank holds the group, or some ranks and not all are
 // armed, though this lead has no round.
 func (l *Lead) foreign() bool {
@@ -336,7 +360,7 @@
 		}
 		armed = max(armed, m.state.Armed)
 	}
-	return armed != 0 && !l.allOn(armed)
+	return armed != 0 && !allOn(l.states(), armed)
 }
 
 // enter goes to a phase in which every rank is asked anew.
--- a/core/btround/leader_test.go
+++ b/core/btround/leader_test.go
@@ -21,7 +21,7 @@
 
 // leadBy adds a lead at a rank's agent.
 func (w *world) leadBy(r btexpert.Rank) *leader {
-	assert := btassert.New(btassert.SinkFunc(func(btassert.Violation) {}))
+	assert := btassert.New(btassert.SinkFunc(func(v btassert.Violation) { w.violations = append(w.violations, v.Name) }))
 	for _, other := range w.leads {
 		// Agents report to one lead, and change over one by one.
 		w.after(w.millis(0, 1500), func() { other.hears = false })
@@ -62,6 +62,9 @@
 		}
 	}
 	w.after(w.millis(1, 30), arrives)
+	if w.suspended && w.random.Float64() < slept {
+		w.after(w.millis(30, 3000), arrives)
+	}
 	if w.relayed {
 		w.after(w.millis(1, 450), arrives)
 	}
@@ -122,6 +125,13 @@
 // later.
 const repeated = 0.1
 
+const (
+	// slept is the share of reports that their hosts send once they have woken up, and
+	// fromAfar that of orders which the lead gives itself.
+	slept    = 0.1
+	fromAfar = 0.3
+)
+
 // send delivers a command to its rank, and the result to the lead.
 func (l *leader) send(c btround.Command) {
 	w := l.world
@@ -139,6 +149,9 @@
 			return
 		}
 		result := e.directly(c)
+		if w.suspended && w.random.Float64() < fromAfar {
+			result.State.Reader, result.State.Reading = far, 0
+		}
 		if w.random.Float64() < w.lost {
 			return
 		}
--- a/core/btround/stale_test.go
+++ b/core/btround/stale_test.go
@@ -85,6 +85,7 @@
 	version, begun := s.lead.Begin(s.now, btround.Proposal{Holder: 1})
 	assert.Assert(t, begun)
 	var read btround.State
+	var outcome *btround.Outcome
 	for range 20 {
 		if s.lead.Phase() == btround.Arming {
 			read = s.state(2)
@@ -95,8 +96,10 @@
 				s.report(read)
 			}
 		})
+		if outcome = s.lead.Outcome(); outcome != nil {
+			break
+		}
 	}
-	outcome := s.lead.Outcome()
 	assert.Assert(t, outcome != nil)
 	assert.Assert(t, outcome.Switched, "reason %s", outcome.Reason)
 }
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -1,6 +1,7 @@
 package btround
 
 import (
+	"slices"
 	"time"
 
 	"bilberrytide/core/btexpert"
@@ -125,6 +126,7 @@
 	switch r.Verdict {
 	case Reached:
 		m.reached = true
+		l.answer(m, r)
 	case Refused:
 		m.refused = true
 	case Outranked:
@@ -136,6 +138,14 @@
 	l.advance(now)
 }
 
+// answer keeps the state of a rank that is armed, disarmed or looked at.
+func (l *Lead) answer(m *member, r Result) {
+	switch l.phase {
+	case Arming, ArmingLast, Disarming, Looking:
+		m.answered = &r.State
+	}
+}
+
 // advance goes to the next phase when every rank has answered.
 func (l *Lead) advance(now time.Time) {
 	switch l.phase {
@@ -289,31 +299,36 @@
 func (l *Lead) gone(now time.Time) {
 	whole := l.wholeState()
 	l.asserter.That(whole, GoesOnWhole, "version %d, step %d", l.version, l.step)
-	switched := l.allOn(l.version)
+	states := l.answered()
+	switched := len(states) == l.size && allOn(states, l.version)
 	l.end(now, switched, "complete")
 }
 
-// wholeState tells whether all ranks were seen armed for or on one map, or none
-// armed.
+// wholeState tells whether all ranks have answered in this round that they are armed for
+// or on one map, or that they aren't armed. One that is out of reach isn't.
 func (l *Lead) wholeState() bool {
-	return l.allOn(l.version) || l.noneArmed()
+	states := l.answered()
+	all := l.size
+	if l.absent != nil {
+		all--
+	}
+	return len(states) == all && (len(states) == l.size && allOn(states, l.version) || noneArmed(states))
 }
 
-// allOn tells whether every rank is armed for the version or has it in force.
-func (l *Lead) allOn(v Version) bool {
+// states lists the last known states of the ranks that have reported.
+func (l *Lead) states() []State {
+	var states []State
 	for _, m := range l.members {
-		if m.state.Armed != v && m.state.Map != v {
-			return false
-		}
+		states = append(states, m.state)
 	}
-	return true
+	return states
 }
 
-func (l *Lead) noneArmed() bool {
-	for _, m := range l.members {
-		if m.state.Armed != 0 {
-			return false
-		}
-	}
-	return true
+// allOn tells whether every rank is armed for the version or has it in force.
+func allOn(states []State, v Version) bool {
+	return !slices.ContainsFunc(states, func(s State) bool { return s.Armed != v && s.Map != v })
+}
+
+func noneArmed(states []State) bool {
+	return !slices.ContainsFunc(states, func(s State) bool { return s.Armed != 0 })
 }
--- a/core/btround/takeover.go
+++ b/core/btround/takeover.go
@@ -25,6 +25,7 @@
 	l.began = now
 	l.heldAt = time.Time{}
 	l.layers = nil
+	l.forget()
 	l.ballot = l.ballot.Next(l.self)
 	if held {
 		l.holder = holder
@@ -83,7 +84,7 @@
 // endWithout ends the round of a lead out of reach: none of the other ranks stays
 // armed, and the lead's own isn't.
 func (l *Lead) endWithout(now time.Time) {
-	if !l.member(l.holder).state.Held || !l.undecided() {
+	if !l.holds() || !l.undecided() {
 		l.wait(now)
 		return
 	}
@@ -94,26 +95,29 @@
 // undecided tells whether each rank within reach is as before the round's step:
 // armed for its map or for none, and the map not in force.
 func (l *Lead) undecided() bool {
-	for r, m := range l.members {
-		if r == *l.absent {
-			continue
-		}
-		if m.state.Map == l.record.Version || m.state.Armed != 0 && m.state.Armed != l.record.Version {
+	for _, s := range l.answered() {
+		if s.Map == l.record.Version || s.Armed != 0 && s.Armed != l.record.Version {
 			return false
 		}
 	}
 	return true
 }
 
+// holds tells whether the rank that held the group did so when it was looked at.
+func (l *Lead) holds() bool {
+	m := l.member(l.holder)
+	return m.answered != nil && m.answered.Held
+}
+
 // decide chooses between arming all and disarming all, by states read after the
 // fence.
 func (l *Lead) decide(now time.Time) {
 	l.version = 0
 	step := l.step
-	for _, m := range l.members {
-		if m.state.Armed != 0 {
-			l.version = m.state.Armed
-			step = m.state.ArmedStep
+	for _, s := range l.answered() {
+		if s.Armed != 0 {
+			l.version = s.Armed
+			step = s.ArmedStep
 		}
 	}
 	if l.version == 0 {
@@ -123,7 +127,7 @@
 		l.endWithout(now)
 		return
 	}
-	if !l.member(l.holder).state.Held {
+	if !l.holds() {
 		l.unheld(now, step)
 		return
 	}
@@ -146,10 +150,10 @@
 	l.enter(Disarming)
 }
 
-// unheld ends a round that another lead has let go on. Where not all ranks are
+// unheld ends a round that another lead has let go on. Where some ranks and not all are
 // armed the step may begin at any moment, so the others are armed at once.
 func (l *Lead) unheld(now time.Time, step int64) {
-	if l.version == 0 || l.allOn(l.version) || !l.foreign() {
+	if states := l.answered(); noneArmed(states) || allOn(states, l.version) {
 		l.end(now, false, "hold was ended")
 		return
 	}
@@ -160,11 +164,11 @@
 // commonPrepared returns the version that all ranks have prepared, or zero.
 func (l *Lead) commonPrepared() Version {
 	var version Version
-	for _, m := range l.members {
-		if m.state.Prepared == 0 || version != 0 && m.state.Prepared != version {
+	for _, s := range l.answered() {
+		if s.Prepared == 0 || version != 0 && s.Prepared != version {
 			return 0
 		}
-		version = m.state.Prepared
+		version = s.Prepared
 	}
 	return version
 }
@@ -172,8 +176,8 @@
 // allReady tells whether every rank has prepared the version or is armed for
 // it.
 func (l *Lead) allReady(v Version) bool {
-	for _, m := range l.members {
-		if m.state.Prepared != v && m.state.Armed != v {
+	for _, s := range l.answered() {
+		if s.Prepared != v && s.Armed != v {
 			return false
 		}
 	}
--- a/core/btround/world_test.go
+++ b/core/btround/world_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bilberrytide/core/btassert"
 	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btround"
@@ -60,6 +61,12 @@
 	// relayed has reports and commands go by relays, which delay, reorder and repeat
 	// them.
 	relayed bool
+	// suspended has some reports arrive seconds after they were read, as hosts that were
+	// suspended in between send them, and some orders given by the lead itself, whose
+	// readings don't compare with the agents'.
+	suspended bool
+	// violations are the invariants that leads found violated.
+	violations []btassert.Name
 }
 
 type event struct {
