A repeated command to keep a record does not undo its commit

Cause, from the trace: a relay that stood still delivers the command to keep a record a second time, after the record was committed and the lead's own rank armed; the agent wrote the record anew, uncommitted; another lead, which could not reach the first, took its rank for not armed and ended the round without it. Now a record that is kept stays as it is; another version or ballot begins a new one.

--- a/core/btround/acceptor.go
+++ b/core/btround/acceptor.go
@@ -54,16 +54,26 @@
 // Note keeps or commits the record of an accepted command's round.
 func (a *Acceptor) Note(c Command) Verdict {
 	switch {
+	case c.Kind == Witness && a.keeps(c):
+		// A relay that stood still delivers a command twice. Taken for a new one it would
+		// undo the commit, and the round would be ended without its lead's rank, which is
+		// armed by then.
+		return Reached
 	case c.Kind == Witness:
 		a.record = &Record{Ballot: c.Ballot, Lead: c.Lead, Epoch: c.Epoch, Version: c.Version}
 		return Reached
-	case c.Kind == Commit && a.record != nil && a.record.Ballot == c.Ballot && a.record.Version == c.Version:
+	case c.Kind == Commit && a.keeps(c):
 		a.record.Committed = true
 		return Reached
 	}
 	return Refused
 }
 
+// keeps tells whether the record is of the command's round.
+func (a *Acceptor) keeps(c Command) bool {
+	return a.record != nil && a.record.Ballot == c.Ballot && a.record.Version == c.Version
+}
+
 // Record returns the record, or nil.
 func (a *Acceptor) Record() *Record {
 	if a.record == nil {
--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -75,8 +75,10 @@
 // TestNoStepOnTwoMapsThroughRelays has reports that arrive late, twice and out of
 // order, and commands that arrive again seconds later, as relays that stood still
 // deliver them.
+//
+// In seed 9098 a repeated command to keep a record undid the commit of that record.
 func TestNoStepOnTwoMapsThroughRelays(t *testing.T) {
-	for _, seed := range run() {
+	for _, seed := range append([]uint64{9098}, run()...) {
 		w := newWorld(seed, 8, 0.35, 0.05)
 		w.relayed = true
 		disturb(w)
--- a/core/btround/stale_test.go
+++ b/core/btround/stale_test.go
@@ -147,3 +147,22 @@
 	assert.Equal(t, looks, 3)
 	assert.Equal(t, s.lead.Phase(), btround.Disarming)
 }
+
+// A relay that stood still delivered the command to keep a record again, after the record
+// had been committed, and the commit was forgotten: another lead then ended the round
+// without the lead's rank, which was armed ("57 steps on two maps").
+func TestARepeatedCommandDoesNotUndoACommit(t *testing.T) {
+	var a btround.Acceptor
+	witness := btround.Command{Kind: btround.Witness, Ballot: 1 << 13, Version: 1 << 20, Epoch: 1}
+	commit := witness
+	commit.Kind = btround.Commit
+	for _, c := range []btround.Command{witness, commit, witness} {
+		assert.Assert(t, a.Accept(c))
+		assert.Equal(t, a.Note(c), btround.Reached)
+	}
+	assert.Assert(t, a.Record().Committed)
+	// Another round of the lead has a record of its own.
+	witness.Version++
+	assert.Equal(t, a.Note(witness), btround.Reached)
+	assert.Assert(t, !a.Record().Committed)
+}
