A round taken over is not ended by what is no longer held, or can still be armed

By the trace all ranks were armed for step 73, whose hold had just been ended, and an order to hold step 74 at another rank was carried out late; the lead took that hold for one that protects the round and had the ranks disarmed one by one as step 73 began. Engines now hear the new ballot, by an order to disarm, before the group goes on, and a rank that was armed in between is disarmed in turn.

--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -20,8 +20,9 @@
 // regressions are seeds that once put a step on two maps: an order to disarm that
 // was carried out late, after another lead had taken the rank for armed (5229,
 // 5371, 5127), and a round ended without its lead's rank though its record was
-// committed (5026).
-var regressions = []uint64{5026, 5127, 5229, 5371}
+// committed (5026). In 20298 a lead that held a later step had ranks disarmed while the
+// step for which all were armed could begin.
+var regressions = []uint64{5026, 5127, 5229, 5371, 20298}
 
 // run lists the seeds of a randomised run.
 func run() []uint64 {
@@ -76,9 +77,11 @@
 // order, and commands that arrive again seconds later, as relays that stood still
 // deliver them.
 //
-// In seed 9098 a repeated command to keep a record undid the commit of that record.
+// In seed 9098 a repeated command to keep a record undid the commit of that record. In
+// 21323 a lead that saw no rank armed, and not all ready, let the group go on, and an
+// order to arm one was carried out late.
 func TestNoStepOnTwoMapsThroughRelays(t *testing.T) {
-	for _, seed := range append([]uint64{9098}, run()...) {
+	for _, seed := range append([]uint64{9098, 21323}, run()...) {
 		w := newWorld(seed, 8, 0.35, 0.05)
 		w.relayed = true
 		disturb(w)
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -162,9 +162,7 @@
 	case ArmingLast:
 		l.oneReached(l.self, Going)
 	case Disarming:
-		if l.allReached() {
-			l.enter(Going)
-		}
+		l.disarmed()
 	case Going:
 		if l.member(l.holder).reached {
 			l.gone(now)
@@ -304,6 +302,22 @@
 	l.end(now, switched, "complete")
 }
 
+// disarmed lets the group go on once no rank is armed. One that was armed for another
+// version meanwhile, by an order carried out late, is disarmed in turn.
+func (l *Lead) disarmed() {
+	if !l.allReached() {
+		return
+	}
+	for _, s := range l.answered() {
+		if s.Armed != 0 {
+			l.version = s.Armed
+			l.disarm()
+			return
+		}
+	}
+	l.enter(Going)
+}
+
 // wholeState tells whether all ranks have answered in this round that they are armed for
 // or on one map, or that they aren't armed. One that is out of reach isn't.
 func (l *Lead) wholeState() bool {
--- a/core/btround/takeover.go
+++ b/core/btround/takeover.go
@@ -120,24 +120,37 @@
 			step = s.ArmedStep
 		}
 	}
-	if l.version == 0 {
-		l.version = l.commonPrepared()
-	}
 	if l.absent != nil {
 		l.endWithout(now)
 		return
 	}
-	if !l.holds() {
+	if !l.holds() || step < l.step {
+		// A hold of a later step keeps nobody from beginning the armed one.
 		l.unheld(now, step)
 		return
 	}
 	if l.version == 0 {
-		// Nothing is armed or can be: the hold itself was carried out late.
-		l.enter(Going)
-		return
+		l.version = l.commonPrepared()
 	}
-	if step == l.step && l.allReady(l.version) {
+	switch {
+	case l.version == 0:
+		l.fence()
+	case step == l.step && l.allReady(l.version):
 		l.enter(Arming)
+	default:
+		l.disarm()
+	}
+}
+
+// fence ends a hold where nothing is armed and not all ranks have a map to be armed for.
+// An order to arm that is on its way to a rank which has one would be carried out all the
+// same, and that rank alone would switch: all engines hear the new ballot before.
+func (l *Lead) fence() {
+	for _, s := range l.answered() {
+		l.version = max(l.version, s.Prepared)
+	}
+	if l.version == 0 {
+		l.enter(Going)
 		return
 	}
 	l.disarm()
@@ -150,15 +163,20 @@
 	l.enter(Disarming)
 }
 
-// unheld ends a round that another lead has let go on. Where some ranks and not all are
-// armed the step may begin at any moment, so the others are armed at once.
+// unheld ends a round whose step nobody holds, as another lead has let it go on. Where
+// some ranks and not all are armed the step may begin at any moment, so the others are
+// armed at once. Where all are, nothing is to be done but to end the hold of a later step.
 func (l *Lead) unheld(now time.Time, step int64) {
-	if states := l.answered(); noneArmed(states) || allOn(states, l.version) {
+	states := l.answered()
+	switch {
+	case !noneArmed(states) && !allOn(states, l.version):
+		l.step = step
+		l.enter(Arming)
+	case l.holds():
+		l.enter(Going)
+	default:
 		l.end(now, false, "hold was ended")
-		return
 	}
-	l.step = step
-	l.enter(Arming)
 }
 
 // commonPrepared returns the version that all ranks have prepared, or zero.
