--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -174,7 +174,14 @@
 func (f *fleet) service(name btid.Service) *service {
 	s, found := f.services[name]
 	if !found {
-		s = &service{name: name, broken: make(map[string]*brokenGroup), opened: make(chan struct{}), epochs: make(map[string]uint64), witnessed: make(map[string]bool), watches: make(map[string]*btquiet.Watch)}
+		s = &service{
+			name:      name,
+			broken:    make(map[string]*brokenGroup),
+			opened:    make(chan struct{}),
+			epochs:    make(map[string]uint64),
+			witnessed: make(map[string]bool),
+			watches:   make(map[string]*btquiet.Watch),
+		}
 		f.services[name] = s
 	}
 	return s
@@ -187,9 +194,10 @@
 	return len(f.targets) > 0
 }
 
-// pick chooses a target for a request and counts the request there. It passes
-// over those that the request has tried, those that are slow and those that
-// failed of late, unless there is no other. It returns nil without any.
+// pick chooses a target for a request and counts the request there. It passes over those
+// that the request has tried, and, unless there is no other, those that are slow, that
+// have fallen silent, that failed of late, whose group is broken, or both of these last.
+// It returns nil without any.
 func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool) *target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
