The list's word on a group isn't told to other processes

Cause: a record's state of its group went into the list that entries and agents tell each other, and into its digest, so that each of 187 groups which breaks or opens had 3,000 targets told anew. It now stays in the entry that reads the store. An entry that learns the list from another doesn't know the state, so that it is no reason to take a group for open either: that is the probe's and the lead's word.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -72,8 +72,10 @@
 	// Member is set for ranks of a lock-step group.
 	Member *Member `json:"member,omitempty"`
 	// GroupBroken tells that the rank's group wasn't open when the record was written, a
-	// second ago or longer.
-	GroupBroken bool `json:"group_broken,omitempty"`
+	// second ago or longer. It isn't told to other processes: each group that breaks or opens
+	// would have the whole list told anew, 0.21 GB between data centres in place of 0.11 on a
+	// simulated day of 300 hosts.
+	GroupBroken bool `json:"-"`
 }
 
 // Instance returns the start of the target that the record is of.
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -48,11 +48,6 @@
 // it go on.
 func (s *service) open(group string) bool {
 	s.witnessed[group] = true
-	return s.reopen(group)
-}
-
-// reopen takes a group for open, and tells whether it was taken for broken.
-func (s *service) reopen(group string) bool {
 	if _, found := s.broken[group]; !found {
 		return false
 	}
@@ -85,17 +80,12 @@
 func (f *fleet) believe(list []btinventory.Target) (closed []btinventory.Group) {
 	for group, broken := range btinventory.Broken(list) {
 		s := f.service(group.Service)
-		if s.witnessed[group.Name] {
-			continue
-		}
 		_, known := s.broken[group.Name]
-		switch {
-		case broken && !known:
-			s.broken[group.Name] = &brokenGroup{epoch: s.epochs[group.Name]}
-			closed = append(closed, group)
-		case !broken && known:
-			s.reopen(group.Name)
+		if !broken || known || s.witnessed[group.Name] {
+			continue
 		}
+		s.broken[group.Name] = &brokenGroup{epoch: s.epochs[group.Name]}
+		closed = append(closed, group)
 	}
 	return closed
 }
