Lines and counters of the rates that targets name

Nothing told that a target named a rate of requests that it takes, so that a rate which no entry reads, one that each keeps to alone and one that is forgotten looked alike. Now the field is decoded, with malformed values by what stands there, and an entry notes what it has heard, from the answer to which request and how old that may be; nothing is decided by it yet. Answers overtake each other: a limit ends only by an answer to a request that was sent after the answer that named it had arrived.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btinventory"
@@ -60,6 +61,7 @@
 	defer e.quarantine.attempting(x, cancel)()
 	moving := x.movable(t, cancel)
 	defer moving.done()
+	sent := e.options.Clock()
 	answer, err := x.send(ctx, t)
 	if err != nil {
 		result := x.ended(ctx, t, moving.result(x.sendFailed(t, err)))
@@ -69,7 +71,7 @@
 		return result
 	}
 	defer func() { _ = answer.Body.Close() }()
-	result := moving.result(x.receive(ctx, cancel, t, answer, tokens))
+	result := moving.result(x.receive(ctx, cancel, t, answer, sent, tokens))
 	result.target = t.info.ID
 	result.status = answer.Status
 	result.began = true
@@ -153,8 +155,8 @@
 	return result
 }
 
-// receive reads the answer and passes it on.
-func (x *exchange) receive(ctx context.Context, cancel context.CancelFunc, t *target, answer *bttarget.Response, tokens *promptTokens) attemptResult {
+// receive reads the answer to a request that was sent then and passes it on.
+func (x *exchange) receive(ctx context.Context, cancel context.CancelFunc, t *target, answer *bttarget.Response, sent time.Time, tokens *promptTokens) attemptResult {
 	said := x.entry.options.Headers.Answer(answer.Status, answer.Header)
 	if said.ID != x.call.ID {
 		x.attempts++
@@ -164,6 +166,7 @@
 	if said.Misdirected {
 		return attemptResult{reason: ReasonMisdirected, notRun: true}
 	}
+	x.entry.hearRate(x, t, sent, answer.Status, said.Rate)
 	if said.NotRun {
 		broken := answer.Status == http.StatusServiceUnavailable && said.AtFault != "" && t.info.Member != nil
 		return attemptResult{reason: ReasonTargetRefused, notRun: true, groupBroken: broken}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -10,6 +10,7 @@
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btpick"
 	"bilberrytide/core/btquiet"
+	"bilberrytide/core/btrate"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/bttarget"
 )
@@ -55,6 +56,10 @@
 	slow bool
 	// signs are what is heard of its streams.
 	signs signs
+	// rate is what the target has said of how many requests it takes; rateMalformed that
+	// it has said what can't be read.
+	rate          btrate.Limit
+	rateMalformed bool
 	// moves are the streams at the target that can go on elsewhere.
 	moves map[*move]struct{}
 }
--- a/io/btdirect/source.go
+++ b/io/btdirect/source.go
@@ -9,6 +9,7 @@
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btrate"
 )
 
 // ErrHistoryGone means that a source no longer has the changes after a
@@ -109,4 +110,6 @@
 	Encoded bool
 	// AtFault is the group member that the answer blames, if any.
 	AtFault btinventory.ID
+	// Rate is what the answer says of how many requests the target takes.
+	Rate btrate.Word
 }
