Targets that name a rate of requests get no more than that of all entries together

What callers saw: a model engine in need named 1 request a second in its answers and went on to get three (12 in 4 s, 11 allowed). Cause: no code read the field. Class: a condition that a target tells of itself in an answer is passed on and kept by nobody, and what one entry hears no other does.

The mend: core/btrate keeps what targets name. Entries hear it by their own answers and from each other (a digest in each greeting, at most 32 records in an answer to one). A few entries use such a target, 3 + the rate and no more, the best by rendezvous hashing of those that know each other; each has an even part, in a bucket that starts empty. A request that finds all targets used up waits for the next place within its patience, or is refused at once with the time at which one is expected.

Ruled out: that knowledge is forgotten (both breaks came before any process had stopped).

--- a/core/btpick/btpick.go
+++ b/core/btpick/btpick.go
@@ -13,6 +13,9 @@
 	Near bool
 	// Pace is how slow the target is; 1 is as usual.
 	Pace float64
+	// Scarce targets take few requests, and this entry may send one now: they are always
+	// among those compared, as the place would lie idle until chance falls on them.
+	Scarce bool
 }
 
 const (
@@ -50,17 +53,22 @@
 // Best returns the index of the candidate that costs least among a few that are
 // chosen by chance, or -1 without any. Draw returns uniform numbers in [0, n).
 func Best(candidates []Candidate, draw func(n int) int) int {
-	var near, far []int
+	var near, far, compared []int
 	for i, c := range candidates {
-		if c.Near {
+		switch {
+		case c.Scarce:
+			compared = append(compared, i)
+		case c.Near:
 			near = append(near, i)
-		} else {
+		default:
 			far = append(far, i)
 		}
 	}
+	compared = append(compared, sample(near, nearChoices, draw)...)
+	compared = append(compared, sample(far, farChoices, draw)...)
 	best := -1
 	least := 0.0
-	for _, i := range append(sample(near, nearChoices, draw), sample(far, farChoices, draw)...) {
+	for _, i := range compared {
 		cost := candidates[i].cost()
 		if best < 0 || cost < least {
 			best = i
--- a/core/btpick/btpick_test.go
+++ b/core/btpick/btpick_test.go
@@ -40,6 +40,22 @@
 	assert.Equal(t, btpick.Best([]btpick.Candidate{{Near: true}, {}}, d), 0)
 }
 
+func TestAScarceTargetIsAlwaysCompared(t *testing.T) {
+	candidates := make([]btpick.Candidate, 50)
+	for i := range candidates {
+		candidates[i] = btpick.Candidate{Near: true, Requests: 2}
+	}
+	candidates[20] = btpick.Candidate{Scarce: true, Near: true}
+	d := draw(5)
+	for range 100 {
+		assert.Equal(t, btpick.Best(candidates, d), 20)
+	}
+	candidates[20].Requests = 9
+	for range 100 {
+		assert.Assert(t, btpick.Best(candidates, d) != 20, "it has more than others")
+	}
+}
+
 // Sixteen entries hear of the load now and then; each sends by what it heard and
 // by its own requests. Taking the best of all piles requests up.
 func TestEntriesWithOldKnowledgeSpread(t *testing.T) {
--- /dev/null
+++ b/core/btrate/register.go
@@ -0,0 +1,236 @@
+package btrate
+
+import (
+	"encoding/binary"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrytide/core/btinventory"
+)
+
+// endedKept is for how long it is remembered that a target has ended its limit, so that
+// an entry which had not heard of it doesn't bring it back.
+const endedKept = 10 * time.Minute
+
+// Change is what the register has learned of a target's rate.
+type Change struct {
+	Target        btinventory.Instance
+	Before, After Limit
+	// PassedOver is how often the target was passed over under the limit before.
+	PassedOver int
+}
+
+// Register is what an entry knows of the rates that targets name, and keeps to. It is not
+// safe for concurrent use.
+type Register struct {
+	shares *Shares
+	random *rand.Rand
+	known  map[btinventory.Instance]*allowance
+	// digest identifies the limits in force.
+	digest uint64
+}
+
+// allowance is what the entry may send to one target.
+type allowance struct {
+	limit  Limit
+	bucket bucket
+	// changed is when the limit last did.
+	changed time.Time
+	// share is the entry's part, as of a generation of the others and a rate.
+	share      float64
+	generation uint64
+	perSecond  float64
+	shared     bool
+	passedOver int
+}
+
+// New returns a register that knows of no limit.
+func New(s *Shares, random *rand.Rand) *Register {
+	return &Register{shares: s, random: random, known: make(map[btinventory.Instance]*allowance)}
+}
+
+// Keep forgets the targets that are not listed.
+func (r *Register) Keep(listed func(btinventory.Instance) bool) {
+	for i, a := range r.known {
+		if !listed(i) {
+			r.digest ^= fingerprint(i, a.limit)
+			delete(r.known, i)
+		}
+	}
+}
+
+// Limit returns what is known of a target's rate.
+func (r *Register) Limit(i btinventory.Instance) Limit {
+	if a, found := r.known[i]; found {
+		return a.limit
+	}
+	return Limit{}
+}
+
+// Heard takes in what an answer says that has arrived now to a request that was sent
+// before, and tells whether that is news.
+func (r *Register) Heard(now, sent time.Time, i btinventory.Instance, w Word) (Change, bool) {
+	before := r.Limit(i)
+	after, news := before.After(now, sent, w)
+	change := Change{Target: i, Before: before, After: after}
+	if after != before {
+		change.PassedOver = r.put(now, i, after, news)
+	}
+	return change, news
+}
+
+// Told takes in what another entry tells that was asked before, of targets that are
+// listed. Of two words the later one holds.
+func (r *Register) Told(now, asked time.Time, records Records, listed func(btinventory.Instance) bool) []Change {
+	var changes []Change
+	for _, record := range records {
+		i := record.instance()
+		before := r.Limit(i)
+		at := asked.Add(-time.Duration(record.AgeMillis) * time.Millisecond)
+		if !listed(i) || !at.After(before.At) || record.Ended && !before.Named {
+			continue
+		}
+		after := Limit{PerSecond: record.PerSecond, Named: !record.Ended, At: at}
+		news := after.Named != before.Named || after.PerSecond != before.PerSecond
+		passedOver := r.put(now, i, after, news)
+		if news {
+			changes = append(changes, Change{Target: i, Before: before, After: after, PassedOver: passedOver})
+		}
+	}
+	return changes
+}
+
+// put keeps a limit, and returns how often the target was passed over under the one
+// before.
+func (r *Register) put(now time.Time, i btinventory.Instance, l Limit, news bool) (passedOver int) {
+	a, found := r.known[i]
+	if !found {
+		a = &allowance{}
+		r.known[i] = a
+	}
+	r.digest ^= fingerprint(i, a.limit) ^ fingerprint(i, l)
+	a.limit = l
+	if news {
+		a.changed = now
+		passedOver, a.passedOver = a.passedOver, 0
+	}
+	return passedOver
+}
+
+// PassedOver notes that a request went elsewhere, or nowhere, for the target's limit.
+func (r *Register) PassedOver(i btinventory.Instance) {
+	if a, found := r.known[i]; found {
+		a.passedOver++
+	}
+}
+
+// Wait returns how long it takes until the entry may send a request to the target, zero
+// where it may now.
+func (r *Register) Wait(now time.Time, i btinventory.Instance) time.Duration {
+	a, found := r.known[i]
+	if !found || !a.limit.Named {
+		return 0
+	}
+	settled := r.shares.settledAt(now)
+	if now.Before(settled) {
+		return settled.Sub(now)
+	}
+	r.refresh(now, i, a)
+	return a.bucket.wait()
+}
+
+// refresh brings the entry's part of a target's rate up to date.
+func (r *Register) refresh(now time.Time, i btinventory.Instance, a *allowance) {
+	if !a.shared || a.generation != r.shares.generation || a.perSecond != a.limit.PerSecond {
+		a.share = r.shares.Of(i.String(), a.limit.PerSecond)
+		a.generation = r.shares.generation
+		a.perSecond = a.limit.PerSecond
+		a.shared = true
+	}
+	a.bucket.set(now, a.share, r.random.Float64())
+}
+
+// Take notes that a request is sent to the target, or will be once it may.
+func (r *Register) Take(i btinventory.Instance) {
+	if a, found := r.known[i]; found && a.limit.Named {
+		a.bucket.take()
+	}
+}
+
+// GiveBack notes that a request which was taken is not sent.
+func (r *Register) GiveBack(i btinventory.Instance) {
+	if a, found := r.known[i]; found && a.limit.Named {
+		a.bucket.giveBack()
+	}
+}
+
+// Limited returns how many targets name a rate.
+func (r *Register) Limited() int {
+	limited := 0
+	for _, a := range r.known {
+		if a.limit.Named {
+			limited++
+		}
+	}
+	return limited
+}
+
+// Digest identifies the limits that are known to be in force.
+func (r *Register) Digest() uint64 { return r.digest }
+
+// Tell returns what is told to an entry that knows what the digest identifies: the latest
+// changes, and of the others some by chance, so that one which has missed more than a
+// message holds catches up.
+func (r *Register) Tell(now time.Time, digest uint64) Records {
+	r.expire(now)
+	if digest == r.digest {
+		return nil
+	}
+	list := make([]btinventory.Instance, 0, len(r.known))
+	for i := range r.known {
+		list = append(list, i)
+	}
+	slices.SortFunc(list, func(a, b btinventory.Instance) int {
+		return r.known[b].changed.Compare(r.known[a].changed)
+	})
+	if len(list) > MaxTold {
+		older := list[MaxTold/2:]
+		r.random.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
+		list = list[:MaxTold]
+	}
+	records := make(Records, len(list))
+	for n, i := range list {
+		l := r.known[i].limit
+		age := min(max(now.Sub(l.At), 0), maxAge)
+		records[n] = Record{Target: i.ID, Start: i.Start, PerSecond: l.PerSecond, Ended: !l.Named, AgeMillis: age.Milliseconds()}
+	}
+	return records
+}
+
+// expire forgets limits that have ended long ago.
+func (r *Register) expire(now time.Time) {
+	for i, a := range r.known {
+		if !a.limit.Named && now.Sub(a.limit.At) > endedKept {
+			delete(r.known, i)
+		}
+	}
+}
+
+// fingerprint stands for a limit in force; zero where there is none.
+func fingerprint(i btinventory.Instance, l Limit) uint64 {
+	if !l.Named {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(i.ID))
+	var numbers [16]byte
+	binary.LittleEndian.PutUint64(numbers[:8], uint64(i.Start))
+	binary.LittleEndian.PutUint64(numbers[8:], math.Float64bits(l.PerSecond))
+	_, _ = d.Write(numbers[:])
+	return d.Sum64()
+}
--- a/core/btrendezvous/btrendezvous.go
+++ b/core/btrendezvous/btrendezvous.go
@@ -57,3 +57,17 @@
 	_, _ = d.WriteString(member)
 	return d.Sum64()
 }
+
+// Place returns how many of the others are better than the member for the key: its
+// index in Order's list of them all, without the sort.
+func Place[M ~string](key string, member M, others []M) int {
+	own := weight(key, string(member))
+	place := 0
+	for _, o := range others {
+		w := weight(key, string(o))
+		if w > own || w == own && o < member {
+			place++
+		}
+	}
+	return place
+}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -208,12 +208,19 @@
 		if x.overdue() {
 			return false
 		}
-		t := e.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried)
-		if t == nil {
+		c := e.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried, x.wait.Until.Sub(e.options.Clock()))
+		if c.target == nil && c.wait > 0 {
+			x.turnDown(ReasonTargetLimited, min(c.wait, x.later()))
+			return false
+		}
+		if c.target == nil {
 			x.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.later()})
 			return false
 		}
-		result := x.attempt(ctx, t)
+		if !x.awaitPlace(ctx, c) {
+			return false
+		}
+		result := x.attempt(ctx, c.target)
 		if result.done {
 			x.whole = true
 			x.served(result)
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -8,7 +8,6 @@
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
-	"bilberrytide/core/btpick"
 	"bilberrytide/core/btquiet"
 	"bilberrytide/core/btrate"
 	"bilberrytide/io/btloop"
@@ -56,9 +55,7 @@
 	slow bool
 	// signs are what is heard of its streams.
 	signs signs
-	// rate is what the target has said of how many requests it takes; rateMalformed that
-	// it has said what can't be read.
-	rate          btrate.Limit
+	// rateMalformed tells that the target has named a rate that can't be read.
 	rateMalformed bool
 	// moves are the streams at the target that can go on elsewhere.
 	moves map[*move]struct{}
@@ -96,6 +93,10 @@
 	services map[btid.Service]*service
 	// completeness tells which groups are not all there.
 	completeness *btinventory.Completeness
+	// shares are this entry's parts of the rates that targets name, rates what it knows
+	// of these and keeps to.
+	shares *btrate.Shares
+	rates  *btrate.Register
 }
 
 // service is what the entry keeps for one service.
@@ -115,7 +116,10 @@
 }
 
 func newFleet(o Options) *fleet {
+	shares := btrate.NewShares(o.Settings.Peer, o.Clock())
 	return &fleet{
+		shares:       shares,
+		rates:        btrate.New(shares, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		near:         o.Settings.DataCentre,
 		clock:        o.Clock,
 		targets:      make(map[btinventory.Instance]*target),
@@ -146,6 +150,7 @@
 			t.kept.Close()
 		}
 	}
+	f.rates.Keep(f.listed)
 	return f.believe(list)
 }
 
@@ -199,59 +204,6 @@
 	return len(f.targets) > 0
 }
 
-// pick chooses a target for a request and counts the request there. It passes over those
-// that the request has tried, and, unless there is no other, those that are slow, that
-// have fallen silent, that failed of late, whose group is broken, or both of these last.
-// It returns nil without any.
-func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool) *target {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	s := f.service(name)
-	var usable, slow, quiet, failing, broken, last []*target
-	for _, t := range s.targets {
-		switch {
-		case t.state != btinventory.Ready || tried[t.info.Instance()] || now.Before(t.replaced):
-		case s.closed(t, now) && now.Before(t.suspended):
-			last = append(last, t)
-		case s.closed(t, now):
-			broken = append(broken, t)
-		case now.Before(t.suspended):
-			failing = append(failing, t)
-		case s.quiet(t):
-			quiet = append(quiet, t)
-		case t.passedOver(now):
-			slow = append(slow, t)
-		default:
-			usable = append(usable, t)
-		}
-	}
-	for _, others := range [][]*target{slow, quiet, failing, broken, last} {
-		if len(usable) == 0 {
-			usable = others
-		}
-	}
-	candidates := make([]btpick.Candidate, len(usable))
-	for i, t := range usable {
-		candidates[i] = btpick.Candidate{
-			Requests: t.requests,
-			Tokens:   t.tokens,
-			Others:   t.others(now),
-			Near:     t.info.DataCentre == f.near,
-			Pace:     t.pace,
-		}
-	}
-	best := btpick.Best(candidates, rand.IntN)
-	if best < 0 {
-		return nil
-	}
-	t := usable[best]
-	s.probed(t, now)
-	t.requests++
-	t.tokens += tokens
-	return t
-}
-
 // read notes that a target has read a prompt.
 func (f *fleet) read(t *target, tokens int) {
 	f.mu.Lock()
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -15,6 +15,7 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btquarantine"
+	"bilberrytide/core/btrate"
 	"bilberrytide/io/btcall"
 )
 
@@ -134,6 +135,8 @@
 	Targets uint64 `cbor:"targets"`
 	// Quarantine is the digest of what the sender knows of requests that end targets.
 	Quarantine uint64 `cbor:"quarantine"`
+	// Rates is the digest of what the sender knows of the rates that targets name.
+	Rates uint64 `cbor:"rates,omitempty"`
 }
 
 // Validate reports a hello from nowhere.
@@ -158,6 +161,8 @@
 	// has what was known before it started.
 	Quarantine btquarantine.Records `cbor:"quarantine,omitempty"`
 	KnowsAll   bool                 `cbor:"knows_all,omitempty"`
+	// Rates are left out where both know the same.
+	Rates btrate.Records `cbor:"rates,omitempty"`
 }
 
 // ReadList is what an entry has read of the list of targets.
@@ -184,6 +189,9 @@
 	if err := w.Quarantine.Validate(); err != nil {
 		return err
 	}
+	if err := w.Rates.Validate(); err != nil {
+		return err
+	}
 	if w.List.Age < 0 {
 		return fmt.Errorf("welcome with a list read in %s", -w.List.Age)
 	}
@@ -234,6 +242,7 @@
 // run makes the entry known until the context ends.
 func (p *peers) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		p.entry.fleet.observe(p.list())
 		for _, to := range p.contacts() {
 			go p.greet(ctx, to)
 		}
@@ -277,6 +286,7 @@
 		Catalog:    p.entry.knowledge.version(),
 		Targets:    p.entry.knowledge.digest(),
 		Quarantine: p.entry.quarantine.Digest(),
+		Rates:      p.entry.fleet.ratesDigest(),
 	}
 	asked := p.entry.options.Clock()
 	w, err := btcall.Call[welcome](ctx, p.calls, to, pathHello, h)
@@ -291,6 +301,7 @@
 	}
 	p.entry.knowledge.learnList(w.List, asked, to)
 	p.entry.quarantine.learn(w, to)
+	p.entry.learnRates(w.Rates, asked, to)
 }
 
 // metricGreetings counts what came of greetings.
@@ -304,6 +315,7 @@
 		List:       p.entry.knowledge.readList(h.Targets),
 		Quarantine: p.entry.quarantine.NewerThan(h.Quarantine),
 		KnowsAll:   p.entry.quarantine.knowsAll(),
+		Rates:      p.entry.fleet.tellRates(h.Rates),
 	}, nil
 }
 
--- a/io/btdirect/rate.go
+++ b/io/btdirect/rate.go
@@ -1,8 +1,11 @@
 package btdirect
 
 import (
+	"context"
+	"net/netip"
 	"time"
 
+	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btrate"
 )
 
@@ -13,6 +16,8 @@
 	metricRatesHeard     = "target_rates.heard"
 	metricRatesChanged   = "target_rates.changed"
 	metricRatesMalformed = "target_rates.malformed"
+	// metricRateWaits counts requests that waited for a place at such a target.
+	metricRateWaits = "target_rates.waits"
 )
 
 // hearRate takes in what an answer to a request that was sent then says of the target's
@@ -25,28 +30,100 @@
 		e.meter.Counter(metricRatesHeard).Inc(1)
 	}
 	now := e.options.Clock()
-	before, after, news := e.fleet.hearRate(t, now, sent, w)
-	attributes := []any{"target", t.info.Instance(), "service", t.info.Service, "request", x.call.ID, "status", status, "age_ms", now.Sub(sent).Milliseconds()}
-	switch {
-	case w.Malformed != "" && e.fleet.firstMalformedRate(t):
-		e.log.Warn("target rate refused", append(attributes, "value", w.Malformed, "kept", after.Named, "per_second", after.PerSecond)...)
-	case news && after.Named:
-		e.meter.Counter(metricRatesChanged).Inc(1)
-		e.log.Info("target rate heard", append(attributes, "per_second", after.PerSecond, "limited_before", before.Named, "before", before.PerSecond)...)
-	case news:
-		e.meter.Counter(metricRatesChanged).Inc(1)
-		e.log.Info("target rate ended", append(attributes, "before", before.PerSecond)...)
+	change, news := e.fleet.hearRate(t, now, sent, w)
+	attributes := []any{"request", x.call.ID, "status", status, "age_ms", now.Sub(sent).Milliseconds()}
+	if w.Malformed != "" && e.fleet.firstMalformedRate(t) {
+		e.log.Warn("target rate refused", append(attributes, "target", t.info.Instance(), "service", t.info.Service, "value", w.Malformed, "kept", change.After.Named, "per_second", change.After.PerSecond)...)
+	}
+	if news {
+		e.rateChanged(change, attributes...)
 	}
 }
 
-// hearRate returns what is known of the target's rate before and after an answer, and
-// whether that is news.
-func (f *fleet) hearRate(t *target, now, sent time.Time, w btrate.Word) (before, after btrate.Limit, news bool) {
+// rateChanged notes news of a target's rate.
+func (e *Entry) rateChanged(c btrate.Change, evidence ...any) {
+	e.meter.Counter(metricRatesChanged).Inc(1)
+	attributes := append([]any{"target", c.Target}, evidence...)
+	if c.Before.Named {
+		attributes = append(attributes, "before", c.Before.PerSecond, "passed_over", c.PassedOver)
+	}
+	if c.After.Named {
+		e.log.Info("target rate heard", append(attributes, "per_second", c.After.PerSecond)...)
+		return
+	}
+	e.log.Info("target rate ended", attributes...)
+}
+
+// hearRate takes in what an answer says of the target's rate, and returns what changed
+// and whether anything did.
+func (f *fleet) hearRate(t *target, now, sent time.Time, w btrate.Word) (btrate.Change, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before = t.rate
-	t.rate, news = before.After(now, sent, w)
-	return before, t.rate, news
+	if !f.listed(t.info.Instance()) {
+		return btrate.Change{}, false
+	}
+	return f.rates.Heard(now, sent, t.info.Instance(), w)
+}
+
+// listed tells whether a target is. The lock is held.
+func (f *fleet) listed(i btinventory.Instance) bool { return f.targets[i] != nil }
+
+// observe takes in which other entries are known, with which this one shares targets that
+// name a rate.
+func (f *fleet) observe(others []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shares.Observe(f.clock(), others)
+}
+
+// ratesDigest identifies the limits that are known.
+func (f *fleet) ratesDigest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rates.Digest()
+}
+
+// tellRates returns what is told to an entry that knows what the digest identifies.
+func (f *fleet) tellRates(digest uint64) btrate.Records {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rates.Tell(f.clock(), digest)
+}
+
+// learnRates takes in what another entry tells that was asked then.
+func (e *Entry) learnRates(records btrate.Records, asked time.Time, from netip.AddrPort) {
+	for _, c := range e.fleet.learnRates(records, asked) {
+		e.rateChanged(c, "from", from, "age_ms", e.options.Clock().Sub(c.After.At).Milliseconds())
+	}
+}
+
+func (f *fleet) learnRates(records btrate.Records, asked time.Time) []btrate.Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rates.Told(f.clock(), asked, records, f.listed)
+}
+
+// awaitPlace waits for the place that a request has at a target which names a rate, and
+// tells whether it may be sent there.
+func (x *exchange) awaitPlace(ctx context.Context, c choice) bool {
+	if c.wait == 0 {
+		return true
+	}
+	e := x.entry
+	e.meter.Counter(metricRateWaits).Inc(1)
+	sleep(ctx, c.wait)
+	if ctx.Err() == nil && !x.quarantined() && !x.overdue() {
+		return true
+	}
+	e.fleet.unplaced(c.target, x.call.PromptTokens)
+	switch {
+	case x.gone():
+		e.logFailure(x, ReasonCallerGone, attemptResult{reason: ReasonCallerGone})
+		x.abort()
+	case ctx.Err() != nil:
+		x.turnDown(ReasonTimeout, 0)
+	}
+	return false
 }
 
 // firstMalformedRate tells whether this is the first time that a target's rate can't be
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -28,6 +28,9 @@
 	ReasonQuarantined btrequest.Reason = "quarantined"
 	// ReasonNoTarget: no target is known, or none is left to try.
 	ReasonNoTarget btrequest.Reason = "no_target"
+	// ReasonTargetLimited: all targets that are left name a rate of requests, and this
+	// entry's part is used up.
+	ReasonTargetLimited btrequest.Reason = "target_limited"
 	// ReasonNotSent: no connection to the target could be had.
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target said that it did not run the request.
