--- a/io/bttarget/header.go
+++ b/io/bttarget/header.go
@@ -20,6 +20,10 @@
 	sentXIdempotencyKey = "x-idempotency-key"
 )
 
+// HeaderRate has how many requests a second a target takes of all callers together, a
+// decimal number, in all of its answers for as long as that holds.
+const HeaderRate = "X-Request-Rate"
+
 // hopByHop lists the fields that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	headerConnection, "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
