Agents keep to the rate that their target names, and entries pass it over

What callers saw on the guarded path: as many requests as before went to a target that named 1 a second (205 in 4 s). Cause: as on the direct path, nobody read the field. Here all requests come through the agent beside the target, so that its queue keeps to the whole rate by itself, whatever the number of entries. It refuses at once what doesn't fit, with a place of its own for each that is refused; entries pass the target over until then, ask another without drawing on the retry budget, and refuse at once where only rates are in the way. A limit ends with the engine's start. Ruled out: waiting in the agent's queue, as other targets may have room.

--- a/core/btqueue/btqueue.go
+++ b/core/btqueue/btqueue.go
@@ -82,6 +82,7 @@
 	deadline    time.Time
 	refused     refusals
 	estimate    estimate
+	limiter     limiter
 	effects     []Effect
 }
 
@@ -121,6 +122,8 @@
 		q.drain()
 	case Policy:
 		q.resize(q.now, e)
+	case Rate:
+		q.limiter.named(q.now, e, q.random.Float64())
 	case Tick:
 		q.queue.forget()
 	}
@@ -156,6 +159,10 @@
 	if !a.Deadline.After(now) {
 		return ReasonDeadline, false
 	}
+	if q.limiter.wait(now) > 0 {
+		// It would wait here while other targets have room.
+		return ReasonLimited, false
+	}
 	if len(q.running) < q.slots && q.queue.count == 0 {
 		// A free slot runs it whatever the estimate says; its run mends a wrong
 		// estimate, which refusals alone never would.
@@ -261,7 +268,7 @@
 
 // dispatch starts what fits into free slots.
 func (q *Queue) dispatch(now time.Time) {
-	for !q.draining && len(q.running) < q.slots {
+	for !q.draining && len(q.running) < q.slots && q.limiter.wait(now) == 0 {
 		i := q.queue.pop()
 		if i == nil {
 			return
@@ -280,6 +287,7 @@
 		q.refuse(i.ID, ReasonFull, q.retryAfter(now, i.Cost))
 		return
 	}
+	q.limiter.take()
 	i.started = now
 	q.running[i.ID] = i
 	q.runningCost += i.Cost
@@ -301,8 +309,11 @@
 
 // after is the time to come back after a refusal for the reason.
 func (q *Queue) after(now time.Time, reason btrequest.Reason, cost float64) time.Duration {
-	if reason == ReasonDraining || reason == ReasonCancelled {
+	switch reason {
+	case ReasonDraining, ReasonCancelled:
 		return 0
+	case ReasonLimited:
+		return q.limiter.next(now, q.settings.RetryAfterMax)
 	}
 	return q.retryAfter(now, cost)
 }
--- a/core/btqueue/event.go
+++ b/core/btqueue/event.go
@@ -58,6 +58,14 @@
 	Queue int
 }
 
+// Rate is what the target says of how many requests a second it takes; it names none where
+// there is no limit, or none any more.
+type Rate struct {
+	PerSecond float64
+	Named     bool
+}
+
+func (Rate) queueEvent()      {}
 func (Arrived) queueEvent()   {}
 func (Finished) queueEvent()  {}
 func (Cancelled) queueEvent() {}
@@ -106,6 +114,9 @@
 	ReasonDeadline btrequest.Reason = "deadline_passed"
 	// ReasonDraining: the target is leaving.
 	ReasonDraining btrequest.Reason = "draining"
+	// ReasonLimited: the target names a rate of requests, which is used up. Others may
+	// take the request at once.
+	ReasonLimited btrequest.Reason = "queue_target_limited"
 	// ReasonCancelled: the caller gave the request up before it started.
 	ReasonCancelled btrequest.Reason = "cancelled_in_queue"
 )
--- a/core/btrate/btrate.go
+++ b/core/btrate/btrate.go
@@ -8,21 +8,6 @@
 
 import "time"
 
-// MaxPerSecond bounds a rate, far above what any target serves; a higher one is taken
-// as this.
-const MaxPerSecond = 1e6
-
-// Word is what one answer of a target says of the rate that it takes.
-type Word struct {
-	// PerSecond is the rate, in requests of all callers together.
-	PerSecond float64
-	// Named tells that the answer names a rate. One that doesn't ends an earlier limit.
-	Named bool
-	// Malformed is what an answer has in the place of a rate that can't be read; such
-	// an answer changes nothing.
-	Malformed string
-}
-
 // Limit is what is known of a target's rate.
 type Limit struct {
 	PerSecond float64
--- a/core/btrate/bucket.go
+++ b/core/btrate/bucket.go
@@ -9,17 +9,18 @@
 // comes some time after its token, and the rate would be lost for that long each time.
 const slack = 400 * time.Millisecond
 
-// bucket is a token bucket. It is debited for requests that wait for their token.
-type bucket struct {
+// Bucket is a token bucket. It is debited for requests that wait for their token. It is
+// not safe for concurrent use.
+type Bucket struct {
 	perSecond float64
 	tokens    float64
 	at        time.Time
 }
 
-// set brings the bucket up to date and puts a rate in force. One that comes into use holds
+// Set brings the bucket up to date and puts a rate in force. One that comes into use holds
 // only a part of a token: entries that take a target up together don't all send at once,
 // and one that is gone and back gains nothing.
-func (b *bucket) set(now time.Time, perSecond, part float64) {
+func (b *Bucket) Set(now time.Time, perSecond, part float64) {
 	if b.perSecond == 0 && perSecond > 0 {
 		b.tokens = min(b.tokens, part)
 		b.at = now
@@ -32,10 +33,10 @@
 }
 
 // depth is how many requests the bucket holds at the most.
-func (b *bucket) depth() float64 { return 1 + b.perSecond*slack.Seconds() }
+func (b *Bucket) depth() float64 { return 1 + b.perSecond*slack.Seconds() }
 
-// wait returns how long it takes until there is a token; the bucket is up to date.
-func (b *bucket) wait() time.Duration {
+// Wait returns how long it takes until there is a token; the bucket is up to date.
+func (b *Bucket) Wait() time.Duration {
 	if b.tokens >= 1 {
 		return 0
 	}
@@ -52,8 +53,8 @@
 // never is a wait that no request lasts for.
 const never = time.Hour
 
-// take debits a request.
-func (b *bucket) take() { b.tokens-- }
+// Take debits a request.
+func (b *Bucket) Take() { b.tokens-- }
 
-// giveBack credits a request that was not sent.
-func (b *bucket) giveBack() { b.tokens = min(b.tokens+1, b.depth()) }
+// GiveBack credits a request that was not sent.
+func (b *Bucket) GiveBack() { b.tokens = min(b.tokens+1, b.depth()) }
--- a/core/btrate/register.go
+++ b/core/btrate/register.go
@@ -30,14 +30,15 @@
 	shares *Shares
 	random *rand.Rand
 	known  map[btinventory.Instance]*allowance
-	// digest identifies the limits in force.
-	digest uint64
+	// digest identifies the limits in force, limited is how many there are.
+	digest  uint64
+	limited int
 }
 
 // allowance is what the entry may send to one target.
 type allowance struct {
 	limit  Limit
-	bucket bucket
+	bucket Bucket
 	// changed is when the limit last did.
 	changed time.Time
 	// share is the entry's part, as of a generation of the others and a rate.
@@ -57,7 +58,7 @@
 func (r *Register) Keep(listed func(btinventory.Instance) bool) {
 	for i, a := range r.known {
 		if !listed(i) {
-			r.digest ^= fingerprint(i, a.limit)
+			r.count(i, a.limit, Limit{})
 			delete(r.known, i)
 		}
 	}
@@ -112,7 +113,7 @@
 		a = &allowance{}
 		r.known[i] = a
 	}
-	r.digest ^= fingerprint(i, a.limit) ^ fingerprint(i, l)
+	r.count(i, a.limit, l)
 	a.limit = l
 	if news {
 		a.changed = now
@@ -140,7 +141,7 @@
 		return settled.Sub(now)
 	}
 	r.refresh(now, i, a)
-	return a.bucket.wait()
+	return a.bucket.Wait()
 }
 
 // refresh brings the entry's part of a target's rate up to date.
@@ -151,32 +152,35 @@
 		a.perSecond = a.limit.PerSecond
 		a.shared = true
 	}
-	a.bucket.set(now, a.share, r.random.Float64())
+	a.bucket.Set(now, a.share, r.random.Float64())
 }
 
 // Take notes that a request is sent to the target, or will be once it may.
 func (r *Register) Take(i btinventory.Instance) {
 	if a, found := r.known[i]; found && a.limit.Named {
-		a.bucket.take()
+		a.bucket.Take()
 	}
 }
 
 // GiveBack notes that a request which was taken is not sent.
 func (r *Register) GiveBack(i btinventory.Instance) {
 	if a, found := r.known[i]; found && a.limit.Named {
-		a.bucket.giveBack()
+		a.bucket.GiveBack()
 	}
 }
 
 // Limited returns how many targets name a rate.
-func (r *Register) Limited() int {
-	limited := 0
-	for _, a := range r.known {
-		if a.limit.Named {
-			limited++
-		}
+func (r *Register) Limited() int { return r.limited }
+
+// count notes that a limit takes another's place.
+func (r *Register) count(i btinventory.Instance, before, after Limit) {
+	r.digest ^= fingerprint(i, before) ^ fingerprint(i, after)
+	if before.Named {
+		r.limited--
+	}
+	if after.Named {
+		r.limited++
 	}
-	return limited
 }
 
 // Digest identifies the limits that are known to be in force.
--- a/core/btrate/shares.go
+++ b/core/btrate/shares.go
@@ -91,10 +91,13 @@
 	return s.settled
 }
 
+// Asked returns the rate at which a target is sent requests that names one.
+func Asked(perSecond float64) float64 { return max(perSecond, askedLeast) }
+
 // Of returns the entry's part of the target's rate, in requests a second; zero where
 // others use it.
 func (s *Shares) Of(target string, perSecond float64) float64 {
-	perSecond = max(perSecond, askedLeast)
+	perSecond = Asked(perSecond)
 	users := min(s.entries(), usersLeast+int(math.Ceil(perSecond)))
 	if users < len(s.others)+1 && btrendezvous.Place(target, s.self, s.others) >= users {
 		return 0
--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -58,7 +58,9 @@
 	group     *btgroup.Group
 	engine    *engine
 	isolation *btprocess.Isolation
-	stop      *btprocess.Stop
+	// rate is what the target says of how many requests it takes.
+	rate targetRate
+	stop *btprocess.Stop
 
 	mu         sync.Mutex
 	service    btid.Service
@@ -89,7 +91,7 @@
 	a.isolation = btprocess.NewIsolation(o.Bundles)
 	a.heartbeat = newHeartbeat(o, a.self, a.report, a.remind)
 	a.group = newGroup(o, a.self)
-	a.engine = newEngine(o, a.self, a.modelClient, a.heartbeat.publish, a.heartbeat.hurry)
+	a.engine = newEngine(o, a.self, a.modelClient, a.heartbeat.publish, a.engineChanged)
 	o.Node.Handle(btprocess.KindServe, a.serve)
 	o.Bundles.OnChange(a.configure)
 	return a
@@ -166,6 +168,12 @@
 	}
 }
 
+// engineChanged takes in that the engine has gone or come back.
+func (a *Agent) engineChanged() {
+	a.forgetRate()
+	a.heartbeat.hurry()
+}
+
 func (a *Agent) queue() *admission {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/io/btagent/configure.go
+++ b/io/btagent/configure.go
@@ -31,6 +31,7 @@
 	a.mu.Lock()
 	a.service = target.Service
 	a.firstToken = service.FirstToken.Duration
+	moved := a.endpoint != "" && a.endpoint != target.Endpoint.String()
 	if a.endpoint != target.Endpoint.String() {
 		a.endpoint = target.Endpoint.String()
 		a.client = bttarget.New(bttarget.Options{Endpoint: target.Endpoint, Registry: a.options.Meter.Registry()})
@@ -45,6 +46,9 @@
 	if first {
 		return
 	}
+	if moved {
+		a.forgetRate()
+	}
 	queue.loop.Post(btqueue.Policy{Slots: target.Slots, Queue: target.Queue})
 	ledger.ask(btclaim.Configured{Rules: RulesOf(approved, service)})
 }
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -144,7 +144,7 @@
 func (v *serving) serveAny(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, v.left())
 	defer cancel()
-	response, err := v.place.client.Do(ctx, v.toTarget())
+	response, err := v.toldTarget(ctx)
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
 		return v.refuse(btrequest.NotRun, ReasonTargetUnreachable, 0, nil)
 	}
@@ -156,6 +156,16 @@
 	return v.relay(ctx, response, nil)
 }
 
+// toldTarget gives the target the request, and hears how many it takes.
+func (v *serving) toldTarget(ctx context.Context) (*bttarget.Response, error) {
+	sent := v.agent.options.Elapsed()
+	response, err := v.place.client.Do(ctx, v.toTarget())
+	if err == nil {
+		v.agent.hearRate(v.place.admission, sent, response.Rate)
+	}
+	return response, err
+}
+
 // serveOnce runs a request that may run only once, under its grant. The run
 // goes on when the entry goes away, so that its answer is there for a repeat.
 func (v *serving) serveOnce(ctx context.Context) error {
@@ -165,7 +175,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), v.left())
 	defer cancel()
-	response, err := v.place.client.Do(ctx, v.toTarget())
+	response, err := v.toldTarget(ctx)
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
 		return v.answerWord(v.place.ledger.ask(btclaim.RunNotSent{Grant: *v.grant, Reason: ReasonTargetUnreachable}))
 	}
--- a/io/btdirect/choose.go
+++ b/io/btdirect/choose.go
@@ -70,7 +70,7 @@
 
 // candidates sorts the service's targets. The lock is held.
 func (f *fleet) candidates(s *service, tried map[btinventory.Instance]bool, now time.Time) candidates {
-	c := candidates{scarce: make(map[*target]bool)}
+	c := candidates{scarce: make(map[*target]bool, f.rates.Limited())}
 	for _, t := range s.targets {
 		if t.state != btinventory.Ready || tried[t.info.Instance()] || now.Before(t.replaced) {
 			continue
--- a/io/btentry/dispatch.go
+++ b/io/btentry/dispatch.go
@@ -7,6 +7,7 @@
 
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btload"
+	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btroute"
 )
@@ -56,6 +57,9 @@
 }
 
 func noTarget(x *exchange, err error) *btrequest.Refusal {
+	if after, limited := isLimited(err); limited {
+		return btrequest.Refuse(btqueue.ReasonLimited, after, "service %q: its targets take no more requests a second", x.service.Name)
+	}
 	var none *btroute.NoTargetError
 	if !errors.As(err, &none) {
 		return btrequest.Refuse(btroute.NoLiveTarget, noTargetWait, "%v", err)
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -39,6 +39,8 @@
 	tracker *btload.Tracker
 	// ejected holds the targets that are out of rotation, for operators.
 	ejected map[btid.Target]btroute.Ejected
+	// limited holds until when targets are passed over whose rate of requests is used up.
+	limited map[btid.Target]time.Time
 	budget  *btretry.Budget
 	decider *btretry.Decider
 	serial  uint64
@@ -70,6 +72,7 @@
 		router:   btroute.New(config, tracker, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()), o.Assert),
 		tracker:  tracker,
 		ejected:  map[btid.Target]btroute.Ejected{},
+		limited:  map[btid.Target]time.Time{},
 		budget:   budget,
 		decider:  btretry.New(btretry.Defaults(), budget, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
 		place:    place,
--- a/io/btentry/pick.go
+++ b/io/btentry/pick.go
@@ -1,8 +1,11 @@
 package btentry
 
 import (
+	"slices"
+
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btload"
+	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btroute"
@@ -23,10 +26,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
+	asked := request
+	request.Tried = append(slices.Clone(request.Tried), f.limitedNow(now)...)
 	for {
 		choice, err := f.router.Pick(now, request)
 		if err != nil {
-			return pick{}, err
+			return pick{}, f.noTarget(now, asked, err)
 		}
 		executor, admitted := f.member.Admit(now, choice.Target)
 		if admitted {
@@ -68,6 +73,9 @@
 		Refused:      result.outcome == btrequest.NotRun,
 	})
 	f.report(now, result.load)
+	if result.reason == btqueue.ReasonLimited {
+		f.limited[p.executor.Target] = now.Add(result.retryAfter)
+	}
 	if result.atFault {
 		f.route(f.router.Step(now, btroute.Failed{Target: p.executor.Target, Reason: result.reason}))
 	}
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -92,8 +92,8 @@
 		return
 	}
 	f.request.Tried = append(f.request.Tried, f.picked.executor.Target)
-	if f.last.reason == btqueue.ReasonDraining {
-		// The target moved its queue on; that is no failure of the request.
+	if movesOn(f.last) {
+		// The target passed it on; that is no failure of the request.
 		f.number--
 	}
 }
@@ -124,9 +124,9 @@
 		return btretry.Decision{Reason: reasonNoAlternative}
 	}
 	now := f.dispatch.entry.options.Clock()
-	if last.outcome == btrequest.NotRun && last.reason == btqueue.ReasonDraining {
-		// A planned stop moves work and adds none, so that it draws on no budget.
-		// Each target that drains is asked once: this ends by itself.
+	if last.outcome == btrequest.NotRun && movesOn(last) {
+		// A planned stop, or a rate that is used up, moves work and adds none, so that
+		// it draws on no budget. Each such target is asked once: this ends by itself.
 		return btretry.Decision{Retry: true, At: now, Reason: btretry.RetryNotRun}
 	}
 	return f.dispatch.entry.fleet.decide(btretry.Attempt{
@@ -139,6 +139,12 @@
 	})
 }
 
+// movesOn tells whether the attempt ended as its target takes no request now, and had
+// nothing sent.
+func movesOn(a attempt) bool {
+	return a.reason == btqueue.ReasonDraining || a.reason == btqueue.ReasonLimited
+}
+
 // alternative tells whether an untried target could take the request now.
 func (f *retryFlow) alternative() bool {
 	request := f.request
--- a/io/bttarget/bttarget.go
+++ b/io/bttarget/bttarget.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"bilberrytide/core/btrate"
 )
 
 var (
@@ -73,6 +75,8 @@
 	// Delimited tells whether the end of the body can be told from a lost
 	// connection. Where it is false, io.EOF does not prove a whole answer.
 	Delimited bool
+	// Rate is what the answer says of how many requests the target takes.
+	Rate btrate.Word
 	// Body gives errors wrapping ErrLost.
 	Body io.ReadCloser
 }
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"bilberrytide/core/btrate"
 )
 
 // Defaults of Options.
@@ -173,6 +175,7 @@
 		Header:    endToEnd(answer.Header),
 		Length:    answer.ContentLength,
 		Delimited: delimited(r.Method, answer),
+		Rate:      btrate.ParseWord(answer.Header[HeaderRate]),
 		Body:      &body{from: answer.Body, lost: c.lost},
 	}, nil
 }
