--- a/core/btrate/register_test.go
+++ b/core/btrate/register_test.go
@@ -140,7 +140,7 @@
 	assert.Equal(t, r.Wait(at(0), i), time.Duration(0))
 }
 
-// A tenth of 830 targets names a rate at once, and an entry that has missed all of it
+// A tenth of 830 targets name a rate at once, and an entry that has missed all of it
 // catches up within seconds, by messages that are bounded.
 func TestAnEntryCatchesUpByBoundedMessages(t *testing.T) {
 	const limitedTargets = 83
