A store that comes back from a copy begins another era for its readers

What callers would have seen: targets that had left or drained get work again, routes that were written in the new era are unknown at entries for good. Cause: a revision alone stood for where a reader is. After a copy it stands for two lists: a watch went on from it where it had been passed again, and a whole list was taken for a later word on each of its targets. Now a position is an era and a revision, ordered as one number, which in era zero is the revision as before; it is decoded once, in the adapter. A watch of another era is a history that is gone; a listing whose pages differ in era starts anew; an answer of an earlier era isn't used; one without an era, or with one that can't be read, is named and counted and changes nothing. For 5 s after a change of era what is known holds against whole lists: a missing target keeps its work for 2.2 s, one that left or drains gets none, an earlier start replaces no later one; what a target writes itself holds at once. Ways weighed: marks by position (a copy's records have positions of the new era, later than any mark), a last-change revision with each record (the whole list told anew each second).

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -66,9 +66,9 @@
 	// Start tells this start of the target from another under the same ID; zero where
 	// the platform doesn't tell.
 	Start btid.Incarnation `json:"start,omitempty"`
-	// Since is the list's revision at which the record was made; zero if the list
+	// Since is the list's position at which the record was made; zero if the list
 	// has none. Of two records with one address the later one is right.
-	Since uint64 `json:"since,omitempty"`
+	Since Position `json:"since,omitempty"`
 	// Member is set for ranks of a lock-step group.
 	Member *Member `json:"member,omitempty"`
 	// GroupBroken tells that the rank's group wasn't open when the record was written, a
@@ -164,6 +164,9 @@
 	Drained = "target_draining"
 	Missing = "target_missing"
 	Gone    = "target_gone"
+	// Kept: the list, which came back from a copy, has an older word on the target than
+	// the one that is known, which stays.
+	Kept = "target_kept"
 )
 
 // Register keeps the listed targets. It is not safe for concurrent use.
@@ -172,10 +175,12 @@
 	records     map[ID]*record
 	interrupted bool
 	regained    time.Time
-	// left are the records that were dropped of late: when each was made, by ID.
-	// Order lists them, the earliest first.
-	left  map[ID]uint64
+	// left are the records that were dropped of late, by ID. Order lists them, the
+	// earliest first.
+	left  map[ID]Target
 	order []ID
+	// restored is when the list came back from a copy; zero if it never has.
+	restored time.Time
 }
 
 // maxLeft bounds the dropped records that are remembered: more than leave within
@@ -185,7 +190,7 @@
 // NewRegister returns an empty register. Grace is how long after an
 // interruption a target that vanished meanwhile is kept.
 func NewRegister(grace time.Duration) *Register {
-	return &Register{grace: grace, records: make(map[ID]*record), left: make(map[ID]uint64)}
+	return &Register{grace: grace, records: make(map[ID]*record), left: make(map[ID]Target)}
 }
 
 // Interrupted notes that the list can't be read.
@@ -272,7 +277,7 @@
 	if _, found := r.left[t.ID]; !found {
 		r.order = append(r.order, t.ID)
 	}
-	r.left[t.ID] = t.Since
+	r.left[t.ID] = t
 	if len(r.order) > maxLeft {
 		delete(r.left, r.order[0])
 		r.order = r.order[1:]
@@ -282,8 +287,8 @@
 // hasLeft tells whether this very record was dropped. A target that is listed again
 // after its record lapsed has a newer one.
 func (r *Register) hasLeft(t Target) bool {
-	since, found := r.left[t.ID]
-	return found && t.Since != 0 && t.Since <= since
+	known, found := r.left[t.ID]
+	return found && t.Since != 0 && t.Since <= known.Since
 }
 
 func same(a, b Target) bool {
@@ -317,6 +322,10 @@
 	listed := make(map[ID]bool, len(list))
 	for _, t := range list {
 		listed[t.ID] = true
+		if r.outdated(now, t) {
+			changes = append(changes, Change{ID: t.ID, Target: t, What: Kept})
+			continue
+		}
 		changes = append(changes, r.Put(t)...)
 	}
 	for _, id := range r.ids() {
@@ -332,18 +341,22 @@
 // has dropped stays dropped, though the other one, whose reading was interrupted,
 // still gives it its grace. Without this a target that had left got seven requests
 // more than three seconds after its leaving was listed.
-func (r *Register) Adopt(list []Target) []Change {
-	var changes []Change
+func (r *Register) Adopt(now time.Time, list []Target) []Change {
+	changes := r.Expire(now)
 	listed := make(map[ID]bool, len(list))
 	for _, t := range list {
 		if r.hasLeft(t) {
 			continue
 		}
+		if r.outdated(now, t) {
+			listed[t.ID] = true
+			continue
+		}
 		listed[t.ID] = true
 		changes = append(changes, r.Put(t)...)
 	}
 	for _, id := range r.ids() {
-		if !listed[id] {
+		if !listed[id] && !r.mayReturn(now, id) {
 			changes = append(changes, r.drop(id)...)
 		}
 	}
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -19,7 +19,7 @@
 }
 
 // listed returns a target whose record was made at a revision of the list.
-func listed(id btinventory.ID, since uint64) btinventory.Target {
+func listed(id btinventory.ID, since btinventory.Position) btinventory.Target {
 	t := target(id)
 	t.Since = since
 	return t
@@ -99,9 +99,9 @@
 	r.Put(target("b"))
 	r.Interrupted()
 	r.Regained(start)
-	assert.Equal(t, len(r.Adopt([]btinventory.Target{target("b"), target("c")})), 2)
+	assert.Equal(t, len(r.Adopt(start, []btinventory.Target{target("b"), target("c")})), 2)
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"b", "c"})
-	assert.Equal(t, len(r.Adopt([]btinventory.Target{target("b"), target("c")})), 0)
+	assert.Equal(t, len(r.Adopt(start, []btinventory.Target{target("b"), target("c")})), 0)
 }
 
 func TestRenewalsAreNoChange(t *testing.T) {
@@ -168,12 +168,12 @@
 	reader.Remove(start, "gone")
 	assert.Equal(t, len(interrupted.Targets()), 2)
 
-	reader.Adopt(interrupted.Targets())
+	reader.Adopt(start, interrupted.Targets())
 	assert.DeepEqual(t, ids(reader), []btinventory.ID{"stays"})
 
 	// Its record is made anew: it only had lapsed.
 	gone.Since = 9
-	changes := reader.Adopt([]btinventory.Target{gone, stays})
+	changes := reader.Adopt(start, []btinventory.Target{gone, stays})
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].What, btinventory.Added)
 	assert.DeepEqual(t, ids(reader), []btinventory.ID{"gone", "stays"})
@@ -187,6 +187,6 @@
 	r.Put(back)
 	r.Remove(start, "back")
 	r.Put(back)
-	r.Adopt([]btinventory.Target{back})
+	r.Adopt(start, []btinventory.Target{back})
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"back"})
 }
--- a/core/btinventory/instance_test.go
+++ b/core/btinventory/instance_test.go
@@ -14,7 +14,7 @@
 )
 
 // started returns a target that was listed at a revision, of one start.
-func started(id btinventory.ID, since uint64, start btid.Incarnation) btinventory.Target {
+func started(id btinventory.ID, since btinventory.Position, start btid.Incarnation) btinventory.Target {
 	t := listed(id, since)
 	t.Start = start
 	return t
@@ -124,7 +124,7 @@
 			case 3:
 				r.Regained(now)
 			default:
-				next := started(id, uint64(i+1), btid.Incarnation(1+random.IntN(3)))
+				next := started(id, btinventory.Position(i+1), btid.Incarnation(1+random.IntN(3)))
 				next.Address = netip.AddrPortFrom(next.Address.Addr(), uint16(1000+number))
 				follow(r.Put(next))
 				last[id] = next.Start
--- a/core/btinventory/learning_test.go
+++ b/core/btinventory/learning_test.go
@@ -46,7 +46,7 @@
 		delete(named, id)
 	default:
 		// A start may have a lower number than the one before it.
-		e.target = started(id, revision, btid.Incarnation(1+random.IntN(4)))
+		e.target = started(id, btinventory.Position(revision), btid.Incarnation(1+random.IntN(4)))
 		e.target.Address = netip.AddrPortFrom(e.target.Address.Addr(), uint16(1000+number))
 		named[id] = e.target.Start
 	}
@@ -82,7 +82,7 @@
 	if minds && other.revision < l.revision {
 		return
 	}
-	l.register.Adopt(other.register.Targets())
+	l.register.Adopt(start, other.register.Targets())
 	l.revision = max(l.revision, other.revision)
 }
 
--- a/io/btdirect/knowledge.go
+++ b/io/btdirect/knowledge.go
@@ -39,6 +39,8 @@
 	metricReads      = "source.reads"
 	metricReadErrors = "source.read_errors"
 	metricMalformed  = "source.malformed"
+	// metricEras counts how often the store came back from a copy.
+	metricEras = "source.eras"
 )
 
 // knowledge is what the process has learned of the fleet.
@@ -58,7 +60,8 @@
 
 	mu       sync.Mutex
 	register *btinventory.Register
-	revision uint64
+	// position is that of the list that is known.
+	position btinventory.Position
 	known    bool
 	// readAt is when the source was last read.
 	readAt time.Time
@@ -113,11 +116,11 @@
 // read makes one read and tells whether it succeeded.
 func (k *knowledge) read(ctx context.Context) bool {
 	k.meter.Counter(metricReads).Inc(1)
-	revision, known := k.position()
+	position, known := k.stands()
 	var update Update
 	var err error
 	if known {
-		update, err = k.source.Changes(ctx, revision, readWait)
+		update, err = k.source.Changes(ctx, position, readWait)
 	} else {
 		update, err = k.source.Snapshot(ctx)
 	}
@@ -132,10 +135,11 @@
 	return true
 }
 
-func (k *knowledge) position() (uint64, bool) {
+// stands returns up to where the list is known, if it is.
+func (k *knowledge) stands() (btinventory.Position, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.revision, k.known
+	return k.position, k.known
 }
 
 // failed notes a failed read.
@@ -145,13 +149,13 @@
 	defer k.mu.Unlock()
 	if errors.Is(err, ErrHistoryGone) {
 		k.known = false
-		k.log.Info("history gone", "revision", k.revision, "outcome", "read in full")
+		k.log.Info("history gone", "position", k.position.String(), "outcome", "read in full")
 		return
 	}
 	k.register.Interrupted()
 	if !k.lost {
 		k.lost = true
-		k.log.Warn("dependency lost", "dependency", "store", "revision", k.revision, "age_ms", k.age().Milliseconds(), "error", err)
+		k.log.Warn("dependency lost", "dependency", "store", "position", k.position.String(), "age_ms", k.age().Milliseconds(), "error", err)
 	}
 }
 
@@ -170,20 +174,20 @@
 	now := k.clock()
 	if k.lost {
 		k.lost = false
-		k.log.Info("dependency regained", "dependency", "store", "revision", u.Revision, "age_ms", k.age().Milliseconds())
+		k.log.Info("dependency regained", "dependency", "store", "position", u.Position.String(), "age_ms", k.age().Milliseconds())
 	}
 	k.register.Regained(now)
+	k.moved(now, u.Position, "store")
 	k.readAt = now
 	k.listedAt = now
-	k.revision = u.Revision
 	k.known = true
 	for _, m := range u.Malformed {
-		k.malformed(m, u.Revision)
+		k.malformed(m, u.Position)
 	}
 	changes := k.targets(now, u)
 	renewed := k.adopt(u.Catalog, u.CatalogBytes, "store")
 	for _, c := range changes {
-		k.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "revision", u.Revision)
+		k.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", u.Position.String())
 	}
 	if renewed || len(changes) > 0 {
 		k.publish()
@@ -196,7 +200,7 @@
 // malformed counts a malformed record, and logs it unless the last of its key was
 // malformed in the same way: one that is written anew each second would fill the log.
 // The lock is held.
-func (k *knowledge) malformed(m MalformedRecord, revision uint64) {
+func (k *knowledge) malformed(m MalformedRecord, p btinventory.Position) {
 	k.meter.Counter(metricMalformed).Inc(1)
 	reason := m.Err.Error()
 	if k.logged[m.Key] == reason {
@@ -206,7 +210,7 @@
 		clear(k.logged)
 	}
 	k.logged[m.Key] = reason
-	k.log.Warn("record refused", "key", m.Key, "revision", revision, "error", m.Err, "outcome", m.Outcome)
+	k.log.Warn("record refused", "key", m.Key, "position", p.String(), "error", m.Err, "outcome", m.Outcome)
 }
 
 // targets brings the register up to the update.
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -167,10 +167,10 @@
 
 // ReadList is what an entry has read of the list of targets.
 type ReadList struct {
-	// Revision is the list's, Age how long ago it was read; an entry that has not
-	// read it itself has no revision.
-	Revision uint64        `cbor:"revision"`
-	Age      time.Duration `cbor:"age"`
+	// Position is the list's, Age how long ago it was read; an entry that has not
+	// read it itself has no position.
+	Position btinventory.Position `cbor:"revision"`
+	Age      time.Duration        `cbor:"age"`
 	// Targets are left out where the asking entry knows the same ones.
 	Targets []btinventory.Target `cbor:"targets,omitempty"`
 	Same    bool                 `cbor:"same,omitempty"`
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -104,7 +104,7 @@
 	if !k.known || k.lost || k.readAt.IsZero() {
 		return ReadList{}
 	}
-	l := ReadList{Revision: k.revision, Age: max(k.clock().Sub(k.readAt), 0)}
+	l := ReadList{Position: k.position, Age: max(k.clock().Sub(k.readAt), 0)}
 	if k.listDigest() == known {
 		l.Same = true
 		return l
@@ -116,26 +116,40 @@
 // learnList takes in what another entry has read. Asked is when it was asked, so
 // that the way counts towards the list's age.
 func (k *knowledge) learnList(l ReadList, asked time.Time, from netip.AddrPort) {
-	if l.Revision == 0 {
+	if l.Position == 0 {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	readAt := asked.Add(-l.Age)
-	if l.Revision < k.revision || !readAt.After(k.listedAt) {
+	if l.Position < k.position || !readAt.After(k.listedAt) {
 		return
 	}
+	now := k.clock()
+	k.moved(now, l.Position, from.String())
 	k.listedAt = readAt
-	k.revision = l.Revision
 	k.known = true
 	if l.Same {
 		return
 	}
-	changes := k.register.Adopt(l.Targets)
+	changes := k.register.Adopt(now, l.Targets)
 	for _, c := range changes {
-		k.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "revision", l.Revision, "from", from, "age_ms", k.clock().Sub(readAt).Milliseconds())
+		k.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", l.Position.String(), "from", from, "age_ms", now.Sub(readAt).Milliseconds())
 	}
 	if len(changes) > 0 {
 		k.publish()
 	}
 }
+
+// moved notes up to where the list is known from now on. In another era the store has come
+// back from a copy. The lock is held.
+func (k *knowledge) moved(now time.Time, p btinventory.Position, from string) {
+	before := k.position
+	k.position = p
+	if before == 0 || p.Era() == before.Era() {
+		return
+	}
+	k.register.Restored(now)
+	k.meter.Counter(metricEras).Inc(1)
+	k.log.Warn("store era changed", "before", before.String(), "position", p.String(), "from", from, "age_ms", now.Sub(k.listedAt).Milliseconds(), "targets", len(k.register.Targets()), "catalog", k.version())
+}
--- a/io/btdirect/source.go
+++ b/io/btdirect/source.go
@@ -20,15 +20,15 @@
 type Source interface {
 	// Snapshot returns everything.
 	Snapshot(ctx context.Context) (Update, error)
-	// Changes returns what changed after the revision, as soon as there is
+	// Changes returns what changed after the position, as soon as there is
 	// anything, and else an empty update once the wait is over.
-	Changes(ctx context.Context, revision uint64, wait time.Duration) (Update, error)
+	Changes(ctx context.Context, position btinventory.Position, wait time.Duration) (Update, error)
 }
 
 // Update is what was read at once.
 type Update struct {
-	// Revision orders updates of one source.
-	Revision uint64
+	// Position orders updates of one source.
+	Position btinventory.Position
 	// Full tells that targets which are not listed are gone.
 	Full bool
 	// Catalog is nil where it didn't change; CatalogBytes is how it was
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,7 +11,7 @@
 go tool staticcheck -checks all ./...
 # The users' platform is spoken of in platform/ alone: its names are translated
 # there, and what is outside uses the product's.
-platform_words='kv-range|kv-watch|kv-key|Server-Stamp|Not-Executed|Expect-Instance|Instance-Id|Token-Count|Prefix-Hash|Deadline-Ms|Request-Priority|Weight-Versions|/v1/picked|/v1/order|op/config|slo_ms|gap_target_ms|api_keys|ready_addr|port_range|Server-Limit'
+platform_words='kv-range|kv-watch|kv-key|Server-Stamp|Not-Executed|Expect-Instance|Instance-Id|Token-Count|Prefix-Hash|Deadline-Ms|Request-Priority|Weight-Versions|/v1/picked|/v1/order|op/config|slo_ms|gap_target_ms|api_keys|ready_addr|port_range|Server-Limit|Store-Era'
 if git grep -nE "$platform_words" -- '*.go' ':!platform'; then
 	echo 'words of the platform outside platform/'
 	exit 1
