A target that others only give its grace doesn't stay known for good

What callers would have seen: requests sent to a target that is gone, until the list is next read as a whole. Cause: what an entry tells of the list has targets that it misses and still gives their grace. Another that misses the same one took this for a new record and cleared its own doubt, and one that learned of an era from others took the target for one of the copy; then no change of the list ever speaks of it.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -179,8 +179,10 @@
 	// earliest first.
 	left  map[ID]Target
 	order []ID
-	// restored is when the list came back from a copy; zero if it never has.
+	// restored is when the list came back from a copy, in another era; zero if it never
+	// has.
 	restored time.Time
+	era      uint64
 }
 
 // maxLeft bounds the dropped records that are remembered: more than leave within
@@ -336,33 +338,6 @@
 	return changes
 }
 
-// Adopt takes in the whole list of another register, which has already given
-// missing targets their grace: what it lacks is gone. A record that this register
-// has dropped stays dropped, though the other one, whose reading was interrupted,
-// still gives it its grace. Without this a target that had left got seven requests
-// more than three seconds after its leaving was listed.
-func (r *Register) Adopt(now time.Time, list []Target) []Change {
-	changes := r.Expire(now)
-	listed := make(map[ID]bool, len(list))
-	for _, t := range list {
-		if r.hasLeft(t) {
-			continue
-		}
-		if r.outdated(now, t) {
-			listed[t.ID] = true
-			continue
-		}
-		listed[t.ID] = true
-		changes = append(changes, r.Put(t)...)
-	}
-	for _, id := range r.ids() {
-		if !listed[id] && !r.mayReturn(now, id) {
-			changes = append(changes, r.drop(id)...)
-		}
-	}
-	return changes
-}
-
 // Expire removes missing targets whose grace is over.
 func (r *Register) Expire(now time.Time) []Change {
 	var changes []Change
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -190,3 +190,25 @@
 	r.Adopt(start, []btinventory.Target{back})
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"back"})
 }
+
+// Two entries miss a target and still give it its grace. What one tells the other is no
+// new word of the target: each would clear the other's doubt, and a target that is gone
+// stayed known for good.
+func TestAnotherEntrysGraceIsNoNewRecord(t *testing.T) {
+	r := btinventory.NewRegister(grace)
+	r.Put(listed("a", 3))
+	r.Interrupted()
+	r.Regained(start)
+	assert.Equal(t, r.Remove(start, "a")[0].What, btinventory.Missing)
+	r.Adopt(start.Add(grace/2), []btinventory.Target{listed("a", 3)})
+	assert.Equal(t, len(r.Expire(start.Add(grace))), 1)
+	assert.Equal(t, len(ids(r)), 0)
+	// One that is listed again after its record had lapsed has a newer one.
+	r.Put(listed("b", 4))
+	r.Interrupted()
+	r.Regained(start)
+	r.Remove(start, "b")
+	r.Adopt(start.Add(grace/2), []btinventory.Target{listed("b", 9)})
+	assert.Equal(t, len(r.Expire(start.Add(grace))), 0)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"b"})
+}
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -7,15 +7,22 @@
 // those that don't lapse after three missed renewals of some 1.2 s.
 const restoredFor = 5 * time.Second
 
-// Restored notes that the list has come back from a copy, which may lack what was written
+// Restored notes that the list has come back from a copy, in another era, which may lack what was written
 // of late and have what was changed or removed since. For a while what is known holds
 // against whole lists: a target that is missing keeps its work for the grace, one that has
 // left or drains gets none, and an earlier start doesn't replace a later one. What a target
 // writes from now on holds at once.
-func (r *Register) Restored(now time.Time) {
+func (r *Register) Restored(now time.Time, era uint64) {
 	r.Interrupted()
 	r.Regained(now)
 	r.restored = now
+	r.era = era
+}
+
+// missedElsewhere tells whether another register, which told of the record, gives it its
+// grace: the list that came back has no such record.
+func (r *Register) missedElsewhere(now time.Time, t Target) bool {
+	return r.recentlyRestored(now) && t.Since != 0 && t.Since.Era() < r.era
 }
 
 // recentlyRestored tells whether a list may still have older records than what is known.
--- a/core/btinventory/restored_test.go
+++ b/core/btinventory/restored_test.go
@@ -139,7 +139,7 @@
 // moved notes up to where the entry knows the list, as the product does.
 func (e *eraEntry) moved(now time.Time, p btinventory.Position) {
 	if e.position != 0 && p.Era() != e.position.Era() && !e.naive {
-		e.register.Restored(now)
+		e.register.Restored(now, p.Era())
 	}
 	e.position = p
 }
@@ -352,12 +352,20 @@
 	return w.store.era - 1, wrong
 }
 
+// eraFailed are seeds that have failed: a target that was gone stayed known, as entries
+// that missed it told each other of it.
+var eraFailed = []uint64{1502, 1920, 1992, 2204, 2295, 2617}
+
 // A store comes back from copies some seconds old, several times, while targets drain, end
 // and start anew, some entries read it and others only hear of it. No entry gives a target
 // work that it knew to leave, unless that has said again that it is ready; all know what is
 // there some seconds later.
 func TestEntriesAgreeAcrossEras(t *testing.T) {
 	eras, naive := uint64(0), 0
+	for _, seed := range eraFailed {
+		_, wrong := playEras(seed, false)
+		assert.Check(t, wrong == "", "seed %d: %s", seed, wrong)
+	}
 	for seed := *eraFirst; seed < *eraFirst+*eraSeeds; seed++ {
 		came, wrong := playEras(seed, false)
 		assert.Check(t, wrong == "", "seed %d: %s", seed, wrong)
@@ -386,7 +394,7 @@
 	newer.Address = older.Address
 	r.Put(newer)
 	now := start.Add(time.Minute)
-	r.Restored(now)
+	r.Restored(now, 2)
 	older.Since = at(2, 10)
 	changes := r.Replace(now, []btinventory.Target{older})
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"newer"})
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -149,7 +149,7 @@
 	if before == 0 || p.Era() == before.Era() {
 		return
 	}
-	k.register.Restored(now)
+	k.register.Restored(now, p.Era())
 	k.meter.Counter(metricEras).Inc(1)
 	k.log.Warn("store era changed", "before", before.String(), "position", p.String(), "from", from, "age_ms", now.Sub(k.listedAt).Milliseconds(), "targets", len(k.register.Targets()), "catalog", k.version())
 }
