--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -32,6 +32,7 @@
 	ranks := app.Flag("ranks", "How many engines with agents.").Default("6").Int()
 	pages := app.Flag("targets", "How many plain targets.").Default("3").Int()
 	callers := app.Flag("callers", "How many callers at once.").Default("12").Int()
+	copies := app.Flag("copies", "How often the store comes back from a copy.").Default("1").Int()
 	rates := app.Flag("rates", "How many targets name a rate of requests, one after the other.").Default("1").Int()
 	fatal := app.Flag("fatal", "How many requests come that end the targets which run them.").Default("1").Int()
 	restarts := app.Flag("restarts", "How many targets start again under their IDs, and how many records of other writers come.").Default("3").Int()
@@ -45,7 +46,7 @@
 	for i := range *seeds {
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
-			Entries: *entries, Ranks: *ranks, Pages: *pages, Callers: *callers, Fatal: *fatal, Rates: *rates, Restarts: *restarts,
+			Entries: *entries, Ranks: *ranks, Pages: *pages, Callers: *callers, Fatal: *fatal, Rates: *rates, Copies: *copies, Restarts: *restarts,
 			Folder: filepath.Join(*folder, strconv.FormatUint(*first+uint64(i), 10)),
 		}
 		if !soak(o, *verbose) {
