--- a/core/btrate/register_test.go
+++ b/core/btrate/register_test.go
@@ -181,3 +181,31 @@
 	}
 	assert.ErrorIs(t, make(btrate.Records, btrate.MaxTold+1).Validate(), btrate.ErrRecord)
 }
+
+// Entries are taken away for good. Those that are left take their parts up once they no
+// longer count, though nobody comes or goes at that moment.
+func TestPartsGrowOnceEntriesThatAreGoneNoLongerCount(t *testing.T) {
+	list := members(8)
+	s := btrate.NewShares(list[0], start)
+	r := btrate.New(s, rand.New(rand.NewPCG(12, 5)))
+	i := instance(1)
+	r.Heard(at(0), at(0), i, named(70))
+	s.Observe(at(0), list[1:])
+	second := func(from int) int {
+		s.Observe(at(from), list[1:5])
+		return ask(r, from, from+1000, i)
+	}
+	early, late := 0, 0
+	for n := 5; n < 120; n++ {
+		sent := second(1000 * n)
+		switch {
+		case n >= 10 && n < 20:
+			early += sent
+		case n >= 110:
+			late += sent
+		}
+	}
+	t.Logf("%d and %d requests in ten seconds", early, late)
+	assert.Assert(t, early < 95, "%d: an eighth of the rate", early)
+	assert.Assert(t, late > 130, "%d: a fifth of the rate", late)
+}
--- a/core/btrate/shares.go
+++ b/core/btrate/shares.go
@@ -42,7 +42,7 @@
 	// most is the largest number of entries of this span of time, before of the last one.
 	most, before int
 	span         time.Time
-	// generation changes with the others.
+	// generation changes with the others, and with how many count.
 	generation uint64
 }
 
@@ -59,12 +59,16 @@
 		s.settled = now.Add(settleTime)
 	}
 	s.observed = now
+	before := s.entries()
 	if now.Sub(s.span) >= rememberEntries/2 {
 		s.before = s.most
 		s.most = 0
 		s.span = now
 	}
 	s.most = max(s.most, len(others)+1)
+	if s.entries() != before {
+		s.generation++
+	}
 	vanished := 2*(len(others)+1) < s.entries()
 	if vanished || slices.Equal(others, s.list) {
 		return
