Corrections of what pages say, and a test that waits for a state

The guarded test of rates waits until its target is used, in place of half a second. Commands in pages select no test by an empty pattern in place of a word.

--- a/core/btbench/btbench.go
+++ b/core/btbench/btbench.go
@@ -6,7 +6,7 @@
 // a queueing model. Every policy sees the same trace, and one trace with one
 // seed always gives the same figures. Run it by
 //
-//	go test -run XXX -bench Policies -benchtime 1x ./core/btbench
+//	go test -run '^$' -bench Policies -benchtime 1x ./core/btbench
 package btbench
 
 import (
--- a/io/btentry/limited_test.go
+++ b/io/btentry/limited_test.go
@@ -21,12 +21,15 @@
 	rate     string
 	named    time.Time
 	arrivals []time.Duration
+	// before is how many requests came before it named one.
+	before int
 }
 
 func (n *needy) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.rate == "" {
+		n.before++
 		return
 	}
 	if n.named.IsZero() {
@@ -36,6 +39,13 @@
 	w.Header().Set(bttarget.HeaderRate, n.rate)
 }
 
+// used tells whether the target got its part of the work before it named a rate.
+func (n *needy) used() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.before > 20
+}
+
 // name has the target name a rate from now on.
 func (n *needy) name(rate string) {
 	n.mu.Lock()
@@ -126,7 +136,7 @@
 			}
 		})
 	}
-	time.Sleep(500 * time.Millisecond)
+	w.await(limited.used)
 	limited.name("1")
 	time.Sleep(rateSettles + 2*rateWindow)
 	close(stop)
