A request that ends a group's member as it begins waits after the first end

Hypothesis: the first end tells enough, if one looks at how far the request had come.

Now a request that a member of a group had begun to answer, without an event of it, is a suspect after one end: held for 30 s at every entry, longer than the group takes to form anew and to work off who waited; by two ends for ten minutes as before. A whole answer clears it; answers of it that go on elsewhere are left alone. Entries tell each other in fields of their own, which processes of before pass over. Guarded path: the same, told by the agent.

Cost: innocents wait.

--- a/core/btquarantine/record.go
+++ b/core/btquarantine/record.go
@@ -65,6 +65,20 @@
 	return nil
 }
 
+// News is what one message tells.
+type News struct {
+	Records  Records
+	Suspects Suspects
+}
+
+// Validate reports news that can't hold. The error wraps ErrRecord.
+func (n News) Validate() error {
+	if err := n.Records.Validate(); err != nil {
+		return err
+	}
+	return n.Suspects.Validate()
+}
+
 // age returns a time as an age in milliseconds, for the wire.
 func age(now, at time.Time) int64 { return max(now.Sub(at), 0).Milliseconds() }
 
--- a/core/btquarantine/register.go
+++ b/core/btquarantine/register.go
@@ -35,12 +35,16 @@
 	// Sent counts all that it was sent to, begun or not: callers see a plain target's
 	// answer begin only once its work is done.
 	Sent int
+	// Suspect is for how long one end holds a request that a member of a group had only
+	// begun to answer; zero for not at all.
+	Suspect time.Duration
 }
 
 // Usual is the policy of a register whose memory is whole. One end alone may be another
 // request's doing, as a target has up to some dozen at work, and most are served when
-// they are tried again.
-func Usual() Policy { return Policy{Begun: 2, Sent: 3} }
+// they are tried again. Only where the target was about to begin with the request is the
+// suspicion strong enough to wait: a second end costs all callers of the group seconds.
+func Usual() Policy { return Policy{Begun: 2, Sent: 3, Suspect: SuspectFor} }
 
 // Cautious is the policy of a register that may have forgotten what was known, as all
 // that knew it started anew: the first end may be the fourth in truth.
@@ -51,6 +55,8 @@
 type Register struct {
 	policy  Policy
 	records map[Fingerprint]*record
+	// suspects are held for a shorter time.
+	suspects suspects
 	// served are the requests that were answered whole here within the last minute.
 	served recent
 	// digest identifies what is remembered.
@@ -73,14 +79,14 @@
 
 // New returns an empty register that goes by the policy.
 func New(p Policy) *Register {
-	return &Register{policy: p, records: make(map[Fingerprint]*record)}
+	return &Register{policy: p, records: make(map[Fingerprint]*record), suspects: make(suspects)}
 }
 
 // SetPolicy has the register go by another policy, also for what it remembers.
 func (r *Register) SetPolicy(p Policy) { r.policy = p }
 
 // Empty tells whether nothing is remembered, so that no fingerprint need be computed.
-func (r *Register) Empty() bool { return len(r.records) == 0 }
+func (r *Register) Empty() bool { return len(r.records) == 0 && len(r.suspects) == 0 }
 
 // Len returns how many requests are remembered.
 func (r *Register) Len() int { return len(r.records) }
@@ -92,13 +98,16 @@
 // TargetID stands for the start of a target in records.
 func TargetID(instance string) uint64 { return xxhash.Sum64String(instance) }
 
-// Ended notes that a target ended with the request sent to it. Began tells that it had
-// begun to answer. It returns whether the request is held for that from now on.
-func (r *Register) Ended(now time.Time, f Fingerprint, target uint64, began bool) (newly bool) {
-	held := r.Held(now, f)
-	r.change(f, func(c *record) { c.add(end{target: target, began: began, at: now}) })
+// Ended notes that a target ended with the request sent to it. It returns whether the
+// request is held for that from now on.
+func (r *Register) Ended(now time.Time, f Fingerprint, target uint64, p Progress) (newly bool) {
+	before := r.hold(now, f)
+	r.change(f, func(c *record) { c.add(end{target: target, began: p != Sent, at: now}) })
 	r.bound()
-	return !held && r.Held(now, f)
+	if p == Beginning {
+		r.suspects.add(f, now)
+	}
+	return r.hold(now, f) > before
 }
 
 // Served notes that a target answered the request whole: what ended before did not end
@@ -106,7 +115,8 @@
 func (r *Register) Served(now time.Time, f Fingerprint) bool {
 	r.served.add(now, f)
 	c, found := r.records[f]
-	if !found || len(c.ends) == 0 {
+	_, suspected := r.suspects[f]
+	if !suspected && (!found || len(c.ends) == 0) {
 		return false
 	}
 	r.change(f, func(c *record) { c.clear(now) })
@@ -122,15 +132,46 @@
 // that was served here within the last minute isn't: a request that many callers send
 // alike is at work at all targets, also at several that end at once for another reason.
 func (r *Register) Until(now time.Time, f Fingerprint) time.Time {
+	if r.served.has(now, f) {
+		return time.Time{}
+	}
+	if until := r.decidedUntil(now, f); !until.IsZero() {
+		return until
+	}
+	return r.suspectedUntil(f)
+}
+
+// decidedUntil returns until when a request's ends keep it from targets; zero where they
+// don't.
+func (r *Register) decidedUntil(now time.Time, f Fingerprint) time.Time {
 	c, found := r.records[f]
-	if !found || r.served.has(now, f) {
+	if !found {
 		return time.Time{}
 	}
 	return c.until(now, r.policy)
 }
 
+// hold tells how a request is held: not at all, as a suspect, or by its ends.
+func (r *Register) hold(now time.Time, f Fingerprint) int {
+	switch {
+	case !r.Held(now, f):
+		return notHeld
+	case r.decidedUntil(now, f).IsZero():
+		return heldAsSuspect
+	}
+	return heldByEnds
+}
+
+// How a request is held, the more strongly the later.
+const (
+	notHeld = iota
+	heldAsSuspect
+	heldByEnds
+)
+
 // Expire drops what is no longer of use.
 func (r *Register) Expire(now time.Time) {
+	r.suspects.expire(now)
 	for f, c := range r.records {
 		if c.latest().Add(Life).Before(now) {
 			r.change(f, nil)
@@ -174,9 +215,9 @@
 func (r *Register) Heard(now time.Time, told Records) []Fingerprint {
 	var newly []Fingerprint
 	for _, t := range told {
-		held := r.Held(now, t.Fingerprint)
+		before := r.hold(now, t.Fingerprint)
 		r.change(t.Fingerprint, func(c *record) { c.merge(now, t) })
-		if !held && r.Held(now, t.Fingerprint) {
+		if r.hold(now, t.Fingerprint) > before {
 			newly = append(newly, t.Fingerprint)
 		}
 	}
--- /dev/null
+++ b/core/btquarantine/suspect_test.go
@@ -0,0 +1,85 @@
+package btquarantine_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btquarantine"
+	"bilberrytide/core/btwire"
+)
+
+func TestARequestThatHadOnlyBegunWaitsAfterOneEnd(t *testing.T) {
+	r := btquarantine.New(btquarantine.Usual())
+	assert.Assert(t, r.Ended(start, request(1), 1, btquarantine.Beginning))
+	assert.Assert(t, !r.Ended(start, request(2), 1, btquarantine.Answering), "it had gone on for a while")
+	assert.Equal(t, r.Until(start, request(1)), after(btquarantine.SuspectFor))
+	assert.Assert(t, r.Suspected(start, request(1)))
+	assert.Assert(t, !r.Held(after(btquarantine.SuspectFor), request(1)), "it may be tried again")
+	assert.Assert(t, r.Ended(after(time.Minute), request(1), 2, btquarantine.Beginning))
+	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.Life))
+	assert.Assert(t, !r.Suspected(after(time.Minute), request(1)))
+}
+
+// A suspect that another copy of it, or a caller before, was served with isn't one.
+func TestASuspectThatIsServedIsFree(t *testing.T) {
+	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a.Ended(start, request(1), 1, btquarantine.Beginning)
+	b.HeardSuspects(start, a.TellSuspects(start))
+	assert.Assert(t, b.Held(start, request(1)))
+	assert.Assert(t, b.Served(after(time.Second), request(1)))
+	assert.Assert(t, !b.Held(after(time.Second), request(1)))
+	a.Heard(after(time.Second), btquarantine.Records{b.TellOf(after(time.Second), request(1))})
+	assert.Assert(t, !a.Held(after(time.Second), request(1)))
+
+	r := btquarantine.New(btquarantine.Usual())
+	r.Served(start, request(2))
+	assert.Assert(t, !r.Ended(after(time.Second), request(2), 1, btquarantine.Beginning))
+}
+
+// Entries tell each other of suspects as long as they wait; what is known is no news, and
+// nobody waits longer for being told again.
+func TestSuspectsAreToldOnce(t *testing.T) {
+	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a.Ended(start, request(1), 1, btquarantine.Beginning)
+	newly, changed := b.HeardSuspects(after(20*time.Millisecond), a.TellSuspects(after(10*time.Millisecond)))
+	assert.DeepEqual(t, newly, []btquarantine.Fingerprint{request(1)})
+	assert.Assert(t, changed)
+	for s := range 29 {
+		now := after(time.Duration(s) * time.Second)
+		_, changed = b.HeardSuspects(now, a.TellSuspects(now))
+		assert.Assert(t, !changed)
+		_, changed = a.HeardSuspects(now, b.TellSuspects(now))
+		assert.Assert(t, !changed)
+	}
+	assert.Assert(t, !b.Held(after(btquarantine.SuspectFor+time.Second), request(1)))
+	assert.Equal(t, len(b.TellSuspects(after(btquarantine.SuspectFor+time.Second))), 0)
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	r := btquarantine.New(btquarantine.Usual())
+	for i := range 3 * btquarantine.MaxSuspects {
+		r.Ended(after(time.Duration(i)*time.Millisecond), request(i), uint64(i), btquarantine.Beginning)
+	}
+	told := r.TellSuspects(after(time.Second))
+	assert.Equal(t, len(told), btquarantine.MaxSuspects)
+	assert.Equal(t, told[0].Fingerprint, request(3*btquarantine.MaxSuspects-1))
+	data, err := btwire.Encode(told)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= suspectBytes, "%d bytes", len(data))
+}
+
+// suspectBytes is the budget of all suspects in one message.
+const suspectBytes = 400
+
+func TestSuspectsThatCannotHoldAreRefused(t *testing.T) {
+	good := btquarantine.Suspect{AgeMillis: 5}
+	assert.NilError(t, btquarantine.Suspects{good}.Validate())
+	for _, age := range []int64{-1, btquarantine.SuspectFor.Milliseconds() + 1, math.MaxInt64} {
+		assert.ErrorIs(t, btquarantine.Suspects{good, {AgeMillis: age}}.Validate(), btquarantine.ErrRecord)
+	}
+	many := make(btquarantine.Suspects, btquarantine.MaxSuspects+1)
+	assert.ErrorIs(t, btquarantine.News{Suspects: many}.Validate(), btquarantine.ErrRecord)
+}
--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -56,9 +56,11 @@
 	pooled := relayBuffers.Get().(*[relayBytes]byte)
 	defer relayBuffers.Put(pooled)
 	buffer := pooled[:]
+	came := false
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			came = true
 			kept.add(buffer[:n])
 			if sendErr == nil {
 				sendErr = btpeer.Send(v.stream, cutter.Next(buffer[:n]))
@@ -69,7 +71,7 @@
 		}
 		if err != nil {
 			whole := errors.Is(err, io.EOF) && response.Delimited
-			v.learn(ctx, response.Status, whole, err)
+			v.learn(ctx, response.Status, came, whole, err)
 			return v.finish(cutter, whole, kept, sendErr)
 		}
 	}
@@ -77,9 +79,9 @@
 
 // learn notes what the end of an answer tells of the request. A failure doesn't free it
 // from suspicion: the next target may end under it.
-func (v *serving) learn(ctx context.Context, status int, whole bool, err error) {
+func (v *serving) learn(ctx context.Context, status int, came, whole bool, err error) {
 	if !whole {
-		v.broke(ctx, err, true)
+		v.broke(ctx, err, v.progress(came))
 		return
 	}
 	if status < http.StatusInternalServerError {
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -11,6 +11,7 @@
 
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btserve"
@@ -149,7 +150,7 @@
 		return v.refuse(btrequest.NotRun, ReasonTargetUnreachable, 0, nil)
 	}
 	if err != nil {
-		v.broke(ctx, err, false)
+		v.broke(ctx, err, btquarantine.Sent)
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
 	}
 	defer response.Body.Close()
@@ -180,7 +181,7 @@
 		return v.answerWord(v.place.ledger.ask(btclaim.RunNotSent{Grant: *v.grant, Reason: ReasonTargetUnreachable}))
 	}
 	if err != nil {
-		v.broke(ctx, err, false)
+		v.broke(ctx, err, btquarantine.Sent)
 		v.lost()
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
 	}
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -10,6 +10,7 @@
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/io/bttarget"
 )
@@ -96,12 +97,24 @@
 		x.entry.endedLine(t)
 	}
 	if ended {
-		x.entry.quarantine.Ended(x.fingerprint(), t.info.Instance().String(), result.began, "account", x.account, "path", x.caller.RequestURI)
+		x.entry.quarantine.Ended(x.fingerprint(), t.info.Instance().String(), x.progress(t, result), "account", x.account, "path", x.caller.RequestURI)
 	}
 	result.ended = ended
 	return result
 }
 
+// progress is how far a target had come when it ended. A stream of which events came, from
+// this target or another, is no longer beginning.
+func (x *exchange) progress(t *target, result attemptResult) btquarantine.Progress {
+	switch {
+	case !result.began:
+		return btquarantine.Sent
+	case t.info.Member == nil || x.route.Kind != btcatalog.Stream || x.answering.Load():
+		return btquarantine.Answering
+	}
+	return btquarantine.Beginning
+}
+
 // promptTokens counts a prompt at a target until it has been read there.
 type promptTokens struct {
 	fleet  *fleet
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -56,6 +56,8 @@
 	fingerprint func() btquarantine.Fingerprint
 	// withdrawn is set when its attempt was cancelled as it is kept from targets.
 	withdrawn atomic.Bool
+	// answering is set once a part of a streamed answer has gone out.
+	answering atomic.Bool
 	// logged tells that the request's failure was logged.
 	logged bool
 }
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -168,6 +168,8 @@
 	// has what was known before it started.
 	Quarantine btquarantine.Records `cbor:"quarantine,omitempty"`
 	KnowsAll   bool                 `cbor:"knows_all,omitempty"`
+	// Suspects are the requests that one end alone holds for a while.
+	Suspects btquarantine.Suspects `cbor:"suspects,omitempty"`
 	// Rates are left out where both know the same.
 	Rates btrate.Records `cbor:"rates,omitempty"`
 }
@@ -196,6 +198,9 @@
 	if err := w.Quarantine.Validate(); err != nil {
 		return err
 	}
+	if err := w.Suspects.Validate(); err != nil {
+		return err
+	}
 	if err := w.Rates.Validate(); err != nil {
 		return err
 	}
@@ -327,6 +332,7 @@
 		List:       p.entry.knowledge.readList(h.Targets),
 		Quarantine: p.entry.quarantine.NewerThan(h.Quarantine),
 		KnowsAll:   p.entry.quarantine.knowsAll(),
+		Suspects:   p.entry.quarantine.Suspects(),
 		Rates:      p.entry.fleet.tellRates(btrate.Summary{Digest: h.Rates, Cells: h.RateCells}),
 	}, nil
 }
--- a/io/btdirect/quarantine.go
+++ b/io/btdirect/quarantine.go
@@ -69,7 +69,7 @@
 // learn takes in what another entry knows, and that this is all where the other knows
 // all.
 func (q *quarantine) learn(w welcome, from netip.AddrPort) {
-	q.Hear(w.Quarantine, from.String())
+	q.Hear(btquarantine.News{Records: w.Quarantine, Suspects: w.Suspects}, from.String())
 	if w.KnowsAll && !q.whole.Load() {
 		q.complete(from.String())
 	}
@@ -96,13 +96,14 @@
 	}
 }
 
-// withdraw cancels the request's attempts.
-func (q *quarantine) withdraw(f btquarantine.Fingerprint) int {
+// withdraw cancels the request's attempts, where it is only suspected those of which
+// nothing has gone out.
+func (q *quarantine) withdraw(f btquarantine.Fingerprint, suspected bool) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	withdrawn := 0
 	for x, cancel := range q.attempts {
-		if x.fingerprint() == f {
+		if x.fingerprint() == f && !(suspected && x.answering.Load()) {
 			x.withdrawn.Store(true)
 			cancel()
 			withdrawn++
@@ -119,8 +120,14 @@
 
 // telling is what an entry tells others at once.
 type telling struct {
-	From    netip.AddrPort       `cbor:"from"`
-	Records btquarantine.Records `cbor:"records"`
+	From     netip.AddrPort        `cbor:"from"`
+	Records  btquarantine.Records  `cbor:"records"`
+	Suspects btquarantine.Suspects `cbor:"suspects,omitempty"`
+}
+
+// news is what it tells.
+func (t telling) news() btquarantine.News {
+	return btquarantine.News{Records: t.Records, Suspects: t.Suspects}
 }
 
 // Validate reports a telling from nowhere or with records that can't hold.
@@ -128,13 +135,13 @@
 	if !t.From.IsValid() {
 		return errNowhere
 	}
-	return t.Records.Validate()
+	return t.news().Validate()
 }
 
 // tellQuarantine tells other entries at once: a request that ends targets comes again
 // within a second, at any of them.
-func (p *peers) tellQuarantine(ctx context.Context, records btquarantine.Records) {
-	message := telling{From: p.entry.options.Settings.Peer, Records: records}
+func (p *peers) tellQuarantine(ctx context.Context, n btquarantine.News) {
+	message := telling{From: p.entry.options.Settings.Peer, Records: n.Records, Suspects: n.Suspects}
 	others := p.list()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, to := range others[:min(len(others), tellMost)] {
@@ -156,8 +163,8 @@
 // entries can be told at once.
 func (p *peers) hearQuarantine(_ context.Context, t telling) (heard, error) {
 	q := p.entry.quarantine
-	if q.Hear(t.Records, t.From.String()) && p.count() > tellMost {
-		q.Pass(t.Records)
+	if q.Hear(t.news(), t.From.String()) && p.count() > tellMost {
+		q.Pass(t.news())
 	}
 	return heard{}, nil
 }
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -58,6 +58,7 @@
 	}
 	if !s.begun {
 		s.begun = true
+		s.x.answering.Store(true)
 		s.x.copyHeader(answer.Header)
 		s.x.writer.Header().Del("Content-Length")
 		s.x.writer.WriteHeader(answer.Status)
--- a/io/btgroup/btgroup.go
+++ b/io/btgroup/btgroup.go
@@ -269,6 +269,12 @@
 	}
 }
 
+// Shared tells whether the target is one of several ranks that compute each step together.
+func (g *Group) Shared() bool {
+	p := g.current()
+	return p != nil && len(p.group.Ranks) > 1
+}
+
 func (g *Group) engineState() btswitch.EngineState {
 	var state btswitch.EngineState
 	g.member.Inspect(func(time.Time) { state, _ = g.memberCore.Engine() })
--- a/io/btisolation/btisolation.go
+++ b/io/btisolation/btisolation.go
@@ -34,9 +34,14 @@
 	register *btquarantine.Register
 	// news are the requests of which others are to be told.
 	news     map[btquarantine.Fingerprint]bool
-	withdraw func(btquarantine.Fingerprint) int
+	withdraw Withdraw
 }
 
+// Withdraw takes a request back from the targets that have it, and returns from how many.
+// One that is only suspected is left where its answer goes on: it doesn't end that target
+// as it begins.
+type Withdraw func(f btquarantine.Fingerprint, suspected bool) int
+
 // New returns one that knows of no request and goes by the policy.
 func New(p btquarantine.Policy, clock btloop.Clock, log *slog.Logger) *Isolation {
 	return &Isolation{
@@ -45,14 +50,13 @@
 		woken:    make(chan struct{}, 1),
 		register: btquarantine.New(p),
 		news:     make(map[btquarantine.Fingerprint]bool),
-		withdraw: func(btquarantine.Fingerprint) int { return 0 },
+		withdraw: func(btquarantine.Fingerprint, bool) int { return 0 },
 	}
 }
 
 // OnHold sets what withdraws a request from the targets that have it, before they begin
-// to run it. It returns at how many it was, and must not call the isolation. It is to be
-// set before the first request.
-func (i *Isolation) OnHold(withdraw func(btquarantine.Fingerprint) int) { i.withdraw = withdraw }
+// to run it. It must not call the isolation, and is to be set before the first request.
+func (i *Isolation) OnHold(withdraw Withdraw) { i.withdraw = withdraw }
 
 // SetPolicy has it go by another policy, also for what is known.
 func (i *Isolation) SetPolicy(p btquarantine.Policy) {
@@ -74,12 +78,12 @@
 	return left, left > 0
 }
 
-// Ended notes that a target ended with the request at work, and has others know. Began
-// tells that it had begun to answer; details are for the log.
-func (i *Isolation) Ended(f btquarantine.Fingerprint, target string, began bool, details ...any) {
+// Ended notes that a target ended with the request at work, and has others know; details
+// are for the log.
+func (i *Isolation) Ended(f btquarantine.Fingerprint, target string, p btquarantine.Progress, details ...any) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	newly := i.register.Ended(i.clock(), f, btquarantine.TargetID(target), began)
+	newly := i.register.Ended(i.clock(), f, btquarantine.TargetID(target), p)
 	i.tell(f)
 	if newly {
 		i.hold(f, append([]any{"target", target}, details...)...)
@@ -96,26 +100,39 @@
 }
 
 // Hear takes in what another process tells, and tells whether that was new.
-func (i *Isolation) Hear(records btquarantine.Records, from string) (changed bool) {
-	if len(records) == 0 {
+func (i *Isolation) Hear(n btquarantine.News, from string) (changed bool) {
+	if len(n.Records) == 0 && len(n.Suspects) == 0 {
 		return false
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.clock()
 	before := i.register.Digest()
-	for _, f := range i.register.Heard(i.clock(), records) {
+	suspected, changed := i.register.HeardSuspects(now, n.Suspects)
+	held := i.register.Heard(now, n.Records)
+	for _, f := range append(suspected, held...) {
 		i.hold(f, "from", from)
 	}
-	return i.register.Digest() != before
+	return changed || i.register.Digest() != before
 }
 
 // Pass has others told of what was heard.
-func (i *Isolation) Pass(records btquarantine.Records) {
+func (i *Isolation) Pass(n btquarantine.News) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, r := range records {
+	for _, r := range n.Records {
 		i.tell(r.Fingerprint)
 	}
+	for _, s := range n.Suspects {
+		i.tell(s.Fingerprint)
+	}
+}
+
+// Suspects returns the requests that are suspected.
+func (i *Isolation) Suspects() btquarantine.Suspects {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.register.TellSuspects(i.clock())
 }
 
 // Digest identifies what is known.
@@ -143,7 +160,7 @@
 }
 
 // Run hands news to tell, and drops what is of no more use, until the context ends.
-func (i *Isolation) Run(ctx context.Context, tell func(context.Context, btquarantine.Records)) {
+func (i *Isolation) Run(ctx context.Context, tell func(context.Context, btquarantine.News)) {
 	expire := time.NewTicker(expireEvery)
 	defer expire.Stop()
 	for {
@@ -154,8 +171,8 @@
 			i.expire()
 		case <-i.woken:
 			pause(ctx, gather)
-			for records := i.takeNews(); len(records) > 0; records = i.takeNews() {
-				tell(ctx, records)
+			for news := i.takeNews(); len(news.Records) > 0; news = i.takeNews() {
+				tell(ctx, news)
 			}
 		}
 	}
@@ -173,12 +190,16 @@
 // hold logs that a request is kept from targets from now on, and withdraws it. The lock
 // is held.
 func (i *Isolation) hold(f btquarantine.Fingerprint, evidence ...any) {
-	withdrawn := i.withdraw(f)
-	i.log.Warn("request held", append([]any{"fingerprint", f, "for_ms", btquarantine.Life.Milliseconds(), "withdrawn", withdrawn}, evidence...)...)
+	now := i.clock()
+	suspected := i.register.Suspected(now, f)
+	withdrawn := i.withdraw(f, suspected)
+	left := i.register.Until(now, f).Sub(now)
+	i.log.Warn("request held", append([]any{"fingerprint", f, "for_ms", left.Milliseconds(), "suspected", suspected, "withdrawn", withdrawn}, evidence...)...)
 }
 
-// takeNews returns what others are to be told, as much as one message holds.
-func (i *Isolation) takeNews() btquarantine.Records {
+// takeNews returns what others are to be told, as much as one message holds, with all
+// suspects.
+func (i *Isolation) takeNews() btquarantine.News {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.clock()
@@ -190,7 +211,7 @@
 		records = append(records, i.register.TellOf(now, f))
 		delete(i.news, f)
 	}
-	return records
+	return btquarantine.News{Records: records, Suspects: i.register.TellSuspects(now)}
 }
 
 func (i *Isolation) expire() {
--- a/io/btprocess/isolation.go
+++ b/io/btprocess/isolation.go
@@ -27,10 +27,17 @@
 	Digest uint64 `cbor:"digest"`
 	// Records are the news, or in an answer what the asking process may lack.
 	Records btquarantine.Records `cbor:"records,omitempty"`
+	// Suspects are the requests that one end alone holds for a while.
+	Suspects btquarantine.Suspects `cbor:"suspects,omitempty"`
+}
+
+// news is what it tells.
+func (i Isolated) news() btquarantine.News {
+	return btquarantine.News{Records: i.Records, Suspects: i.Suspects}
 }
 
 // Validate reports records that can't hold.
-func (i Isolated) Validate() error { return i.Records.Validate() }
+func (i Isolated) Validate() error { return i.news().Validate() }
 
 // Isolation is what a process of the fleet knows of requests that end targets, and how
 // it tells others.
@@ -49,16 +56,16 @@
 
 // answer takes another process's news in, and passes on what is new.
 func (i *Isolation) answer(_ context.Context, from btpeer.Identity, heard Isolated) (Isolated, error) {
-	if i.Hear(heard.Records, from.String()) {
-		i.Pass(heard.Records)
+	if i.Hear(heard.news(), from.String()) {
+		i.Pass(heard.news())
 	}
-	return Isolated{Digest: i.Digest(), Records: i.NewerThan(heard.Digest)}, nil
+	return Isolated{Digest: i.Digest(), Records: i.NewerThan(heard.Digest), Suspects: i.Suspects()}, nil
 }
 
 // tell tells the neighbours.
-func (i *Isolation) tell(ctx context.Context, records btquarantine.Records) {
+func (i *Isolation) tell(ctx context.Context, n btquarantine.News) {
 	for _, to := range i.neighbours() {
-		go i.Compare(ctx, to, records)
+		go i.Compare(ctx, to, n.Records)
 	}
 }
 
@@ -76,13 +83,13 @@
 	ctx, cancel := context.WithTimeout(ctx, isolationWait)
 	defer cancel()
 	o := i.bundles.options
-	message := Isolated{Digest: i.Digest(), Records: records}
+	message := Isolated{Digest: i.Digest(), Records: records, Suspects: i.Suspects()}
 	answer, err := btpeer.Call[Isolated, Isolated](ctx, o.Node, to, KindIsolation, message)
 	if err != nil {
 		o.Meter.Refused(reasonIsolationFailed)
 		return
 	}
-	i.Hear(answer.Records, to.Identity.String())
+	i.Hear(answer.news(), to.Identity.String())
 }
 
 // Run tells the neighbours of news until the context ends.
