One check of the lists of records that a message holds

Records of rates and of requests that end targets, and now suspects, checked their number and each of them by three copies of one loop; btwire.ValidateList does. No behaviour changes but the words of the error for too many suspects. Tests of all three lists pass as they were.

--- a/core/btquarantine/record.go
+++ b/core/btquarantine/record.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"bilberrytide/core/btwire"
 )
 
 // Record is what entries tell each other of one request. Times are told as ages, as
@@ -53,17 +55,7 @@
 
 // Validate reports records that are too many or that can't hold. The error wraps
 // ErrRecord.
-func (rs Records) Validate() error {
-	if len(rs) > MaxTold {
-		return fmt.Errorf("%w: %d of them, at most %d", ErrRecord, len(rs), MaxTold)
-	}
-	for _, r := range rs {
-		if err := r.Validate(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+func (rs Records) Validate() error { return btwire.ValidateList(rs, MaxTold, ErrRecord) }
 
 // News is what one message tells.
 type News struct {
--- a/core/btquarantine/suspect.go
+++ b/core/btquarantine/suspect.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"bilberrytide/core/btwire"
 )
 
 const (
@@ -41,22 +43,20 @@
 	AgeMillis int64 `cbor:"age_ms"`
 }
 
+// Validate reports a suspect that can't hold. The error wraps ErrRecord.
+func (s Suspect) Validate() error {
+	if s.AgeMillis < 0 || s.AgeMillis > SuspectFor.Milliseconds() {
+		return fmt.Errorf("%w: a suspect of %d ms ago, kept for %s", ErrRecord, s.AgeMillis, SuspectFor)
+	}
+	return nil
+}
+
 // Suspects are told in one message.
 type Suspects []Suspect
 
 // Validate reports suspects that are too many or that can't hold. The error wraps
 // ErrRecord.
-func (ss Suspects) Validate() error {
-	if len(ss) > MaxSuspects {
-		return fmt.Errorf("%w: %d suspects, at most %d", ErrRecord, len(ss), MaxSuspects)
-	}
-	for _, s := range ss {
-		if s.AgeMillis < 0 || s.AgeMillis > SuspectFor.Milliseconds() {
-			return fmt.Errorf("%w: a suspect of %d ms ago, kept for %s", ErrRecord, s.AgeMillis, SuspectFor)
-		}
-	}
-	return nil
-}
+func (ss Suspects) Validate() error { return btwire.ValidateList(ss, MaxSuspects, ErrRecord) }
 
 // suspects are since when requests are suspected.
 type suspects map[Fingerprint]time.Time
--- a/core/btrate/record.go
+++ b/core/btrate/record.go
@@ -8,6 +8,7 @@
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btwire"
 )
 
 // MaxTold bounds the targets that one message tells of, some 36 B each: three messages,
@@ -60,14 +61,4 @@
 
 // Validate reports records that are too many or that can't hold. The error wraps
 // ErrRecord.
-func (rs Records) Validate() error {
-	if len(rs) > MaxTold {
-		return fmt.Errorf("%w: %d of them, at most %d", ErrRecord, len(rs), MaxTold)
-	}
-	for _, r := range rs {
-		if err := r.Validate(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+func (rs Records) Validate() error { return btwire.ValidateList(rs, MaxTold, ErrRecord) }
--- a/core/btwire/btwire.go
+++ b/core/btwire/btwire.go
@@ -53,6 +53,20 @@
 	Validate() error
 }
 
+// ValidateList checks a list of messages that one message holds: that there are at most so
+// many, and each of them. The error of too many wraps the given one.
+func ValidateList[M Validator](list []M, most int, malformed error) error {
+	if len(list) > most {
+		return fmt.Errorf("%w: %d of them, at most %d", malformed, len(list), most)
+	}
+	for _, m := range list {
+		if err := m.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Encode returns the message in CBOR.
 func Encode(message Validator) (cbor.RawMessage, error) {
 	data, err := encoding.Marshal(message)
