Counters of limited targets that were passed over and of limits that were told

Operators could see how often a rate was heard, but not whether it was kept to elsewhere or told to others before it changed again: only the line that ends a limit said so. Counted now where requests are placed and where records are sent; nothing is counted, and no counter made, while no target names a rate.

--- a/io/btdirect/choose.go
+++ b/io/btdirect/choose.go
@@ -16,6 +16,8 @@
 	// place there. Without a target it is when a place is expected at one that names a
 	// rate; zero where there is none either.
 	wait time.Duration
+	// limited is how many targets were passed over for the rates that they name.
+	limited int
 }
 
 // candidates are the targets that a request may be sent to, by how well they are.
@@ -50,7 +52,9 @@
 	all := f.candidates(s, tried, now)
 	list := all.best()
 	if len(list) == 0 {
-		return f.pickLimited(s, all.limited, tokens, patience, now)
+		c := f.pickLimited(s, all.limited, tokens, patience, now)
+		c.limited = len(all.limited)
+		return c
 	}
 	compared := make([]btpick.Candidate, len(list))
 	for i, t := range list {
@@ -65,7 +69,7 @@
 	}
 	t := list[btpick.Best(compared, rand.IntN)]
 	f.placed(s, t, tokens, now)
-	return choice{target: t}
+	return choice{target: t, limited: len(all.limited)}
 }
 
 // candidates sorts the service's targets. The lock is held.
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -211,6 +211,9 @@
 			return false
 		}
 		c := e.fleet.pick(x.service.Name, x.call.PromptTokens, x.tried, x.wait.Until.Sub(e.options.Clock()))
+		if c.limited > 0 {
+			e.meter.Counter(metricRatesPassedOver).Inc(int64(c.limited))
+		}
 		if c.target == nil && c.wait > 0 {
 			x.turnDown(ReasonTargetLimited, min(c.wait, x.later()))
 			return false
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -301,7 +301,7 @@
 		Quarantine: p.entry.quarantine.Digest(),
 		Rates:      rates.Digest,
 		RateCells:  rates.Cells,
-		News:       p.entry.fleet.ratesNews(),
+		News:       p.entry.ratesNews(),
 	}
 	asked := p.entry.options.Clock()
 	w, err := btcall.Call[welcome](ctx, p.calls, to, pathHello, h)
@@ -333,7 +333,7 @@
 		Quarantine: p.entry.quarantine.NewerThan(h.Quarantine),
 		KnowsAll:   p.entry.quarantine.knowsAll(),
 		Suspects:   p.entry.quarantine.Suspects(),
-		Rates:      p.entry.fleet.tellRates(btrate.Summary{Digest: h.Rates, Cells: h.RateCells}),
+		Rates:      p.entry.tellRates(btrate.Summary{Digest: h.Rates, Cells: h.RateCells}),
 	}, nil
 }
 
--- a/io/btdirect/rate.go
+++ b/io/btdirect/rate.go
@@ -16,6 +16,10 @@
 	metricRatesHeard     = "target_rates.heard"
 	metricRatesChanged   = "target_rates.changed"
 	metricRatesMalformed = "target_rates.malformed"
+	// metricRatesPassedOver counts how often such a target was passed over, metricRatesTold
+	// records of them that other entries were told.
+	metricRatesPassedOver = "target_rates.passed_over"
+	metricRatesTold       = "target_rates.told"
 	// metricRateWaits counts requests that waited for a place at such a target.
 	metricRateWaits = "target_rates.waits"
 )
@@ -83,18 +87,26 @@
 	return f.rates.Summary()
 }
 
-// ratesNews returns the latest changes of the limits.
-func (f *fleet) ratesNews() btrate.Records {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.rates.News(f.clock())
+// ratesNews returns the latest changes of the limits, to be told.
+func (e *Entry) ratesNews() btrate.Records {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.told(e.fleet.rates.News(e.fleet.clock()))
+}
+
+// told counts records that are told.
+func (e *Entry) told(records btrate.Records) btrate.Records {
+	if len(records) > 0 {
+		e.meter.Counter(metricRatesTold).Inc(int64(len(records)))
+	}
+	return records
 }
 
 // tellRates returns what is told to an entry whose limits the summary stands for.
-func (f *fleet) tellRates(s btrate.Summary) btrate.Records {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.rates.Tell(f.clock(), s)
+func (e *Entry) tellRates(s btrate.Summary) btrate.Records {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.told(e.fleet.rates.Tell(e.fleet.clock(), s))
 }
 
 // learnRates takes in what another entry tells that was asked then.
