A group that has lost a member is broken with that member's end

Callers saw: requests that came in the 1.5 s after a member had crashed were held until the group's stall was over and refused together then, though their entry had logged "target ended" before they came. Cause: only an answer of another member told that the group was broken. Ruled out: to send them elsewhere (one group); to tell other entries (each sees the end itself). Now the end tells it: whoever comes waits for the group as long as ever, and is refused with a time to come back. What can't be served is refused at once.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -96,6 +96,9 @@
 	if first {
 		x.entry.endedLine(t)
 	}
+	if ended {
+		x.entry.memberEnded(t)
+	}
 	if ended {
 		x.entry.quarantine.Ended(x.fingerprint(), t.info.Instance().String(), x.progress(t, result), "account", x.account, "path", x.caller.RequestURI)
 	}
@@ -285,6 +288,14 @@
 	}
 }
 
+// memberEnded notes that a group has lost a member: the others stall until it is back, and
+// whoever is sent there waits a second or more to hear it.
+func (e *Entry) memberEnded(t *target) {
+	if t.info.Member != nil && e.fleet.closed(t) {
+		e.log.Warn("group broken", "service", t.info.Service, "target", t.info.ID, "evidence", "target ended")
+	}
+}
+
 // succeeded notes that a target serves.
 func (e *Entry) succeeded(t *target, evidence string) {
 	if e.fleet.succeeded(t) {
