--- a/io/btentry/quarantine_test.go
+++ b/io/btentry/quarantine_test.go
@@ -27,6 +27,8 @@
 	ends   *atomic.Int64
 	// turns, which all targets share, has every other one fail the request instead.
 	turns *atomic.Int64
+	// streams has the target end under any prompt, once the head of its answer is on the way.
+	streams bool
 }
 
 func newMortal(t *testing.T, ends *atomic.Int64) *mortal {
@@ -58,13 +60,18 @@
 }
 
 func (m *mortal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.Contains(r.URL.Path, "fatal") {
+	if !strings.Contains(r.URL.Path, "fatal") && !(m.streams && r.URL.Path == completions) {
 		return
 	}
 	if m.turns != nil && m.turns.Add(1)%2 == 1 {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if m.streams {
+		// The caller that left is the only error.
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(headTime)
+	}
 	m.ends.Add(1)
 	// A listener is closed once only.
 	_ = m.server.Load().Listener.Close()
@@ -72,6 +79,9 @@
 	panic(http.ErrAbortHandler)
 }
 
+// headTime is how long the head of an answer may be on its way.
+const headTime = 50 * time.Millisecond
+
 const (
 	// repeatedCalls is how often the request comes, alternately at two entries.
 	repeatedCalls = 8
@@ -179,3 +189,38 @@
 
 // betweenEnds is longer than two words on one end of a target may be apart.
 const betweenEnds = 1100 * time.Millisecond
+
+// A member of a group ends as it begins to answer a request. The request waits after that
+// first end, at every entry: a second one would close the group once more.
+func TestARequestThatEndsAGroupsMemberWaits(t *testing.T) {
+	var ends atomic.Int64
+	const ranks = 4
+	var places []place
+	mortals := map[btid.Target]*mortal{}
+	group := btbundle.Group{Name: "g", Service: model, Layers: 1, Experts: ranks, SlotsPerRank: 2, ExpertBytes: 1, Barrier: true}
+	for i := range ranks {
+		name := btid.Target(fmt.Sprintf("p%d", i))
+		mortals[name] = newMortal(t, &ends)
+		mortals[name].streams = true
+		places = append(places, place{name: name, service: model, handler: mortals[name], slots: 4})
+		group.Ranks = append(group.Ranks, name)
+	}
+	w := newWorldOf(t, 2, places, func(b *btbundle.Bundle) {
+		generous(b)
+		b.Groups = []btbundle.Group{group}
+		b.Placement = btbundle.Placement{SkewWeight: 4, MoveWeight: 1, Interval: btbundle.Span{Duration: time.Second}, Horizon: btbundle.Span{Duration: time.Minute}}
+		for i := range b.Targets {
+			b.Targets[i].Endpoint = mortals[b.Targets[i].Name].endpoint()
+		}
+	})
+	call := func(to *btinprocess.Entry) reply {
+		r, err := w.tryAt(context.Background(), to, http.MethodPost, completions, strings.NewReader(prompt(true, 2)))
+		assert.NilError(t, err)
+		return r
+	}
+	assert.Assert(t, call(w.entry).StatusCode >= http.StatusInternalServerError)
+	assert.Equal(t, ends.Load(), int64(1))
+	w.await(func() bool { return call(w.other).reason() == "quarantined" })
+	assert.Check(t, ends.Load() <= 2, "%d targets ended: one more before the other entry had heard", ends.Load())
+	assert.Equal(t, call(w.entry).reason(), "quarantined")
+}
