--- a/core/btquarantine/register_test.go
+++ b/core/btquarantine/register_test.go
@@ -41,6 +41,18 @@
 	assert.Assert(t, r.Ended(after(5*time.Second), request(1), 1, btquarantine.Answering))
 }
 
+// A host stands still while it is told of an end. When it wakes the word's age is too small
+// by as much; it is of the same end all the same.
+func TestAWordThatIsLateIsNoSecondEnd(t *testing.T) {
+	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a.Ended(start, request(1), 1, btquarantine.Answering)
+	told := a.Tell(after(100 * time.Millisecond))
+	b.Heard(after(100*time.Millisecond), told)
+	b.Heard(after(2600*time.Millisecond), told)
+	assert.Assert(t, !b.Held(after(2600*time.Millisecond), request(1)), "one end counts twice")
+	assert.Equal(t, a.Digest(), b.Digest())
+}
+
 func TestARequestThatIsServedIsFree(t *testing.T) {
 	r := btquarantine.New(btquarantine.Usual())
 	assert.Assert(t, !r.Served(start, request(1)))
