btround: end a round whose holder holds another step

Cause: a rank holds one step at a time. The rank that was to hold the group held a step of another lead's claim, placed after the round had begun, and refused every other one; the lead took each refusal for a step that had begun and asked for the next one at once, without end or a line.

The round now ends, and that hold is taken over like any other.

Refused orders are counted and logged by kind, rounds and pauses of over a second say what they wait for.

--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -114,6 +114,9 @@
 	w.leadBy(0)
 	var again func()
 	again = func() {
+		if w.settled {
+			return
+		}
 		w.after(w.millis(500, 4000), again)
 		current := w.leads[len(w.leads)-1]
 		switch w.random.IntN(5) {
@@ -141,6 +144,9 @@
 func isolate(w *world) {
 	var again func()
 	again = func() {
+		if w.settled {
+			return
+		}
 		w.after(w.millis(500, 6000), again)
 		any := w.engines[w.random.IntN(len(w.engines))]
 		switch w.random.IntN(3) {
--- /dev/null
+++ b/core/btround/calm_test.go
@@ -0,0 +1,75 @@
+package btround_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btround"
+)
+
+const (
+	// lastOrder is when the last order that was to be carried out late has been.
+	lastOrder = 12 * time.Second
+	// resumesWithin bounds the time to the next step once nothing disturbs the group.
+	resumesWithin = 2 * time.Second
+)
+
+// calm ends all disturbances: one lead is left, all hosts can be reached, and no order or
+// message is lost. Orders given before may still be carried out.
+func (w *world) calm() {
+	w.settled = true
+	w.late, w.lost = 0, 0
+	w.busy = true
+	for _, e := range w.engines {
+		e.frozen = time.Time{}
+	}
+	for i, l := range w.leads {
+		l.frozen = time.Time{}
+		l.hears = i == len(w.leads)-1
+		l.dead = l.dead && !l.hears
+	}
+}
+
+// TestAGroupStepsOnceDisturbancesEnd guards against a round, or a loop of rounds, that
+// pauses the group for good: no disturbance is left to end it.
+func TestAGroupStepsOnceDisturbancesEnd(t *testing.T) {
+	for name, begin := range map[string]func(seed uint64) *world{
+		"replaced": func(seed uint64) *world {
+			w := newWorld(seed, 8, 0.35, 0.05)
+			disturb(w)
+			isolate(w)
+			return w
+		},
+		"duelling": func(seed uint64) *world {
+			w := newWorld(seed, 3, 0.35, 0.05)
+			duel(w)
+			return w
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			phases := make(map[btround.Phase]int)
+			for _, seed := range run() {
+				w := begin(seed)
+				w.run(w.millis(20000, 30000))
+				phases[w.leads[len(w.leads)-1].lead.Phase()]++
+				w.calm()
+				w.run(lastOrder)
+				w.resumes(t, seed)
+			}
+			t.Logf("phases of the last lead as disturbances ended: %v", phases)
+		})
+	}
+}
+
+// resumes checks that the group begins a step in each of three spells.
+func (w *world) resumes(t *testing.T, seed uint64) {
+	t.Helper()
+	for range 3 {
+		step := w.step
+		w.run(resumesWithin)
+		assert.Assert(t, w.step > step, "seed %d: paused at step %d", seed, step)
+	}
+	assert.Equal(t, w.split, int64(0), "seed %d", seed)
+}
--- a/core/btround/duel_test.go
+++ b/core/btround/duel_test.go
@@ -20,6 +20,9 @@
 	}
 	var again func()
 	again = func() {
+		if w.settled {
+			return
+		}
 		w.after(w.millis(300, 3000), again)
 		w.engines[w.random.IntN(2)].frozen = w.now.Add(w.millis(50, 3500))
 	}
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -121,6 +121,8 @@
 	claimed, secured bool
 	// afterClaim is the phase that follows once the holder has accepted the hold again.
 	afterClaim Phase
+	// holds counts the holds that were refused in the round.
+	holds int
 	// absent is the rank of another lead, out of reach, without which its round is
 	// ended; record is what is known of that round.
 	absent *btexpert.Rank
@@ -250,45 +252,6 @@
 	return ranks
 }
 
-// Stale lists the ranks without a state of late.
-func (l *Lead) Stale(now time.Time) []btexpert.Rank {
-	var ranks []btexpert.Rank
-	for r := range l.size {
-		m, found := l.members[btexpert.Rank(r)]
-		if !found || now.Sub(m.at) > l.settings.Fresh/2 {
-			ranks = append(ranks, btexpert.Rank(r))
-		}
-	}
-	return ranks
-}
-
-// States lists the states of late, by rank.
-func (l *Lead) States(now time.Time) []State {
-	var states []State
-	for r := range l.size {
-		m, found := l.members[btexpert.Rank(r)]
-		if found && now.Sub(m.at) <= l.settings.Fresh {
-			states = append(states, m.state)
-		}
-	}
-	return states
-}
-
-// State returns the last known state of a rank.
-func (l *Lead) State(r btexpert.Rank) State { return l.member(r).state }
-
-// Group returns the name of the lead's group.
-func (l *Lead) Group() string { return l.group }
-
-// Self returns the rank of the lead.
-func (l *Lead) Self() btexpert.Rank { return l.self }
-
-// Epoch returns the group's epoch.
-func (l *Lead) Epoch() uint64 { return l.epoch }
-
-// Size returns how many ranks the group has.
-func (l *Lead) Size() int { return l.size }
-
 // InForce returns the version of the map in force; false while ranks differ.
 func (l *Lead) InForce() (Version, bool) {
 	var version Version
@@ -400,6 +363,7 @@
 	l.witnessed = false
 	l.claimed = false
 	l.secured = false
+	l.holds = 0
 	l.absent = nil
 	l.record = nil
 }
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -13,28 +13,28 @@
 		l.takeOver(now)
 	}
 	l.advance(now)
-	switch l.phase {
-	case Preparing, Arming, Disarming, Looking:
-		return l.askAll(now)
-	case Witnessing, Holding, Committing, Going, Claiming:
-		return l.ask(now, nil, l.holder)
-	case ArmingLast:
-		return l.ask(now, nil, l.self)
-	}
-	return nil
-}
-
-// askAll asks every rank of the phase that hasn't answered for good.
-func (l *Lead) askAll(now time.Time) []Command {
 	var commands []Command
 	for r := range l.size {
-		if l.takesPart(btexpert.Rank(r)) {
+		if l.asks(btexpert.Rank(r)) {
 			commands = l.ask(now, commands, btexpert.Rank(r))
 		}
 	}
 	return commands
 }
 
+// asks tells whether the phase has a command for a rank.
+func (l *Lead) asks(r btexpert.Rank) bool {
+	switch l.phase {
+	case Preparing, Arming, Disarming, Looking:
+		return l.takesPart(r)
+	case Witnessing, Holding, Committing, Going, Claiming:
+		return r == l.holder
+	case ArmingLast:
+		return r == l.self
+	}
+	return false
+}
+
 // takesPart tells whether a rank is asked in a phase that asks all: one that is
 // out of reach is not, and the own one is armed last where there is a record.
 func (l *Lead) takesPart(r btexpert.Rank) bool {
@@ -187,9 +187,12 @@
 // Reasons of rounds that end as a rank refuses what the round rests on. What is held or
 // armed by then is taken over from the ranks' states after a pause.
 const (
+	HoldRefused   = "hold refused"
 	GoRefused     = "go refused"
 	DisarmRefused = "disarm refused"
 	LookRefused   = "look refused"
+	// HeldByAnother: the rank that is to hold the group holds it for another round.
+	HeldByAnother = "held by another round"
 	// NotSecured: ranks can't be armed, and nothing keeps the group from the step.
 	NotSecured = "step not secured"
 )
@@ -292,6 +295,9 @@
 	return last
 }
 
+// maxHolds bounds the holds of one round that come too late for their steps.
+const maxHolds = 8
+
 // held goes on to arm once the group is held. A step that began too soon is
 // given up for a later one.
 func (l *Lead) held(now time.Time) {
@@ -302,9 +308,16 @@
 		l.claimed = true
 		l.secured = true
 		l.enter(Arming)
-	case m.refused:
+	case !m.refused:
+	case m.state.Held && m.state.HeldStep != l.step:
+		// A rank holds one step at a time, so that it refuses every other one.
+		l.end(now, false, HeldByAnother)
+	case l.holds >= maxHolds:
+		l.giveUp(now, HoldRefused)
+	default:
 		// The refused step has begun, so that an order for it which is carried
 		// out late does nothing.
+		l.holds++
 		l.hold(l.holder)
 	}
 }
--- /dev/null
+++ b/core/btround/view.go
@@ -0,0 +1,64 @@
+package btround
+
+import (
+	"time"
+
+	"bilberrytide/core/btexpert"
+)
+
+// Began returns when the round began, or was taken over.
+func (l *Lead) Began() time.Time { return l.began }
+
+// Holder returns the rank that is to hold the group in the round.
+func (l *Lead) Holder() btexpert.Rank { return l.holder }
+
+// Waiting lists the ranks whose answers the round waits for.
+func (l *Lead) Waiting() []btexpert.Rank {
+	var ranks []btexpert.Rank
+	for r := range l.size {
+		rank := btexpert.Rank(r)
+		if m := l.member(rank); l.asks(rank) && !m.reached && !m.refused {
+			ranks = append(ranks, rank)
+		}
+	}
+	return ranks
+}
+
+// Stale lists the ranks without a state of late.
+func (l *Lead) Stale(now time.Time) []btexpert.Rank {
+	var ranks []btexpert.Rank
+	for r := range l.size {
+		m, found := l.members[btexpert.Rank(r)]
+		if !found || now.Sub(m.at) > l.settings.Fresh/2 {
+			ranks = append(ranks, btexpert.Rank(r))
+		}
+	}
+	return ranks
+}
+
+// States lists the states of late, by rank.
+func (l *Lead) States(now time.Time) []State {
+	var states []State
+	for r := range l.size {
+		m, found := l.members[btexpert.Rank(r)]
+		if found && now.Sub(m.at) <= l.settings.Fresh {
+			states = append(states, m.state)
+		}
+	}
+	return states
+}
+
+// State returns the last known state of a rank.
+func (l *Lead) State(r btexpert.Rank) State { return l.member(r).state }
+
+// Group returns the name of the lead's group.
+func (l *Lead) Group() string { return l.group }
+
+// Self returns the rank of the lead.
+func (l *Lead) Self() btexpert.Rank { return l.self }
+
+// Epoch returns the group's epoch.
+func (l *Lead) Epoch() uint64 { return l.epoch }
+
+// Size returns how many ranks the group has.
+func (l *Lead) Size() int { return l.size }
--- a/core/btround/world_test.go
+++ b/core/btround/world_test.go
@@ -55,6 +55,8 @@
 	epoch      uint64
 	// broken tells that a rank has started anew and the group not yet formed.
 	broken bool
+	// settled ends what disturbs the world.
+	settled bool
 	// naive lets the naive variant arm without a hold. Own has each lead hold the
 	// group at its own rank, other at another's.
 	naive, own, other bool
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -94,6 +94,9 @@
 // New returns an agent.
 func New(o Options) *Agent {
 	calls := btcall.NewClient()
+	observer, remote := newObserver(o), o.Remote
+	o.Engine = observedEngine{Engine: o.Engine, observer: observer}
+	o.Remote = func(at netip.AddrPort) Engine { return observedEngine{Engine: remote(at), observer: observer} }
 	a := &Agent{
 		options: o,
 		log:     o.Log,
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -72,6 +72,11 @@
 	// unrecorded is until when rounds are held at the own rank, as another's agent
 	// did not answer.
 	unrecorded time.Time
+	// pause follows whether the group is paused; paused tells that this was logged.
+	pause  btround.PauseWatch
+	paused bool
+	// waitLogged is when a line was written on a round that waits.
+	waitLogged time.Time
 }
 
 func newLead(o Options, a *Agent, calls *btcall.Client) *lead {
@@ -198,6 +203,7 @@
 	}
 	l.dispatch(ctx, l.machine.Step(now))
 	l.note()
+	l.watch(now)
 	if l.machine.Phase() == btround.Idle {
 		return idleTick
 	}
