btrank: take no rank for disarmed that is armed for another version

An engine accepts an order to disarm any version, and an order to go on any step, and does nothing where they aren't its own. The answer to such an order was taken for a rank that isn't armed, or isn't held; a lead lets the group go on by it.

TestAnAcceptedOrderChangesOnlyWhatItNames fails with the code before.

--- a/io/btrank/engine.go
+++ b/io/btrank/engine.go
@@ -148,9 +148,12 @@
 		s.Held = true
 		s.HeldStep = c.Step
 	case btround.Go:
-		s.Held = false
+		s.Held = s.Held && s.HeldStep != c.Step
 	case btround.Disarm:
-		s.Armed = 0
+		// Engines accept this for any version and disarm the named one only.
+		if s.Armed == c.Version {
+			s.Armed = 0
+		}
 	default:
 		return false
 	}
