btquarantine: identify crash reports, so that a delayed one is no second crash

A request was quarantined for ten minutes after one crash where a host that was frozen, or a healed cut, delivered the report again or late.

Cause: reports were matched by target and time within a second, and the age of a report doesn't count its way.

--- a/core/btquarantine/record.go
+++ b/core/btquarantine/record.go
@@ -13,14 +13,14 @@
 type Record struct {
 	_           struct{}    `cbor:",toarray"`
 	Fingerprint Fingerprint `cbor:"fingerprint"`
-	// Ends are the targets that ended under the request, the latest MaxEnds of them.
+	// Ends are reports of targets that crashed under the request, the latest MaxEnds.
 	Ends []End `cbor:"ends"`
 	// ServedMillis is how long ago a target answered the request whole, in
 	// milliseconds; negative where none has.
 	ServedMillis int64 `cbor:"served_ms"`
 }
 
-// End tells of a target that ended under a request.
+// End is one process's report of a target that crashed under a request.
 type End struct {
 	_ struct{} `cbor:",toarray"`
 	// Target stands for the start of the target that ended.
@@ -29,8 +29,14 @@
 	Began bool `cbor:"began"`
 	// AgeMillis is how long ago it was, in milliseconds.
 	AgeMillis int64 `cbor:"age_ms"`
+	// Observation identifies the report among all reports of crashes.
+	Observation Observation `cbor:"observation"`
 }
 
+// Observation identifies one process's report of one crash, so that a report which
+// arrives again or late isn't counted as another crash.
+type Observation uint64
+
 // ErrRecord is wrapped by the error of every record that can't hold.
 var ErrRecord = errors.New("malformed record of a request")
 
--- a/core/btquarantine/register.go
+++ b/core/btquarantine/register.go
@@ -14,17 +14,17 @@
 	// own retries come within seconds, people and batch jobs come back within
 	// minutes; a request that is refused wrongly is refused for that long at most.
 	Life = 10 * time.Minute
-	// MaxEnds bounds the ends that are remembered of a request: what decides by any
-	// policy, and one to spare.
-	MaxEnds = 4
-	// MaxRecords bounds the requests that are remembered: the requests at work at
-	// some forty targets of a dozen places each; 106 KB of heap.
+	// MaxEnds bounds the reports of crashes that are kept of a request: what decides by
+	// any policy and one to spare, each reported by two processes.
+	MaxEnds = 8
+	// MaxRecords bounds the requests that are remembered: those in flight at some forty
+	// targets of a dozen places each.
 	MaxRecords = 512
-	// MaxTold bounds the records of one message, some 3 KB.
+	// MaxTold bounds the records of one message.
 	MaxTold = 64
-	// sameEnd is within which time two words on one target's end are of the same one.
-	// A platform that doesn't tell starts apart shows one target that ends twice,
-	// seconds apart; words of one end differ by their way.
+	// sameEnd is within which time the reports of two processes on one target are of the
+	// same crash. A platform that doesn't tell starts apart shows one target that crashes
+	// twice, seconds apart.
 	sameEnd = time.Second
 )
 
@@ -55,6 +55,8 @@
 type Register struct {
 	policy  Policy
 	records map[Fingerprint]*record
+	// observer identifies this process in its reports.
+	observer uint64
 	// suspects are held for a shorter time.
 	suspects suspects
 	// served are the requests that were answered whole here within the last minute.
@@ -63,25 +65,23 @@
 	digest uint64
 }
 
-// record is what is remembered of one request.
-type record struct {
-	ends []end
-	// served is when a target last answered the request whole; zero for never.
-	served time.Time
-}
-
-// end is a target's end.
-type end struct {
-	target uint64
-	began  bool
-	at     time.Time
-}
-
 // New returns an empty register that goes by the policy.
 func New(p Policy) *Register {
 	return &Register{policy: p, records: make(map[Fingerprint]*record), suspects: make(suspects)}
 }
 
+// ObserveAs sets the number that identifies this process in its reports. Processes draw
+// one as they start.
+func (r *Register) ObserveAs(observer uint64) { r.observer = observer }
+
+// observe returns the identity of a crash that this process sees.
+func (r *Register) observe(now time.Time, f Fingerprint, target uint64) Observation {
+	data := binary.BigEndian.AppendUint64(f[:], r.observer)
+	data = binary.BigEndian.AppendUint64(data, target)
+	data = binary.BigEndian.AppendUint64(data, uint64(now.UnixNano()))
+	return Observation(xxhash.Sum64(data))
+}
+
 // SetPolicy has the register go by another policy, also for what it remembers.
 func (r *Register) SetPolicy(p Policy) { r.policy = p }
 
@@ -102,7 +102,8 @@
 // request is held for that from now on.
 func (r *Register) Ended(now time.Time, f Fingerprint, target uint64, p Progress) (newly bool) {
 	before := r.hold(now, f)
-	r.change(f, func(c *record) { c.add(end{target: target, began: p != Sent, at: now}) })
+	seen := end{target: target, began: p != Sent, at: now, observation: r.observe(now, f, target)}
+	r.change(f, func(c *record) { c.add(seen) })
 	r.bound()
 	if p == Beginning {
 		r.suspects.add(f, now)
@@ -204,7 +205,7 @@
 	}
 	for _, e := range c.ends {
 		if now.Sub(e.at) <= Life {
-			told.Ends = append(told.Ends, End{Target: e.target, Began: e.began, AgeMillis: age(now, e.at)})
+			told.Ends = append(told.Ends, End{Target: e.target, Began: e.began, AgeMillis: age(now, e.at), Observation: e.observation})
 		}
 	}
 	return told
@@ -276,102 +277,3 @@
 	})
 	return list
 }
-
-// add notes an end, unless it is known or before the request was served.
-func (c *record) add(e end) {
-	if !e.at.After(c.served) {
-		return
-	}
-	for i, known := range c.ends {
-		if known.target == e.target && e.at.Sub(known.at).Abs() < sameEnd {
-			c.ends[i].began = known.began || e.began
-			return
-		}
-	}
-	c.ends = append(c.ends, e)
-	slices.SortFunc(c.ends, func(a, b end) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.target, b.target)) })
-	c.ends = c.ends[max(len(c.ends)-MaxEnds, 0):]
-}
-
-// clear notes that the request was served.
-func (c *record) clear(at time.Time) {
-	if !at.After(c.served) {
-		return
-	}
-	c.served = at
-	c.ends = slices.DeleteFunc(c.ends, func(e end) bool { return !e.at.After(at) })
-}
-
-// merge takes another entry's record in.
-func (c *record) merge(now time.Time, told Record) {
-	if told.ServedMillis >= 0 {
-		c.heardServed(before(now, told.ServedMillis))
-	}
-	for _, e := range told.Ends {
-		c.add(end{target: e.Target, began: e.Began, at: before(now, e.AgeMillis)})
-	}
-}
-
-// heardServed notes a word that the request was served. One that is known comes back
-// with another age, which changes nothing.
-func (c *record) heardServed(at time.Time) {
-	older := func(e end) bool { return !e.at.After(at) }
-	if c.served.IsZero() || at.Sub(c.served) >= sameEnd || slices.ContainsFunc(c.ends, older) {
-		c.clear(at)
-	}
-}
-
-// decided tells whether the ends that are remembered keep the request from targets.
-func (c *record) decided(p Policy) bool {
-	begun := 0
-	for _, e := range c.ends {
-		if e.began {
-			begun++
-		}
-	}
-	return begun >= p.Begun || len(c.ends) >= p.Sent
-}
-
-// until returns until when the request is kept from targets.
-func (c *record) until(now time.Time, p Policy) time.Time {
-	fresh := record{}
-	for _, e := range c.ends {
-		if now.Sub(e.at) < Life {
-			fresh.ends = append(fresh.ends, e)
-		}
-	}
-	if len(fresh.ends) == 0 || !fresh.decided(p) {
-		return time.Time{}
-	}
-	return fresh.latest().Add(Life)
-}
-
-// latest returns when the last thing that is remembered was.
-func (c *record) latest() time.Time {
-	latest := c.served
-	for _, e := range c.ends {
-		if e.at.After(latest) {
-			latest = e.at
-		}
-	}
-	return latest
-}
-
-func (c *record) empty() bool { return len(c.ends) == 0 && c.served.IsZero() }
-
-// digest identifies the record, without ages and whatever the order in which its ends
-// became known.
-func (c *record) digest(f Fingerprint) uint64 {
-	sum := uint64(0)
-	for _, e := range c.ends {
-		data := binary.BigEndian.AppendUint64(f[:], e.target)
-		if e.began {
-			data = append(data, 1)
-		}
-		sum += xxhash.Sum64(data)
-	}
-	if !c.served.IsZero() {
-		sum += xxhash.Sum64(append(f[:], 2))
-	}
-	return sum
-}
--- a/io/btisolation/btisolation.go
+++ b/io/btisolation/btisolation.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -44,11 +45,13 @@
 
 // New returns one that knows of no request and goes by the policy.
 func New(p btquarantine.Policy, clock btloop.Clock, log *slog.Logger) *Isolation {
+	register := btquarantine.New(p)
+	register.ObserveAs(rand.Uint64())
 	return &Isolation{
 		clock:    clock,
 		log:      log,
 		woken:    make(chan struct{}, 1),
-		register: btquarantine.New(p),
+		register: register,
 		news:     make(map[btquarantine.Fingerprint]bool),
 		withdraw: func(btquarantine.Fingerprint, bool) int { return 0 },
 	}
