btentry: pace the slow engine of a test by the others

Its engine was slow by a fixed 10 ms an event, where the other engines' events take 1 ms on an idle machine and several under load, so that it wasn't five times as slow as they. It now waits ten times as long as they take, 10 ms at least; what the test checks is unchanged.

--- a/io/btentry/retry_test.go
+++ b/io/btentry/retry_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,21 +96,54 @@
 	assert.Equal(t, w.Meters["e1"].Counter("picked.route_best").Count(), int64(0))
 }
 
-// slowly wraps an engine whose events come late, as an engine's do that doesn't
-// know that it is slow.
-type slowly struct{ http.Handler }
+// tempo is the mean time between two events of a stream at the engines that are not slow,
+// which grows with the machine's load.
+type tempo struct {
+	mu   sync.Mutex
+	mean time.Duration
+}
+
+// saw takes in a time between two events.
+func (t *tempo) saw(pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mean += (pause - t.mean) / 16
+}
+
+// slow is how long an engine waits before each event that is ten times as slow.
+func (t *tempo) slow() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(10*time.Millisecond, 10*t.mean)
+}
 
-type slowWriter struct{ http.ResponseWriter }
+// tempoWriter writes events at an engine's own tempo, or slowly.
+type tempoWriter struct {
+	http.ResponseWriter
+	tempo  *tempo
+	slowly bool
+	last   time.Time
+}
 
-func (w slowWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *tempoWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-func (w slowWriter) Write(p []byte) (int, error) {
-	time.Sleep(10 * time.Millisecond)
+func (w *tempoWriter) Write(p []byte) (int, error) {
+	now := time.Now()
+	switch {
+	case w.slowly:
+		time.Sleep(w.tempo.slow())
+	case !w.last.IsZero():
+		w.tempo.saw(now.Sub(w.last))
+	}
+	w.last = now
 	return w.ResponseWriter.Write(p)
 }
 
-func (s slowly) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.Handler.ServeHTTP(slowWriter{w}, r)
+// withTempo wraps an engine. One that is slow doesn't know it, and sends its events late.
+func withTempo(engine http.Handler, t *tempo, slowly bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		engine.ServeHTTP(&tempoWriter{ResponseWriter: w, tempo: t, slowly: slowly}, r)
+	})
 }
 
 // TestSlowEngineIsEjected: the entry learns the time between the events of each
@@ -117,12 +151,12 @@
 func TestSlowEngineIsEjected(t *testing.T) {
 	t.Parallel()
 	var places []place
+	var usual tempo
 	for _, name := range []btid.Target{"m1", "m2", "m3"} {
 		engine, err := btstandin.NewEngine(btstandin.EngineOptions{Name: name, Clock: btstandin.SystemClock{}, PrefillRate: 1e9, DecodeRate: 1e3})
 		assert.NilError(t, err)
-		places = append(places, place{name: name, service: model, handler: engine, slots: 4})
+		places = append(places, place{name: name, service: model, handler: withTempo(engine, &usual, name == "m1"), slots: 4})
 	}
-	places[0].handler = slowly{places[0].handler}
 	w := newWorld(t, places, func(b *btbundle.Bundle) { b.Ejection.MaxShare, b.Ejection.SlowFactor = 0.4, 5 })
 	out := func(name btid.Target) bool {
 		return slices.ContainsFunc(w.entry.Status().Targets, func(s btprocess.TargetStatus) bool {
