btprocess: publish a bundle together with its listing

How a bundle lists the process, and the decision on it, were published a step after the bundle: a status page read in between showed a bundle in force without a listing. TestMisplacedSaysSo waited for it; that wait is gone, and it asserts the listing at once.

Ruled out: that its neighbours, TestSeedsTakeThePlaceOfTheService and TestServiceIsReadByFew, fail by this.

--- a/io/btprocess/bundles.go
+++ b/io/btprocess/bundles.go
@@ -49,18 +49,17 @@
 	// boot is the service's first value, whose entries are asked before it is
 	// believed.
 	boot *btbundle.Approved
-	// listing is how the bundle in force lists this process.
-	listing Listing
 	// turns decides who reads the configuration service.
 	turns *btreader.Turns
 	// rounds counts the rounds of announcements.
 	rounds int
 }
 
-// inForce is a bundle and its compressed file.
+// inForce is a bundle, its compressed file and how it lists this process.
 type inForce struct {
 	approved *btbundle.Approved
 	file     func() btannounce.File
+	listing  Listing
 }
 
 // BundlesOptions are the dependencies of Bundles.
@@ -170,9 +169,10 @@
 func (b *Bundles) inForce(e btbundle.InForce) {
 	raw := e.Approved.Raw
 	file := sync.OnceValue(func() btannounce.File { return btannounce.Pack(raw) })
-	b.current.Store(&inForce{approved: e.Approved, file: file})
 	b.tell(e)
-	b.list(e.Approved)
+	listing := b.list(e.Approved)
+	// Whoever sees the bundle also sees the listing and the decisions on it.
+	b.current.Store(&inForce{approved: e.Approved, file: file, listing: listing})
 	for _, f := range b.onChange {
 		f(e.Approved)
 	}
--- a/io/btprocess/bundles_test.go
+++ b/io/btprocess/bundles_test.go
@@ -238,13 +238,6 @@
 	f.Publish(1)
 	await(t, seed, 1)
 	await(t, late, 1)
-	// The bundle is in force a moment before it is known how that lists the process.
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if late.Listing() != "" {
-			return poll.Success()
-		}
-		return poll.Continue("no listing")
-	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
 	assert.Equal(t, late.Listing(), btprocess.Misplaced)
 }
 
--- a/io/btprocess/listing.go
+++ b/io/btprocess/listing.go
@@ -58,22 +58,20 @@
 // Listing returns how the bundle in force lists this process; empty while
 // nothing is in force.
 func (b *Bundles) Listing() Listing {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.listing
+	if now := b.current.Load(); now != nil {
+		return now.listing
+	}
+	return ""
 }
 
-// list notes how the bundle lists this process, and says so where it isn't as
-// its settings have it.
-func (b *Bundles) list(a *btbundle.Approved) {
+// list returns how a bundle that comes into force lists this process, and says so where
+// it isn't as its settings have it.
+func (b *Bundles) list(a *btbundle.Approved) Listing {
 	o := b.options
 	listing, evidence := ListingOf(a.Index, b.self, o.Host, o.DataCentre)
-	b.mu.Lock()
-	before := b.listing
-	b.listing = listing
-	b.mu.Unlock()
+	before := b.Listing()
 	if listing == before || before == "" && listing == Listed {
-		return
+		return listing
 	}
 	o.Log.Warn("how the bundle lists this process", "listing", listing, "evidence", evidence, "bundle_version", a.Bundle.Version)
 	o.Decisions.Add(btmetric.Decision{
@@ -84,6 +82,7 @@
 		Evidence: evidence,
 		Expected: expected(listing, b.self.Role),
 	})
+	return listing
 }
 
 // expected tells operators what follows from a listing.
