btround: keep duelling leads from preempting each other

Cause: an outranked lead came back after 400 ms, while a takeover that loses one message needs 600 ms more; and leads went on to take over though their own agents had turned to another lead.

Back-off now doubles while the group takes no step, a lead defers to the one that its agent reports to, and leaves another's round a moment.

--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -14,9 +14,6 @@
 	GoesOnWhole btassert.Name = "round_goes_on_whole"
 )
 
-// RankRestarted is the reason of a round that ended as a rank's engine started anew.
-const RankRestarted = "rank started anew"
-
 // Phase is how far a round has come.
 type Phase string
 
@@ -63,6 +60,14 @@
 	// outranking each other.
 	Yield        time.Duration
 	YieldPerRank time.Duration
+	// MaxYield bounds the doubling of Yield while leads preempt each other.
+	MaxYield time.Duration
+	// Grace is how long another lead's round is left to it, which takes tens of
+	// milliseconds where it isn't disturbed; FirstGrace is the same for a lead that has
+	// only begun to receive reports, as the lead before it is most likely gone.
+	Grace      time.Duration
+	FirstGrace time.Duration
+	Deferred   time.Duration
 	// Witness bounds the wait for the agent that is to keep a record, which answers
 	// within a few milliseconds.
 	Witness time.Duration
@@ -70,6 +75,9 @@
 	Fresh time.Duration
 }
 
+// maxDoublings bounds how often Yield is doubled.
+const maxDoublings = 8
+
 // pendingPause is the wait before a command is repeated whose end isn't known.
 const pendingPause = 20 * time.Millisecond
 
@@ -85,6 +93,10 @@
 		RanksPerStep: 100,
 		Yield:        400 * time.Millisecond,
 		YieldPerRank: 20 * time.Millisecond,
+		MaxYield:     1600 * time.Millisecond,
+		Grace:        200 * time.Millisecond,
+		FirstGrace:   100 * time.Millisecond,
+		Deferred:     2 * time.Second,
 		Witness:      200 * time.Millisecond,
 		Fresh:        time.Second,
 	}
@@ -128,9 +140,18 @@
 	absent *btexpert.Rank
 	record *Record
 	began  time.Time
-	// quiet is until when another lead has the group to itself.
-	quiet  time.Time
-	heldAt time.Time
+	// quiet is until when another lead has the group to itself, preempted how often in a
+	// row it took the group over, at step preemptedAt.
+	quiet       time.Time
+	preempted   int
+	preemptedAt int64
+	// deferred tells that the agent reports to another lead, foreignSince when this one
+	// first saw what is left of another lead's round.
+	deferred     bool
+	foreignSince time.Time
+	// heardSince is since when reports have come without a break, heardAt the last of them.
+	heardSince, heardAt time.Time
+	heldAt              time.Time
 	// outcome is that of the last round, until it is asked for.
 	outcome *Outcome
 }
@@ -188,6 +209,7 @@
 	if s.Validate() != nil || s.Group != l.group {
 		return
 	}
+	l.hear(now)
 	if s.Epoch > l.epoch || s.Epoch == l.epoch && s.Size != l.size {
 		l.restart(now, s)
 	}
@@ -211,6 +233,16 @@
 	}
 }
 
+// hear notes a report.
+func (l *Lead) hear(now time.Time) {
+	if now.Sub(l.heardAt) > l.settings.Fresh {
+		l.heardSince = now
+	}
+	if now.After(l.heardAt) {
+		l.heardAt = now
+	}
+}
+
 func (l *Lead) member(r btexpert.Rank) *member {
 	m, found := l.members[r]
 	if !found {
@@ -220,20 +252,6 @@
 	return m
 }
 
-// outranked ends the round of a lead that another has overtaken: whoever has
-// the higher ballot brings it to its end.
-func (l *Lead) outranked(now time.Time, heard Ballot) {
-	l.end(now, false, "outranked")
-	first := l.ballot == 0
-	l.ballot = heard.Next(l.self, l.life)
-	if first {
-		// It has only begun to lead: the ballot is that of the lead before it, which
-		// the agents no longer follow.
-		return
-	}
-	l.quiet = now.Add(l.settings.Yield + time.Duration(l.self)*l.settings.YieldPerRank)
-}
-
 // Whole tells whether every rank has reported of late and the group is open.
 func (l *Lead) Whole(now time.Time) bool {
 	return l.size > 0 && len(l.missing(now)) == 0
@@ -287,7 +305,7 @@
 // Begin starts a round for a new map and returns its version. The group must be
 // whole and the lead idle; Step returns the commands.
 func (l *Lead) Begin(now time.Time, p Proposal) (Version, bool) {
-	if l.over || l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !noneArmed(l.states()) {
+	if l.over || l.deferred || l.phase != Idle || now.Before(l.quiet) || !l.Whole(now) || l.foreign() || !noneArmed(l.states()) {
 		return 0, false
 	}
 	l.enter(Preparing)
--- a/core/btround/leader_test.go
+++ b/core/btround/leader_test.go
@@ -84,6 +84,7 @@
 	if l.away() {
 		return
 	}
+	l.lead.Defer(!l.hears)
 	if l.lead.Phase() == btround.Idle && l.hears && w.random.IntN(15) == 0 {
 		l.lead.Begin(w.now, btround.Proposal{
 			Layers: []btexpert.Layer{{Ranks: make([][]btexpert.Expert, len(w.engines))}},
@@ -96,6 +97,7 @@
 
 // step has the lead take the steps that are due.
 func (l *leader) step() {
+	l.lead.Defer(!l.hears)
 	for _, c := range l.lead.Step(l.world.now) {
 		l.give(c)
 	}
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -9,7 +9,7 @@
 
 // Step returns the commands that are due.
 func (l *Lead) Step(now time.Time) []Command {
-	if l.phase == Idle && !now.Before(l.quiet) && l.foreign() {
+	if l.phase == Idle && l.foreignDue(now) {
 		l.takeOver(now)
 	}
 	l.advance(now)
@@ -184,25 +184,6 @@
 	}
 }
 
-// Reasons of rounds that end as a rank refuses what the round rests on. What is held or
-// armed by then is taken over from the ranks' states after a pause.
-const (
-	HoldRefused   = "hold refused"
-	GoRefused     = "go refused"
-	DisarmRefused = "disarm refused"
-	LookRefused   = "look refused"
-	// HeldByAnother: the rank that is to hold the group holds it for another round.
-	HeldByAnother = "held by another round"
-	// NotSecured: ranks can't be armed, and nothing keeps the group from the step.
-	NotSecured = "step not secured"
-)
-
-// giveUp ends the round and leaves the group alone for a while.
-func (l *Lead) giveUp(now time.Time, reason string) {
-	l.end(now, false, reason)
-	l.quiet = now.Add(l.settings.Yield)
-}
-
 // looked decides once all ranks have told their states.
 func (l *Lead) looked(now time.Time) {
 	switch {
@@ -247,6 +228,10 @@
 		l.end(now, false, "prepare took too long")
 		return
 	}
+	if _, held := l.heldRank(); held {
+		l.end(now, false, HeldByAnother)
+		return
+	}
 	if l.count(reached) < l.size {
 		return
 	}
@@ -257,10 +242,6 @@
 	l.enter(Witnessing)
 }
 
-// NoRecord is the reason of a round that ended as the holder's agent did not
-// answer.
-const NoRecord = "no record kept"
-
 // recorded goes on to the hold once the holder's agent keeps a record. Where it
 // doesn't answer the round is given up, as it may keep one all the same.
 func (l *Lead) recorded(now time.Time) {
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -86,6 +86,8 @@
 	wantHeld bool
 	// tree chooses the relay and the lead.
 	tree *btrelay.Tree
+	// reportsTo is the lead that the tree named last.
+	reportsTo netip.AddrPort
 	// follows is who answered the last report, handsOnTo who answered the last
 	// bundle.
 	follows, handsOnTo netip.AddrPort
@@ -337,6 +339,7 @@
 	a.tree.Learn(agents)
 	var w way
 	w.lead, w.known = a.tree.Lead(now)
+	a.reportsTo = w.lead
 	w.relay, _ = a.tree.Relay(now)
 	w.members = len(agents)
 	w.blocks = a.tree.Blocks()
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -165,6 +165,13 @@
 	return a.state
 }
 
+// reportsToOther tells whether the agent takes another for the group's lead.
+func (a *Agent) reportsToOther() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reportsTo.IsValid() && a.reportsTo != a.options.Address
+}
+
 // run drives rounds until the context ends.
 func (l *lead) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -192,6 +199,7 @@
 		l.leading = true
 		l.log.Info("leads", "group", l.agent.own().Group, "epoch", l.machine.Epoch(), "ballot", l.machine.Ballot())
 	}
+	l.machine.Defer(l.agent.reportsToOther())
 	l.lookAtStale(ctx, now)
 	if whole := l.machine.Whole(now); whole != l.open {
 		l.open = whole
