--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -67,7 +67,8 @@
 	// only begun to receive reports, as the lead before it is most likely gone.
 	Grace      time.Duration
 	FirstGrace time.Duration
-	Deferred   time.Duration
+	// Deferred is how long a lead whose agent reports to another leaves a round to it.
+	Deferred time.Duration
 	// Witness bounds the wait for the agent that is to keep a record, which answers
 	// within a few milliseconds.
 	Witness time.Duration
