btdirect: move requests from members that are unresponsive

Cause: an unresponsive member was skipped for new requests only. Those sent just before waited for the frozen host until their callers left after two seconds, and an entry with fewer than two streams there had no evidence of its own.

Requests whose answers have not begun after 300 ms now move to another member, within the retry budget, where the entry's own streams there are silent while others go on, or where the group's lead reports that the member's agent doesn't answer, while two thirds of the others do. Such members are not chosen for second attempts, either.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -62,6 +62,7 @@
 	defer e.quarantine.attempting(x, cancel)()
 	moving := x.movable(t, cancel)
 	defer moving.done()
+	x.move = moving.move
 	sent := e.options.Clock()
 	answer, err := x.send(ctx, t)
 	if err != nil {
--- a/io/btdirect/choose.go
+++ b/io/btdirect/choose.go
@@ -96,7 +96,7 @@
 			c.broken = append(c.broken, t)
 		case now.Before(t.suspended):
 			c.failing = append(c.failing, t)
-		case s.quiet(t):
+		case s.quiet(t, now):
 			c.quiet = append(c.quiet, t)
 		case t.passedOver(now):
 			c.slow = append(c.slow, t)
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -48,6 +48,8 @@
 	turnedAway int
 	// stream is the part of a streamed answer that went out.
 	stream *streamWriter
+	// move is that of the attempt in progress; nil where it may not move.
+	move *move
 	// mayHaveRun is set once a target may have begun to work on the request.
 	mayHaveRun bool
 	// whole tells that the caller has its whole answer.
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -53,6 +53,9 @@
 	pace          float64
 	// slow tells that the target is among the slowest of its group.
 	slow bool
+	// unresponsiveAt is when a lead last said that the member's agent doesn't answer it; zero
+	// where it does.
+	unresponsiveAt time.Time
 	// signs are what is heard of its streams.
 	signs signs
 	// rateMalformed tells that the target has named a rate that can't be read.
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -5,9 +5,11 @@
 	"context"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btrequest"
 )
 
 const (
@@ -20,25 +22,33 @@
 	// slowShare is the part of a group that may be passed over as slow: with more
 	// of them slow, the others could not carry the load.
 	slowShare = 0.34
+	// stalledAfter is how long a request's answer may take to begin at a member that is
+	// unresponsive before it moves to another.
+	stalledAfter = 300 * time.Millisecond
 	// usualPace is the pace of a member that isn't slow.
 	usualPace = 1
 )
 
-// move lets a stream leave a target that has turned slow.
+// move lets a stream leave a target that has turned slow, or is unresponsive.
 type move struct {
 	// permit takes the move from the service's retry budget.
 	permit func() bool
 	cancel context.CancelFunc
-	asked  atomic.Bool
+	// asked is why the stream was asked to move; nil before.
+	asked atomic.Pointer[btrequest.Reason]
+	// since is when the request was sent, begun tells that its answer has begun.
+	since time.Time
+	begun atomic.Bool
 }
 
 // ask has the stream move, if it may.
-func (m *move) ask() {
-	if m.asked.Load() || !m.permit() {
+func (m *move) ask(reason btrequest.Reason) {
+	if m.asked.Load() != nil || !m.permit() {
 		return
 	}
-	m.asked.Store(true)
-	m.cancel()
+	if m.asked.CompareAndSwap(nil, &reason) {
+		m.cancel()
+	}
 }
 
 // movable notes that a stream at the target can go on elsewhere. The function
@@ -54,6 +64,23 @@
 	}
 }
 
+// stalled lists the moves of a service's streams whose answers have not begun at members
+// that are unresponsive. The lock is held.
+func (f *fleet) stalled(s *service, now time.Time) []*move {
+	var moves []*move
+	for _, t := range s.targets {
+		if !s.quiet(t, now) {
+			continue
+		}
+		for m := range t.moves {
+			if !m.begun.Load() && now.Sub(m.since) >= stalledAfter {
+				moves = append(moves, m)
+			}
+		}
+	}
+	return moves
+}
+
 // moving is an attempt's move, if it may have one.
 type moving struct {
 	move *move
@@ -68,21 +95,24 @@
 	}
 	e := x.entry
 	b := e.budget(x.service.Name)
-	m := &move{cancel: cancel, permit: func() bool { return b.take(e.options.Clock()) }}
+	m := &move{cancel: cancel, permit: func() bool { return b.take(e.options.Clock()) }, since: e.options.Clock()}
 	return moving{move: m, done: e.fleet.movable(t, m)}
 }
 
 // result returns how the attempt ended, which is by its move if it was asked to.
 func (m moving) result(r attemptResult) attemptResult {
-	if m.move != nil && m.move.asked.Load() && !r.done && !r.notRun && r.reason != ReasonCallerGone {
+	if m.move == nil || r.done || r.notRun || r.reason == ReasonCallerGone {
+		return r
+	}
+	if reason := m.move.asked.Load(); reason != nil {
 		r.moved = true
-		r.reason = ReasonTargetSlow
+		r.reason = *reason
 	}
 	return r
 }
 
-// hear takes a lead's word on its group in, and has streams leave members that
-// have turned slow. It tells whether the group was broken until now.
+// hear takes a lead's report on its group in, and has streams leave members that have
+// turned slow or are unresponsive. It tells whether the group was broken until now.
 func (f *fleet) hear(l Load) (opened bool) {
 	f.mu.Lock()
 	now := f.clock()
@@ -102,14 +132,43 @@
 		t.pace = max(paces[m.Rank], usualPace)
 	}
 	opened = s.heard(l)
+	s.markUnresponsive(l, now)
 	slowest := f.markSlow(l.Service)
+	stalled := f.stalled(s, now)
 	f.mu.Unlock()
+	for _, m := range stalled {
+		m.ask(ReasonUnresponsive)
+	}
 	for _, m := range slowest {
-		m.ask()
+		m.ask(ReasonTargetSlow)
 	}
 	return opened
 }
 
+// markUnresponsive notes the members whose agents don't answer the lead while most others do:
+// their hosts are frozen, or cut off.
+func (s *service) markUnresponsive(l Load, now time.Time) {
+	unknown := 0
+	for _, requests := range l.Requests {
+		if requests == LoadUnknown {
+			unknown++
+		}
+	}
+	if unknown > int(slowShare*float64(len(l.Requests))) {
+		return
+	}
+	for _, t := range s.targets {
+		m := t.info.Member
+		if m == nil || m.Group != l.Group || m.Rank >= len(l.Requests) {
+			continue
+		}
+		t.unresponsiveAt = time.Time{}
+		if l.Requests[m.Rank] == LoadUnknown {
+			t.unresponsiveAt = now
+		}
+	}
+}
+
 // heard notes a group's epoch, and that the group is open where its lead says so of
 // another epoch than that in which it was found broken. An entry that waits for its
 // own probe learns it a quarter of a second and a first event later.
--- a/io/btdirect/quiet.go
+++ b/io/btdirect/quiet.go
@@ -62,8 +62,11 @@
 	return w
 }
 
-// quiet tells whether a member of a group has streams and sends nothing, while others of
-// it do. The fleet's lock is held.
-func (s *service) quiet(t *target) bool {
+// quiet tells whether a member of a group has streams and sends nothing while others of it
+// do, or its agent doesn't answer the lead. The fleet's lock is held.
+func (s *service) quiet(t *target, now time.Time) bool {
+	if !t.unresponsiveAt.IsZero() && now.Sub(t.unresponsiveAt) <= loadFresh {
+		return true
+	}
 	return t.info.Member != nil && t.signs.begun >= leastStreams && s.watch(t.group()).Silent(t.signs.heard)
 }
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -51,6 +51,9 @@
 	ReasonSilent btrequest.Reason = "target_silent"
 	// ReasonTargetSlow: the request left a group's member that had turned slow.
 	ReasonTargetSlow btrequest.Reason = "target_slow"
+	// ReasonUnresponsive: the request left a group's member that had not begun to answer,
+	// and whose host is frozen or cut off by what others say.
+	ReasonUnresponsive btrequest.Reason = "target_unresponsive"
 	// ReasonTimeout: the route's timeout or the caller's deadline has passed.
 	ReasonTimeout btrequest.Reason = "timeout"
 	// ReasonCallerGone: the caller closed its connection.
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -124,6 +124,9 @@
 		x.stages.pause = max(x.stages.pause, now.Sub(x.stream.wrote))
 		x.entry.admission.pause(x.service, now.Sub(x.stream.wrote), x.route.MaxGap)
 	}
+	if x.move != nil {
+		x.move.begun.Store(true)
+	}
 	x.stream.follower.event(now.Sub(x.stream.wrote))
 	x.stream.wrote = now
 	if err := x.stream.write(events, answer); err != nil {
