--- /dev/null
+++ b/core/btquiet/reported_test.go
@@ -0,0 +1,30 @@
+package btquiet_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btquiet"
+)
+
+// TestAFrozenHostIsUnreported guards against requests that wait at a frozen host of which
+// an entry has no streams, and against a new lead that takes all hosts for frozen as it has
+// received no reports yet.
+func TestAFrozenHostIsUnreported(t *testing.T) {
+	known := func(n int, unknown ...int) []bool {
+		list := make([]bool, n)
+		for i := range list {
+			list[i] = true
+		}
+		for _, r := range unknown {
+			list[r] = false
+		}
+		return list
+	}
+	assert.Equal(t, len(btquiet.Unreported(known(8))), 0)
+	assert.DeepEqual(t, btquiet.Unreported(known(8, 2, 5)), []int{2, 5})
+	assert.Equal(t, len(btquiet.Unreported(known(8, 1, 2, 5))), 0, "the lead has just begun")
+	assert.Equal(t, len(btquiet.Unreported(make([]bool, 8))), 0)
+	assert.Equal(t, len(btquiet.Unreported(nil)), 0)
+}
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -9,6 +9,7 @@
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btquiet"
 	"bilberrytide/core/btrequest"
 )
 
@@ -145,25 +146,21 @@
 	return opened
 }
 
-// markUnresponsive notes the members whose agents don't answer the lead while most others do:
-// their hosts are frozen, or cut off.
+// markUnresponsive notes the members whose agents don't answer the lead while most others
+// do.
 func (s *service) markUnresponsive(l Load, now time.Time) {
-	unknown := 0
-	for _, requests := range l.Requests {
-		if requests == LoadUnknown {
-			unknown++
-		}
-	}
-	if unknown > int(slowShare*float64(len(l.Requests))) {
-		return
+	known := make([]bool, len(l.Requests))
+	for rank, requests := range l.Requests {
+		known[rank] = requests != LoadUnknown
 	}
+	unresponsive := btquiet.Unreported(known)
 	for _, t := range s.targets {
 		m := t.info.Member
-		if m == nil || m.Group != l.Group || m.Rank >= len(l.Requests) {
+		if m == nil || m.Group != l.Group {
 			continue
 		}
 		t.unresponsiveAt = time.Time{}
-		if l.Requests[m.Rank] == LoadUnknown {
+		if slices.Contains(unresponsive, m.Rank) {
 			t.unresponsiveAt = now
 		}
 	}
