--- a/core/btround/preempt_test.go
+++ b/core/btround/preempt_test.go
@@ -104,3 +104,13 @@
 		assert.Assert(t, wait >= least && wait < least+s.Yield/2, "%d: %s", i, wait)
 	}
 }
+
+// TestAGroupIsNotHeldForLongByALateHold guards against a group that stays paused as a hold
+// of a lead's own is carried out after its go: the engine takes both under one ballot.
+func TestAGroupIsNotHeldForLongByALateHold(t *testing.T) {
+	w := newWorld(90087, 8, 0.35, 0.05)
+	disturb(w)
+	w.run(60 * time.Second)
+	assert.Equal(t, w.split, int64(0))
+	assert.Assert(t, w.longest < longestHold, "held for %s", w.longest)
+}
--- a/core/btround/view.go
+++ b/core/btround/view.go
@@ -17,7 +17,8 @@
 	var ranks []btexpert.Rank
 	for r := range l.size {
 		rank := btexpert.Rank(r)
-		if m := l.member(rank); l.asks(rank) && !m.reached && !m.refused {
+		m, found := l.members[rank]
+		if l.asks(rank) && !(found && (m.reached || m.refused)) {
 			ranks = append(ranks, rank)
 		}
 	}
