--- a/core/btround/preempt_test.go
+++ b/core/btround/preempt_test.go
@@ -105,8 +105,9 @@
 	}
 }
 
-// TestAGroupIsNotHeldForLongByALateHold guards against a group that stays paused as a hold
-// of a lead's own is carried out after its go: the engine takes both under one ballot.
+// TestAGroupIsNotHeldForLongByALateHold guards against a group that stays paused while leads
+// replace each other; suspected is a hold that is carried out late, after its go, under the
+// same ballot.
 func TestAGroupIsNotHeldForLongByALateHold(t *testing.T) {
 	w := newWorld(90087, 8, 0.35, 0.05)
 	disturb(w)
