--- a/core/btround/preempt_test.go
+++ b/core/btround/preempt_test.go
@@ -105,9 +105,8 @@
 	}
 }
 
-// TestAGroupIsNotHeldForLongByALateHold guards against a group that stays paused while leads
-// replace each other; suspected is a hold that is carried out late, after its go, under the
-// same ballot.
+// TestAGroupIsNotHeldForLongByALateHold guards against a lead's own claim that is carried
+// out after its go, under the same ballot, and holds an idle group again.
 func TestAGroupIsNotHeldForLongByALateHold(t *testing.T) {
 	w := newWorld(90087, 8, 0.35, 0.05)
 	disturb(w)
