btround: test each change of the takeover by the fault that it mends

TestAHoldOfAnotherStepEndsTheRound has both moments now, and asks for more than before while the round prepares: no refused hold. TestARefusedArmClaimsTheHold- BeforeItDisarms and TestAHoldFoundWhileLookingIsClaimed are new.

--- a/core/btround/hold_test.go
+++ b/core/btround/hold_test.go
@@ -14,35 +14,119 @@
 // after another while the rank holds the group for a step of another round, and refuses
 // each: the group stayed paused, and nothing was logged.
 func TestAHoldOfAnotherStepEndsTheRound(t *testing.T) {
+	for seen, most := range map[btround.Kind]int{btround.Prepare: 0, btround.Hold: 2} {
+		t.Run(string(seen), func(t *testing.T) { holdsAnotherStep(t, seen, most) })
+	}
+}
+
+// holdsAnotherStep has a claim of another lead hold the group from the first command of a
+// kind on, and checks that the lead ends that hold after so many refused ones at most.
+func holdsAnotherStep(t *testing.T, seen btround.Kind, most int) {
 	s := newStale(t)
 	for r := range btexpert.Rank(3) {
 		s.report(s.state(r))
 	}
 	_, begun := s.lead.Begin(s.now, btround.Proposal{Holder: 1})
 	assert.Assert(t, begun)
-	var refused, claims int
+	var refused int
+	var held, ended bool
 	for range 100 {
 		s.now = s.now.Add(20 * time.Millisecond)
 		for _, c := range s.lead.Step(s.now) {
+			held = held || c.Kind == seen
+			ended = ended || c.Kind == btround.Go
 			state := s.obeyed(c)
 			verdict := btround.Reached
-			if c.Rank == 1 {
-				// A claim of another lead placed this hold after the round had begun.
-				state.Held, state.HeldStep = claims == 0, steps+1
+			if c.Rank == 1 && held && !ended {
+				state.Held, state.HeldStep = true, steps+1
 			}
-			switch {
-			case c.Kind == btround.Hold && c.Step != steps+1:
+			if c.Kind == btround.Hold && held && c.Step != steps+1 {
 				verdict = btround.Refused
 				refused++
-			case c.Kind == btround.Go:
-				claims++
 			}
 			s.lead.Result(s.now, btround.Result{Round: c.Round, Kind: c.Kind, Verdict: verdict, Ballot: c.Ballot, State: state})
 		}
-		if claims > 0 {
+	}
+	assert.Assert(t, refused <= most, "%d holds refused", refused)
+	assert.Assert(t, ended, "the other round's hold was never ended")
+}
+
+// claims records whether ranks are disarmed by a lead whose ballot the holder has accepted.
+type claims struct {
+	t *testing.T
+	// accepted is the ballot of the last claim, armed the highest of an order to arm.
+	accepted, armed btround.Ballot
+	disarmed        int
+}
+
+// given checks one command, in the order in which they are given.
+func (c *claims) given(command btround.Command) {
+	c.t.Helper()
+	switch {
+	case command.Kind == btround.Hold && command.Force:
+		c.accepted = command.Ballot
+	case command.Kind == btround.Arm:
+		c.armed = max(c.armed, command.Ballot)
+	case command.Kind == btround.Disarm:
+		c.disarmed++
+		assert.Equal(c.t, c.accepted, command.Ballot, "disarmed without a claim")
+		assert.Assert(c.t, command.Ballot > c.armed, "disarmed under the ballot of an order to arm")
+	}
+}
+
+// TestARefusedArmClaimsTheHoldBeforeItDisarms guards against ranks that are disarmed while
+// another lead ends the hold: the group would begin the step on two maps.
+func TestARefusedArmClaimsTheHoldBeforeItDisarms(t *testing.T) {
+	s := newStale(t)
+	for r := range btexpert.Rank(3) {
+		s.report(s.state(r))
+	}
+	_, begun := s.lead.Begin(s.now, btround.Proposal{Holder: 1})
+	assert.Assert(t, begun)
+	seen := claims{t: t}
+	for range 20 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		for _, c := range s.lead.Step(s.now) {
+			seen.given(c)
+			verdict, state := btround.Reached, s.obeyed(c)
+			if c.Kind == btround.Arm && c.Rank == 2 {
+				verdict, state = btround.Refused, s.state(2)
+			}
+			s.lead.Result(s.now, btround.Result{Round: c.Round, Kind: c.Kind, Verdict: verdict, Ballot: c.Ballot, State: state})
+		}
+	}
+	assert.Equal(t, seen.disarmed, 3)
+}
+
+// TestAHoldFoundWhileLookingIsClaimed guards against a takeover that has seen armed ranks
+// before the hold, and disarms them as if it had claimed a hold at its own rank.
+func TestAHoldFoundWhileLookingIsClaimed(t *testing.T) {
+	s := newStale(t)
+	const version, step = btround.Version(1 << 20), int64(steps + 1)
+	state := func(r btexpert.Rank, held bool) btround.State {
+		state := s.state(r)
+		if r == 1 {
+			state.Armed, state.ArmedStep = version, step
+		}
+		if r == 0 && held {
+			state.Held, state.HeldStep = true, step
+		}
+		return state
+	}
+	seen := claims{t: t}
+	for range 30 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		for r := range btexpert.Rank(3) {
+			s.report(state(r, false))
+		}
+		for _, c := range s.lead.Step(s.now) {
+			seen.given(c)
+			s.lead.Result(s.now, btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Reached, Ballot: c.Ballot, State: state(c.Rank, true)})
+		}
+		if seen.disarmed > 0 {
 			break
 		}
 	}
-	assert.Assert(t, refused <= 2, "%d holds refused", refused)
-	assert.Equal(t, claims, 1, "the other round's hold was never ended")
+	assert.Assert(t, seen.accepted != 0, "the hold was never claimed")
+	assert.Assert(t, seen.disarmed > 0, "no rank was disarmed")
 }
