btquarantine, btround, btdirect: use the field's terms

A rename without a change of behaviour, where this work's fixes are: TTL, DefaultPolicy and ConservativePolicy of the register, liveness, seenOpen and applyLoadReport of the entry, noteReport of the lead.

Left as they are: the exported names Ended, Heard, Tell and End of btquarantine, and older comments of other packages.

--- a/core/btquarantine/crash.go
+++ b/core/btquarantine/crash.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// record is what is remembered of one request.
+// record is the state of one request.
 type record struct {
 	ends []end
 	// served is when a target last answered the request whole; zero for never.
@@ -103,46 +103,46 @@
 	})
 }
 
-// merge takes another entry's record in.
+// merge applies another process's record.
 func (c *record) merge(now time.Time, told Record) {
 	if told.ServedMillis >= 0 {
-		c.heardServed(before(now, told.ServedMillis))
+		c.mergeServed(before(now, told.ServedMillis))
 	}
 	for _, e := range told.Ends {
 		c.add(end{target: e.Target, began: e.Began, at: before(now, e.AgeMillis), observation: e.Observation})
 	}
 }
 
-// heardServed notes a word that the request was served. One that is known comes back
-// with another age, which changes nothing.
-func (c *record) heardServed(at time.Time) {
+// mergeServed applies a report that the request was served. A copy of a known one has
+// another age, which changes nothing.
+func (c *record) mergeServed(at time.Time) {
 	older := func(e end) bool { return !e.at.After(at) }
 	if c.served.IsZero() || at.Sub(c.served) >= sameEnd || slices.ContainsFunc(c.ends, older) {
 		c.clear(at)
 	}
 }
 
-// decided tells whether the ends that are remembered keep the request from targets.
+// decided tells whether the reported crashes quarantine the request.
 func (c *record) decided(p Policy) bool {
 	all, begun := c.crashes()
 	return begun >= p.Begun || all >= p.Sent
 }
 
-// until returns until when the request is kept from targets.
+// until returns until when the request is quarantined; zero where it isn't.
 func (c *record) until(now time.Time, p Policy) time.Time {
 	fresh := record{}
 	for _, e := range c.ends {
-		if now.Sub(e.at) < Life {
+		if now.Sub(e.at) < TTL {
 			fresh.ends = append(fresh.ends, e)
 		}
 	}
 	if len(fresh.ends) == 0 || !fresh.decided(p) {
 		return time.Time{}
 	}
-	return fresh.latest().Add(Life)
+	return fresh.latest().Add(TTL)
 }
 
-// latest returns when the last thing that is remembered was.
+// latest returns the time of the last crash or success.
 func (c *record) latest() time.Time {
 	latest := c.served
 	for _, e := range c.ends {
@@ -155,8 +155,7 @@
 
 func (c *record) empty() bool { return len(c.ends) == 0 && c.served.IsZero() }
 
-// digest identifies the record, without ages and whatever the order in which its ends
-// became known.
+// digest identifies the record, without ages and whatever the order of its reports.
 func (c *record) digest(f Fingerprint) uint64 {
 	sum := uint64(0)
 	for _, e := range c.ends {
--- a/core/btquarantine/delay_test.go
+++ b/core/btquarantine/delay_test.go
@@ -39,7 +39,7 @@
 func newDelayed(seed uint64, anonymous bool) *delayed {
 	d := &delayed{random: rand.New(rand.NewPCG(seed, 1)), now: start, anonymous: anonymous}
 	for i := range processes {
-		r := btquarantine.New(btquarantine.Usual())
+		r := btquarantine.New(btquarantine.DefaultPolicy())
 		r.ObserveAs(uint64(i) + 1)
 		d.registers = append(d.registers, r)
 	}
@@ -142,7 +142,7 @@
 		}
 		for _, r := range d.registers {
 			assert.Equal(t, r.Digest(), d.registers[0].Digest(), "seed %d", seed)
-			assert.Equal(t, r.Held(d.now, request(1)), n >= btquarantine.Usual().Sent, "seed %d", seed)
+			assert.Equal(t, r.Held(d.now, request(1)), n >= btquarantine.DefaultPolicy().Sent, "seed %d", seed)
 		}
 		for _, counted := range newDelayed(seed, true).crashes(n) {
 			if counted != n {
@@ -156,7 +156,7 @@
 // TestAReportOfAServedRequestIsNoNewCrash guards against a late report of a crash that
 // happened before the request was served.
 func TestAReportOfAServedRequestIsNoNewCrash(t *testing.T) {
-	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.Ended(start, request(1), 1, btquarantine.Answering)
 	told := a.Tell(after(100 * time.Millisecond))
 	b.Heard(after(100*time.Millisecond), told)
@@ -168,7 +168,7 @@
 // TestAMessageOfCrashReportsIsBounded guards against reports that outgrow a greeting: a
 // full message of requests with two crashes each stays below 5 KB.
 func TestAMessageOfCrashReportsIsBounded(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	for n := range 2 * btquarantine.MaxTold {
 		r.Ended(start, request(n), uint64(1)<<60, btquarantine.Answering)
 		r.Ended(after(2*time.Second), request(n), uint64(2)<<60, btquarantine.Answering)
--- a/core/btquarantine/fuzz_test.go
+++ b/core/btquarantine/fuzz_test.go
@@ -11,7 +11,7 @@
 
 // Whatever another process sends, a register that takes it in stays within its bounds.
 func FuzzDecodeRecords(f *testing.F) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	r.Ended(start, request(1), 1, btquarantine.Answering)
 	r.Ended(start, request(1), 2, btquarantine.Sent)
 	r.Served(start, request(1))
@@ -25,12 +25,12 @@
 		if err != nil {
 			return
 		}
-		r := btquarantine.New(btquarantine.Usual())
+		r := btquarantine.New(btquarantine.DefaultPolicy())
 		r.Heard(start, records)
 		assert.Assert(t, r.Len() <= btquarantine.MaxRecords)
 		told := r.Tell(start)
 		assert.NilError(t, told.Validate())
-		again := btquarantine.New(btquarantine.Usual())
+		again := btquarantine.New(btquarantine.DefaultPolicy())
 		again.Heard(start, told)
 		assert.Assert(t, again.Len() <= r.Len())
 	})
--- a/core/btquarantine/record.go
+++ b/core/btquarantine/record.go
@@ -45,12 +45,12 @@
 	if len(r.Ends) > MaxEnds {
 		return fmt.Errorf("%w: %d ends, at most %d", ErrRecord, len(r.Ends), MaxEnds)
 	}
-	if r.ServedMillis > Life.Milliseconds() {
-		return fmt.Errorf("%w: served %d ms ago, kept for %s", ErrRecord, r.ServedMillis, Life)
+	if r.ServedMillis > TTL.Milliseconds() {
+		return fmt.Errorf("%w: served %d ms ago, kept for %s", ErrRecord, r.ServedMillis, TTL)
 	}
 	for _, e := range r.Ends {
-		if e.AgeMillis < 0 || e.AgeMillis > Life.Milliseconds() {
-			return fmt.Errorf("%w: an end %d ms ago, kept for %s", ErrRecord, e.AgeMillis, Life)
+		if e.AgeMillis < 0 || e.AgeMillis > TTL.Milliseconds() {
+			return fmt.Errorf("%w: an end %d ms ago, kept for %s", ErrRecord, e.AgeMillis, TTL)
 		}
 	}
 	return nil
--- a/core/btquarantine/register.go
+++ b/core/btquarantine/register.go
@@ -10,10 +10,8 @@
 )
 
 const (
-	// Life is for how long the end of a target counts against a request. Callers'
-	// own retries come within seconds, people and batch jobs come back within
-	// minutes; a request that is refused wrongly is refused for that long at most.
-	Life = 10 * time.Minute
+	// TTL is how long a crash counts against a request.
+	TTL = 10 * time.Minute
 	// MaxEnds bounds the reports of crashes that are kept of a request: what decides by
 	// any policy and one to spare, each reported by two processes.
 	MaxEnds = 8
@@ -40,15 +38,14 @@
 	Suspect time.Duration
 }
 
-// Usual is the policy of a register whose memory is whole. One end alone may be another
-// request's doing, as a target has up to some dozen at work, and most are served when
-// they are tried again. Only where the target was about to begin with the request is the
-// suspicion strong enough to wait: a second end costs all callers of the group seconds.
-func Usual() Policy { return Policy{Begun: 2, Sent: 3, Suspect: SuspectFor} }
+// DefaultPolicy is the policy of a register that has lost no state. One crash alone may be
+// due to any request in flight at the target; only one that the target had just begun to
+// answer is suspected after it.
+func DefaultPolicy() Policy { return Policy{Begun: 2, Sent: 3, Suspect: SuspectFor} }
 
-// Cautious is the policy of a register that may have forgotten what was known, as all
-// that knew it started anew: the first end may be the fourth in truth.
-func Cautious() Policy { return Policy{Begun: 1, Sent: 1} }
+// ConservativePolicy is the policy of a register that may have lost state: it quarantines
+// a request after its first crash.
+func ConservativePolicy() Policy { return Policy{Begun: 1, Sent: 1} }
 
 // Register remembers under which requests targets have ended, of late. It is not safe
 // for concurrent use.
@@ -174,7 +171,7 @@
 func (r *Register) Expire(now time.Time) {
 	r.suspects.expire(now)
 	for f, c := range r.records {
-		if c.latest().Add(Life).Before(now) {
+		if c.latest().Add(TTL).Before(now) {
 			r.change(f, nil)
 		}
 	}
@@ -200,11 +197,11 @@
 	if !found {
 		return told
 	}
-	if !c.served.IsZero() && now.Sub(c.served) <= Life {
+	if !c.served.IsZero() && now.Sub(c.served) <= TTL {
 		told.ServedMillis = age(now, c.served)
 	}
 	for _, e := range c.ends {
-		if now.Sub(e.at) <= Life {
+		if now.Sub(e.at) <= TTL {
 			told.Ends = append(told.Ends, End{Target: e.target, Began: e.began, AgeMillis: age(now, e.at), Observation: e.observation})
 		}
 	}
--- a/core/btquarantine/register_test.go
+++ b/core/btquarantine/register_test.go
@@ -21,7 +21,7 @@
 func after(d time.Duration) time.Time { return start.Add(d) }
 
 func TestTwoTargetsThatHadBegunOrThreeHoldARequest(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	assert.Assert(t, !r.Ended(start, request(1), 1, btquarantine.Answering))
 	assert.Assert(t, !r.Ended(after(10*time.Millisecond), request(1), 1, btquarantine.Answering), "the same end")
 	assert.Assert(t, !r.Held(after(time.Second), request(1)))
@@ -36,15 +36,15 @@
 
 // A platform that doesn't tell a target's starts apart shows one that ends again.
 func TestOneTargetThatEndsAgainCountsAgain(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	r.Ended(start, request(1), 1, btquarantine.Answering)
 	assert.Assert(t, r.Ended(after(5*time.Second), request(1), 1, btquarantine.Answering))
 }
 
-// A host stands still while it is told of an end. When it wakes the word's age is too small
-// by as much; it is of the same end all the same.
-func TestAWordThatIsLateIsNoSecondEnd(t *testing.T) {
-	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+// TestRegisterDeduplicatesDelayedCrashReports guards against quarantining a request that is
+// counted twice after one crash, as a frozen host receives the report again when it wakes.
+func TestRegisterDeduplicatesDelayedCrashReports(t *testing.T) {
+	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.Ended(start, request(1), 1, btquarantine.Answering)
 	told := a.Tell(after(100 * time.Millisecond))
 	b.Heard(after(100*time.Millisecond), told)
@@ -54,7 +54,7 @@
 }
 
 func TestARequestThatIsServedIsFree(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	assert.Assert(t, !r.Served(start, request(1)))
 	r.Ended(after(2*time.Minute), request(1), 1, btquarantine.Answering)
 	assert.Assert(t, r.Served(after(3*time.Minute), request(1)))
@@ -65,7 +65,7 @@
 // A request that many callers send alike is at work at all targets when some end at
 // once.
 func TestARequestServedOfLateIsNotHeld(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	r.Served(start, request(1))
 	for target := range uint64(3) {
 		assert.Assert(t, !r.Ended(after(time.Second), request(1), target, btquarantine.Answering))
@@ -75,13 +75,13 @@
 }
 
 func TestWhatIsHeldIsFreeAfterItsLife(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	r.Ended(start, request(1), 1, btquarantine.Answering)
 	r.Ended(after(time.Minute), request(1), 2, btquarantine.Answering)
-	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.Life))
-	assert.Assert(t, r.Held(after(btquarantine.Life-time.Second), request(1)))
-	assert.Assert(t, !r.Held(after(btquarantine.Life+time.Second), request(1)))
-	r.Expire(after(2*time.Minute + btquarantine.Life))
+	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.TTL))
+	assert.Assert(t, r.Held(after(btquarantine.TTL-time.Second), request(1)))
+	assert.Assert(t, !r.Held(after(btquarantine.TTL+time.Second), request(1)))
+	r.Expire(after(2*time.Minute + btquarantine.TTL))
 	assert.Assert(t, r.Empty())
 	assert.Equal(t, r.Digest(), uint64(0))
 }
@@ -89,16 +89,16 @@
 // What was forgotten can't be counted, so the first end holds a request until it is known
 // that nothing was.
 func TestACautiousRegisterHoldsAtTheFirstEnd(t *testing.T) {
-	r := btquarantine.New(btquarantine.Cautious())
+	r := btquarantine.New(btquarantine.ConservativePolicy())
 	assert.Assert(t, r.Ended(start, request(1), 1, btquarantine.Sent))
 	assert.Assert(t, !r.Held(start, request(2)))
-	r.SetPolicy(btquarantine.Usual())
+	r.SetPolicy(btquarantine.DefaultPolicy())
 	assert.Assert(t, !r.Held(start, request(1)))
 }
 
 // Two entries that each saw one end hold the request once they have told each other.
 func TestEntriesTellEachOther(t *testing.T) {
-	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.Ended(start, request(1), 1, btquarantine.Answering)
 	b.Ended(start, request(1), 2, btquarantine.Answering)
 	assert.Assert(t, a.Digest() != b.Digest())
@@ -117,7 +117,7 @@
 // A target that ends with all that was at work there, again and again, fills the
 // register; what is held stays.
 func TestARegisterIsBounded(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	r.Ended(start, request(-1), 1, btquarantine.Answering)
 	r.Ended(start, request(-1), 2, btquarantine.Answering)
 	for i := range 3 * btquarantine.MaxRecords {
@@ -143,8 +143,8 @@
 	for name, change := range map[string]func(*btquarantine.Record){
 		"ends":   func(r *btquarantine.Record) { r.Ends = make([]btquarantine.End, btquarantine.MaxEnds+1) },
 		"age":    func(r *btquarantine.Record) { r.Ends[0].AgeMillis = -1 },
-		"old":    func(r *btquarantine.Record) { r.Ends[0].AgeMillis = btquarantine.Life.Milliseconds() + 1 },
-		"served": func(r *btquarantine.Record) { r.ServedMillis = btquarantine.Life.Milliseconds() + 1 },
+		"old":    func(r *btquarantine.Record) { r.Ends[0].AgeMillis = btquarantine.TTL.Milliseconds() + 1 },
+		"served": func(r *btquarantine.Record) { r.ServedMillis = btquarantine.TTL.Milliseconds() + 1 },
 	} {
 		r := good
 		r.Ends = []btquarantine.End{{Target: 1}}
@@ -160,7 +160,7 @@
 // one that none ended under never is.
 func TestEntriesComeToTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := []*btquarantine.Register{btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())}
+		entries := []*btquarantine.Register{btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())}
 		now := start
 		ends := map[int]map[uint64]bool{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
--- a/core/btquarantine/replay_test.go
+++ b/core/btquarantine/replay_test.go
@@ -281,7 +281,7 @@
 		assert.Assert(t, len(plain.ends) > 10 && plain.late > 3, "without a quarantine %d ends, %d late", len(plain.ends), plain.late)
 		slow := play(byEnds, seed, byRequest)
 		assert.Assert(t, len(slow.ends) > 2, "by ends alone %d", len(slow.ends))
-		kept := play(btquarantine.Usual(), seed, byRequest)
+		kept := play(btquarantine.DefaultPolicy(), seed, byRequest)
 		assert.Assert(t, len(kept.ends) <= 2, "%d ends", len(kept.ends))
 		assert.Equal(t, kept.late, 0)
 		assert.Assert(t, len(kept.wronglyOf) <= 5, "%d others refused", len(kept.wronglyOf))
@@ -294,7 +294,7 @@
 // longer than a group takes to recover: nobody is refused for ten minutes.
 func TestTheLoadOfRanksThatEndByThemselves(t *testing.T) {
 	for seed := range uint64(4) {
-		r := play(btquarantine.Usual(), seed, byThemselves)
+		r := play(btquarantine.DefaultPolicy(), seed, byThemselves)
 		assert.Assert(t, len(r.wronglyOf) <= 2*len(r.ends), "%d refused at %d ends", len(r.wronglyOf), len(r.ends))
 		assert.Assert(t, r.longest <= btquarantine.SuspectFor, "one is held for %s", r.longest)
 		first := play(btquarantine.Policy{Begun: 1, Sent: 1}, seed, byThemselves)
@@ -306,10 +306,10 @@
 func BenchmarkPolicies(b *testing.B) {
 	for name, p := range map[string]btquarantine.Policy{
 		"never":                    never,
-		"first end":                btquarantine.Cautious(),
+		"first end":                btquarantine.ConservativePolicy(),
 		"two sent":                 {Begun: 2, Sent: 2},
 		"two begun or three sent":  byEnds,
-		"the same, and suspects":   btquarantine.Usual(),
+		"the same, and suspects":   btquarantine.DefaultPolicy(),
 		"three begun or four sent": {Begun: 3, Sent: 4},
 	} {
 		b.Run(name, func(b *testing.B) {
--- a/core/btquarantine/suspect_test.go
+++ b/core/btquarantine/suspect_test.go
@@ -12,20 +12,20 @@
 )
 
 func TestARequestThatHadOnlyBegunWaitsAfterOneEnd(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	assert.Assert(t, r.Ended(start, request(1), 1, btquarantine.Beginning))
 	assert.Assert(t, !r.Ended(start, request(2), 1, btquarantine.Answering), "it had gone on for a while")
 	assert.Equal(t, r.Until(start, request(1)), after(btquarantine.SuspectFor))
 	assert.Assert(t, r.Suspected(start, request(1)))
 	assert.Assert(t, !r.Held(after(btquarantine.SuspectFor), request(1)), "it may be tried again")
 	assert.Assert(t, r.Ended(after(time.Minute), request(1), 2, btquarantine.Beginning))
-	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.Life))
+	assert.Equal(t, r.Until(after(time.Minute), request(1)), after(time.Minute+btquarantine.TTL))
 	assert.Assert(t, !r.Suspected(after(time.Minute), request(1)))
 }
 
 // A suspect that another copy of it, or a caller before, was served with isn't one.
 func TestASuspectThatIsServedIsFree(t *testing.T) {
-	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.Ended(start, request(1), 1, btquarantine.Beginning)
 	b.HeardSuspects(start, a.TellSuspects(start))
 	assert.Assert(t, b.Held(start, request(1)))
@@ -34,7 +34,7 @@
 	a.Heard(after(time.Second), btquarantine.Records{b.TellOf(after(time.Second), request(1))})
 	assert.Assert(t, !a.Held(after(time.Second), request(1)))
 
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	r.Served(start, request(2))
 	assert.Assert(t, !r.Ended(after(time.Second), request(2), 1, btquarantine.Beginning))
 }
@@ -42,7 +42,7 @@
 // Entries tell each other of suspects as long as they wait; what is known is no news, and
 // nobody waits longer for being told again.
 func TestSuspectsAreToldOnce(t *testing.T) {
-	a, b := btquarantine.New(btquarantine.Usual()), btquarantine.New(btquarantine.Usual())
+	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.Ended(start, request(1), 1, btquarantine.Beginning)
 	newly, changed := b.HeardSuspects(after(20*time.Millisecond), a.TellSuspects(after(10*time.Millisecond)))
 	assert.DeepEqual(t, newly, []btquarantine.Fingerprint{request(1)})
@@ -59,7 +59,7 @@
 }
 
 func TestSuspectsAreBounded(t *testing.T) {
-	r := btquarantine.New(btquarantine.Usual())
+	r := btquarantine.New(btquarantine.DefaultPolicy())
 	for i := range 3 * btquarantine.MaxSuspects {
 		r.Ended(after(time.Duration(i)*time.Millisecond), request(i), uint64(i), btquarantine.Beginning)
 	}
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -128,9 +128,9 @@
 	// a record of the round, so that the own rank is armed last.
 	holder    btexpert.Rank
 	witnessed bool
-	// claimed tells that the holder has accepted the hold under this lead's ballot, so
-	// that no other lead ends it. secured tells that it keeps the group from the step for
-	// which ranks are armed: only then may a rank be disarmed.
+	// claimed tells that the holder has accepted the hold under this lead's ballot, secured
+	// that this keeps the group from the step for which ranks are armed: only then may a
+	// rank be disarmed.
 	claimed, secured bool
 	// afterClaim is the phase that follows once the holder has accepted the hold again.
 	afterClaim Phase
@@ -141,8 +141,8 @@
 	absent *btexpert.Rank
 	record *Record
 	began  time.Time
-	// quiet is until when another lead has the group to itself, preempted how often in a
-	// row it took the group over, at step preemptedAt.
+	// quiet is until when another lead has the group to itself. preempted counts how often
+	// in a row this lead was outranked while the group was at step preemptedAt.
 	quiet       time.Time
 	preempted   int
 	preemptedAt int64
@@ -150,9 +150,10 @@
 	// first saw what is left of another lead's round.
 	deferred     bool
 	foreignSince time.Time
-	// heardSince is since when reports have come without a break, heardAt the last of them.
-	heardSince, heardAt time.Time
-	heldAt              time.Time
+	// reportsSince is since when reports have come without a break, reportedAt when the last
+	// one came.
+	reportsSince, reportedAt time.Time
+	heldAt                   time.Time
 	// outcome is that of the last round, until it is asked for.
 	outcome *Outcome
 }
@@ -166,9 +167,8 @@
 	refused bool
 	asked   time.Time
 	// answered is the state with which the rank last answered an order to arm or disarm,
-	// or a look: it was read after the order, as reports need not be. A report that was
-	// read before, on a host that stood still meanwhile, had a lead let the group go on
-	// with one rank armed.
+	// or a look. It was read after the order, as a report that a frozen host sends late
+	// need not be.
 	answered *State
 }
 
@@ -210,7 +210,7 @@
 	if s.Validate() != nil || s.Group != l.group {
 		return
 	}
-	l.hear(now)
+	l.noteReport(now)
 	if s.Epoch > l.epoch || s.Epoch == l.epoch && s.Size != l.size {
 		l.restart(now, s)
 	}
@@ -234,13 +234,13 @@
 	}
 }
 
-// hear notes a report.
-func (l *Lead) hear(now time.Time) {
-	if now.Sub(l.heardAt) > l.settings.Fresh {
-		l.heardSince = now
+// noteReport notes when a report came, and since when they have come without a break.
+func (l *Lead) noteReport(now time.Time) {
+	if now.Sub(l.reportedAt) > l.settings.Fresh {
+		l.reportsSince = now
 	}
-	if now.After(l.heardAt) {
-		l.heardAt = now
+	if now.After(l.reportedAt) {
+		l.reportedAt = now
 	}
 }
 
--- a/core/btround/memory.go
+++ b/core/btround/memory.go
@@ -21,11 +21,8 @@
 	return layers, found
 }
 
-// Put remembers a map. The oldest are forgotten, but never the one in force, which
-// the next round's changes refer to. When it was forgotten like the others, four
-// rounds that came to nothing had the lead send 192 whole maps, 2.9 MB, which filled
-// its link, so that the next rounds came to nothing too: a day with one frozen lead
-// stayed without a new map for 20 s.
+// Put remembers a map. The oldest are evicted, but never the one in force, which the next
+// round's changes refer to: without it the lead would send the whole map to each rank.
 func (m *Memory) Put(v Version, layers []btexpert.Layer, inForce Version) {
 	m.maps[v] = layers
 	for len(m.maps) > maxMaps {
--- a/core/btround/preempt.go
+++ b/core/btround/preempt.go
@@ -44,7 +44,7 @@
 	switch {
 	case l.deferred:
 		wait = l.settings.Deferred
-	case l.foreignSince.Sub(l.heardSince) <= l.settings.Fresh:
+	case l.foreignSince.Sub(l.reportsSince) <= l.settings.Fresh:
 		// The lead before this one is gone, or will see that it is outranked.
 		wait = l.settings.FirstGrace
 	}
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// looked decides once all ranks have told their states.
+// looked decides once all ranks have reported their states.
 func (l *Lead) looked(now time.Time) {
 	switch {
 	case l.count(refused) > 0:
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -47,7 +47,7 @@
 // open notes that a group serves, and tells whether that is new; those who wait for
 // it go on.
 func (s *service) open(group string) bool {
-	s.witnessed[group] = true
+	s.seenOpen[group] = true
 	if _, found := s.broken[group]; !found {
 		return false
 	}
@@ -63,7 +63,7 @@
 	defer f.mu.Unlock()
 	s := f.service(t.info.Service)
 	now := f.clock()
-	s.witnessed[t.group()] = true
+	s.seenOpen[t.group()] = true
 	g, found := s.broken[t.group()]
 	if !found {
 		g = &brokenGroup{epoch: s.epochs[t.group()]}
@@ -81,7 +81,7 @@
 	for group, broken := range btinventory.Broken(list) {
 		s := f.service(group.Service)
 		_, known := s.broken[group.Name]
-		if !broken || known || s.witnessed[group.Name] {
+		if !broken || known || s.seenOpen[group.Name] {
 			continue
 		}
 		s.broken[group.Name] = &brokenGroup{epoch: s.epochs[group.Name]}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -56,8 +56,8 @@
 	// unresponsiveAt is when a lead last said that the member's agent doesn't answer it; zero
 	// where it does.
 	unresponsiveAt time.Time
-	// signs are what is heard of its streams.
-	signs signs
+	// liveness is what its streams show.
+	liveness liveness
 	// rateMalformed tells that the target has named a rate that can't be read.
 	rateMalformed bool
 	// moves are the streams at the target that can go on elsewhere.
@@ -112,8 +112,8 @@
 	opened chan struct{}
 	// epochs are those that the groups' leads told of last.
 	epochs map[string]uint64
-	// witnessed are the groups of which this entry has learned itself whether they are open.
-	witnessed map[string]bool
+	// seenOpen are the groups of which this entry has learned itself whether they are open.
+	seenOpen map[string]bool
 	// watches know the pace of the groups' streams.
 	watches map[string]*btquiet.Watch
 }
@@ -188,12 +188,12 @@
 	s, found := f.services[name]
 	if !found {
 		s = &service{
-			name:      name,
-			broken:    make(map[string]*brokenGroup),
-			opened:    make(chan struct{}),
-			epochs:    make(map[string]uint64),
-			witnessed: make(map[string]bool),
-			watches:   make(map[string]*btquiet.Watch),
+			name:     name,
+			broken:   make(map[string]*brokenGroup),
+			opened:   make(chan struct{}),
+			epochs:   make(map[string]uint64),
+			seenOpen: make(map[string]bool),
+			watches:  make(map[string]*btquiet.Watch),
 		}
 		f.services[name] = s
 	}
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -14,14 +14,11 @@
 )
 
 const (
-	// slowPace is the pace from which on a member of a group gets no requests
-	// while there are others: each step waits for the slowest member's own
-	// requests, and a member without any delays nobody. On two simulated days
-	// with a slow member the mean worth served rose from 0.33 to 0.53 and from 0.29
-	// to 0.39.
+	// slowPace is the relative step time from which on a member gets no new requests
+	// while there are others: each step waits for the slowest member's own requests.
 	slowPace = 1.5
-	// slowShare is the part of a group that may be passed over as slow: with more
-	// of them slow, the others could not carry the load.
+	// slowShare is the part of a group that may be skipped as slow: with more of them
+	// slow, the others could not carry the load.
 	slowShare = 0.34
 	// stalledAfter is how long a request's answer may take to begin at a member that is
 	// unresponsive before it moves to another.
@@ -114,7 +111,7 @@
 
 // hear takes a lead's report on its group in, and has streams leave members that have
 // turned slow or are unresponsive. It tells whether the group was broken until now.
-func (f *fleet) hear(l Load) (opened bool) {
+func (f *fleet) applyLoadReport(l Load) (opened bool) {
 	f.mu.Lock()
 	now := f.clock()
 	paces := make(map[int]float64, len(l.Paces))
@@ -171,7 +168,7 @@
 // own probe learns it a quarter of a second and a first event later.
 func (s *service) heard(l Load) bool {
 	s.epochs[l.Group] = l.Epoch
-	s.witnessed[l.Group] = s.witnessed[l.Group] || l.Open
+	s.seenOpen[l.Group] = s.seenOpen[l.Group] || l.Open
 	g, broken := s.broken[l.Group]
 	if !l.Open || !broken || g.epoch == l.Epoch {
 		return false
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -224,7 +224,7 @@
 
 // load takes a group's load in.
 func (p *peers) load(_ context.Context, l Load) (Strain, error) {
-	if p.entry.fleet.hear(l) {
+	if p.entry.fleet.applyLoadReport(l) {
 		p.entry.log.Info("group open", "service", l.Service, "epoch", l.Epoch, "evidence", "lead")
 	}
 	if total, known := p.entry.fleet.total(l.Service); known {
--- a/io/btdirect/quarantine.go
+++ b/io/btdirect/quarantine.go
@@ -44,7 +44,7 @@
 // fleet's first start there is nothing to know.
 func newQuarantine(o Options) *quarantine {
 	q := &quarantine{
-		Isolation: btisolation.New(btquarantine.Cautious(), o.Clock, o.Log),
+		Isolation: btisolation.New(btquarantine.ConservativePolicy(), o.Clock, o.Log),
 		clock:     o.Clock,
 		log:       o.Log,
 		started:   o.Clock(),
@@ -60,7 +60,7 @@
 // knowsAll tells whether this entry knows what any knew before it started. Where all
 // have started anew, what was known then is of no more use after its life.
 func (q *quarantine) knowsAll() bool {
-	if !q.whole.Load() && q.clock().Sub(q.started) >= btquarantine.Life {
+	if !q.whole.Load() && q.clock().Sub(q.started) >= btquarantine.TTL {
 		q.complete("age")
 	}
 	return q.whole.Load()
@@ -78,7 +78,7 @@
 // complete ends the caution.
 func (q *quarantine) complete(evidence string) {
 	if q.whole.CompareAndSwap(false, true) {
-		q.SetPolicy(btquarantine.Usual())
+		q.SetPolicy(btquarantine.DefaultPolicy())
 		q.log.Info("quarantine known", "evidence", evidence)
 	}
 }
--- a/io/btdirect/quiet.go
+++ b/io/btdirect/quiet.go
@@ -10,8 +10,8 @@
 // leave out a step, or be put back by the engine.
 const leastStreams = 2
 
-// signs is what an entry has heard of a target's streams.
-type signs struct {
+// liveness is what an entry's streams at a target show.
+type liveness struct {
 	// begun is how many of this entry's streams have begun at the target, heard when the
 	// last event of any of them came.
 	begun int
@@ -31,14 +31,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
-	t.signs.heard = now
+	t.liveness.heard = now
 	watch := f.service(t.info.Service).watch(t.group())
 	if w.begun {
 		watch.Event(now, pause)
 		return
 	}
 	w.begun = true
-	t.signs.begun++
+	t.liveness.begun++
 	watch.Began(now)
 }
 
@@ -49,7 +49,7 @@
 	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	w.target.signs.begun--
+	w.target.liveness.begun--
 }
 
 // watch returns what is known of the pace of a group's streams. The fleet's lock is held.
@@ -68,5 +68,5 @@
 	if !t.unresponsiveAt.IsZero() && now.Sub(t.unresponsiveAt) <= loadFresh {
 		return true
 	}
-	return t.info.Member != nil && t.signs.begun >= leastStreams && s.watch(t.group()).Silent(t.signs.heard)
+	return t.info.Member != nil && t.liveness.begun >= leastStreams && s.watch(t.group()).Silent(t.liveness.heard)
 }
--- a/io/btisolation/btisolation_test.go
+++ b/io/btisolation/btisolation_test.go
@@ -22,7 +22,7 @@
 // newIsolation returns one whose clock stands, and what it logs.
 func newIsolation() (*btisolation.Isolation, *strings.Builder) {
 	lines := &strings.Builder{}
-	i := btisolation.New(btquarantine.Usual(), func() time.Time { return start }, slog.New(slog.NewTextHandler(lines, nil)))
+	i := btisolation.New(btquarantine.DefaultPolicy(), func() time.Time { return start }, slog.New(slog.NewTextHandler(lines, nil)))
 	return i, lines
 }
 
@@ -42,7 +42,7 @@
 	}
 	remaining, held := left(i, request("/x"))
 	assert.Assert(t, held)
-	assert.Equal(t, remaining, btquarantine.Life)
+	assert.Equal(t, remaining, btquarantine.TTL)
 	assert.DeepEqual(t, withdrawn, []btquarantine.Fingerprint{request("/x")})
 	assert.Equal(t, strings.Count(lines.String(), "request held"), 1)
 	assert.Assert(t, strings.Contains(lines.String(), "withdrawn=2"))
@@ -109,6 +109,6 @@
 	assert.Assert(t, strings.Contains(lines.String(), "for_ms=30000 suspected=true withdrawn=1"))
 	a.Ended(request("/x"), "b", btquarantine.Beginning)
 	remaining, _ := left(a, request("/x"))
-	assert.Equal(t, remaining, btquarantine.Life)
+	assert.Equal(t, remaining, btquarantine.TTL)
 	assert.DeepEqual(t, suspected, []bool{true, false})
 }
--- a/io/btprocess/isolation.go
+++ b/io/btprocess/isolation.go
@@ -49,7 +49,7 @@
 // NewIsolation returns one for the process that has the bundles, and sets the node's
 // handler.
 func NewIsolation(b *Bundles) *Isolation {
-	i := &Isolation{Isolation: btisolation.New(btquarantine.Usual(), b.options.Clock, b.options.Log), bundles: b}
+	i := &Isolation{Isolation: btisolation.New(btquarantine.DefaultPolicy(), b.options.Clock, b.options.Log), bundles: b}
 	b.options.Node.Handle(KindIsolation, btpeer.Answer(i.answer))
 	return i
 }
