btdirect: log and count what targets announce in their answers

Cause: the logs of an entry can't tell whether a refused request named a time for which its target wants no more, or whether a request went to a target within such a time; two hypotheses of the incident differ in just that.

Change: core/btnotice parses Retry-After of an answer 503 and Server-Leaving of any answer, and keeps both by instance. An entry logs a rest (target rests), a departure (target leaving) and the first malformed rest of a target, and counts them and the requests that it sends to such a target. No request takes another way than before. btrate.ParseDecimal is exported for the syntax of the number; the cap of a rate moves to where a rate is parsed.

Ruled out: reading the field where the target's failure is recorded: a refusal isn't the only answer that announces a departure.

Result: go test of btnotice, btrate and docs passes.

--- a/core/btrate/advertisement.go
+++ b/core/btrate/advertisement.go
@@ -8,7 +8,7 @@
 const (
 	// MaxPerSecond caps a rate. It is far above what any target serves.
 	MaxPerSecond = 1e6
-	// maxDecimalLength bounds the length of a rate, maxShownLength that of a malformed
+	// maxDecimalLength bounds the length of a number, maxShownLength that of a malformed
 	// rate in logs, in bytes.
 	maxDecimalLength = 32
 	maxShownLength   = 40
@@ -32,10 +32,11 @@
 func ParseAdvertisement(values []string) Advertisement {
 	var a Advertisement
 	for _, text := range values {
-		r, ok := parseDecimal(strings.TrimSpace(text))
+		r, ok := ParseDecimal(strings.TrimSpace(text))
 		if !ok {
 			return Advertisement{Malformed: strconv.Quote(text[:min(len(text), maxShownLength)])}
 		}
+		r = min(r, MaxPerSecond)
 		if !a.Present || r < a.PerSecond {
 			a = Advertisement{PerSecond: r, Present: true}
 		}
@@ -43,11 +44,12 @@
 	return a
 }
 
-// parseDecimal parses a non-negative decimal number of digits with at most one point.
-func parseDecimal(text string) (float64, bool) {
+// ParseDecimal parses a non-negative decimal number of digits with at most one point, and
+// reports whether the text is one.
+func ParseDecimal(text string) (float64, bool) {
 	if len(text) > maxDecimalLength || strings.Trim(text, "0123456789.") != "" {
 		return 0, false
 	}
 	r, err := strconv.ParseFloat(text, 64)
-	return min(r, MaxPerSecond), err == nil
+	return r, err == nil
 }
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -63,6 +63,7 @@
 	moveState := x.startMove(t, cancel)
 	defer moveState.remove()
 	x.move = moveState.move
+	e.countSendWithinNotice(t)
 	sentAt := e.options.Clock()
 	answer, err := x.send(ctx, t)
 	if err != nil {
@@ -186,6 +187,7 @@
 		return attemptResult{reason: ReasonMisdirected, notRun: true}
 	}
 	x.entry.observeRate(x, t, sentAt, answer.Status, info.Rate)
+	x.entry.observeNotice(x, t, answer.Status, info.Notice)
 	if info.NotRun {
 		broken := answer.Status == http.StatusServiceUnavailable && info.AtFault != "" && t.info.Member != nil
 		return attemptResult{reason: ReasonTargetRefused, notRun: true, groupBroken: broken}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -8,6 +8,7 @@
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btquiet"
 	"bilberrytide/core/btrate"
 	"bilberrytide/io/btloop"
@@ -103,6 +104,8 @@
 	// the rates and enforces them.
 	shares *btrate.Shares
 	rates  *btrate.Register
+	// notices holds what targets have announced to this entry.
+	notices *btnotice.Register
 }
 
 // service is the state of one service.
@@ -132,6 +135,7 @@
 		targets:      make(map[btinventory.Instance]*target),
 		services:     make(map[btid.Service]*service),
 		completeness: btinventory.NewCompleteness(),
+		notices:      btnotice.NewRegister(),
 	}
 }
 
@@ -158,6 +162,7 @@
 		}
 	}
 	f.rates.Retain(f.listed)
+	f.notices.Retain(f.clock(), f.listed)
 	return f.adoptReportedBroken(list)
 }
 
--- a/io/btdirect/source.go
+++ b/io/btdirect/source.go
@@ -9,6 +9,7 @@
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btrate"
 )
 
@@ -113,4 +114,6 @@
 	AtFault btinventory.ID
 	// Rate is the request rate that the target advertises.
 	Rate btrate.Advertisement
+	// Notice is what the target announces about itself.
+	Notice btnotice.Notice
 }
