btentry: add failing tests for rests and departures on the guarded path

Cause: on the guarded path an agent forwards requests to its target whatever the target's answers announce.

Change: the stand-ins ask for rest with a refusal and announce departures (X-Leaving), and count the requests that arrive nevertheless as violations. Every test in one process checks these at its end, fleets of processes with their other guarantees. Two tests fail and are listed. The answer on the guarded path carries what its target announced (bttarget.Response.Notice), which nobody reads yet.

Ruled out: a check in each test; a test that doesn't expect rests would miss them.

--- /dev/null
+++ b/io/btentry/notice_test.go
@@ -0,0 +1,83 @@
+package btentry_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/io/btstandin"
+)
+
+// noticeTestTime is how long callers send requests after a target has announced
+// something: longer than the rest, and than a leaving target serves.
+const noticeTestTime = 3 * time.Second
+
+// forEachKey runs a test with requests that may be repeated, and with keyed ones, at the
+// same time.
+func forEachKey(t *testing.T, test func(t *testing.T, keyed bool)) {
+	for name, keyed := range map[string]bool{"repeatable": false, "keyed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t, keyed)
+		})
+	}
+}
+
+// callFor has callers send requests for the time, and returns how many were answered with
+// each status.
+func (w *system) callFor(d time.Duration, keyed bool) map[int]int {
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	end := time.Now().Add(d)
+	for range 4 {
+		callers.Go(func() {
+			for time.Now().Before(end) {
+				var fields []string
+				if keyed {
+					fields = []string{"Idempotency-Key", w.newKey()}
+				}
+				r := w.do(http.MethodPost, "/services/pages/x", "", fields...)
+				mu.Lock()
+				statuses[r.StatusCode]++
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	return statuses
+}
+
+// Guards against an agent that sends requests to its target although this has asked for
+// rest. The stand-ins check it at the end of the test.
+func TestAgentSendsNothingToRestingTarget(t *testing.T) {
+	forEachKey(t, func(t *testing.T, keyed bool) {
+		targets, testTargets := newPlainPair(t)
+		w := newSystem(t, testTargets, unlimitedRetries)
+		if keyed {
+			w.awaitGrants(http.MethodPost, "/services/pages/x", "")
+		}
+		assert.NilError(t, targets[0].SetFault(btstandin.TargetFault{Refuse: true, RetryAfter: noticeTestTime.Seconds()}))
+		statuses := w.callFor(noticeTestTime, keyed)
+		assert.Assert(t, statuses[http.StatusOK] > 0, "%v", statuses)
+	})
+}
+
+// Guards against requests at a target that has announced in its answers that it is
+// leaving.
+func TestAgentSendsNothingToLeavingTarget(t *testing.T) {
+	forEachKey(t, func(t *testing.T, keyed bool) {
+		targets, testTargets := newPlainPair(t)
+		w := newSystem(t, testTargets, unlimitedRetries)
+		if keyed {
+			w.awaitGrants(http.MethodPost, "/services/pages/x", "")
+		}
+		assert.NilError(t, targets[0].SetFault(btstandin.TargetFault{Leaving: true}))
+		statuses := w.callFor(noticeTestTime, keyed)
+		assert.Assert(t, statuses[http.StatusOK] > 0, "%v", statuses)
+	})
+}
--- a/io/btstandin/btfleet/check.go
+++ b/io/btstandin/btfleet/check.go
@@ -14,7 +14,8 @@
 
 // Check returns an error for every guarantee that was violated so far: an invariant
 // violated in any process, an answer that belongs to another request, a request
-// answered not_run that a target executed, a key that was executed twice. All
+// answered not_run that a target executed, a key that was executed twice, requests at a
+// target that had asked for rest or announced that it is leaving. All
 // processes must be unfrozen and their queues empty.
 func (f *Fleet) Check(answers []Answer) error {
 	errs := []error{f.checkInvariants(), f.checkLogs()}
@@ -22,6 +23,9 @@
 	if err != nil {
 		return errors.Join(append(errs, err)...)
 	}
+	for _, v := range ran.Violations {
+		errs = append(errs, errors.New(v))
+	}
 	for i := range answers {
 		errs = append(errs, answers[i].CheckEcho(), checkOutcome(&answers[i], ran))
 	}
--- a/io/btstandin/btfleet/observe.go
+++ b/io/btstandin/btfleet/observe.go
@@ -85,6 +85,9 @@
 		}
 		sum.Total += one.Total
 		sum.Cancelled += one.Cancelled
+		for _, v := range one.Violations {
+			sum.Violations = append(sum.Violations, t+": "+v)
+		}
 		for key, count := range one.Keys {
 			sum.Keys[key] += count
 		}
--- a/io/btstandin/btinprocess/btinprocess.go
+++ b/io/btstandin/btinprocess/btinprocess.go
@@ -112,11 +112,25 @@
 // Listen serves the handler over HTTP until the test ends.
 func (f *Fleet) Listen(h http.Handler) netip.AddrPort {
 	server := httptest.NewServer(h)
+	f.TB.Cleanup(func() { f.checkNotices(h) })
 	f.TB.Cleanup(server.Close)
 	f.TB.Cleanup(server.CloseClientConnections)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
+// checkNotices fails the test if a stand-in got requests although it had asked for rest or
+// announced that it is leaving.
+func (f *Fleet) checkNotices(h http.Handler) {
+	f.TB.Helper()
+	target, counts := h.(interface{ Executions() btstandin.Executions })
+	if !counts {
+		return
+	}
+	for _, v := range target.Executions().Violations {
+		f.TB.Error(v)
+	}
+}
+
 // AddEntry adds an entry to the bundle.
 func (f *Fleet) AddEntry(name btid.Entry, address netip.AddrPort) {
 	f.Bundle.Entries = append(f.Bundle.Entries, btbundle.Entry{Name: name, Host: HostOf(string(name)), DataCentre: DataCentre, Address: address})
--- a/io/btstandin/engine.go
+++ b/io/btstandin/engine.go
@@ -75,6 +75,7 @@
 	prefillRate float64
 	faults      *faults
 	executions  *executions
+	notices     *notices
 	slots       *slots
 	cache       *prefixCache
 	load        *loadMeter
@@ -113,6 +114,7 @@
 		prefillRate: o.PrefillRate,
 		faults:      newFaults(o.Seed),
 		executions:  newExecutions(),
+		notices:     newNotices(o.Clock),
 		cache:       newPrefixCache(o.Clock, o.PrefixCacheBlocks, o.CacheFault),
 		load:        newLoadMeter(o.Clock, o.LoadLag, o.PrefixCacheBlocks*BlockBytes/tokenBytes),
 		orders:      newOrderReceiver(o.ChecksFencing, x),
@@ -136,7 +138,7 @@
 	mux.HandleFunc("PUT /control/fault", e.faults.control)
 	mux.HandleFunc("PUT /control/cache", e.cache.control)
 	mux.HandleFunc("PUT /control/life", e.controlProcess)
-	mux.HandleFunc("GET /control/executions", e.executions.control)
+	mux.HandleFunc("GET /control/executions", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Executions()) })
 	mux.HandleFunc("GET /control/orders", e.orders.control)
 	return mux
 }
@@ -154,6 +156,7 @@
 	stop := context.AfterFunc(process, func() { cancel(errKilled) })
 	defer stop()
 	if process.Err() == nil {
+		e.notices.announce(w, e.faults.leaving())
 		e.mux.ServeHTTP(w, r.WithContext(ctx))
 	}
 	if process.Err() != nil {
@@ -163,7 +166,11 @@
 
 // Executions returns the engine's execution counts, including those before a
 // restart.
-func (e *Engine) Executions() Executions { return e.executions.snapshot() }
+func (e *Engine) Executions() Executions {
+	counts := e.executions.snapshot()
+	counts.Violations = e.notices.list()
+	return counts
+}
 
 // Orders returns the latest orders that the engine accepted, including those
 // before a restart.
--- a/io/btstandin/engine_process.go
+++ b/io/btstandin/engine_process.go
@@ -47,6 +47,7 @@
 	e.cache.clear()
 	e.streams.clear()
 	e.orders.reset()
+	e.notices.restart()
 	e.orders.executor.restarted()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/io/btstandin/plain.go
+++ b/io/btstandin/plain.go
@@ -43,6 +43,7 @@
 	delay      time.Duration
 	faults     *faults
 	executions *executions
+	notices    *notices
 	mux        *http.ServeMux
 }
 
@@ -62,10 +63,11 @@
 		delay:      o.Delay,
 		faults:     newFaults(o.Seed),
 		executions: newExecutions(),
+		notices:    newNotices(o.Clock),
 		mux:        http.NewServeMux(),
 	}
 	p.mux.HandleFunc("PUT /control/fault", p.faults.control)
-	p.mux.HandleFunc("GET /control/executions", p.executions.control)
+	p.mux.HandleFunc("GET /control/executions", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Executions()) })
 	p.mux.HandleFunc("/", p.serve)
 	return p, nil
 }
@@ -85,15 +87,19 @@
 func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
 
 // Executions returns the service's execution counts.
-func (p *Plain) Executions() Executions { return p.executions.snapshot() }
+func (p *Plain) Executions() Executions {
+	counts := p.executions.snapshot()
+	counts.Violations = p.notices.list()
+	return counts
+}
 
 // SetFault replaces the fault in force. The error wraps ErrInput.
 func (p *Plain) SetFault(f TargetFault) error { return p.faults.set(f) }
 
 func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	p.notices.announce(w, p.faults.leaving())
 	fault := p.faults.draw()
-	if fault.refuse {
-		writeRetryAfter(w, http.StatusServiceUnavailable, time.Second, "refused")
+	if !p.notices.begin(w, fault) {
 		return
 	}
 	body, ok := readBody(w, r, maxBody)
--- a/io/bttarget/bttarget.go
+++ b/io/bttarget/bttarget.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btrate"
 )
 
@@ -75,6 +76,8 @@
 	Delimited bool
 	// Rate is the request rate that the target advertises in the answer.
 	Rate btrate.Advertisement
+	// Notice is what the target announces about itself in the answer.
+	Notice btnotice.Notice
 	// Body returns errors that wrap ErrLost.
 	Body io.ReadCloser
 }
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btrate"
 )
 
@@ -173,6 +174,7 @@
 		Length:    answer.ContentLength,
 		Delimited: delimited(r.Method, answer),
 		Rate:      btrate.ParseAdvertisement(answer.Header[HeaderRate]),
+		Notice:    btnotice.Parse(answer.StatusCode, answer.Header[headerRetryAfter], answer.Header[HeaderLeaving]),
 		Body:      &responseBody{source: answer.Body, lost: c.lost},
 	}, nil
 }
--- a/io/bttarget/header.go
+++ b/io/bttarget/header.go
@@ -24,6 +24,13 @@
 // accepts: a decimal number, present in all its answers while it applies.
 const HeaderRate = "X-Request-Rate"
 
+// HeaderLeaving is "1" in all answers of a target that is about to shut down.
+const HeaderLeaving = "X-Leaving"
+
+// headerRetryAfter is, in an answer 503, for how many seconds the target wants no further
+// requests.
+const headerRetryAfter = "Retry-After"
+
 // hopByHopFields lists the fields that concern one connection only (RFC 9110, 7.6.1).
 var hopByHopFields = []string{
 	headerConnection, "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
