btdirect: send nothing to targets that have asked for rest

Cause: nothing read the time. A refusal was any failure, after which the target is avoided for 150 ms and more, and a success of an earlier request ended even that. Where all targets had failed, they were used nevertheless.

Change: a target that rests isn't a candidate; whether it rests is looked up once more before a request is sent. Where all rest, the gate of the service pauses until the first end: what can wait that long keeps its place in the queue, everything else is refused at once as target_resting, with a Retry-After after that end, each caller after the one before. At the end of its rest a target is sent one request at a time, and one more for each that it accepts. A refusal that asks for rest no longer counts as a failure beside. Lines about requests name the targets that were skipped and the time left.

Ruled out: raising the times for which a target that failed is avoided: a target that names no time would be lost for as long, and one that names 10 s would still get requests.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -84,6 +84,8 @@
 	// bookedUntil is the end of the time already given to refused callers as retry
 	// delays.
 	bookedUntil time.Time
+	// pausedUntil is until when no request is admitted.
+	pausedUntil time.Time
 }
 
 // New returns a gate whose limit is InitialLimit.
@@ -159,9 +161,14 @@
 }
 
 // departureInterval returns the mean time between two released slots, or zero before
-// any request has been answered.
-func (g *Gate[V]) departureInterval() time.Duration {
-	return g.serviceTime / time.Duration(max(g.running, 1))
+// any request has been answered. In a pause it is that of the requests that are admitted
+// at its end.
+func (g *Gate[V]) departureInterval(now time.Time) time.Duration {
+	atWork := g.running
+	if g.pauseLeft(now) > 0 {
+		atWork = max(atWork, g.unpausedLimit(now))
+	}
+	return g.serviceTime / time.Duration(max(atWork, 1))
 }
 
 // ObservePause records a pause between two events of one stream, and the longest
--- a/core/btgate/entry_limit.go
+++ b/core/btgate/entry_limit.go
@@ -58,6 +58,14 @@
 // of them at normal load, and half of the entries did so while the others restarted:
 // the mean worth of five simulated days was 0.747 against 0.774 to 0.782.
 func (g *Gate[V]) EntryLimit(now time.Time) int {
+	if g.pauseLeft(now) > 0 {
+		return 0
+	}
+	return g.unpausedLimit(now)
+}
+
+// unpausedLimit returns the limit without a pause.
+func (g *Gate[V]) unpausedLimit(now time.Time) int {
 	even := max(g.limit/float64(max(g.config.Entries, 1)), 1)
 	if !g.reportFresh(now) {
 		return int(even)
--- a/core/btgate/queue.go
+++ b/core/btgate/queue.go
@@ -88,7 +88,7 @@
 			ahead++
 		}
 	}
-	expectedWait := time.Duration(ahead+1) * g.departureInterval()
+	expectedWait := g.pauseLeft(now) + time.Duration(ahead+1)*g.departureInterval(now)
 	if now.Add(expectedWait).After(r.WaitUntil) {
 		return nil
 	}
--- a/core/btgate/retry.go
+++ b/core/btgate/retry.go
@@ -11,16 +11,16 @@
 const retryFraction = 1.0 / 3
 
 // RetryAfter returns the delay after which a refused caller is likely to get a slot:
-// after the requests that are queued now and after the callers that were refused
+// after a pause, after the requests that are queued now and after the callers that were refused
 // earlier. Each caller is sent to a later time than the one before, so that they don't
 // all retry at once. Longest bounds the delay; once the booked time is that far ahead,
 // all further callers get the same delay.
 func (g *Gate[V]) RetryAfter(now time.Time, longest time.Duration) time.Duration {
-	interval := g.departureInterval()
+	interval := g.departureInterval(now)
 	if interval == 0 {
 		interval = initialDepartureInterval
 	}
-	drained := now.Add(time.Duration(len(g.queue)+1) * interval)
+	drained := now.Add(g.pauseLeft(now) + time.Duration(len(g.queue)+1)*interval)
 	if g.bookedUntil.Before(drained) {
 		g.bookedUntil = drained
 	}
--- a/core/btnotice/register.go
+++ b/core/btnotice/register.go
@@ -125,12 +125,15 @@
 	}
 }
 
-// Retain drops what is no longer needed of targets that aren't listed. A record that is
-// missing for a while doesn't end a rest or undo a departure.
+// Retain drops what is no longer needed. A record that is missing for a while doesn't end a
+// rest or undo a departure.
 func (r *Register) Retain(now time.Time, listed func(btinventory.Instance) bool) {
 	for i, a := range r.targets {
 		if listed(i) {
 			a.unlistedSince = time.Time{}
+			if a.restEnd.Before(now) && a.window == 0 && a.leavingSince.IsZero() && !a.malformed {
+				delete(r.targets, i)
+			}
 			continue
 		}
 		if a.unlistedSince.IsZero() {
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -44,6 +44,10 @@
 	// pauseRatio and firstEventRatio measure the pauses between the events of streams
 	// and the time to the first event, as fractions of the promised times.
 	pauseRatio, firstEventRatio btgate.LatencyRatio
+	// resume admits queued requests at the end of a pause; nil without one.
+	resume *time.Timer
+	// resumeTime is when it does so.
+	resumeTime time.Time
 }
 
 func newAdmission(o Options, f *fleet, estimatedEntries func() int) *admission {
@@ -52,13 +56,14 @@
 
 // gateOf returns the service's gate with its limits updated. a.mu must be held.
 func (a *admission) gateOf(s *btcatalog.Service) *serviceGate {
-	slots, targets := a.fleet.slots(s.Name)
+	capacity := a.fleet.capacity(s.Name)
+	slots := capacity.slots
 	maxLimit := max(float64(slots), 1)
 	config := btgate.Config{MinLimit: max(maxLimit*minLimitFraction, 1), MaxLimit: maxLimit, InitialLimit: maxLimit, Entries: a.estimatedEntries()}
 	if s.Engine == nil || s.Engine.Group == nil {
 		// Plain targets limit themselves. The gate only keeps a burst from filling
 		// their queues with more than they can answer in time.
-		maxLimit = float64(slots) * (1 + queuePerSlot)
+		maxLimit = max(float64(slots)*(1+queuePerSlot), 1)
 		config = btgate.Config{MinLimit: maxLimit, MaxLimit: maxLimit, InitialLimit: maxLimit, Entries: 1}
 	}
 	g, found := a.gates[s.Name]
@@ -66,12 +71,32 @@
 		g = &serviceGate{gate: btgate.New[chan struct{}](config)}
 		a.gates[s.Name] = g
 	}
-	if targets > 0 {
+	if capacity.targets > 0 {
 		g.gate.Configure(config)
 	}
+	g.gate.PauseUntil(capacity.restEnd)
+	a.resumeAt(s, g, capacity.restEnd)
 	return g
 }
 
+// resumeAt admits queued requests at the end of a pause of the gate; the zero time means
+// that there is none. a.mu must be held.
+func (a *admission) resumeAt(s *btcatalog.Service, g *serviceGate, end time.Time) {
+	if end.IsZero() || end.Equal(g.resumeTime) {
+		return
+	}
+	if g.resume != nil {
+		g.resume.Stop()
+	}
+	g.resumeTime = end
+	g.resume = time.AfterFunc(end.Sub(a.clock()), func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		g.resumeTime = time.Time{}
+		admitWaiters(a.gateOf(s).gate.Resume(a.clock()))
+	})
+}
+
 // queueParams returns the queueing parameters of a request.
 func (a *admission) queueParams(x *exchange) btgate.Request {
 	a.mu.Lock()
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -24,6 +24,8 @@
 	// notRun reports that the target did not run the request: it said so, or nothing
 	// was sent.
 	notRun bool
+	// rests reports that the target refused the request and asked for rest.
+	rests bool
 	// moved reports that the stream moved away from its target. The move has been taken
 	// from the retry budget.
 	moved bool
@@ -53,6 +55,10 @@
 // attempt sends the request to one target and relays the answer.
 func (x *exchange) attempt(ctx context.Context, t *target) attemptResult {
 	e := x.entry
+	if end, resting := e.fleet.restsUntil(t); resting {
+		// The target has asked for rest while the request waited to be sent.
+		return x.holdBack(t, end)
+	}
 	tokens := &promptTokens{fleet: e.fleet, target: t, count: x.info.PromptTokens}
 	defer e.fleet.requestDone(t)
 	defer tokens.markRead()
@@ -63,7 +69,6 @@
 	moveState := x.startMove(t, cancel)
 	defer moveState.remove()
 	x.move = moveState.move
-	e.countSendWithinNotice(t)
 	sentAt := e.options.Clock()
 	answer, err := x.send(ctx, t)
 	if err != nil {
@@ -190,8 +195,9 @@
 	x.entry.observeNotice(x, t, answer.Status, info.Notice)
 	if info.NotRun {
 		broken := answer.Status == http.StatusServiceUnavailable && info.AtFault != "" && t.info.Member != nil
-		return attemptResult{reason: ReasonTargetRefused, notRun: true, groupBroken: broken}
+		return attemptResult{reason: ReasonTargetRefused, notRun: true, groupBroken: broken, rests: info.Notice.Rest > 0}
 	}
+	x.entry.fleet.recordAccepted(t, sentAt)
 	x.attempts++
 	x.mayHaveRun = true
 	if info.Encoded {
@@ -290,6 +296,8 @@
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
 	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
+	case result.rests:
+		// The rest that the target asked for takes the place of the entry's own guess.
 	default:
 		wait := e.fleet.recordFailure(t)
 		e.logTargetFailure(t, result, wait)
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -101,7 +101,7 @@
 	defer f.mu.Unlock()
 	s := f.service(name)
 	now := f.clock()
-	open, probe := s.groupUsable(now)
+	open, probe := f.groupUsable(s, now)
 	if probe != nil && !open {
 		probe.nextProbe = now.Add(probeInterval)
 	}
@@ -113,14 +113,15 @@
 func (f *fleet) mayServe(name btid.Service) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	open, probe := f.service(name).groupUsable(f.clock())
+	open, probe := f.groupUsable(f.service(name), f.clock())
 	return open || probe != nil
 }
 
 // groupUsable reports whether the service has a target whose group isn't broken, and
 // returns a broken group that is due for a probe, if any. If no group is marked broken,
-// the result is true, even without targets.
-func (s *service) groupUsable(now time.Time) (usable bool, probe *brokenGroup) {
+// the result is true, even without targets. A rank that rests doesn't probe its group.
+// f.mu must be held.
+func (f *fleet) groupUsable(s *service, now time.Time) (usable bool, probe *brokenGroup) {
 	if len(s.broken) == 0 {
 		return true, nil
 	}
@@ -132,7 +133,7 @@
 		switch {
 		case !broken || t.info.Member == nil:
 			return true, nil
-		case !now.Before(g.nextProbe):
+		case !now.Before(g.nextProbe) && !f.rests(t, now):
 			probe = g
 		}
 	}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -61,6 +61,8 @@
 	withdrawn atomic.Bool
 	// partlySent is set once a part of a streamed answer has been sent.
 	partlySent atomic.Bool
+	// resting holds the targets that were skipped at the last choice because they rest.
+	resting []restingTarget
 	// logged reports that the request's failure has been logged.
 	logged bool
 }
@@ -196,8 +198,9 @@
 	}
 	x.queueing = e.admission.queueParams(x)
 	e.budget(x.service.Name).countRequest(e.options.Clock())
-	for x.serveOnce(ctx) {
-		e.meter.Counter(metricGroupWaitsAgain).Inc(1)
+	again := true
+	for again {
+		again = x.serveOnce(ctx)
 	}
 }
 
@@ -218,10 +221,14 @@
 		if c.skipped > 0 {
 			e.meter.Counter(metricRatesSkipped).Inc(int64(c.skipped))
 		}
+		x.noteResting(c.resting)
 		if c.target == nil && c.wait > 0 {
 			x.endUnserved(ReasonTargetLimited, min(c.wait, x.defaultRetryAfter()))
 			return false
 		}
+		if c.target == nil && len(c.resting) > 0 {
+			return x.endOrAwaitRest(c.resting)
+		}
 		if c.target == nil {
 			x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.defaultRetryAfter()})
 			return false
@@ -239,6 +246,7 @@
 			e.meter.Retried(result.reason)
 			e.logRetry(x, result)
 			clear(x.tried)
+			e.meter.Counter(metricGroupWaitsAgain).Inc(1)
 			return true
 		}
 		if !x.retryOrEnd(ctx, result) {
@@ -299,7 +307,7 @@
 		if x.notRunAttempts >= maxNotRunAttempts {
 			return result.reason
 		}
-		if result.reason == ReasonNotSent {
+		if result.reason == ReasonNotSent || result.reason == ReasonTargetResting {
 			return ""
 		}
 	} else if !x.route.Repeatable() {
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -264,17 +264,3 @@
 	t.replacedUntil = f.clock().Add(replacedTime)
 	return replacedTime
 }
-
-// slots returns the total number of slots of the service's targets and the number of
-// targets.
-func (f *fleet) slots(name btid.Service) (slots, targets int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, t := range f.service(name).targets {
-		if t.state == btinventory.Ready {
-			slots += t.slots
-			targets++
-		}
-	}
-	return slots, targets
-}
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -110,6 +110,7 @@
 	if result.crashed || result.reason == ReasonQuarantined {
 		a = append(a, "fingerprint", x.fingerprint())
 	}
+	a = append(a, x.restingAttributes()...)
 	return append(append(a, x.stageAttributes()...), more...)
 }
 
--- a/io/btdirect/notice.go
+++ b/io/btdirect/notice.go
@@ -12,12 +12,8 @@
 	// with a rest that can't be parsed.
 	metricRestsRequested = "target_rests.requested"
 	metricRestsMalformed = "target_rests.malformed"
-	// metricRestsSent counts requests that were sent to a target within its rest.
-	metricRestsSent = "target_rests.sent_within"
-	// metricLeavingAnswers counts answers of targets that are leaving, metricLeavingSent
-	// the requests that were sent to such a target.
+	// metricLeavingAnswers counts answers of targets that are leaving.
 	metricLeavingAnswers = "target_leaving.answers"
-	metricLeavingSent    = "target_leaving.sent"
 )
 
 // observeNotice records what a target announces in its answer to a request. A rest
@@ -55,16 +51,3 @@
 	defer f.mu.Unlock()
 	return f.notices.Observe(now, t.info.Instance(), n)
 }
-
-// countSendWithinNotice counts a request that is sent to a target that rests or is
-// leaving.
-func (e *Entry) countSendWithinNotice(t *target) {
-	e.fleet.mu.Lock()
-	defer e.fleet.mu.Unlock()
-	if _, resting := e.fleet.notices.RestEnd(e.options.Clock(), t.info.Instance()); resting {
-		e.meter.Counter(metricRestsSent).Inc(1)
-	}
-	if _, leaving := e.fleet.notices.LeavingSince(t.info.Instance()); leaving {
-		e.meter.Counter(metricLeavingSent).Inc(1)
-	}
-}
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -18,21 +18,25 @@
 	wait time.Duration
 	// skipped counts the targets that were skipped because their rate is used up.
 	skipped int
+	// resting holds the targets that were skipped because they rest.
+	resting []restingTarget
 }
 
 // candidates are the targets to which a request may be sent, in order of preference.
 type candidates struct {
-	usable, slow, silent, failing, broken, failingAndBroken []*target
+	usable, slow, recovering, silent, failing, broken, failingAndBroken []*target
 	// rateLimited holds those among them that advertise a rate.
 	rateLimited map[*target]bool
 	// exhausted holds the targets that may not be sent a request now because of their
 	// rate.
 	exhausted []*target
+	// resting holds the targets that rest.
+	resting []restingTarget
 }
 
 // best returns the most preferred targets that exist.
 func (c *candidates) best() []*target {
-	for _, list := range [][]*target{c.usable, c.slow, c.silent, c.failing, c.broken, c.failingAndBroken} {
+	for _, list := range [][]*target{c.usable, c.slow, c.recovering, c.silent, c.failing, c.broken, c.failingAndBroken} {
 		if len(list) > 0 {
 			return list
 		}
@@ -41,10 +45,10 @@
 }
 
 // pick chooses a target for a request and assigns the request to it. It skips targets
-// that the request has tried, and those that advertise a rate of which this entry's
-// share is used up. It avoids targets that are slow, silent, have failed recently, are
-// in a broken group, or both of the last two, and uses them, in this order, only if
-// there are no others. If only rates are in the way, the request waits for the first
+// that the request has tried, those that rest, and those that advertise a rate of which
+// this entry's share is used up. It avoids targets that are slow, have as many requests as
+// they are sent after a rest, are silent, have failed recently, are in a broken group, or
+// both of the last two, and uses them, in this order, only if there are no others. If only rates are in the way, the request waits for the first
 // target that may be sent one, if that is within maxWait.
 func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool, maxWait time.Duration) choice {
 	f.mu.Lock()
@@ -56,6 +60,7 @@
 	if len(list) == 0 {
 		c := f.pickExhausted(s, sorted.exhausted, tokens, maxWait, now)
 		c.skipped = len(sorted.exhausted)
+		c.resting = sorted.resting
 		return c
 	}
 	compared := make([]btpick.Candidate, len(list))
@@ -71,7 +76,7 @@
 	}
 	t := list[btpick.Pick(compared, rand.IntN)]
 	f.assign(s, t, tokens, now)
-	return choice{target: t, skipped: len(sorted.exhausted)}
+	return choice{target: t, skipped: len(sorted.exhausted), resting: sorted.resting}
 }
 
 // candidates sorts the service's targets by preference. f.mu must be held.
@@ -81,6 +86,10 @@
 		if t.state != btinventory.Ready || tried[t.info.Instance()] || now.Before(t.replacedUntil) {
 			continue
 		}
+		if end, resting := f.notices.RestEnd(now, t.info.Instance()); resting {
+			c.resting = append(c.resting, restingTarget{instance: t.info.Instance(), end: end})
+			continue
+		}
 		// The rate that an overloaded target advertises is for all entries together.
 		// Entries that each sent that much would overload it further.
 		if f.rates.Limit(t.info.Instance()).Active {
@@ -100,6 +109,8 @@
 			c.failing = append(c.failing, t)
 		case s.silent(t, now):
 			c.silent = append(c.silent, t)
+		case f.windowFull(t):
+			c.recovering = append(c.recovering, t)
 		case t.skippedAsSlow(now):
 			c.slow = append(c.slow, t)
 		default:
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -32,6 +32,8 @@
 	// ReasonTargetLimited: all targets that are left advertise a rate, and this entry's
 	// share of it is used up.
 	ReasonTargetLimited btrequest.Reason = "target_limited"
+	// ReasonTargetResting: all targets that are left have asked this entry for rest.
+	ReasonTargetResting btrequest.Reason = "target_resting"
 	// ReasonNotSent: no connection to the target could be opened.
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target says that it did not run the request.
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -54,7 +54,7 @@
 	x.recordWait(&x.stages.slotWait, metricSlotWait, queuedAt)
 	if !admitted {
 		if !x.callerGone() {
-			x.endUnserved(ReasonOverload, e.admission.retryAfter(x.service, x.defaultRetryAfter()))
+			x.endUnadmitted()
 		}
 		return false
 	}
@@ -63,6 +63,16 @@
 	return x.makeAttempts(ctx)
 }
 
+// endUnadmitted refuses a request that got no slot in time.
+func (x *exchange) endUnadmitted() {
+	e := x.entry
+	if end := e.fleet.capacity(x.service.Name).restEnd; !end.IsZero() {
+		x.endUnserved(ReasonTargetResting, e.admission.restRetryAfter(x.service, end))
+		return
+	}
+	x.endUnserved(ReasonOverload, e.admission.retryAfter(x.service, x.defaultRetryAfter()))
+}
+
 // endUnserved ends a request that can't be sent. If an earlier attempt may have run,
 // the answer must not say otherwise, and a stream of which a part was sent is cut off.
 func (x *exchange) endUnserved(reason btrequest.Reason, retryAfter time.Duration) {
