btdirect: use targets that announce their departure only if no other is left

Callers' requests were sent to targets that had announced in their answers that they leave, as long as the list said ready (DRAIN): up to seconds after they had gone while the store is away.

Cause: the announcement is in a field of answers that nobody read; only the list made a target leave.

Change: from the first answer on, whichever it is, the target is used only where no other has room, and not at all once the drain time has passed. Neither the list nor time undoes it, a new instance starts without it. Where all targets have left, requests are refused at once as target_leaving, also where they would have been queued; the same holds if no target is listed. Lines about requests name the leaving targets that were skipped.

Ruled out: treating the target as draining in the list: the next read of the list, or another entry's copy, would undo that, and its group's state hangs on it.

--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -44,6 +44,8 @@
 	// pauseRatio and firstEventRatio measure the pauses between the events of streams
 	// and the time to the first event, as fractions of the promised times.
 	pauseRatio, firstEventRatio btgate.LatencyRatio
+	// none reports that no target takes requests.
+	none bool
 	// resume admits queued requests at the end of a pause; nil without one.
 	resume *time.Timer
 	// resumeTime is when it does so.
@@ -74,6 +76,7 @@
 	if capacity.targets > 0 {
 		g.gate.Configure(config)
 	}
+	g.none = capacity.none()
 	g.gate.PauseUntil(capacity.restEnd)
 	a.resumeAt(s, g, capacity.restEnd)
 	return g
@@ -139,6 +142,10 @@
 	a.mu.Lock()
 	g := a.gateOf(s)
 	now := a.clock()
+	if g.none {
+		a.mu.Unlock()
+		return false
+	}
 	if g.gate.TryAcquire(now) {
 		a.mu.Unlock()
 		return true
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -41,6 +41,11 @@
 	began, crashed bool
 }
 
+// heldBack reports that nothing was sent because of what the target has announced.
+func (r attemptResult) heldBack() bool {
+	return r.reason == ReasonTargetResting || r.reason == ReasonTargetLeaving
+}
+
 // bufferedAnswer is a target's complete answer, not yet relayed.
 type bufferedAnswer struct {
 	status int
@@ -55,9 +60,8 @@
 // attempt sends the request to one target and relays the answer.
 func (x *exchange) attempt(ctx context.Context, t *target) attemptResult {
 	e := x.entry
-	if end, resting := e.fleet.restsUntil(t); resting {
-		// The target has asked for rest while the request waited to be sent.
-		return x.holdBack(t, end)
+	if result, held := x.holdBack(t); held {
+		return result
 	}
 	tokens := &promptTokens{fleet: e.fleet, target: t, count: x.info.PromptTokens}
 	defer e.fleet.requestDone(t)
@@ -296,6 +300,7 @@
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
 	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
+	case result.heldBack():
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
 	default:
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -126,7 +126,7 @@
 		return true, nil
 	}
 	for _, t := range s.targets {
-		if t.state != btinventory.Ready {
+		if t.state != btinventory.Ready || f.hasLeft(t, now) {
 			continue
 		}
 		g, broken := s.broken[t.groupName()]
--- /dev/null
+++ b/io/btdirect/capacity.go
@@ -0,0 +1,69 @@
+package btdirect
+
+import (
+	"time"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+)
+
+// capacity is how many requests a service's targets take.
+type capacity struct {
+	slots, targets int
+	// restEnd is the first end of a rest if all targets rest; zero otherwise.
+	restEnd time.Time
+	// left counts the targets that are sent nothing because they are leaving.
+	left int
+}
+
+// none reports whether no target takes requests, now or after a rest.
+func (c capacity) none() bool { return c.targets == 0 }
+
+func (c *capacity) add(slots int) {
+	c.slots += slots
+	c.targets++
+}
+
+// capacity returns how many requests the service's targets take. A target that rests
+// counts with the requests that it has, or, if all rest, with those that it is sent at
+// the end of its rest. Leaving targets count if there are no others.
+func (f *fleet) capacity(name btid.Service) capacity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	var c, resting, leaving capacity
+	var ends []skippedTarget
+	for _, t := range f.service(name).targets {
+		if t.state != btinventory.Ready {
+			continue
+		}
+		end, isLeaving := f.leavingEnd(t)
+		if isLeaving && !now.Before(end) {
+			c.left++
+			continue
+		}
+		slots := t.slots
+		if window, limited := f.notices.Window(t.info.Instance()); limited {
+			slots = min(slots, window+int(t.otherRequests(now)))
+		}
+		end, rests := f.notices.RestEnd(now, t.info.Instance())
+		switch {
+		case rests:
+			ends = append(ends, skippedTarget{end: end})
+			resting.add(slots)
+			c.slots += min(t.slots, t.requests+int(t.otherRequests(now)))
+		case isLeaving:
+			leaving.add(slots)
+		default:
+			c.add(slots)
+		}
+	}
+	resting.restEnd = firstEnd(ends)
+	resting.left, leaving.left = c.left, c.left
+	for _, best := range []capacity{c, leaving, resting} {
+		if !best.none() {
+			return best
+		}
+	}
+	return capacity{left: c.left}
+}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -61,8 +61,9 @@
 	withdrawn atomic.Bool
 	// partlySent is set once a part of a streamed answer has been sent.
 	partlySent atomic.Bool
-	// resting holds the targets that were skipped at the last choice because they rest.
-	resting []restingTarget
+	// resting and leaving hold the targets that were skipped last because they rest or are
+	// leaving.
+	resting, leaving []skippedTarget
 	// logged reports that the request's failure has been logged.
 	logged bool
 }
@@ -221,7 +222,7 @@
 		if c.skipped > 0 {
 			e.meter.Counter(metricRatesSkipped).Inc(int64(c.skipped))
 		}
-		x.noteResting(c.resting)
+		x.noteSkipped(c.resting, c.leaving)
 		if c.target == nil && c.wait > 0 {
 			x.endUnserved(ReasonTargetLimited, min(c.wait, x.defaultRetryAfter()))
 			return false
@@ -230,7 +231,7 @@
 			return x.endOrAwaitRest(c.resting)
 		}
 		if c.target == nil {
-			x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.defaultRetryAfter()})
+			x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: noTargetReason(c), retryAfter: x.defaultRetryAfter()})
 			return false
 		}
 		if !x.awaitRate(ctx, c) {
@@ -255,6 +256,14 @@
 	}
 }
 
+// noTargetReason returns the reason for which no target was chosen.
+func noTargetReason(c choice) btrequest.Reason {
+	if len(c.leaving) > 0 {
+		return ReasonTargetLeaving
+	}
+	return ReasonNoTarget
+}
+
 // refuseOverdue refuses a request whose deadline has passed, and reports whether it
 // did. The timers of a host that was suspended fire late by the time of the suspension.
 func (x *exchange) refuseOverdue() bool {
@@ -307,7 +316,7 @@
 		if x.notRunAttempts >= maxNotRunAttempts {
 			return result.reason
 		}
-		if result.reason == ReasonNotSent || result.reason == ReasonTargetResting {
+		if result.reason == ReasonNotSent || result.heldBack() {
 			return ""
 		}
 	} else if !x.route.Repeatable() {
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -94,6 +94,9 @@
 type fleet struct {
 	dataCentre btid.DataCentre
 	clock      btloop.Clock
+	// drainTime is how long a target is sent requests after it has announced that it is
+	// leaving, if there are no others.
+	drainTime time.Duration
 
 	mu       sync.Mutex
 	targets  map[btinventory.Instance]*target
@@ -132,6 +135,7 @@
 		rates:        btrate.New(shares, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		dataCentre:   o.Settings.DataCentre,
 		clock:        o.Clock,
+		drainTime:    o.Settings.DrainTime,
 		targets:      make(map[btinventory.Instance]*target),
 		services:     make(map[btid.Service]*service),
 		completeness: btinventory.NewCompleteness(),
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -110,7 +110,7 @@
 	if result.crashed || result.reason == ReasonQuarantined {
 		a = append(a, "fingerprint", x.fingerprint())
 	}
-	a = append(a, x.restingAttributes()...)
+	a = append(a, x.skippedAttributes()...)
 	return append(append(a, x.stageAttributes()...), more...)
 }
 
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -19,24 +19,27 @@
 	// skipped counts the targets that were skipped because their rate is used up.
 	skipped int
 	// resting holds the targets that were skipped because they rest.
-	resting []restingTarget
+	resting []skippedTarget
+	// leaving holds the targets that were skipped because they are leaving.
+	leaving []skippedTarget
 }
 
 // candidates are the targets to which a request may be sent, in order of preference.
 type candidates struct {
-	usable, slow, recovering, silent, failing, broken, failingAndBroken []*target
+	usable, slow, recovering, leaving, silent, failing, broken, failingAndBroken []*target
 	// rateLimited holds those among them that advertise a rate.
 	rateLimited map[*target]bool
 	// exhausted holds the targets that may not be sent a request now because of their
 	// rate.
 	exhausted []*target
-	// resting holds the targets that rest.
-	resting []restingTarget
+	// resting holds the targets that rest, left those that have announced that they are
+	// leaving, whether they are still sent requests or not.
+	resting, left []skippedTarget
 }
 
 // best returns the most preferred targets that exist.
 func (c *candidates) best() []*target {
-	for _, list := range [][]*target{c.usable, c.slow, c.recovering, c.silent, c.failing, c.broken, c.failingAndBroken} {
+	for _, list := range [][]*target{c.usable, c.slow, c.recovering, c.leaving, c.silent, c.failing, c.broken, c.failingAndBroken} {
 		if len(list) > 0 {
 			return list
 		}
@@ -47,7 +50,7 @@
 // pick chooses a target for a request and assigns the request to it. It skips targets
 // that the request has tried, those that rest, and those that advertise a rate of which
 // this entry's share is used up. It avoids targets that are slow, have as many requests as
-// they are sent after a rest, are silent, have failed recently, are in a broken group, or
+// they are sent after a rest, are leaving, are silent, have failed recently, are in a broken group, or
 // both of the last two, and uses them, in this order, only if there are no others. If only rates are in the way, the request waits for the first
 // target that may be sent one, if that is within maxWait.
 func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool, maxWait time.Duration) choice {
@@ -60,7 +63,7 @@
 	if len(list) == 0 {
 		c := f.pickExhausted(s, sorted.exhausted, tokens, maxWait, now)
 		c.skipped = len(sorted.exhausted)
-		c.resting = sorted.resting
+		c.resting, c.leaving = sorted.resting, sorted.left
 		return c
 	}
 	compared := make([]btpick.Candidate, len(list))
@@ -76,7 +79,7 @@
 	}
 	t := list[btpick.Pick(compared, rand.IntN)]
 	f.assign(s, t, tokens, now)
-	return choice{target: t, skipped: len(sorted.exhausted), resting: sorted.resting}
+	return choice{target: t, skipped: len(sorted.exhausted), resting: sorted.resting, leaving: sorted.left}
 }
 
 // candidates sorts the service's targets by preference. f.mu must be held.
@@ -86,8 +89,15 @@
 		if t.state != btinventory.Ready || tried[t.info.Instance()] || now.Before(t.replacedUntil) {
 			continue
 		}
+		leavingEnd, leaving := f.leavingEnd(t)
+		if leaving {
+			c.left = append(c.left, skippedTarget{instance: t.info.Instance(), end: leavingEnd})
+			if !now.Before(leavingEnd) {
+				continue
+			}
+		}
 		if end, resting := f.notices.RestEnd(now, t.info.Instance()); resting {
-			c.resting = append(c.resting, restingTarget{instance: t.info.Instance(), end: end})
+			c.resting = append(c.resting, skippedTarget{instance: t.info.Instance(), end: end})
 			continue
 		}
 		// The rate that an overloaded target advertises is for all entries together.
@@ -109,6 +119,8 @@
 			c.failing = append(c.failing, t)
 		case s.silent(t, now):
 			c.silent = append(c.silent, t)
+		case leaving:
+			c.leaving = append(c.leaving, t)
 		case f.windowFull(t):
 			c.recovering = append(c.recovering, t)
 		case t.skippedAsSlow(now):
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -34,6 +34,9 @@
 	ReasonTargetLimited btrequest.Reason = "target_limited"
 	// ReasonTargetResting: all targets that are left have asked this entry for rest.
 	ReasonTargetResting btrequest.Reason = "target_resting"
+	// ReasonTargetLeaving: all targets that are left have announced that they are leaving,
+	// and no longer serve.
+	ReasonTargetLeaving btrequest.Reason = "target_leaving"
 	// ReasonNotSent: no connection to the target could be opened.
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target says that it did not run the request.
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -66,8 +66,16 @@
 // endUnadmitted refuses a request that got no slot in time.
 func (x *exchange) endUnadmitted() {
 	e := x.entry
-	if end := e.fleet.capacity(x.service.Name).restEnd; !end.IsZero() {
-		x.endUnserved(ReasonTargetResting, e.admission.restRetryAfter(x.service, end))
+	c := e.fleet.capacity(x.service.Name)
+	switch {
+	case !c.restEnd.IsZero():
+		x.endUnserved(ReasonTargetResting, e.admission.restRetryAfter(x.service, c.restEnd))
+		return
+	case c.none() && c.left > 0:
+		x.endUnserved(ReasonTargetLeaving, x.defaultRetryAfter())
+		return
+	case c.none():
+		x.endUnserved(ReasonNoTarget, x.defaultRetryAfter())
 		return
 	}
 	x.endUnserved(ReasonOverload, e.admission.retryAfter(x.service, x.defaultRetryAfter()))
