btagent: send nothing to a target that has asked for rest

On the guarded path callers' requests were forwarded to a target within the time for which it had asked for none.

Cause: the agent passed the target's 503 on and read nothing else from it. The answers to its own calls (load, group, orders) were read for their status alone.

Change: a rest in any answer to the agent reaches its queue. New requests are refused as queue_target_resting, so that the entry tries another target and skips this one until the end; queued ones keep their places if they can still start in time. Before a request is sent the rest is looked up once more. After it the slots open one by one with the requests that finish. An entry whose targets all rest waits for the first end as long as a request would wait in a queue, else it refuses with a Retry-After spread after that end. A rest that an answer to the agent's own call asks for holds such calls back as well. Connecting to the target takes at most 400 ms, so that no request is sent later than half a second after it was let through. A restart of the engine, another endpoint or a refused connection ends a rest.

Ruled out: that entries keep the time: only the agent's host was asked, and its queue is where requests of all entries meet.

--- a/core/btnotice/register.go
+++ b/core/btnotice/register.go
@@ -6,14 +6,9 @@
 	"bilberrytide/core/btinventory"
 )
 
-const (
-	// leavingRetention is how long a departure is kept after the target's record was last
-	// listed: a record may come back under the same instance after an outage of the list.
-	leavingRetention = 10 * time.Minute
-	// initialWindow is the number of concurrent requests that a target is sent when its
-	// rest ends.
-	initialWindow = 1
-)
+// leavingRetention is how long a departure is kept after the target's record was last
+// listed: a record may come back under the same instance after an outage of the list.
+const leavingRetention = 10 * time.Minute
 
 // Register keeps what targets have announced to this host. It keys them by instance, so
 // that a restarted target, or another one at the address, starts without announcements. A
@@ -26,9 +21,7 @@
 type announcements struct {
 	// restEnd is the latest end of any rest; zero if the target asked for none.
 	restEnd time.Time
-	// window is the number of concurrent requests that the target is sent after its rest;
-	// zero if it isn't limited.
-	window int
+	window  Window
 	// leavingSince is when the target first announced that it is leaving; zero if it
 	// didn't.
 	leavingSince time.Time
@@ -67,7 +60,7 @@
 	var c Change
 	if end := now.Add(n.Rest); n.Rest > 0 && end.After(a.restEnd) {
 		a.restEnd = end
-		a.window = initialWindow
+		a.window.Begin(end)
 		c.RestUntil = end
 	}
 	if n.Leaving && a.leavingSince.IsZero() {
@@ -101,27 +94,20 @@
 }
 
 // Window returns how many concurrent requests the target is sent after a rest, and
-// whether that is limited. A target that was overloaded would be overloaded again if all
-// requests that waited for the end of its rest were sent at once.
-func (r *Register) Window(i btinventory.Instance) (window int, limited bool) {
+// whether that is limited.
+func (r *Register) Window(i btinventory.Instance) (size int, limited bool) {
 	a, found := r.targets[i]
-	if !found || a.window == 0 {
+	if !found {
 		return 0, false
 	}
-	return a.window, true
+	return a.window.Size()
 }
 
-// RecordAccepted records that the target has accepted a request sent after its rest. Each
-// widens the window by one, so that it doubles with each set of answers; at the number of
-// the target's slots the limit ends.
+// RecordAccepted records that the target, of that many slots, has accepted a request sent
+// at sentAt.
 func (r *Register) RecordAccepted(now, sentAt time.Time, i btinventory.Instance, slots int) {
-	a, found := r.targets[i]
-	if !found || a.window == 0 || now.Before(a.restEnd) || sentAt.Before(a.restEnd) {
-		return
-	}
-	a.window++
-	if a.window >= slots {
-		a.window = 0
+	if a, found := r.targets[i]; found {
+		a.window.RecordAccepted(now, sentAt, slots)
 	}
 }
 
@@ -131,7 +117,7 @@
 	for i, a := range r.targets {
 		if listed(i) {
 			a.unlistedSince = time.Time{}
-			if a.restEnd.Before(now) && a.window == 0 && a.leavingSince.IsZero() && !a.malformed {
+			if _, limited := a.window.Size(); !limited && a.restEnd.Before(now) && a.leavingSince.IsZero() && !a.malformed {
 				delete(r.targets, i)
 			}
 			continue
--- a/core/btqueue/btqueue.go
+++ b/core/btqueue/btqueue.go
@@ -26,6 +26,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btcore"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btrequest"
 )
 
@@ -83,6 +84,8 @@
 	refused      refusalHistory
 	estimate     serviceEstimate
 	limiter      rateLimiter
+	window       btnotice.Window
+	restEnd      time.Time
 	effects      []Effect
 }
 
@@ -124,6 +127,10 @@
 		q.resize(q.now, e)
 	case RateLimit:
 		q.limiter.set(q.now, e, q.random.Float64())
+	case Rest:
+		q.rest(q.now, e)
+	case Restarted:
+		q.window, q.restEnd = btnotice.Window{}, time.Time{}
 	case Tick:
 		q.queue.pruneIdleTags()
 	}
@@ -160,11 +167,15 @@
 	if !a.Deadline.After(now) {
 		return ReasonDeadline, false
 	}
+	if q.window.Rests(now) {
+		// As with a rate limit, another target may serve the request.
+		return ReasonResting, false
+	}
 	if q.limiter.wait(now) > 0 {
 		// A request that waits for the rate limit could be served by another target.
 		return ReasonRateLimited, false
 	}
-	if len(q.running) < q.slots && q.queue.count == 0 {
+	if len(q.running) < q.openSlots() && q.queue.count == 0 {
 		// A request gets a free slot whatever the estimate says: only finished requests
 		// can correct a wrong estimate, refusals never do.
 		return "", true
@@ -209,6 +220,7 @@
 	if len(q.running) == 0 {
 		q.runningCost = 0
 	}
+	q.window.RecordAccepted(now, i.started, q.slots)
 	q.estimate.add(e.Took, i.Cost)
 	q.estimate.lastChange = now
 }
@@ -270,7 +282,7 @@
 
 // dispatch starts queued requests while there are free slots and the rate limit allows it.
 func (q *Queue) dispatch(now time.Time) {
-	for !q.draining && len(q.running) < q.slots && q.limiter.wait(now) == 0 {
+	for !q.draining && !q.window.Rests(now) && len(q.running) < q.openSlots() && q.limiter.wait(now) == 0 {
 		i := q.queue.pop()
 		if i == nil {
 			return
@@ -314,6 +326,8 @@
 	switch reason {
 	case ReasonDraining, ReasonCancelled:
 		return 0
+	case ReasonResting:
+		return q.restEnd.Sub(now)
 	case ReasonRateLimited:
 		return q.limiter.bookRetry(now, q.settings.MaxRetryAfter)
 	}
--- a/core/btqueue/estimate.go
+++ b/core/btqueue/estimate.go
@@ -66,13 +66,13 @@
 
 // drainRate returns the cost that the target completes per second.
 func (q *Queue) drainRate(now time.Time) float64 {
-	return float64(max(q.slots, 1)) / q.unitTime(now)
+	return float64(max(q.openSlots(), 1)) / q.unitTime(now)
 }
 
 // expectedWait returns the expected time until a request starts that has that cost
 // ahead of it in the queue.
 func (q *Queue) expectedWait(now time.Time, ahead float64) time.Duration {
-	if len(q.running) < q.slots && q.queue.count == 0 {
+	if len(q.running) < q.openSlots() && q.queue.count == 0 {
 		return 0
 	}
 	if len(q.running) > 0 {
--- a/core/btqueue/event.go
+++ b/core/btqueue/event.go
@@ -66,6 +66,18 @@
 	Active    bool
 }
 
+// Rest reports that the target has asked for no requests until a time of the queue's
+// clock. The latest end counts.
+type Rest struct {
+	Until time.Time
+}
+
+// Restarted reports that the target has started again, so that what it had announced
+// before no longer applies.
+type Restarted struct{}
+
+func (Rest) queueEvent()      {}
+func (Restarted) queueEvent() {}
 func (RateLimit) queueEvent() {}
 func (Arrived) queueEvent()   {}
 func (Finished) queueEvent()  {}
@@ -120,6 +132,9 @@
 	// ReasonRateLimited: the rate that the target advertises is used up. Other targets
 	// may take the request at once.
 	ReasonRateLimited btrequest.Reason = "queue_target_limited"
+	// ReasonResting: the target has asked for rest, and the request can't wait until its
+	// end. Other targets may take the request at once.
+	ReasonResting btrequest.Reason = "queue_target_resting"
 	// ReasonCancelled: the caller gave up the request before it started.
 	ReasonCancelled btrequest.Reason = "cancelled_in_queue"
 )
--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -10,6 +10,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,17 +62,21 @@
 	isolation *btprocess.Isolation
 	// rate is the request rate that the target advertises.
 	rate targetRate
-	stop *btprocess.Stop
-
-	mu           sync.Mutex
-	service      btid.Service
-	firstToken   time.Duration
-	endpoint     string
-	client       *bttarget.Client
-	admission    *admission
-	ledger       *ledger
-	ready        atomic.Bool
-	reportNumber atomic.Uint64
+	// notices is what the target announces about itself.
+	notices *targetNotices
+	stop    *btprocess.Stop
+
+	mu         sync.Mutex
+	service    btid.Service
+	firstToken time.Duration
+	endpoint   string
+	// clientEndpoint is the endpoint of the client.
+	clientEndpoint netip.AddrPort
+	client         *bttarget.Client
+	admission      *admission
+	ledger         *ledger
+	ready          atomic.Bool
+	reportNumber   atomic.Uint64
 	// startup passes on the loops that start with the first bundle.
 	startup chan func(context.Context)
 }
@@ -88,10 +93,11 @@
 		startup: make(chan func(context.Context), startupCapacity),
 	}
 	a.stop = btprocess.NewStop(btmember.DrainSettings{DeadlineGrace: stopGrace}, o.Elapsed, o.Assert, o.Log)
+	a.notices = newTargetNotices(o)
 	a.home = newKeyHome(o, a.self, o.Bundles)
 	a.isolation = btprocess.NewIsolation(o.Bundles)
 	a.heartbeat = newHeartbeat(o, a.self, a.report, a.sendCrashRecords)
-	a.group = newGroup(o, a.self)
+	a.group = newGroup(o, a.self, a.observeNotice)
 	a.engine = newEngineMonitor(o, a.self, a.modelClient, a.heartbeat.publish, a.handleEngineChange)
 	o.Node.Handle(btprocess.KindServe, a.serve)
 	o.Bundles.OnChange(a.configure)
@@ -124,6 +130,7 @@
 	group.Go(func() error { a.heartbeat.run(ctx); return nil })
 	group.Go(func() error { return a.group.Run(ctx) })
 	group.Go(func() error { a.engine.run(ctx); return nil })
+	group.Go(func() error { a.watchRestart(ctx); return nil })
 	group.Go(func() error { a.isolation.Run(ctx); return nil })
 	group.Go(func() error { a.runStop(ctx, cancel); return nil })
 	return group.Wait()
@@ -173,6 +180,7 @@
 // handleEngineChange handles an engine that has gone or come back.
 func (a *Agent) handleEngineChange() {
 	a.resetRate()
+	a.resetNotices("the engine has gone or come back")
 	a.heartbeat.trigger()
 }
 
--- a/io/btagent/configure.go
+++ b/io/btagent/configure.go
@@ -1,6 +1,9 @@
 package btagent
 
 import (
+	"net/netip"
+	"time"
+
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btmember"
@@ -34,7 +37,8 @@
 	moved := a.endpoint != "" && a.endpoint != target.Endpoint.String()
 	if a.endpoint != target.Endpoint.String() {
 		a.endpoint = target.Endpoint.String()
-		a.client = bttarget.New(bttarget.Options{Endpoint: target.Endpoint, Registry: a.options.Meter.Registry()})
+		a.clientEndpoint = target.Endpoint
+		a.client = a.newClient(target.Endpoint)
 	}
 	first := a.admission == nil
 	if first {
@@ -48,11 +52,20 @@
 	}
 	if moved {
 		a.resetRate()
+		a.resetNotices("the target has another endpoint")
 	}
 	queue.loop.Post(btqueue.Resize{Slots: target.Slots, QueueLimit: target.Queue})
 	ledger.handle(btclaim.RulesChanged{Rules: RulesOf(approved, service)})
 }
 
+// localDialTimeout limits connecting to the target, which is on the same host. A request
+// that is sent late on a connection could reach a target that has asked for rest meanwhile.
+const localDialTimeout = 400 * time.Millisecond
+
+func (a *Agent) newClient(endpoint netip.AddrPort) *bttarget.Client {
+	return bttarget.New(bttarget.Options{Endpoint: endpoint, Registry: a.options.Meter.Registry(), DialTimeout: localDialTimeout, OnNotice: a.observeNotice})
+}
+
 // initServing creates the queue and the ledger, which need values of the first bundle.
 // a.mu must be held.
 func (a *Agent) initServing(approved *btbundle.Approved, target *btbundle.Target) {
--- a/io/btagent/engine.go
+++ b/io/btagent/engine.go
@@ -117,10 +117,10 @@
 	e.handleCacheEvents(events)
 }
 
-// handleFailure counts refused connections. A slow engine may still be working and is
+// handleFailure counts refused connections. An engine that has asked for rest, or a slow engine may still be working and is
 // left to ejection.
 func (e *engineMonitor) handleFailure(err error) {
-	if !errors.Is(err, bttarget.ErrNotSent) {
+	if !errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrResting) {
 		e.options.Meter.Refused(reasonEngineSilent)
 		return
 	}
--- a/io/btagent/group.go
+++ b/io/btagent/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btnotice"
 	"bilberrytide/io/btgroup"
 )
 
@@ -14,7 +15,7 @@
 const groupReleaseTimeout = 5 * time.Second
 
 // newGroup returns the agent's side of the agreement on its group's expert map.
-func newGroup(o Options, self btid.Executor) *btgroup.Group {
+func newGroup(o Options, self btid.Executor, onNotice func(int, btnotice.Notice)) *btgroup.Group {
 	options := btgroup.Options{
 		Self:      self,
 		Node:      o.Node,
@@ -23,6 +24,7 @@
 		Log:       o.Log,
 		Clock:     o.Clock,
 		Assert:    o.Assert,
+		OnNotice:  onNotice,
 		Random:    rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
 	}
 	if o.Platform != nil {
--- a/io/btentry/claim.go
+++ b/io/btentry/claim.go
@@ -6,6 +6,7 @@
 
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btroute"
 	"bilberrytide/core/btserve"
@@ -43,6 +44,8 @@
 	picked   pick
 	// lostReason is why the executor's answer did not arrive.
 	lostReason btrequest.Reason
+	// noTarget is why no executor could be chosen last; nil if one was.
+	noTarget error
 }
 
 func (c *claimFlow) run(ctx context.Context) *btrequest.Refusal {
@@ -62,7 +65,7 @@
 func (c *claimFlow) perform(ctx context.Context, effect btclaim.ClientEffect) btclaim.ClientEvent {
 	switch e := effect.(type) {
 	case btclaim.ChooseExecutor:
-		return c.chooseExecutor(e)
+		return c.chooseExecutor(ctx, e)
 	case btclaim.SendAcquire:
 		return askHome(ctx, c, e.To, btprocess.KindAcquire, e.Message, e.Message.Ask)
 	case btclaim.SendRelease:
@@ -73,12 +76,13 @@
 	return btclaim.HomeTimedOut{}
 }
 
-func (c *claimFlow) chooseExecutor(e btclaim.ChooseExecutor) btclaim.ClientEvent {
+func (c *claimFlow) chooseExecutor(ctx context.Context, e btclaim.ChooseExecutor) btclaim.ClientEvent {
 	if c.x.limitRefusal != nil {
 		return btclaim.ExecutorChosen{}
 	}
 	c.request.Tried = e.Exclude
-	p, err := c.dispatch.entry.fleet.pick(c.request)
+	p, err := c.dispatch.pickOrAwaitRest(ctx, c.x, c.request)
+	c.noTarget = err
 	if err != nil {
 		return btclaim.ExecutorChosen{}
 	}
@@ -138,6 +142,10 @@
 			c.x.limitRefusal.RetryAfter = max(c.x.limitRefusal.RetryAfter, e.RetryAfter)
 			return c.x.limitRefusal
 		}
+		if refusal := refuseUnavailable(c.x, c.noTarget); refusal != nil && (e.Reason == btclaim.NoExecutor || e.Reason == btqueue.ReasonResting) {
+			refusal.RetryAfter = max(refusal.RetryAfter, e.RetryAfter)
+			return refusal
+		}
 		return btrequest.Refuse(e.Reason, e.RetryAfter, "the request was not run")
 	}
 	if e.Reason == btclaim.ExecutorUnreachable && c.lostReason != "" {
--- a/io/btentry/dispatch.go
+++ b/io/btentry/dispatch.go
@@ -57,8 +57,8 @@
 }
 
 func refuseNoTarget(x *exchange, err error) *btrequest.Refusal {
-	if after, limited := rateLimitRetryAfter(err); limited {
-		return btrequest.Refuse(btqueue.ReasonRateLimited, after, "service %q: its targets take no more requests a second", x.service.Name)
+	if refusal := refuseUnavailable(x, err); refusal != nil {
+		return refusal
 	}
 	var none *btroute.NoTargetError
 	if !errors.As(err, &none) {
@@ -71,6 +71,9 @@
 // reports whether any attempt may have run.
 func refusalFor(last attemptResult, mayHaveRun bool) *btrequest.Refusal {
 	after := last.retryAfter
+	if last.reason == btqueue.ReasonResting {
+		after = restRetryAfter(after)
+	}
 	if after == 0 {
 		after = lostRetryAfter
 	}
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -39,13 +39,12 @@
 	tracker *btload.Tracker
 	// ejected holds the targets that are out of rotation, for the status page.
 	ejected map[btid.Target]btroute.Ejected
-	// rateLimitedUntil holds the targets whose request rate is used up, and when each
-	// can be picked again.
-	rateLimitedUntil map[btid.Target]time.Time
-	budget           *btretry.Budget
-	decider          *btretry.Decider
-	attempts         uint64
-	location         btmember.EntryLocation
+	// unavailable holds the targets that take no requests for some time.
+	unavailable map[btid.Target]unavailable
+	budget      *btretry.Budget
+	decider     *btretry.Decider
+	attempts    uint64
+	location    btmember.EntryLocation
 	// relay forwards membership in fleets where not every entry hears every agent.
 	relay *btmember.Relay
 	links []btmember.Link
@@ -65,20 +64,20 @@
 	member := btmember.New(memberDefaults(), o.Assert)
 	budget := btretry.NewBudget(btretry.DefaultConfig())
 	return &fleet{
-		clock:            o.Clock,
-		meter:            o.Meter,
-		decisions:        o.Decisions,
-		log:              o.Log,
-		member:           member,
-		router:           btroute.New(config, tracker, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()), o.Assert),
-		tracker:          tracker,
-		ejected:          map[btid.Target]btroute.Ejected{},
-		rateLimitedUntil: map[btid.Target]time.Time{},
-		budget:           budget,
-		decider:          btretry.New(btretry.DefaultConfig(), budget, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
-		location:         location,
-		relay:            btmember.NewRelay(btmember.DefaultRelaySettings(), o.Name, incarnation, member),
-		routedServices:   map[btid.Service]bool{},
+		clock:          o.Clock,
+		meter:          o.Meter,
+		decisions:      o.Decisions,
+		log:            o.Log,
+		member:         member,
+		router:         btroute.New(config, tracker, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()), o.Assert),
+		tracker:        tracker,
+		ejected:        map[btid.Target]btroute.Ejected{},
+		unavailable:    map[btid.Target]unavailable{},
+		budget:         budget,
+		decider:        btretry.New(btretry.DefaultConfig(), budget, rand.NewPCG(o.Random.Uint64(), o.Random.Uint64())),
+		location:       location,
+		relay:          btmember.NewRelay(btmember.DefaultRelaySettings(), o.Name, incarnation, member),
+		routedServices: map[btid.Service]bool{},
 	}
 }
 
@@ -142,6 +141,7 @@
 		switch e := effect.(type) {
 		case btmember.Joined:
 			f.log.Info("target joined", "target", e.Executor.Target, "incarnation", e.Executor.Incarnation)
+			delete(f.unavailable, e.Executor.Target)
 			f.applyRouterEffects(f.router.Step(now, btroute.Leaving{Target: e.Executor.Target, Leaving: false}))
 			f.updateLease(now, e.Executor.Target)
 		case btmember.Left:
--- a/io/btentry/notice_test.go
+++ b/io/btentry/notice_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bilberrytide/core/btbundle"
 	"bilberrytide/io/btstandin"
 )
 
@@ -81,3 +82,44 @@
 		assert.Assert(t, statuses[http.StatusOK] > 0, "%v", statuses)
 	})
 }
+
+// Guards against requests that are refused although all targets' rests end within the
+// time that they would wait, and against callers that are told to retry at another time.
+func TestRequestsWaitForRestsThatEndInTime(t *testing.T) {
+	forEachKey(t, func(t *testing.T, keyed bool) {
+		const rest = time.Second
+		targets, testTargets := newPlainPair(t)
+		w := newSystem(t, testTargets, func(b *btbundle.Bundle) {
+			unlimitedRetries(b)
+			b.Retry.MaxAttempts = 3
+		})
+		if keyed {
+			w.awaitGrants(http.MethodPost, "/services/pages/x", "")
+		}
+		fields := func(timeout string) []string {
+			f := []string{"Bilberrytide-Timeout", timeout}
+			if keyed {
+				f = append(f, "Idempotency-Key", w.newKey())
+			}
+			return f
+		}
+		for _, p := range targets {
+			assert.NilError(t, p.SetFault(btstandin.TargetFault{Refuse: true, RetryAfter: rest.Seconds()}))
+		}
+		began := time.Now()
+		w.await(func() bool {
+			w.do(http.MethodPost, "/services/pages/x", "", fields("200ms")...)
+			return w.refusals("p1", "queue_target_resting")+w.refusals("p2", "queue_target_resting") > 0
+		})
+		for _, p := range targets {
+			assert.NilError(t, p.SetFault(btstandin.TargetFault{}))
+		}
+		r := w.do(http.MethodPost, "/services/pages/x", "", fields("400ms")...)
+		if time.Since(began) < rest/2 {
+			assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable, r.body)
+			assert.Equal(t, r.reason(), "queue_target_resting")
+		}
+		r = w.do(http.MethodPost, "/services/pages/x", "", fields("10s")...)
+		assert.Equal(t, r.StatusCode, http.StatusOK, r.body)
+	})
+}
--- a/io/btentry/pick.go
+++ b/io/btentry/pick.go
@@ -5,7 +5,6 @@
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btload"
-	"bilberrytide/core/btqueue"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btroute"
@@ -27,7 +26,7 @@
 	defer f.mu.Unlock()
 	now := f.clock()
 	original := request
-	request.Tried = append(slices.Clone(request.Tried), f.rateLimitedTargets(now)...)
+	request.Tried = append(slices.Clone(request.Tried), f.unavailableTargets(now)...)
 	for {
 		choice, err := f.router.Pick(now, request)
 		if err != nil {
@@ -73,9 +72,7 @@
 		Refused:      result.outcome == btrequest.NotRun,
 	})
 	f.applyLoadReport(now, result.load)
-	if result.reason == btqueue.ReasonRateLimited {
-		f.rateLimitedUntil[p.executor.Target] = now.Add(result.retryAfter)
-	}
+	f.recordUnavailable(now, p.executor.Target, result)
 	if result.targetFault {
 		f.applyRouterEffects(f.router.Step(now, btroute.Failed{Target: p.executor.Target, Reason: result.reason}))
 	}
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -42,7 +42,7 @@
 func (d *dispatch) runRepeatable(ctx context.Context, x *exchange) *btrequest.Refusal {
 	f := &retryFlow{dispatch: d, x: x, request: routeRequest(x)}
 	for {
-		if err := f.pickTarget(); err != nil {
+		if err := f.pickTarget(ctx); err != nil {
 			return f.refuseNoTarget(err)
 		}
 		f.runAttempt(ctx)
@@ -64,11 +64,11 @@
 
 // pickTarget chooses the target of the next attempt; an interrupted stream is resumed at
 // the same target.
-func (f *retryFlow) pickTarget() error {
+func (f *retryFlow) pickTarget(ctx context.Context) error {
 	if f.resumeAfter > 0 {
 		return nil
 	}
-	p, err := f.dispatch.entry.fleet.pick(f.request)
+	p, err := f.dispatch.pickOrAwaitRest(ctx, f.x, f.request)
 	f.picked = p
 	return err
 }
@@ -91,7 +91,9 @@
 		f.resumeAfter = f.x.answer.Events()
 		return
 	}
-	f.request.Tried = append(f.request.Tried, f.picked.executor.Target)
+	if f.last.reason != btqueue.ReasonResting {
+		f.request.Tried = append(f.request.Tried, f.picked.executor.Target)
+	}
 	if targetUnavailable(f.last) {
 		// The target did not accept the request, which doesn't count as an attempt.
 		f.attempts--
@@ -120,6 +122,10 @@
 		return btretry.Decision{Reason: ReasonQuarantined}
 	}
 	started := f.x.answer.Started()
+	if last.reason == btqueue.ReasonResting && last.outcome == btrequest.NotRun {
+		// The target is skipped until its rest ends, and may be picked again then.
+		return btretry.Decision{Retry: true, At: f.dispatch.entry.options.Clock(), Reason: btretry.RetryNotRun}
+	}
 	if !started && !f.hasAlternative() {
 		return btretry.Decision{Reason: reasonNoAlternative}
 	}
@@ -143,7 +149,11 @@
 // targetUnavailable reports whether the attempt was refused because its target takes no
 // requests at present, so that nothing was sent to it.
 func targetUnavailable(a attemptResult) bool {
-	return a.reason == btqueue.ReasonDraining || a.reason == btqueue.ReasonRateLimited
+	switch a.reason {
+	case btqueue.ReasonDraining, btqueue.ReasonRateLimited, btqueue.ReasonResting:
+		return true
+	}
+	return false
 }
 
 // hasAlternative reports whether an untried target could take the request now.
--- a/io/btgroup/btgroup.go
+++ b/io/btgroup/btgroup.go
@@ -13,6 +13,7 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btswitch"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -30,6 +31,9 @@
 	Log       *slog.Logger
 	Clock     btloop.Clock
 	Assert    *btassert.Asserter
+	// OnNotice is called for each answer of the engine that announces something; it may be
+	// nil.
+	OnNotice func(status int, n btnotice.Notice)
 	// Random is used by the Group alone.
 	Random *rand.Rand
 	// Store probes the weight store; if it is nil, the store counts as available.
@@ -97,7 +101,7 @@
 // Configure applies a bundle. If the target's group in it is invalid, the previous
 // configuration stays in force and the error is logged.
 func (g *Group) Configure(approved *btbundle.Approved) {
-	next, err := rankConfigOf(approved, g.options.Self.Target)
+	next, err := rankConfigOf(approved, g.options.Self.Target, g.options.OnNotice)
 	if err != nil {
 		g.options.Log.Error("the bundle's group is invalid; the previous configuration stays in force", "error", err)
 		return
@@ -123,7 +127,7 @@
 }
 
 // rankConfigOf returns the rank of the target in a bundle, nil if it is in no group.
-func rankConfigOf(approved *btbundle.Approved, self btid.Target) (*rankConfig, error) {
+func rankConfigOf(approved *btbundle.Approved, self btid.Target, onNotice func(int, btnotice.Notice)) (*rankConfig, error) {
 	target, found := approved.Index.Target(self)
 	if !found {
 		return nil, nil
@@ -148,7 +152,7 @@
 		placement: approved.Bundle.Placement,
 		rank:      rank.Number,
 		endpoint:  target.Endpoint.String(),
-		engine:    bttarget.New(bttarget.Options{Endpoint: target.Endpoint}),
+		engine:    bttarget.New(bttarget.Options{Endpoint: target.Endpoint, OnNotice: onNotice}),
 	}, nil
 }
 
--- a/io/bttarget/bttarget.go
+++ b/io/bttarget/bttarget.go
@@ -20,6 +20,9 @@
 	// ErrNotSent means that no connection to the target could be established, so it
 	// received nothing of the request.
 	ErrNotSent = errors.New("not sent to target")
+	// ErrResting means that a call in the target's own protocol was not sent because the
+	// target has asked for rest. It wraps ErrNotSent.
+	ErrResting = fmt.Errorf("%w: it has asked for rest", ErrNotSent)
 	// ErrLost means that contact with the target was lost after a connection was
 	// assigned to the request; it may have run.
 	ErrLost = errors.New("contact with target lost")
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -61,6 +61,9 @@
 	// TCPUserTimeout closes a connection whose peer has acknowledged nothing for that
 	// long. Zero means the default of the system, which is minutes.
 	TCPUserTimeout time.Duration
+	// OnNotice is called for each answer that announces something about the target; it may
+	// be nil.
+	OnNotice func(status int, n btnotice.Notice)
 }
 
 // Client is a client of one target. It is safe for concurrent use.
@@ -70,6 +73,10 @@
 	requests  metrics.Counter
 	notSent   metrics.Counter
 	lost      metrics.Counter
+	// callsRest is the end of a rest that an answer in the target's own protocol asked for,
+	// in nanoseconds since the client was created.
+	callsRest atomic.Int64
+	created   time.Time
 }
 
 // New returns a client. It connects with the first request.
@@ -84,6 +91,7 @@
 	dialler := &net.Dialer{Timeout: o.DialTimeout, Control: setUserTimeout(o.TCPUserTimeout)}
 	return &Client{
 		options: o,
+		created: time.Now(),
 		transport: &http.Transport{
 			DialContext:            dialler.DialContext,
 			MaxIdleConns:           o.MaxIdleConnections,
@@ -168,13 +176,17 @@
 		c.lost.Inc(1)
 		return nil, fmt.Errorf("%w: %s %s: %w", ErrLost, r.Method, r.URI, err)
 	}
+	notice := btnotice.Parse(answer.StatusCode, answer.Header[headerRetryAfter], answer.Header[HeaderLeaving])
+	if c.options.OnNotice != nil && notice.Announces() {
+		c.options.OnNotice(answer.StatusCode, notice)
+	}
 	return &Response{
 		Status:    answer.StatusCode,
 		Header:    endToEndHeader(answer.Header),
 		Length:    answer.ContentLength,
 		Delimited: delimited(r.Method, answer),
 		Rate:      btrate.ParseAdvertisement(answer.Header[HeaderRate]),
-		Notice:    btnotice.Parse(answer.StatusCode, answer.Header[headerRetryAfter], answer.Header[HeaderLeaving]),
+		Notice:    notice,
 		Body:      &responseBody{source: answer.Body, lost: c.lost},
 	}, nil
 }
--- a/io/bttarget/engine.go
+++ b/io/bttarget/engine.go
@@ -179,7 +179,7 @@
 // GroupMap reads the map in use as it was sent with Stage; nil if there is none. Errors
 // are those of Load.
 func (c *Client) GroupMap(ctx context.Context) ([]byte, error) {
-	response, err := c.Do(ctx, Request{Method: http.MethodGet, URI: uriGroupMap})
+	response, err := c.call(ctx, Request{Method: http.MethodGet, URI: uriGroupMap})
 	if err != nil {
 		return nil, err
 	}
@@ -209,7 +209,7 @@
 		return fmt.Errorf("%w: order %s: %w", ErrRequest, o.Op, err)
 	}
 	header := http.Header{headerContentType: {contentJSON}}
-	response, err := c.Do(ctx, Request{Method: http.MethodPost, URI: uriOrders, Header: header, Body: data})
+	response, err := c.call(ctx, Request{Method: http.MethodPost, URI: uriOrders, Header: header, Body: data})
 	if err != nil {
 		return err
 	}
@@ -234,9 +234,23 @@
 	return Request{Method: http.MethodGet, URI: uri}
 }
 
+// call sends a call in the target's own protocol, unless an answer to an earlier one has
+// asked for rest. A rest that a refused request asked for doesn't hold calls back: a rank
+// takes no requests then, while its group runs on. Errors are those of Do, and ErrResting.
+func (c *Client) call(ctx context.Context, r Request) (*Response, error) {
+	if time.Since(c.created) < time.Duration(c.callsRest.Load()) {
+		return nil, fmt.Errorf("%w: %s", ErrResting, r.URI)
+	}
+	response, err := c.Do(ctx, r)
+	if err == nil && response.Notice.Rest > 0 {
+		c.callsRest.Store(int64(time.Since(c.created) + response.Notice.Rest))
+	}
+	return response, err
+}
+
 func get[T interface{ Validate() error }](ctx context.Context, c *Client, uri string) (T, error) {
 	var none T
-	response, err := c.Do(ctx, Request{Method: http.MethodGet, URI: uri})
+	response, err := c.call(ctx, Request{Method: http.MethodGet, URI: uri})
 	if err != nil {
 		return none, err
 	}
