btagent: send nothing to a target that has announced its departure

On the guarded path callers' requests were forwarded to a target that announced in each answer that it is leaving, until its process had gone.

Cause: only a planned stop of the agent itself, or a host list that names the host, made a target draining; what the target said was not read.

Change: with the first such answer, to a request or to a call of the agent, the queue refuses new and queued requests as queue_target_leaving, and the load report says that the target takes none, so that entries use others at once. The agent then checks whether the target's port refuses connections: after that another start of it is used, on new connections only, as a process that accepts none may still answer on open ones.

Ruled out: a state of the agent's heartbeat: those never go back, and the target's next start is behind the same agent. Serving for a drain time as on the direct path: the bundle names none, and refused requests move elsewhere at once.

TestRestartedTargetIsUsedAgain passes.

--- a/core/btqueue/btqueue.go
+++ b/core/btqueue/btqueue.go
@@ -86,6 +86,7 @@
 	limiter      rateLimiter
 	window       btnotice.Window
 	restEnd      time.Time
+	leaving      bool
 	effects      []Effect
 }
 
@@ -129,8 +130,10 @@
 		q.limiter.set(q.now, e, q.random.Float64())
 	case Rest:
 		q.rest(q.now, e)
+	case Leaving:
+		q.leave()
 	case Restarted:
-		q.window, q.restEnd = btnotice.Window{}, time.Time{}
+		q.window, q.restEnd, q.leaving = btnotice.Window{}, time.Time{}, false
 	case Tick:
 		q.queue.pruneIdleTags()
 	}
@@ -164,6 +167,9 @@
 	if q.draining {
 		return ReasonDraining, false
 	}
+	if q.leaving {
+		return ReasonLeaving, false
+	}
 	if !a.Deadline.After(now) {
 		return ReasonDeadline, false
 	}
@@ -282,7 +288,7 @@
 
 // dispatch starts queued requests while there are free slots and the rate limit allows it.
 func (q *Queue) dispatch(now time.Time) {
-	for !q.draining && !q.window.Rests(now) && len(q.running) < q.openSlots() && q.limiter.wait(now) == 0 {
+	for !q.draining && !q.leaving && !q.window.Rests(now) && len(q.running) < q.openSlots() && q.limiter.wait(now) == 0 {
 		i := q.queue.pop()
 		if i == nil {
 			return
@@ -324,7 +330,7 @@
 // retryDelay returns the retry delay of a refusal for the reason.
 func (q *Queue) retryDelay(now time.Time, reason btrequest.Reason, cost float64) time.Duration {
 	switch reason {
-	case ReasonDraining, ReasonCancelled:
+	case ReasonDraining, ReasonLeaving, ReasonCancelled:
 		return 0
 	case ReasonResting:
 		return q.restEnd.Sub(now)
--- a/core/btqueue/event.go
+++ b/core/btqueue/event.go
@@ -72,11 +72,15 @@
 	Until time.Time
 }
 
+// Leaving reports that the target has announced that it is leaving.
+type Leaving struct{}
+
 // Restarted reports that the target has started again, so that what it had announced
 // before no longer applies.
 type Restarted struct{}
 
 func (Rest) queueEvent()      {}
+func (Leaving) queueEvent()   {}
 func (Restarted) queueEvent() {}
 func (RateLimit) queueEvent() {}
 func (Arrived) queueEvent()   {}
@@ -101,7 +105,7 @@
 	ID     btid.Request
 	Reason btrequest.Reason
 	// RetryAfter is the delay after which the request is likely to be accepted here. It
-	// is zero for ReasonDraining and ReasonCancelled, where waiting for this target is
+	// is zero for ReasonDraining, ReasonLeaving and ReasonCancelled, where waiting for this target is
 	// of no use and another should be tried at once.
 	RetryAfter time.Duration
 }
@@ -135,6 +139,8 @@
 	// ReasonResting: the target has asked for rest, and the request can't wait until its
 	// end. Other targets may take the request at once.
 	ReasonResting btrequest.Reason = "queue_target_resting"
+	// ReasonLeaving: the target has announced that it is leaving.
+	ReasonLeaving btrequest.Reason = "queue_target_leaving"
 	// ReasonCancelled: the caller gave up the request before it started.
 	ReasonCancelled btrequest.Reason = "cancelled_in_queue"
 )
--- a/core/btqueue/rest.go
+++ b/core/btqueue/rest.go
@@ -19,6 +19,15 @@
 	}
 }
 
+// leave begins the departure of the target. Queued requests are refused, so that they move
+// to other targets at once.
+func (q *Queue) leave() {
+	q.leaving = true
+	for _, i := range q.byArrival() {
+		q.drop(i, ReasonLeaving, 0)
+	}
+}
+
 // openSlots returns the number of slots that may be used now. After a rest it grows with
 // the requests that the target accepts.
 func (q *Queue) openSlots() int {
--- a/core/btqueue/rest_test.go
+++ b/core/btqueue/rest_test.go
@@ -10,6 +10,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btqueue"
+	"bilberrytide/core/btrequest"
 )
 
 // restBegin is the time at which the tests of rests begin.
@@ -93,3 +94,18 @@
 	}
 	assert.DeepEqual(t, sizes, []int{1, 2, 3, 4, 5, 6, 7, 8})
 }
+
+// Guards against requests at a target that has announced its departure, and against a
+// restarted one that gets none.
+func TestLeavingTargetStartsNothing(t *testing.T) {
+	q := newBusyQueue(t)
+	for number, e := range refused(q.Step(restBegin, btqueue.Leaving{})) {
+		assert.Equal(t, e.Reason, btqueue.ReasonLeaving, "request %d", number)
+		assert.Equal(t, e.RetryAfter, time.Duration(0))
+	}
+	assert.Equal(t, q.Load().Waiting, 0)
+	assert.Equal(t, refused(q.Step(restBegin, arrive(9, restBegin.Add(time.Minute))))[9].Reason, btrequest.Reason(btqueue.ReasonLeaving))
+	q.Step(restBegin, btqueue.Finished{ID: requestID(1), Took: time.Millisecond})
+	q.Step(restBegin, btqueue.Restarted{})
+	assert.Equal(t, startedCount(q.Step(restBegin, arrive(10, restBegin.Add(time.Minute)))), 1)
+}
--- a/io/btagent/notice.go
+++ b/io/btagent/notice.go
@@ -86,12 +86,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.elapsed()
+	if _, leaving := t.register.LeavingSince(t.instance); leaving {
+		return btqueue.ReasonLeaving, 0
+	}
 	if end, rests := t.register.RestEnd(now, t.instance); rests {
 		return btqueue.ReasonResting, end.Sub(now)
 	}
 	return "", 0
 }
 
+func (t *targetNotices) leaving() bool {
+	reason, _ := t.refuses()
+	return reason == btqueue.ReasonLeaving
+}
+
 // restart drops what the target has announced, as another start of it is expected. It
 // reports whether there was anything.
 func (t *targetNotices) restart(cause string) bool {
@@ -130,6 +138,10 @@
 	if !c.RestUntil.IsZero() {
 		queue.loop.Post(btqueue.Rest{Until: c.RestUntil})
 	}
+	if c.Leaving {
+		queue.loop.Post(btqueue.Leaving{})
+		a.heartbeat.trigger()
+	}
 }
 
 // resetNotices drops what an earlier start of the target has announced. Connections to it
--- a/io/btagent/report.go
+++ b/io/btagent/report.go
@@ -18,7 +18,7 @@
 	}
 	report.ExpertLoad, report.StepTime = a.group.RankLoad()
 	a.engine.addTo(&report)
-	report.Draining = report.Draining || a.heartbeat.hostStatus.leaving()
+	report.Draining = report.Draining || a.heartbeat.hostStatus.leaving() || a.notices.leaving()
 	return report
 }
 
--- a/io/btentry/notice_test.go
+++ b/io/btentry/notice_test.go
@@ -1,7 +1,10 @@
 package btentry_test
 
 import (
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"bilberrytide/core/btbundle"
+	"bilberrytide/core/btid"
 	"bilberrytide/io/btstandin"
 )
 
@@ -123,3 +127,43 @@
 		assert.Equal(t, r.StatusCode, http.StatusOK, r.body)
 	})
 }
+
+// Guards against a target that stays out of use after it has left and started again.
+func TestRestartedTargetIsUsedAgain(t *testing.T) {
+	const address = "127.0.0.14:0"
+	listen := func(address string, h http.Handler) *httptest.Server {
+		listener, err := net.Listen("tcp", address)
+		assert.NilError(t, err)
+		server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: h}}
+		server.Start()
+		t.Cleanup(server.Close)
+		return server
+	}
+	leaving := newPlain(t, "p1")
+	server := listen(address, leaving)
+	endpoint := netip.MustParseAddrPort(server.Listener.Addr().String())
+	w := newSystem(t, []testTarget{{name: "p1", service: plain, handler: leaving, slots: 4}}, func(b *btbundle.Bundle) { b.Targets[0].Endpoint = endpoint })
+	assert.NilError(t, leaving.SetFault(btstandin.TargetFault{Leaving: true}))
+	call := func() int { return w.do(http.MethodPost, "/services/pages/x", "").StatusCode }
+	assert.Equal(t, call(), http.StatusOK)
+	w.await(func() bool { return call() == http.StatusServiceUnavailable })
+	before := leaving.Executions().Total
+	// The listener closes first; the process still answers on open connections.
+	assert.NilError(t, server.Listener.Close())
+	w.await(func() bool { return !w.draining("p1") })
+	assert.Assert(t, call() != http.StatusOK)
+	assert.Equal(t, leaving.Executions().Total, before)
+	server.Close()
+	listen(endpoint.String(), newPlain(t, "p1"))
+	w.await(func() bool { return call() == http.StatusOK })
+}
+
+// draining reports whether the target's last load report said that it takes no requests.
+func (w *system) draining(name btid.Target) bool {
+	for _, t := range w.entry.Status().Targets {
+		if t.Target == name {
+			return t.Draining
+		}
+	}
+	return false
+}
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -150,7 +150,7 @@
 // requests at present, so that nothing was sent to it.
 func targetUnavailable(a attemptResult) bool {
 	switch a.reason {
-	case btqueue.ReasonDraining, btqueue.ReasonRateLimited, btqueue.ReasonResting:
+	case btqueue.ReasonDraining, btqueue.ReasonRateLimited, btqueue.ReasonResting, btqueue.ReasonLeaving:
 		return true
 	}
 	return false
