btrank: hold calls to an engine back while it rests

Cause: an engine that answers a report or an order with 503 and Retry-After was asked again 40 ms later; the answers to such calls were read for their status and body alone.

Change: a rest in the answer to a call of an agent, or of a lead to an engine whose agent is silent, holds all calls of that process to that engine back until its end; an order that is held back counts as one of unknown end, as before. A departure and a malformed rest are logged once. A rest that an engine asks of an entry doesn't concern calls: the rank takes no requests while its group runs on.

Ruled out: exempting orders that end a pause of the group: an engine that refuses all calls wouldn't carry them out.

--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -101,8 +101,10 @@
 func New(o Options) *Agent {
 	calls := btcall.NewClient()
 	refusals, remote := newRefusalLogger(o), o.Remote
-	o.Engine = loggedEngine{Engine: o.Engine, refusals: refusals}
-	o.Remote = func(at netip.AddrPort) Engine { return loggedEngine{Engine: remote(at), refusals: refusals} }
+	o.Engine = loggedEngine{Engine: newNoticedEngine(o.Engine, o), refusals: refusals}
+	o.Remote = func(at netip.AddrPort) Engine {
+		return loggedEngine{Engine: newNoticedEngine(remote(at), o), refusals: refusals}
+	}
 	a := &Agent{
 		options: o,
 		log:     o.Log,
--- a/io/btrank/engine.go
+++ b/io/btrank/engine.go
@@ -19,6 +19,7 @@
 
 	"bilberrytide/core/btexpert"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btround"
 )
 
@@ -61,6 +62,9 @@
 	// Order sends the command's order. With OrderRefused the error gives the reason; any
 	// other error means that the order may still be carried out at any later time.
 	Order(ctx context.Context, c btround.Command) (OrderAnswer, error)
+	// OnNotice sets a function that is called for each answer that announces something
+	// about the engine. It is called once, before any other method.
+	OnNotice(notify func(status int, n btnotice.Notice))
 	Close()
 }
 
--- a/io/btrank/export_test.go
+++ b/io/btrank/export_test.go
@@ -7,3 +7,6 @@
 func LogRefusals(o Options, e Engine) Engine {
 	return loggedEngine{Engine: e, refusals: newRefusalLogger(o)}
 }
+
+// NewNoticedEngine wraps an engine as New does.
+var NewNoticedEngine = newNoticedEngine
