btdirect: treat a service whose ranks all rest as resting, not as broken

Callers were told group_broken with a Retry-After of a third of their time, or no_target, where all ranks of a group had asked for rest.

Cause: a rank that rests can't probe its group, so that a group that the list had shown as broken stayed so; and a target that a request had tried was left out of those that rest.

Change: if only rests keep requests from probing, they wait for the first end like any others; a target that was tried and rests counts as resting.

Tests: requests wait for rests that end in time, one that waits for a rate is held back, a group runs on while one rank rests, malformed values leave a target in use, other entries don't learn of a rest.

--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -119,12 +119,13 @@
 
 // groupUsable reports whether the service has a target whose group isn't broken, and
 // returns a broken group that is due for a probe, if any. If no group is marked broken,
-// the result is true, even without targets. A rank that rests doesn't probe its group.
-// f.mu must be held.
+// the result is true, even without targets. A rank that rests doesn't probe its group; if
+// all rest, requests wait for the end of a rest rather than for a group. f.mu must be held.
 func (f *fleet) groupUsable(s *service, now time.Time) (usable bool, probe *brokenGroup) {
 	if len(s.broken) == 0 {
 		return true, nil
 	}
+	resting, waiting := false, false
 	for _, t := range s.targets {
 		if t.state != btinventory.Ready || f.hasLeft(t, now) {
 			continue
@@ -133,11 +134,15 @@
 		switch {
 		case !broken || t.info.Member == nil:
 			return true, nil
-		case !now.Before(g.nextProbe) && !f.rests(t, now):
+		case f.rests(t, now):
+			resting = true
+		case !now.Before(g.nextProbe):
 			probe = g
+		default:
+			waiting = true
 		}
 	}
-	return false, probe
+	return resting && !waiting, probe
 }
 
 // groupsAbsent reports whether requests should not wait for the service: every group is
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -86,7 +86,7 @@
 func (f *fleet) candidates(s *service, tried map[btinventory.Instance]bool, now time.Time) candidates {
 	c := candidates{rateLimited: make(map[*target]bool, f.rates.ActiveLimits())}
 	for _, t := range s.targets {
-		if t.state != btinventory.Ready || tried[t.info.Instance()] || now.Before(t.replacedUntil) {
+		if t.state != btinventory.Ready || now.Before(t.replacedUntil) {
 			continue
 		}
 		leavingEnd, leaving := f.leavingEnd(t)
@@ -100,6 +100,9 @@
 			c.resting = append(c.resting, skippedTarget{instance: t.info.Instance(), end: end})
 			continue
 		}
+		if tried[t.info.Instance()] {
+			continue
+		}
 		// The rate that an overloaded target advertises is for all entries together.
 		// Entries that each sent that much would overload it further.
 		if f.rates.Limit(t.info.Instance()).Active {
