--- a/commands/btwhycmd/btwhycmd_test.go
+++ b/commands/btwhycmd/btwhycmd_test.go
@@ -61,3 +61,19 @@
 	assert.Equal(t, strings.Count(out, "\n"), 2)
 	assert.Assert(t, !strings.Contains(out, "r-3"))
 }
+
+// Guards against an operator who can't learn which targets a request skipped and until
+// when: the request's line names them, and the lines of their rests come before it.
+func TestWhyShowsRestsOfSkippedTargets(t *testing.T) {
+	const rests = `{"msg":"target rests","process":"edge-1","target":"i-1","service":"s","for_ms":3000,"evidence":"r-0"}
+{"msg":"target leaving","process":"edge-1","target":"i-2","service":"s","served_for_ms":2000,"evidence":"r-0"}
+{"msg":"request refused","process":"edge-1","request":"r-1","service":"s","reason":"target_resting","resting":["i-1 1.2s"],"resting_count":1,"leaving":["i-2 0s"],"leaving_count":1}
+`
+	file := filepath.Join(t.TempDir(), "edge.log")
+	assert.NilError(t, os.WriteFile(file, []byte(rests), 0o600))
+	out, err := run(t, "r-1", file)
+	assert.NilError(t, err)
+	for _, want := range []string{`"msg":"target rests"`, `"msg":"target leaving"`, `"resting":["i-1 1.2s"]`, `"leaving":["i-2 0s"]`} {
+		assert.Assert(t, strings.Contains(out, want), "%s is missing in:\n%s", want, out)
+	}
+}
