--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,8 @@
 if [ -s KNOWN-RED.txt ]; then
 	echo "known red, passed over:"
 	cat KNOWN-RED.txt
-	names=$(cut -d, -f1 KNOWN-RED.txt | paste -sd'|')
-	skip=(-skip "^($names)\$")
+	# A subtest is named TEST/SUBTEST; each part of a name is matched as a whole.
+	names=$(cut -d, -f1 KNOWN-RED.txt | sed 's|/|$/^|g; s|.*|^&$|' | paste -sd'|')
+	skip=(-skip "$names")
 fi
 exec go test -race -count=1 "${skip[@]}" ./...
