btdirect, btagent, btrank: say that requests and calls are withheld

Change: what isn't sent because of an announcement is withheld, in identifiers and in the new metrics target_notices.withheld and engine_rests.withheld. No behaviour changes.

Ruled out: renaming the log lines, which operators search for.

--- a/core/btgate/pause_test.go
+++ b/core/btgate/pause_test.go
@@ -27,7 +27,7 @@
 	assert.Assert(t, g.Enqueue(now, request(1500*time.Millisecond, 5), "later") != nil)
 	assert.Assert(t, g.Enqueue(now, request(1500*time.Millisecond, 1), "urgent") != nil)
 	assert.Equal(t, len(g.Resume(now.Add(900*time.Millisecond))), 0)
-	assert.Assert(t, g.RetryAfter(now, time.Minute) > time.Second, "a caller is told to retry in the pause")
+	assert.Assert(t, g.RetryAfter(now, time.Minute) > time.Second, "the retry time is within the pause")
 	var admitted []string
 	for _, w := range g.Resume(end) {
 		admitted = append(admitted, w.Value)
--- a/io/btagent/notice.go
+++ b/io/btagent/notice.go
@@ -115,18 +115,18 @@
 	return leaving || rests
 }
 
-// heldBackError means that a request was not sent because of what the target has
+// withheldError means that a request was not sent because of what the target has
 // announced. It wraps bttarget.ErrNotSent.
-type heldBackError struct {
+type withheldError struct {
 	reason     btrequest.Reason
 	retryAfter time.Duration
 }
 
 // Error returns the reason.
-func (e *heldBackError) Error() string { return fmt.Sprintf("%v: %s", bttarget.ErrNotSent, e.reason) }
+func (e *withheldError) Error() string { return fmt.Sprintf("%v: %s", bttarget.ErrNotSent, e.reason) }
 
 // Unwrap returns bttarget.ErrNotSent.
-func (e *heldBackError) Unwrap() error { return bttarget.ErrNotSent }
+func (e *withheldError) Unwrap() error { return bttarget.ErrNotSent }
 
 // observeNotice applies what an answer of the target announces to the queue.
 func (a *Agent) observeNotice(status int, n btnotice.Notice) {
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -148,9 +148,9 @@
 	ctx, cancel := context.WithTimeout(ctx, v.remaining())
 	defer cancel()
 	response, err := v.callTarget(ctx)
-	var held *heldBackError
-	if errors.As(err, &held) {
-		return v.refuse(btrequest.NotRun, held.reason, held.retryAfter, nil)
+	var withheld *withheldError
+	if errors.As(err, &withheld) {
+		return v.refuse(btrequest.NotRun, withheld.reason, withheld.retryAfter, nil)
 	}
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
 		return v.refuse(btrequest.NotRun, ReasonTargetUnreachable, 0, nil)
@@ -164,11 +164,11 @@
 }
 
 // callTarget sends the request to the target and handles the rate that the answer
-// advertises. The error is a *heldBackError if the target has asked for rest, or announced
+// advertises. The error is a *withheldError if the target has asked for rest, or announced
 // its departure, since the request got its slot.
 func (v *attempt) callTarget(ctx context.Context) (*bttarget.Response, error) {
 	if reason, after := v.agent.notices.refuses(); reason != "" {
-		return nil, &heldBackError{reason: reason, retryAfter: after}
+		return nil, &withheldError{reason: reason, retryAfter: after}
 	}
 	sentAt := v.agent.options.Elapsed()
 	response, err := v.deps.client.Do(ctx, v.targetRequest())
@@ -188,9 +188,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), v.remaining())
 	defer cancel()
 	response, err := v.callTarget(ctx)
-	var held *heldBackError
-	if errors.As(err, &held) {
-		return v.answerLedger(v.deps.ledger.handle(btclaim.RunNotSent{Grant: *v.grant, Reason: held.reason}))
+	var withheld *withheldError
+	if errors.As(err, &withheld) {
+		return v.answerLedger(v.deps.ledger.handle(btclaim.RunNotSent{Grant: *v.grant, Reason: withheld.reason}))
 	}
 	if errors.Is(err, bttarget.ErrNotSent) || errors.Is(err, bttarget.ErrRequest) {
 		return v.answerLedger(v.deps.ledger.handle(btclaim.RunNotSent{Grant: *v.grant, Reason: ReasonTargetUnreachable}))
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -41,8 +41,8 @@
 	began, crashed bool
 }
 
-// heldBack reports that nothing was sent because of what the target has announced.
-func (r attemptResult) heldBack() bool {
+// withheld reports that nothing was sent because of what the target has announced.
+func (r attemptResult) withheld() bool {
 	return r.reason == ReasonTargetResting || r.reason == ReasonTargetLeaving
 }
 
@@ -60,7 +60,7 @@
 // attempt sends the request to one target and relays the answer.
 func (x *exchange) attempt(ctx context.Context, t *target) attemptResult {
 	e := x.entry
-	if result, held := x.holdBack(t); held {
+	if result, withheld := x.withhold(t); withheld {
 		return result
 	}
 	tokens := &promptTokens{fleet: e.fleet, target: t, count: x.info.PromptTokens}
@@ -300,7 +300,7 @@
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
 	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
-	case result.heldBack():
+	case result.withheld():
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
 	default:
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -316,7 +316,7 @@
 		if x.notRunAttempts >= maxNotRunAttempts {
 			return result.reason
 		}
-		if result.reason == ReasonNotSent || result.heldBack() {
+		if result.reason == ReasonNotSent || result.withheld() {
 			return ""
 		}
 	} else if !x.route.Repeatable() {
--- a/io/btdirect/skipped.go
+++ b/io/btdirect/skipped.go
@@ -9,11 +9,11 @@
 
 const (
 	// metricRestsSkipped and metricLeavingSkipped count how often targets were skipped
-	// because they rest or are leaving, metricHeldBack the requests that were not sent to a
+	// because they rest or are leaving, metricWithheld the requests that were not sent to a
 	// chosen target because of what it had announced since.
 	metricRestsSkipped   = "target_rests.skipped"
 	metricLeavingSkipped = "target_leaving.skipped"
-	metricHeldBack       = "target_notices.held_back"
+	metricWithheld       = "target_notices.withheld"
 	// maxSkippedShown bounds the skipped targets of a kind in a log line.
 	maxSkippedShown = 4
 )
@@ -65,15 +65,15 @@
 	return leaving && !now.Before(end)
 }
 
-// holdBack reports whether the target has begun to rest or stopped serving since it was
+// withhold reports whether the target has begun to rest or stopped serving since it was
 // chosen, and returns the result of the attempt in that case. Nothing is sent.
-func (x *exchange) holdBack(t *target) (attemptResult, bool) {
+func (x *exchange) withhold(t *target) (attemptResult, bool) {
 	e := x.entry
 	reason, end := e.fleet.refusesNow(t)
 	if reason == "" {
 		return attemptResult{}, false
 	}
-	e.meter.Counter(metricHeldBack).Inc(1)
+	e.meter.Counter(metricWithheld).Inc(1)
 	e.fleet.unassign(t, x.info.PromptTokens)
 	skipped := []skippedTarget{{instance: t.info.Instance(), end: end}}
 	if reason == ReasonTargetResting {
--- a/io/btentry/notice_test.go
+++ b/io/btentry/notice_test.go
@@ -88,7 +88,7 @@
 }
 
 // Guards against requests that are refused although all targets' rests end within the
-// time that they would wait, and against callers that are told to retry at another time.
+// time that they would wait, and against callers that get another Retry-After.
 func TestRequestsWaitForRestsThatEndInTime(t *testing.T) {
 	forEachKey(t, func(t *testing.T, keyed bool) {
 		const rest = time.Second
--- a/io/btrank/notice.go
+++ b/io/btrank/notice.go
@@ -17,10 +17,10 @@
 // ErrResting means that a call was not sent because the engine has asked for rest.
 var ErrResting = errors.New("engine has asked for rest")
 
-// metricCallsHeldBack counts the calls that were not sent because the engine rests.
-const metricCallsHeldBack = "engine_rests.held_back"
+// metricCallsWithheld counts the calls that were not sent because the engine rests.
+const metricCallsWithheld = "engine_rests.withheld"
 
-// noticedEngine holds calls back while the engine rests. Only answers to such calls count:
+// noticedEngine withholds calls while the engine rests. Only answers to such calls count:
 // a rest that an engine asks of a host that sends it requests leaves the group's rounds
 // alone.
 type noticedEngine struct {
@@ -61,12 +61,12 @@
 	}
 }
 
-// held returns an error that wraps ErrResting while the engine rests.
-func (e *noticedEngine) held() error {
+// checkRest returns an error that wraps ErrResting while the engine rests.
+func (e *noticedEngine) checkRest() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if left := e.restEnd.Sub(e.clock()); left > 0 {
-		e.meter.Counter(metricCallsHeldBack).Inc(1)
+		e.meter.Counter(metricCallsWithheld).Inc(1)
 		return fmt.Errorf("%w for %s more", ErrResting, left)
 	}
 	return nil
@@ -74,7 +74,7 @@
 
 // Report reads the engine's state.
 func (e *noticedEngine) Report(ctx context.Context) (btround.State, error) {
-	if err := e.held(); err != nil {
+	if err := e.checkRest(); err != nil {
 		return btround.State{}, err
 	}
 	return e.Engine.Report(ctx)
@@ -82,7 +82,7 @@
 
 // Counts reads the engine's expert counts.
 func (e *noticedEngine) Counts(ctx context.Context) (Counts, error) {
-	if err := e.held(); err != nil {
+	if err := e.checkRest(); err != nil {
 		return Counts{}, err
 	}
 	return e.Engine.Counts(ctx)
@@ -90,7 +90,7 @@
 
 // Held reads the experts that the rank holds.
 func (e *noticedEngine) Held(ctx context.Context) (Held, error) {
-	if err := e.held(); err != nil {
+	if err := e.checkRest(); err != nil {
 		return Held{}, err
 	}
 	return e.Engine.Held(ctx)
@@ -98,7 +98,7 @@
 
 // Order sends the command's order.
 func (e *noticedEngine) Order(ctx context.Context, c btround.Command) (OrderAnswer, error) {
-	if err := e.held(); err != nil {
+	if err := e.checkRest(); err != nil {
 		return "", err
 	}
 	return e.Engine.Order(ctx, c)
