btpick, btdirect: decide in one place whether a target may be sent a request

Cause: pick, the last check before a send, the gate's count of slots and the probes of groups each evaluated rests, departures and the record's state by themselves; candidates kept eight lists over all targets of a service.

Change: core/btpick holds the restrictions that exclude a target and the order of preference; btdirect reads both through fleet.exclusion and fleet.preference. candidates keeps the best targets only. A target that is no longer listed as ready, or whose address another one has, is now also withheld at the last check, and is not counted in a service's slots.

Ruled out: advertised rates as a restriction. They delay a request and don't exclude the target.

Measured: the tests of rests and departures pass unchanged (go test ./platform -run 'Rest|Leav|Announce|Target|Surge', 84 s).

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -24,6 +24,8 @@
 	// notRun reports that the target did not run the request: it said so, or nothing
 	// was sent.
 	notRun bool
+	// withheld reports that nothing was sent because the target had become excluded.
+	withheld bool
 	// rests reports that the target refused the request and asked for rest.
 	rests bool
 	// moved reports that the stream moved away from its target. The move has been taken
@@ -41,11 +43,6 @@
 	began, crashed bool
 }
 
-// withheld reports that nothing was sent because of what the target has announced.
-func (r attemptResult) withheld() bool {
-	return r.reason == ReasonTargetResting || r.reason == ReasonTargetLeaving
-}
-
 // bufferedAnswer is a target's complete answer, not yet relayed.
 type bufferedAnswer struct {
 	status int
@@ -300,7 +297,7 @@
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
 	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
-	case result.withheld():
+	case result.withheld:
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
 	default:
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -5,6 +5,7 @@
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btpick"
 )
 
 // probeInterval is how often one request is sent to a broken group, to find out whether
@@ -127,14 +128,15 @@
 	}
 	resting, waiting := false, false
 	for _, t := range s.targets {
-		if t.state != btinventory.Ready || f.hasLeft(t, now) {
+		exclusion, _ := f.exclusion(t, now)
+		if exclusion != "" && exclusion != btpick.Resting {
 			continue
 		}
 		g, broken := s.broken[t.groupName()]
 		switch {
 		case !broken || t.info.Member == nil:
 			return true, nil
-		case f.rests(t, now):
+		case exclusion == btpick.Resting:
 			resting = true
 		case !now.Before(g.nextProbe):
 			probe = g
--- a/io/btdirect/capacity.go
+++ b/io/btdirect/capacity.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bilberrytide/core/btid"
-	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btpick"
 )
 
 // capacity is how many requests a service's targets take.
@@ -34,21 +34,20 @@
 	var c, resting, leaving capacity
 	var ends []skippedTarget
 	for _, t := range f.service(name).targets {
-		if t.state != btinventory.Ready {
-			continue
-		}
-		end, isLeaving := f.leavingEnd(t)
-		if isLeaving && !now.Before(end) {
-			c.left++
+		exclusion, end := f.exclusion(t, now)
+		if exclusion != "" && exclusion != btpick.Resting {
+			if exclusion == btpick.Leaving {
+				c.left++
+			}
 			continue
 		}
 		slots := t.slots
 		if window, limited := f.notices.Window(t.info.Instance()); limited {
 			slots = min(slots, window+int(t.otherRequests(now)))
 		}
-		end, rests := f.notices.RestEnd(now, t.info.Instance())
+		_, isLeaving := f.leavingEnd(t)
 		switch {
-		case rests:
+		case exclusion == btpick.Resting:
 			ends = append(ends, skippedTarget{end: end})
 			resting.add(slots)
 			c.slots += min(t.slots, t.requests+int(t.otherRequests(now)))
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -15,6 +15,7 @@
 	"bilberrytide/core/btgate"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btpick"
 	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btstop"
@@ -61,9 +62,8 @@
 	withdrawn atomic.Bool
 	// partlySent is set once a part of a streamed answer has been sent.
 	partlySent atomic.Bool
-	// resting and leaving hold the targets that were skipped last because they rest or are
-	// leaving.
-	resting, leaving []skippedTarget
+	// skipped holds the targets that were skipped last because of what they announced.
+	skipped []skippedTarget
 	// logged reports that the request's failure has been logged.
 	logged bool
 }
@@ -219,16 +219,16 @@
 			return false
 		}
 		c := e.fleet.pick(x.service.Name, x.info.PromptTokens, x.tried, x.queueing.WaitUntil.Sub(e.options.Clock()))
-		if c.skipped > 0 {
-			e.meter.Counter(metricRatesSkipped).Inc(int64(c.skipped))
+		if c.exhausted > 0 {
+			e.meter.Counter(metricRatesSkipped).Inc(int64(c.exhausted))
 		}
-		x.noteSkipped(c.resting, c.leaving)
+		x.noteSkipped(c.skipped)
 		if c.target == nil && c.wait > 0 {
 			x.endUnserved(ReasonTargetLimited, min(c.wait, x.defaultRetryAfter()))
 			return false
 		}
-		if c.target == nil && len(c.resting) > 0 {
-			return x.endOrAwaitRest(c.resting)
+		if resting := withExclusion(c.skipped, btpick.Resting); c.target == nil && len(resting) > 0 {
+			return x.endOrAwaitRest(resting)
 		}
 		if c.target == nil {
 			x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: noTargetReason(c), retryAfter: x.defaultRetryAfter()})
@@ -258,7 +258,7 @@
 
 // noTargetReason returns the reason for which no target was chosen.
 func noTargetReason(c choice) btrequest.Reason {
-	if len(c.leaving) > 0 {
+	if len(withExclusion(c.skipped, btpick.Leaving)) > 0 {
 		return ReasonTargetLeaving
 	}
 	return ReasonNoTarget
@@ -316,7 +316,7 @@
 		if x.notRunAttempts >= maxNotRunAttempts {
 			return result.reason
 		}
-		if result.reason == ReasonNotSent || result.withheld() {
+		if result.reason == ReasonNotSent || result.withheld {
 			return ""
 		}
 	} else if !x.route.Repeatable() {
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -16,88 +16,84 @@
 	// advertises a rate. Without a target it is the wait until such a target may be
 	// sent a request, or zero if there is none either.
 	wait time.Duration
-	// skipped counts the targets that were skipped because their rate is used up.
-	skipped int
-	// resting holds the targets that were skipped because they rest.
-	resting []skippedTarget
-	// leaving holds the targets that were skipped because they are leaving.
-	leaving []skippedTarget
+	// exhausted counts the targets that were skipped because their rate is used up.
+	exhausted int
+	// skipped holds the targets that were skipped because of what they announced.
+	skipped []skippedTarget
 }
 
-// candidates are the targets to which a request may be sent, in order of preference.
+// candidates are the targets to which a request may be sent.
 type candidates struct {
-	usable, slow, recovering, leaving, silent, failing, broken, failingAndBroken []*target
+	// best holds the most preferred targets, which have the same preference.
+	best       []*target
+	preference btpick.Preference
 	// rateLimited holds those among them that advertise a rate.
 	rateLimited map[*target]bool
 	// exhausted holds the targets that may not be sent a request now because of their
 	// rate.
 	exhausted []*target
-	// resting holds the targets that rest, left those that have announced that they are
-	// leaving, whether they are still sent requests or not.
-	resting, left []skippedTarget
+	// skipped holds the targets that announced that they rest or are leaving, whether they
+	// are still sent requests or not.
+	skipped []skippedTarget
 }
 
-// best returns the most preferred targets that exist.
-func (c *candidates) best() []*target {
-	for _, list := range [][]*target{c.usable, c.slow, c.recovering, c.leaving, c.silent, c.failing, c.broken, c.failingAndBroken} {
-		if len(list) > 0 {
-			return list
-		}
+// add adds a target if no other one is preferred to it.
+func (c *candidates) add(t *target, p btpick.Preference) {
+	if len(c.best) > 0 && p > c.preference {
+		return
+	}
+	if p < c.preference {
+		c.best = c.best[:0]
 	}
-	return nil
+	c.best = append(c.best, t)
+	c.preference = p
 }
 
 // pick chooses a target for a request and assigns the request to it. It skips targets
-// that the request has tried, those that rest, and those that advertise a rate of which
-// this entry's share is used up. It avoids targets that are slow, have as many requests as
-// they are sent after a rest, are leaving, are silent, have failed recently, are in a broken group, or
-// both of the last two, and uses them, in this order, only if there are no others. If only rates are in the way, the request waits for the first
-// target that may be sent one, if that is within maxWait.
+// that the request has tried, those that are excluded, and those that advertise a rate of
+// which this entry's share is used up. Of the others it uses the most preferred ones. If
+// only rates are in the way, the request waits for the first target that may be sent one,
+// if that is within maxWait.
 func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool, maxWait time.Duration) choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
 	s := f.service(name)
-	sorted := f.candidates(s, tried, now)
-	list := sorted.best()
-	if len(list) == 0 {
-		c := f.pickExhausted(s, sorted.exhausted, tokens, maxWait, now)
-		c.skipped = len(sorted.exhausted)
-		c.resting, c.leaving = sorted.resting, sorted.left
+	found := f.candidates(s, tried, now)
+	if len(found.best) == 0 {
+		c := f.pickExhausted(s, found.exhausted, tokens, maxWait, now)
+		c.exhausted = len(found.exhausted)
+		c.skipped = found.skipped
 		return c
 	}
-	compared := make([]btpick.Candidate, len(list))
-	for i, t := range list {
+	compared := make([]btpick.Candidate, len(found.best))
+	for i, t := range found.best {
 		compared[i] = btpick.Candidate{
 			Requests:      t.requests,
 			PendingTokens: t.pendingTokens,
 			OtherRequests: t.otherRequests(now),
 			Local:         t.info.DataCentre == f.dataCentre,
 			Slowdown:      t.pace,
-			AlwaysCompare: sorted.rateLimited[t],
+			AlwaysCompare: found.rateLimited[t],
 		}
 	}
-	t := list[btpick.Pick(compared, rand.IntN)]
+	t := found.best[btpick.Pick(compared, rand.IntN)]
 	f.assign(s, t, tokens, now)
-	return choice{target: t, skipped: len(sorted.exhausted), resting: sorted.resting, leaving: sorted.left}
+	return choice{target: t, exhausted: len(found.exhausted), skipped: found.skipped}
 }
 
-// candidates sorts the service's targets by preference. f.mu must be held.
+// candidates returns the service's targets to which a request may be sent. f.mu must be
+// held.
 func (f *fleet) candidates(s *service, tried map[btinventory.Instance]bool, now time.Time) candidates {
 	c := candidates{rateLimited: make(map[*target]bool, f.rates.ActiveLimits())}
 	for _, t := range s.targets {
-		if t.state != btinventory.Ready || now.Before(t.replacedUntil) {
-			continue
-		}
+		exclusion, end := f.exclusion(t, now)
 		leavingEnd, leaving := f.leavingEnd(t)
-		if leaving {
-			c.left = append(c.left, skippedTarget{instance: t.info.Instance(), end: leavingEnd})
-			if !now.Before(leavingEnd) {
-				continue
-			}
+		if leaving && exclusion != btpick.Leaving {
+			c.skipped = append(c.skipped, skippedTarget{instance: t.info.Instance(), exclusion: btpick.Leaving, end: leavingEnd})
 		}
-		if end, resting := f.notices.RestEnd(now, t.info.Instance()); resting {
-			c.resting = append(c.resting, skippedTarget{instance: t.info.Instance(), end: end})
+		if exclusion != "" {
+			c.skipped = appendAnnounced(c.skipped, t, exclusion, end)
 			continue
 		}
 		if tried[t.info.Instance()] {
@@ -113,24 +109,7 @@
 			}
 			c.rateLimited[t] = true
 		}
-		switch {
-		case s.skipsGroup(t, now) && now.Before(t.suspendedUntil):
-			c.failingAndBroken = append(c.failingAndBroken, t)
-		case s.skipsGroup(t, now):
-			c.broken = append(c.broken, t)
-		case now.Before(t.suspendedUntil):
-			c.failing = append(c.failing, t)
-		case s.silent(t, now):
-			c.silent = append(c.silent, t)
-		case leaving:
-			c.leaving = append(c.leaving, t)
-		case f.windowFull(t):
-			c.recovering = append(c.recovering, t)
-		case t.skippedAsSlow(now):
-			c.slow = append(c.slow, t)
-		default:
-			c.usable = append(c.usable, t)
-		}
+		c.add(t, f.preference(s, t, leaving, now))
 	}
 	return c
 }
--- a/io/btdirect/rest.go
+++ b/io/btdirect/rest.go
@@ -10,12 +10,6 @@
 // metricRestWaits counts requests that were queued again until the end of a rest.
 const metricRestWaits = "target_rests.waits"
 
-// rests reports whether the target rests. f.mu must be held.
-func (f *fleet) rests(t *target, now time.Time) bool {
-	_, resting := f.notices.RestEnd(now, t.info.Instance())
-	return resting
-}
-
 // windowFull reports whether the target has as many of this entry's requests as it is sent
 // after a rest. f.mu must be held.
 func (f *fleet) windowFull(t *target) bool {
--- a/io/btdirect/skipped.go
+++ b/io/btdirect/skipped.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btpick"
 	"bilberrytide/core/btrequest"
 )
 
@@ -21,8 +22,28 @@
 // skippedTarget is a target that was skipped because of what it announced. The end is that
 // of its rest, or of the time for which a leaving target serves.
 type skippedTarget struct {
-	instance btinventory.Instance
-	end      time.Time
+	instance  btinventory.Instance
+	exclusion btpick.Exclusion
+	end       time.Time
+}
+
+// appendAnnounced appends a target that is excluded because of what it announced.
+func appendAnnounced(skipped []skippedTarget, t *target, e btpick.Exclusion, end time.Time) []skippedTarget {
+	if e != btpick.Leaving && e != btpick.Resting {
+		return skipped
+	}
+	return append(skipped, skippedTarget{instance: t.info.Instance(), exclusion: e, end: end})
+}
+
+// withExclusion returns the targets that were skipped for the given cause.
+func withExclusion(skipped []skippedTarget, e btpick.Exclusion) []skippedTarget {
+	var matching []skippedTarget
+	for _, t := range skipped {
+		if t.exclusion == e {
+			matching = append(matching, t)
+		}
+	}
+	return matching
 }
 
 // firstEnd returns the first end of the rests; zero without any.
@@ -36,19 +57,35 @@
 	return first
 }
 
-// refusesNow returns the reason for which the target must not be sent a request now and
-// since or until when; an empty reason if it may be.
-func (f *fleet) refusesNow(t *target) (btrequest.Reason, time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	if end, rests := f.notices.RestEnd(now, t.info.Instance()); rests {
-		return ReasonTargetResting, end
-	}
-	if end, leaving := f.leavingEnd(t); leaving && !now.Before(end) {
-		return ReasonTargetLeaving, end
+// exclusionReasons are the reasons for which requests aren't sent to excluded targets.
+var exclusionReasons = map[btpick.Exclusion]btrequest.Reason{
+	btpick.NotServing: ReasonNoTarget,
+	btpick.Leaving:    ReasonTargetLeaving,
+	btpick.Resting:    ReasonTargetResting,
+}
+
+// exclusion returns why the target must not be sent a request now; empty if it may be.
+// The time is the end of a rest, or until when a leaving target served. f.mu must be held.
+func (f *fleet) exclusion(t *target, now time.Time) (btpick.Exclusion, time.Time) {
+	r := btpick.Restrictions{Serving: t.state == btinventory.Ready && !now.Before(t.replacedUntil)}
+	r.RestEnd, _ = f.notices.RestEnd(now, t.info.Instance())
+	if end, leaving := f.leavingEnd(t); leaving {
+		r.LeavingEnd = end
 	}
-	return "", time.Time{}
+	return r.Exclusion(now)
+}
+
+// preference returns how much a target that may be sent a request is preferred. f.mu must
+// be held.
+func (f *fleet) preference(s *service, t *target, leaving bool, now time.Time) btpick.Preference {
+	return btpick.Impairments{
+		Slow:        t.skippedAsSlow(now),
+		Recovering:  f.windowFull(t),
+		Departing:   leaving,
+		Silent:      s.silent(t, now),
+		Failing:     now.Before(t.suspendedUntil),
+		GroupBroken: s.skipsGroup(t, now),
+	}.Preference()
 }
 
 // leavingEnd returns until when a target that has announced that it is leaving is sent
@@ -58,42 +95,31 @@
 	return since.Add(f.drainTime), leaving
 }
 
-// hasLeft reports whether the target is sent nothing because it is leaving. f.mu must be
-// held.
-func (f *fleet) hasLeft(t *target, now time.Time) bool {
-	end, leaving := f.leavingEnd(t)
-	return leaving && !now.Before(end)
-}
-
-// withhold reports whether the target has begun to rest or stopped serving since it was
-// chosen, and returns the result of the attempt in that case. Nothing is sent.
+// withhold reports whether the target has become excluded since it was chosen, and
+// returns the result of the attempt in that case. Nothing is sent.
 func (x *exchange) withhold(t *target) (attemptResult, bool) {
-	e := x.entry
-	reason, end := e.fleet.refusesNow(t)
-	if reason == "" {
+	f := x.entry.fleet
+	f.mu.Lock()
+	exclusion, end := f.exclusion(t, f.clock())
+	f.mu.Unlock()
+	if exclusion == "" {
 		return attemptResult{}, false
 	}
-	e.meter.Counter(metricWithheld).Inc(1)
-	e.fleet.unassign(t, x.info.PromptTokens)
-	skipped := []skippedTarget{{instance: t.info.Instance(), end: end}}
-	if reason == ReasonTargetResting {
-		x.noteSkipped(skipped, nil)
-	} else {
-		x.noteSkipped(nil, skipped)
-	}
-	return attemptResult{target: t.info.ID, reason: reason, notRun: true}, true
+	x.entry.meter.Counter(metricWithheld).Inc(1)
+	f.unassign(t, x.info.PromptTokens)
+	x.noteSkipped(appendAnnounced(nil, t, exclusion, end))
+	return attemptResult{target: t.info.ID, reason: exclusionReasons[exclusion], notRun: true, withheld: true}, true
 }
 
 // noteSkipped notes the targets that were skipped, for logs.
-func (x *exchange) noteSkipped(resting, leaving []skippedTarget) {
-	if len(resting) > 0 {
-		x.resting = resting
-		x.entry.meter.Counter(metricRestsSkipped).Inc(int64(len(resting)))
-	}
-	if len(leaving) > 0 {
-		x.leaving = leaving
-		x.entry.meter.Counter(metricLeavingSkipped).Inc(int64(len(leaving)))
+func (x *exchange) noteSkipped(skipped []skippedTarget) {
+	if len(skipped) == 0 {
+		return
 	}
+	x.skipped = skipped
+	resting := len(withExclusion(skipped, btpick.Resting))
+	x.entry.meter.Counter(metricRestsSkipped).Inc(int64(resting))
+	x.entry.meter.Counter(metricLeavingSkipped).Inc(int64(len(skipped) - resting))
 }
 
 // skippedAttributes returns the attributes of a log line about the targets that were
@@ -101,18 +127,16 @@
 func (x *exchange) skippedAttributes() []any {
 	now := x.entry.options.Clock()
 	var attributes []any
-	for _, list := range []struct {
-		name    string
-		targets []skippedTarget
-	}{{"resting", x.resting}, {"leaving", x.leaving}} {
-		if len(list.targets) == 0 {
+	for _, e := range []btpick.Exclusion{btpick.Resting, btpick.Leaving} {
+		targets := withExclusion(x.skipped, e)
+		if len(targets) == 0 {
 			continue
 		}
 		var shown []string
-		for _, t := range list.targets[:min(len(list.targets), maxSkippedShown)] {
+		for _, t := range targets[:min(len(targets), maxSkippedShown)] {
 			shown = append(shown, t.instance.String()+" "+max(t.end.Sub(now), 0).Round(time.Millisecond).String())
 		}
-		attributes = append(attributes, list.name, shown, list.name+"_count", len(list.targets))
+		attributes = append(attributes, string(e), shown, string(e)+"_count", len(targets))
 	}
 	return attributes
 }
