btdirect: send nothing to targets in drained data centres

Callers: none saw an error; the operator did.

Cause: nothing read op/evacuate/NAME.

Change: the adapter decodes the keys into drained data centres; the whole list reads them with the configuration, in the same listing. Entries pass the set on with the list that they read, under its digest. Excluded targets are skipped when a target is chosen and withheld at the last check before a send; where all are drained, requests are refused at once as data_centre_drained and don't wait for a group. Ledgers check it in tests with a fixture and in the soak, which drains a data centre now.

Ruled out: marking the records of drained targets as draining. An entry that received such a list and then became a reader would keep them until each target writes its record again, and readers drop draining records without a grace.

--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -36,6 +36,7 @@
 	rates := app.Flag("rates", "How many targets name a rate of requests, one after the other.").Default("1").Int()
 	rests := app.Flag("rests", "How often targets ask for rest.").Default("2").Int()
 	leavings := app.Flag("leavings", "How many targets announce that they are leaving.").Default("1").Int()
+	drains := app.Flag("drains", "How often the operator drains a data centre.").Default("1").Int()
 	fatal := app.Flag("fatal", "How many requests come that end the targets which run them.").Default("1").Int()
 	restarts := app.Flag("restarts", "How many targets start again under their IDs, and how many records of other writers come.").Default("3").Int()
 	logDir := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
@@ -48,7 +49,7 @@
 	for i := range *seeds {
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
-			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Restores: *copies, Restarts: *restarts,
+			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts,
 			Dir: filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
 		}
 		if !soak(o, *verbose) {
--- /dev/null
+++ b/core/btinventory/drained_test.go
@@ -0,0 +1,44 @@
+package btinventory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btid"
+	"bilberrytide/core/btinventory"
+)
+
+func ExampleDrainedDataCentres() {
+	drained := btinventory.NewDrainedDataCentres("south", "north")
+	fmt.Println(drained, drained.Contains("north"), drained.Without("north").Contains("north"))
+	// Output: [north south] true false
+}
+
+// Guards against a lookup that misses a drained data centre because the set of a peer is
+// not in order.
+func TestDrainedDataCentresValidate(t *testing.T) {
+	valid := btinventory.NewDrainedDataCentres("c", "a", "b", "a")
+	assert.NilError(t, valid.Validate())
+	assert.Equal(t, len(valid), 3)
+	for name, malformed := range map[string]btinventory.DrainedDataCentres{
+		"out of order": {"b", "a"},
+		"twice":        {"a", "a"},
+		"unnamed":      {""},
+		"too many":     make(btinventory.DrainedDataCentres, 1025),
+	} {
+		t.Run(name, func(t *testing.T) { assert.Assert(t, malformed.Validate() != nil) })
+	}
+}
+
+// Guards against a set that changes while another goroutine reads it.
+func TestDrainedDataCentresAreNotChangedInPlace(t *testing.T) {
+	before := btinventory.NewDrainedDataCentres("a", "c")
+	after := before.With("b")
+	assert.DeepEqual(t, before, btinventory.DrainedDataCentres{"a", "c"})
+	assert.DeepEqual(t, after, btinventory.DrainedDataCentres{"a", "b", "c"})
+	assert.DeepEqual(t, after.Without("a"), btinventory.DrainedDataCentres{"b", "c"})
+	assert.DeepEqual(t, after, btinventory.DrainedDataCentres{"a", "b", "c"})
+	assert.Assert(t, !before.Contains(btid.DataCentre("b")))
+}
--- a/io/btdirect/broken.go
+++ b/io/btdirect/broken.go
@@ -121,15 +121,17 @@
 // groupUsable reports whether the service has a target whose group isn't broken, and
 // returns a broken group that is due for a probe, if any. If no group is marked broken,
 // the result is true, even without targets. A rank that rests doesn't probe its group; if
-// all rest, requests wait for the end of a rest rather than for a group. f.mu must be held.
+// all rest, requests wait for the end of a rest rather than for a group, and if all are in
+// drained data centres they don't wait at all. f.mu must be held.
 func (f *fleet) groupUsable(s *service, now time.Time) (usable bool, probe *brokenGroup) {
 	if len(s.broken) == 0 {
 		return true, nil
 	}
-	resting, waiting := false, false
+	resting, drained, waiting := false, false, false
 	for _, t := range s.targets {
 		exclusion, _ := f.exclusion(t, now)
 		if exclusion != "" && exclusion != btpick.Resting {
+			drained = drained || exclusion == btpick.Drained
 			continue
 		}
 		g, broken := s.broken[t.groupName()]
@@ -144,7 +146,7 @@
 			waiting = true
 		}
 	}
-	return resting && !waiting, probe
+	return (resting || drained && probe == nil) && !waiting, probe
 }
 
 // groupsAbsent reports whether requests should not wait for the service: every group is
@@ -156,7 +158,7 @@
 	now := f.clock()
 	anyReady := false
 	for _, t := range s.targets {
-		if t.state != btinventory.Ready {
+		if !t.inUse() {
 			continue
 		}
 		anyReady = true
--- a/io/btdirect/capacity.go
+++ b/io/btdirect/capacity.go
@@ -5,6 +5,7 @@
 
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btpick"
+	"bilberrytide/core/btrequest"
 )
 
 // capacity is how many requests a service's targets take.
@@ -12,8 +13,9 @@
 	slots, targets int
 	// restEnd is the first end of a rest if all targets rest; zero otherwise.
 	restEnd time.Time
-	// left counts the targets that are sent nothing because they are leaving.
-	left int
+	// left counts the targets that are sent nothing because they are leaving, drained those
+	// in drained data centres.
+	left, drained int
 }
 
 // none reports whether no target takes requests, now or after a rest.
@@ -24,6 +26,26 @@
 	c.targets++
 }
 
+func (c *capacity) countExcluded(e btpick.Exclusion) {
+	switch e {
+	case btpick.Leaving:
+		c.left++
+	case btpick.Drained:
+		c.drained++
+	}
+}
+
+// noneReason returns why no target takes requests.
+func (c capacity) noneReason() btrequest.Reason {
+	switch {
+	case c.left > 0:
+		return ReasonTargetLeaving
+	case c.drained > 0:
+		return ReasonDataCentreDrained
+	}
+	return ReasonNoTarget
+}
+
 // capacity returns how many requests the service's targets take. A target that rests
 // counts with the requests that it has, or, if all rest, with those that it is sent at
 // the end of its rest. Leaving targets count if there are no others.
@@ -36,9 +58,7 @@
 	for _, t := range f.service(name).targets {
 		exclusion, end := f.exclusion(t, now)
 		if exclusion != "" && exclusion != btpick.Resting {
-			if exclusion == btpick.Leaving {
-				c.left++
-			}
+			c.countExcluded(exclusion)
 			continue
 		}
 		slots := t.slots
@@ -58,11 +78,11 @@
 		}
 	}
 	resting.restEnd = firstEnd(ends)
-	resting.left, leaving.left = c.left, c.left
 	for _, best := range []capacity{c, leaving, resting} {
 		if !best.none() {
+			best.left, best.drained = c.left, c.drained
 			return best
 		}
 	}
-	return capacity{left: c.left}
+	return capacity{left: c.left, drained: c.drained}
 }
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -15,7 +15,6 @@
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
-	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btstop"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -84,8 +83,8 @@
 	return e
 }
 
-func (e *Entry) configure(index *btcatalog.Index, list []btinventory.Target) {
-	for _, group := range e.fleet.configure(index, list) {
+func (e *Entry) configure(l listing) {
+	for _, group := range e.fleet.configure(l) {
 		e.log.Warn("group broken", "service", group.Service, "group", group.Name, "evidence", "list")
 	}
 }
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -62,7 +62,7 @@
 	withdrawn atomic.Bool
 	// partlySent is set once a part of a streamed answer has been sent.
 	partlySent atomic.Bool
-	// skipped holds the targets that were skipped last because of what they announced.
+	// skipped holds the targets that were skipped last though they are listed as ready.
 	skipped []skippedTarget
 	// logged reports that the request's failure has been logged.
 	logged bool
@@ -258,8 +258,10 @@
 
 // noTargetReason returns the reason for which no target was chosen.
 func noTargetReason(c choice) btrequest.Reason {
-	if len(withExclusion(c.skipped, btpick.Leaving)) > 0 {
-		return ReasonTargetLeaving
+	for _, e := range []btpick.Exclusion{btpick.Leaving, btpick.Drained} {
+		if len(withExclusion(c.skipped, e)) > 0 {
+			return exclusionReasons[e]
+		}
 	}
 	return ReasonNoTarget
 }
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btnotice"
@@ -39,7 +38,9 @@
 	// pooled reuses connections; unpooled opens one for each request.
 	pooled, unpooled *bttarget.Client
 	// The fields below are guarded by the fleet's mutex.
-	state    btinventory.State
+	state btinventory.State
+	// drained reports that the target's data centre is drained.
+	drained  bool
 	slots    int
 	requests int
 	// pendingTokens counts the prompt tokens that the target has not read yet.
@@ -68,6 +69,10 @@
 	moves map[*move]struct{}
 }
 
+// inUse reports whether the target is listed as ready, in a data centre that is not
+// drained.
+func (t *target) inUse() bool { return t.state == btinventory.Ready && !t.drained }
+
 // loadTTL is how long a lead's report of a target's load is used. The lead sends one
 // several times a second.
 const loadTTL = time.Second
@@ -145,9 +150,10 @@
 
 // configure applies a list of targets. It returns the groups that are newly marked as
 // broken because the records of their ranks say so.
-func (f *fleet) configure(_ *btcatalog.Index, list []btinventory.Target) []btinventory.Group {
+func (f *fleet) configure(l listing) []btinventory.Group {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	list := l.targets
 	f.completeness.Update(f.clock(), list)
 	listed := make(map[btinventory.Instance]bool, len(list))
 	for _, s := range f.services {
@@ -156,6 +162,7 @@
 	for _, info := range list {
 		listed[info.Instance()] = true
 		t := f.target(info)
+		t.drained = l.drained.Contains(info.DataCentre)
 		s := f.service(info.Service)
 		s.targets = append(s.targets, t)
 	}
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bilberrytide/core/btid"
-	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btquiet"
 	"bilberrytide/core/btrequest"
 )
@@ -210,7 +209,7 @@
 	now := f.clock()
 	ready, reported, sum := 0, 0, 0
 	for _, t := range f.service(name).targets {
-		if t.state != btinventory.Ready {
+		if !t.inUse() {
 			continue
 		}
 		ready++
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -30,12 +30,12 @@
 	return sc.listDigest()
 }
 
-// listDigest returns the digest of the cached targets, computed once per change: for
+// listDigest returns the digest of the cached list, computed once per change: for
 // 192 targets it takes a third of a millisecond, and other entries ask for it a hundred
 // times a second. sc.mu must be held.
 func (sc *sourceCache) listDigest() uint64 {
 	if !sc.digestValid {
-		sc.targetsDigest = targetsDigest(sc.register.Targets())
+		sc.targetsDigest = digestOf(sc.register.Targets(), sc.drained)
 		sc.digestValid = true
 	}
 	return sc.targetsDigest
@@ -86,13 +86,20 @@
 	clear(sc.rosters)
 }
 
-func targetsDigest(list []btinventory.Target) uint64 {
+// digestOf returns the digest of a list of targets and the drained data centres.
+func digestOf(list []btinventory.Target, drained btinventory.DrainedDataCentres) uint64 {
 	data, err := btwire.Encode(btinventory.Roster{Targets: list})
 	if err != nil {
 		// A list that can't be encoded equals no other.
 		return 0
 	}
-	return xxhash.Sum64(data)
+	digest := xxhash.New()
+	// Writing to a digest never fails.
+	_, _ = digest.Write(data)
+	for _, c := range drained {
+		_, _ = digest.WriteString(string(c) + "\n")
+	}
+	return digest.Sum64()
 }
 
 // ownList returns the list for an entry that has the targets of the given digest, if
@@ -110,6 +117,7 @@
 		return l
 	}
 	l.Targets = sc.register.Targets()
+	l.Drained = sc.drained
 	return l
 }
 
@@ -136,7 +144,8 @@
 	for _, c := range changes {
 		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", l.Position.String(), "from", from, "age_ms", now.Sub(readAt).Milliseconds())
 	}
-	if len(changes) > 0 {
+	drainsChanged := sc.setDrained(l.Drained, l.Position, from.String())
+	if drainsChanged || len(changes) > 0 {
 		sc.publish()
 	}
 }
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -156,6 +156,8 @@
 	// Targets is omitted if the asking entry has the same ones, which Same reports.
 	Targets []btinventory.Target `cbor:"targets,omitempty"`
 	Same    bool                 `cbor:"same,omitempty"`
+	// Drained are the drained data centres; omitted with Targets.
+	Drained btinventory.DrainedDataCentres `cbor:"drained,omitempty"`
 }
 
 // Validate returns an error if there are too many entries or a field is out of range.
@@ -180,6 +182,9 @@
 	if r.List.Age < 0 {
 		return fmt.Errorf("welcome with a list read in %s", -r.List.Age)
 	}
+	if err := r.List.Drained.Validate(); err != nil {
+		return err
+	}
 	for _, t := range r.List.Targets {
 		if err := t.Validate(); err != nil {
 			return err
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -18,7 +18,7 @@
 	wait time.Duration
 	// exhausted counts the targets that were skipped because their rate is used up.
 	exhausted int
-	// skipped holds the targets that were skipped because of what they announced.
+	// skipped holds the targets that were skipped though they are listed as ready.
 	skipped []skippedTarget
 }
 
@@ -32,8 +32,8 @@
 	// exhausted holds the targets that may not be sent a request now because of their
 	// rate.
 	exhausted []*target
-	// skipped holds the targets that announced that they rest or are leaving, whether they
-	// are still sent requests or not.
+	// skipped holds the targets that are excluded though they are listed as ready, and those
+	// that are leaving and still serve.
 	skipped []skippedTarget
 }
 
@@ -93,7 +93,7 @@
 			c.skipped = append(c.skipped, skippedTarget{instance: t.info.Instance(), exclusion: btpick.Leaving, end: leavingEnd})
 		}
 		if exclusion != "" {
-			c.skipped = appendAnnounced(c.skipped, t, exclusion, end)
+			c.skipped = appendSkipped(c.skipped, t, exclusion, end)
 			continue
 		}
 		if tried[t.info.Instance()] {
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -37,6 +37,9 @@
 	// ReasonTargetLeaving: all targets that are left have announced that they are leaving,
 	// and no longer serve.
 	ReasonTargetLeaving btrequest.Reason = "target_leaving"
+	// ReasonDataCentreDrained: all targets that are left are in data centres that the
+	// operator has drained.
+	ReasonDataCentreDrained btrequest.Reason = "data_centre_drained"
 	// ReasonNotSent: no connection to the target could be opened.
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target says that it did not run the request.
--- a/io/btdirect/skipped.go
+++ b/io/btdirect/skipped.go
@@ -9,27 +9,36 @@
 )
 
 const (
-	// metricRestsSkipped and metricLeavingSkipped count how often targets were skipped
-	// because they rest or are leaving, metricWithheld the requests that were not sent to a
-	// chosen target because of what it had announced since.
+	// metricRestsSkipped, metricLeavingSkipped and metricDrainedSkipped count how often
+	// targets were skipped because they rest, are leaving or are in a drained data centre,
+	// metricWithheld the requests that were not sent to a chosen target because it had
+	// become excluded since.
 	metricRestsSkipped   = "target_rests.skipped"
 	metricLeavingSkipped = "target_leaving.skipped"
+	metricDrainedSkipped = "target_drained.skipped"
 	metricWithheld       = "target_notices.withheld"
 	// maxSkippedShown bounds the skipped targets of a kind in a log line.
 	maxSkippedShown = 4
 )
 
-// skippedTarget is a target that was skipped because of what it announced. The end is that
-// of its rest, or of the time for which a leaving target serves.
+// skippedMetrics are the counters of skipped targets by cause.
+var skippedMetrics = map[btpick.Exclusion]string{
+	btpick.Resting: metricRestsSkipped,
+	btpick.Leaving: metricLeavingSkipped,
+	btpick.Drained: metricDrainedSkipped,
+}
+
+// skippedTarget is a target that was skipped though it is listed as ready. The end is that
+// of its rest, or of the time for which a leaving target serves; zero for a drained one.
 type skippedTarget struct {
 	instance  btinventory.Instance
 	exclusion btpick.Exclusion
 	end       time.Time
 }
 
-// appendAnnounced appends a target that is excluded because of what it announced.
-func appendAnnounced(skipped []skippedTarget, t *target, e btpick.Exclusion, end time.Time) []skippedTarget {
-	if e != btpick.Leaving && e != btpick.Resting {
+// appendSkipped appends a target that is excluded though it is listed as ready.
+func appendSkipped(skipped []skippedTarget, t *target, e btpick.Exclusion, end time.Time) []skippedTarget {
+	if e == btpick.NotServing {
 		return skipped
 	}
 	return append(skipped, skippedTarget{instance: t.info.Instance(), exclusion: e, end: end})
@@ -60,6 +69,7 @@
 // exclusionReasons are the reasons for which requests aren't sent to excluded targets.
 var exclusionReasons = map[btpick.Exclusion]btrequest.Reason{
 	btpick.NotServing: ReasonNoTarget,
+	btpick.Drained:    ReasonDataCentreDrained,
 	btpick.Leaving:    ReasonTargetLeaving,
 	btpick.Resting:    ReasonTargetResting,
 }
@@ -67,7 +77,7 @@
 // exclusion returns why the target must not be sent a request now; empty if it may be.
 // The time is the end of a rest, or until when a leaving target served. f.mu must be held.
 func (f *fleet) exclusion(t *target, now time.Time) (btpick.Exclusion, time.Time) {
-	r := btpick.Restrictions{Serving: t.state == btinventory.Ready && !now.Before(t.replacedUntil)}
+	r := btpick.Restrictions{Serving: t.state == btinventory.Ready && !now.Before(t.replacedUntil), Drained: t.drained}
 	r.RestEnd, _ = f.notices.RestEnd(now, t.info.Instance())
 	if end, leaving := f.leavingEnd(t); leaving {
 		r.LeavingEnd = end
@@ -95,6 +105,14 @@
 	return since.Add(f.drainTime), leaving
 }
 
+// show returns the target and the time that is left until its end, for logs.
+func (t skippedTarget) show(now time.Time) string {
+	if t.end.IsZero() {
+		return t.instance.String()
+	}
+	return t.instance.String() + " " + max(t.end.Sub(now), 0).Round(time.Millisecond).String()
+}
+
 // withhold reports whether the target has become excluded since it was chosen, and
 // returns the result of the attempt in that case. Nothing is sent.
 func (x *exchange) withhold(t *target) (attemptResult, bool) {
@@ -107,7 +125,7 @@
 	}
 	x.entry.meter.Counter(metricWithheld).Inc(1)
 	f.unassign(t, x.info.PromptTokens)
-	x.noteSkipped(appendAnnounced(nil, t, exclusion, end))
+	x.noteSkipped(appendSkipped(nil, t, exclusion, end))
 	return attemptResult{target: t.info.ID, reason: exclusionReasons[exclusion], notRun: true, withheld: true}, true
 }
 
@@ -117,9 +135,9 @@
 		return
 	}
 	x.skipped = skipped
-	resting := len(withExclusion(skipped, btpick.Resting))
-	x.entry.meter.Counter(metricRestsSkipped).Inc(int64(resting))
-	x.entry.meter.Counter(metricLeavingSkipped).Inc(int64(len(skipped) - resting))
+	for e, metric := range skippedMetrics {
+		x.entry.meter.Counter(metric).Inc(int64(len(withExclusion(skipped, e))))
+	}
 }
 
 // skippedAttributes returns the attributes of a log line about the targets that were
@@ -127,14 +145,14 @@
 func (x *exchange) skippedAttributes() []any {
 	now := x.entry.options.Clock()
 	var attributes []any
-	for _, e := range []btpick.Exclusion{btpick.Resting, btpick.Leaving} {
+	for _, e := range []btpick.Exclusion{btpick.Resting, btpick.Leaving, btpick.Drained} {
 		targets := withExclusion(x.skipped, e)
 		if len(targets) == 0 {
 			continue
 		}
 		var shown []string
 		for _, t := range targets[:min(len(targets), maxSkippedShown)] {
-			shown = append(shown, t.instance.String()+" "+max(t.end.Sub(now), 0).Round(time.Millisecond).String())
+			shown = append(shown, t.show(now))
 		}
 		attributes = append(attributes, string(e), shown, string(e)+"_count", len(targets))
 	}
--- a/io/btdirect/source.go
+++ b/io/btdirect/source.go
@@ -37,6 +37,9 @@
 	Catalog      *btcatalog.Catalog
 	CatalogBytes []byte
 	Changes      []TargetChange
+	// Drains lists the data centres that are drained or no longer drained. A full update
+	// lists all that are drained.
+	Drains []DrainChange
 	// Malformed lists the records that could not be decoded.
 	Malformed []MalformedRecord
 }
@@ -58,6 +61,12 @@
 	Target  btinventory.Target
 }
 
+// DrainChange tells that a data centre is to be drained, or no longer.
+type DrainChange struct {
+	DataCentre btid.DataCentre
+	Ended      bool
+}
+
 // Headers parses and sets the header fields that the platform defines.
 type Headers interface {
 	// ParseRequest parses the header of a caller's request.
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,13 @@
 	metricEras = "source.eras"
 )
 
+// listing is what is published of the targets.
+type listing struct {
+	catalog *btcatalog.Index
+	targets []btinventory.Target
+	drained btinventory.DrainedDataCentres
+}
+
 // sourceCache holds the catalog and the targets as last read from the source, by this
 // entry or by another one that passed them on.
 type sourceCache struct {
@@ -52,7 +60,7 @@
 	log    *slog.Logger
 	meter  *btmetric.Meter
 	// onChange is called after each change, with mu held.
-	onChange func(*btcatalog.Index, []btinventory.Target)
+	onChange func(listing)
 
 	index atomic.Pointer[btcatalog.Index]
 	// hasCatalog is closed when the first catalog is in force and its targets are
@@ -62,6 +70,8 @@
 
 	mu       sync.Mutex
 	register *btinventory.Registry
+	// drained are the data centres that are drained.
+	drained btinventory.DrainedDataCentres
 	// position is that of the cached list. hasList reports that there is one.
 	position btinventory.Position
 	hasList  bool
@@ -85,7 +95,7 @@
 	rosters       map[btid.Service]btinventory.Roster
 }
 
-func newSourceCache(o Options, onChange func(*btcatalog.Index, []btinventory.Target)) *sourceCache {
+func newSourceCache(o Options, onChange func(listing)) *sourceCache {
 	return &sourceCache{
 		source:       o.Source,
 		decode:       o.Decode,
@@ -188,11 +198,12 @@
 		sc.recordMalformed(m, u.Position)
 	}
 	changes := sc.updateTargets(now, u)
+	drainsChanged := sc.setDrained(sc.drainedAfter(u), u.Position, "store")
 	renewed := sc.adoptCatalog(u.Catalog, u.CatalogBytes, "store")
 	for _, c := range changes {
 		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", u.Position.String())
 	}
-	if renewed || len(changes) > 0 {
+	if renewed || drainsChanged || len(changes) > 0 {
 		sc.publish()
 	}
 }
@@ -247,6 +258,33 @@
 	return sc.register.Put(c.Target)
 }
 
+// drainedAfter returns the drained data centres after an update.
+func (sc *sourceCache) drainedAfter(u Update) btinventory.DrainedDataCentres {
+	drained := sc.drained
+	if u.Full {
+		drained = nil
+	}
+	for _, d := range u.Drains {
+		if d.Ended {
+			drained = drained.Without(d.DataCentre)
+		} else {
+			drained = drained.With(d.DataCentre)
+		}
+	}
+	return drained
+}
+
+// setDrained replaces the drained data centres, and reports whether they changed. sc.mu
+// must be held.
+func (sc *sourceCache) setDrained(drained btinventory.DrainedDataCentres, p btinventory.Position, from string) bool {
+	if slices.Equal(drained, sc.drained) {
+		return false
+	}
+	sc.log.Info("drained data centres changed", "drained", drained, "before", sc.drained, "position", p.String(), "from", from)
+	sc.drained = drained
+	return true
+}
+
 // adoptCatalog puts a catalog in force if it is newer, and reports whether it did.
 func (sc *sourceCache) adoptCatalog(c *btcatalog.Catalog, data []byte, from string) bool {
 	if c == nil {
@@ -305,7 +343,7 @@
 func (sc *sourceCache) publish() {
 	sc.invalidate()
 	if index := sc.index.Load(); index != nil {
-		sc.onChange(index, sc.register.Targets())
+		sc.onChange(listing{catalog: index, targets: sc.register.Targets(), drained: sc.drained})
 		sc.hasCatalogOnce.Do(func() { close(sc.hasCatalog) })
 	}
 }
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -71,11 +71,8 @@
 	case !c.restEnd.IsZero():
 		x.endUnserved(ReasonTargetResting, x.restRetryAfter(c.restEnd))
 		return
-	case c.none() && c.left > 0:
-		x.endUnserved(ReasonTargetLeaving, x.defaultRetryAfter())
-		return
 	case c.none():
-		x.endUnserved(ReasonNoTarget, x.defaultRetryAfter())
+		x.endUnserved(c.noneReason(), x.defaultRetryAfter())
 		return
 	}
 	x.endUnserved(ReasonOverload, e.admission.retryAfter(x.service, x.defaultRetryAfter()))
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,7 +11,7 @@
 go tool staticcheck -checks all ./...
 # Names of the users' platform may occur in platform/ only, which translates them
 # to the product's own names.
-platform_words='kv-range|kv-watch|kv-key|Server-Stamp|Not-Executed|Expect-Instance|Instance-Id|Token-Count|Prefix-Hash|Deadline-Ms|Request-Priority|Weight-Versions|/v1/picked|/v1/order|op/config|slo_ms|gap_target_ms|api_keys|ready_addr|port_range|Server-Limit|Server-Leaving|Store-Era'
+platform_words='kv-range|kv-watch|kv-key|Server-Stamp|Not-Executed|Expect-Instance|Instance-Id|Token-Count|Prefix-Hash|Deadline-Ms|Request-Priority|Weight-Versions|/v1/picked|/v1/order|op/config|op/evacuate|slo_ms|gap_target_ms|api_keys|ready_addr|port_range|Server-Limit|Server-Leaving|Store-Era'
 if git grep -nE "$platform_words" -- '*.go' ':!platform'; then
 	echo 'words of the platform outside platform/'
 	exit 1
