btinventory, btdirect, btrank: exchange the cells of a list that differ

Cause: after each change of one target, an entry that reads the store sent its whole list to every other entry, and entries sent the whole service's roster to every agent: 121 kB for 768 targets, to 205 entries and 768 agents. With each answer an agent got the addresses of all entries as well.

Change: lists are partitioned into 64 cells by a hash of the IDs. A hello and an agent's request carry two bytes of digest for each cell, and the answer holds the cells that differ. Agents ask for the roster of their own group, once their engine has named it, and get the entries only if these changed. An agent whose merged roster has another digest asks for the whole one.

Ruled out: a history of changes against a digest. An entry that missed a version, or an agent that asks another entry, would need the whole list again, and each entry would keep the history; cells need no state and no common past. Passing records on with the gossip of entries: the list would no longer be of one revision.

--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bilberrytide/core/btgossip"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btrate"
@@ -118,10 +120,12 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	rates := p.entry.fleet.ratesSummary()
+	targets, cells := p.entry.cache.digests()
 	h := hello{
 		From:       p.entry.options.Settings.Peer,
 		Catalog:    p.entry.cache.version(),
-		Targets:    p.entry.cache.digest(),
+		Targets:    targets,
+		Cells:      cells,
 		Quarantine: p.entry.quarantine.Digest(),
 		Rates:      rates.Digest,
 		RateCells:  rates.Cells,
@@ -138,11 +142,18 @@
 	if len(reply.Catalog) > 0 {
 		p.entry.cache.mergeCatalog(reply.Catalog, to)
 	}
-	p.entry.cache.mergeList(reply.List, askedAt, to)
+	p.entry.cache.mergeList(reply.List, targets, askedAt, to)
 	p.entry.quarantine.mergeReply(reply, to)
 	p.entry.mergeRates(reply.Rates, askedAt, to)
 }
 
+// metricListTargets counts the records of targets sent to other entries,
+// metricRosterTargets those sent to agents.
+const (
+	metricListTargets   = "list.targets_sent"
+	metricRosterTargets = "roster.targets_sent"
+)
+
 // metricHellos is the prefix of the counters of hellos by result.
 const metricHellos = "peers.greetings_"
 
@@ -151,10 +162,12 @@
 	// The hello may have been in transit for this long, so its records count as that
 	// much older.
 	p.entry.mergeRates(h.News, p.entry.options.Clock().Add(-helloTimeout), h.From)
+	list := p.entry.cache.ownList(h.Targets, h.Cells)
+	p.entry.meter.Counter(metricListTargets).Inc(int64(len(list.Targets)))
 	return helloReply{
 		Entries:    p.observeHello(h.From),
 		Catalog:    p.entry.cache.catalogAfter(h.Catalog),
-		List:       p.entry.cache.ownList(h.Targets),
+		List:       list,
 		Quarantine: p.entry.quarantine.ExportIfChanged(h.Quarantine),
 		KnowsAll:   p.entry.quarantine.hasFullHistory(),
 		Suspects:   p.entry.quarantine.ExportSuspects(),
@@ -212,16 +225,27 @@
 
 // handleRoster answers an agent's request for a roster.
 func (p *peers) handleRoster(_ context.Context, q RosterRequest) (btinventory.Roster, error) {
-	r, err := p.entry.cache.roster(q.Service)
+	r, err := p.entry.cache.roster(rosterKey{service: q.Service, group: q.Group})
 	if err != nil {
-		return r, err
+		return btinventory.Roster{}, err
 	}
-	if r.Digest == q.Known {
-		r.Targets = nil
-		r.Group = nil
+	answer := r.answer(q)
+	entries := append(p.list(), p.entry.options.Settings.Peer)
+	p.entry.meter.Counter(metricRosterTargets).Inc(int64(len(answer.Targets)))
+	answer.EntriesDigest = entriesDigest(entries)
+	if answer.EntriesDigest != q.KnownEntries {
+		answer.Entries = entries
+	}
+	return answer, nil
+}
+
+// entriesDigest returns the digest of the addresses, whatever their order.
+func entriesDigest(entries []netip.AddrPort) uint64 {
+	var digest uint64
+	for _, e := range entries {
+		digest ^= xxhash.Sum64String(e.String())
 	}
-	r.Entries = append(p.list(), p.entry.options.Settings.Peer)
-	return r, nil
+	return digest
 }
 
 // handleLoad applies a lead's load report and returns the service's strain.
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -23,19 +23,21 @@
 	return sc.hasList && sc.index.Load() != nil && now.Sub(sc.listedAt) < peerListTTL
 }
 
-// digest returns the digest of the cached targets.
-func (sc *sourceCache) digest() uint64 {
+// digests returns the digests of the cached targets and of their cells.
+func (sc *sourceCache) digests() (uint64, btinventory.CellDigests) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.listDigest()
+	return sc.listDigest(), sc.cellDigests
 }
 
-// listDigest returns the digest of the cached list, computed once per change: for
+// listDigest returns the digest of the cached targets, computed once per change: for
 // 192 targets it takes a third of a millisecond, and other entries ask for it a hundred
 // times a second. sc.mu must be held.
 func (sc *sourceCache) listDigest() uint64 {
 	if !sc.digestValid {
-		sc.targetsDigest = digestOf(sc.register.Targets(), sc.drained)
+		list := sc.register.Targets()
+		sc.targetsDigest = targetsDigest(list)
+		sc.cellDigests = btinventory.NewCellDigests(list)
 		sc.digestValid = true
 	}
 	return sc.targetsDigest
@@ -44,39 +46,71 @@
 // errNoList means that no list has been read yet.
 var errNoList = errors.New("no list of targets read yet")
 
-// roster returns the roster of a service for its agents, without the entries. It is
-// built once per change, as 192 agents ask each second.
-func (sc *sourceCache) roster(name btid.Service) (btinventory.Roster, error) {
+// rosterKey identifies a roster: that of a service's group, or of the whole service if
+// the group is empty.
+type rosterKey struct {
+	service btid.Service
+	group   string
+}
+
+// includes reports whether the roster lists the target.
+func (k rosterKey) includes(t btinventory.Target) bool {
+	return t.Service == k.service && (k.group == "" || t.Member != nil && t.Member.Group == k.group)
+}
+
+// cachedRoster is a roster without the entries, and the digests of its cells.
+type cachedRoster struct {
+	btinventory.Roster
+	cells btinventory.CellDigests
+}
+
+// roster returns a roster for agents. It is built once per change, as all agents of a
+// group ask each second.
+func (sc *sourceCache) roster(key rosterKey) (cachedRoster, error) {
 	index := sc.index.Load()
 	if index == nil {
-		return btinventory.Roster{}, errNoList
+		return cachedRoster{}, errNoList
 	}
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if r, found := sc.rosters[name]; found {
+	if r, found := sc.rosters[key]; found {
 		return r, nil
 	}
-	var r btinventory.Roster
+	var r cachedRoster
 	for _, t := range sc.register.Targets() {
-		if t.Service == name {
+		if key.includes(t) {
 			r.Targets = append(r.Targets, t)
 		}
 	}
-	if s, found := index.Service(name); found && s.Engine != nil {
+	if s, found := index.Service(key.service); found && s.Engine != nil {
 		r.Group = s.Engine.Group
 	}
-	data, err := btwire.Encode(r)
-	if err != nil {
+	var err error
+	if r.Digest, err = r.ContentDigest(); err != nil {
 		return r, err
 	}
-	r.Digest = xxhash.Sum64(data)
+	r.cells = btinventory.NewCellDigests(r.Targets)
 	if len(sc.rosters) < maxRosters {
-		sc.rosters[name] = r
+		sc.rosters[key] = r
 	}
 	return r, nil
 }
 
-// maxRosters limits the services whose rosters are kept.
+// answer returns what an agent that has another roster lacks.
+func (r cachedRoster) answer(q RosterRequest) btinventory.Roster {
+	answer := r.Roster
+	switch {
+	case r.Digest == q.Known:
+		answer.Targets = nil
+		answer.Group = nil
+	case len(q.Cells) > 0:
+		answer.Cells = r.cells.Differing(q.Cells)
+		answer.Targets = answer.Cells.Select(r.Targets)
+	}
+	return answer
+}
+
+// maxRosters limits the rosters that are kept.
 const maxRosters = 256
 
 // invalidate discards what was computed from the targets and the catalog. sc.mu must be
@@ -86,44 +120,41 @@
 	clear(sc.rosters)
 }
 
-// digestOf returns the digest of a list of targets and the drained data centres.
-func digestOf(list []btinventory.Target, drained btinventory.DrainedDataCentres) uint64 {
+func targetsDigest(list []btinventory.Target) uint64 {
 	data, err := btwire.Encode(btinventory.Roster{Targets: list})
 	if err != nil {
 		// A list that can't be encoded equals no other.
 		return 0
 	}
-	digest := xxhash.New()
-	// Writing to a digest never fails.
-	_, _ = digest.Write(data)
-	for _, c := range drained {
-		_, _ = digest.WriteString(string(c) + "\n")
-	}
-	return digest.Sum64()
+	return xxhash.Sum64(data)
 }
 
-// ownList returns the list for an entry that has the targets of the given digest, if
+// ownList returns the list for an entry that has the targets of the given digests, if
 // this entry has read it from the source itself. It doesn't pass on a list that it
 // received, so that the age can't grow from one entry to the next.
-func (sc *sourceCache) ownList(known uint64) ReadList {
+func (sc *sourceCache) ownList(known uint64, cells btinventory.CellDigests) ReadList {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if !sc.hasList || sc.storeLost || sc.readAt.IsZero() {
 		return ReadList{}
 	}
-	l := ReadList{Position: sc.position, Age: max(sc.clock().Sub(sc.readAt), 0)}
+	l := ReadList{Position: sc.position, Age: max(sc.clock().Sub(sc.readAt), 0), Drained: sc.drained, HasDrained: true}
 	if sc.listDigest() == known {
 		l.Same = true
 		return l
 	}
 	l.Targets = sc.register.Targets()
-	l.Drained = sc.drained
+	if len(cells) > 0 {
+		l.Cells = sc.cellDigests.Differing(cells)
+		l.Targets = l.Cells.Select(l.Targets)
+	}
 	return l
 }
 
-// mergeList adopts a newer list that another entry has read. askedAt is when it was
-// asked, so that transit time counts towards the list's age.
-func (sc *sourceCache) mergeList(l ReadList, askedAt time.Time, from netip.AddrPort) {
+// mergeList adopts a newer list that another entry has read, in reply to a hello with the
+// known digest of the targets. askedAt is when it was asked, so that transit time counts
+// towards the list's age.
+func (sc *sourceCache) mergeList(l ReadList, known uint64, askedAt time.Time, from netip.AddrPort) {
 	if l.Position == 0 {
 		return
 	}
@@ -133,18 +164,22 @@
 	if l.Position < sc.position || !readAt.After(sc.listedAt) {
 		return
 	}
+	if (l.Same || l.Cells != 0) && sc.listDigest() != known {
+		// The list has changed since it was compared; the next hello compares it again.
+		return
+	}
 	now := sc.clock()
 	sc.setPosition(now, l.Position, from.String())
 	sc.listedAt = readAt
 	sc.hasList = true
-	if l.Same {
-		return
+	var changes []btinventory.Change
+	if !l.Same {
+		changes = sc.register.ReplaceFromPeer(now, l.Cells.Replace(sc.register.Targets(), l.Targets))
 	}
-	changes := sc.register.ReplaceFromPeer(now, l.Targets)
 	for _, c := range changes {
 		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", l.Position.String(), "from", from, "age_ms", now.Sub(readAt).Milliseconds())
 	}
-	drainsChanged := sc.setDrained(l.Drained, l.Position, from.String())
+	drainsChanged := l.HasDrained && sc.setDrained(l.Drained, l.Position, from.String())
 	if drainsChanged || len(changes) > 0 {
 		sc.publish()
 	}
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -14,22 +14,27 @@
 	"bilberrytide/core/btrate"
 )
 
-// RosterRequest asks an entry for the targets of a service.
+// RosterRequest asks an entry for the targets of a service's group.
 type RosterRequest struct {
 	Service btid.Service `cbor:"service"`
-	// Known is the digest of the agent's present roster.
-	Known uint64 `cbor:"known"`
+	// Group is the agent's group; empty for all targets of the service.
+	Group string `cbor:"group,omitempty"`
+	// Known is the digest of the agent's present roster, Cells are those of its cells,
+	// KnownEntries is that of its entries.
+	Known        uint64                  `cbor:"known"`
+	Cells        btinventory.CellDigests `cbor:"cells,omitempty"`
+	KnownEntries uint64                  `cbor:"known_entries,omitempty"`
 }
 
 // errNoService means that a message names no service.
 var errNoService = errors.New("question without a service")
 
-// Validate returns an error if no service is named.
+// Validate returns an error if no service is named or the digests are malformed.
 func (r RosterRequest) Validate() error {
 	if r.Service == "" {
 		return errNoService
 	}
-	return nil
+	return r.Cells.Validate()
 }
 
 // LoadUnknown stands for a rank without a recent load.
@@ -105,6 +110,8 @@
 	// targets.
 	Catalog uint64 `cbor:"catalog"`
 	Targets uint64 `cbor:"targets"`
+	// Cells are the digests of the cells of that list.
+	Cells btinventory.CellDigests `cbor:"cells,omitempty"`
 	// Quarantine is the digest of the sender's quarantine records.
 	Quarantine uint64 `cbor:"quarantine"`
 	// Rates is the digest of the rate limits that the sender knows, RateCells the
@@ -121,6 +128,9 @@
 	if !h.From.IsValid() {
 		return errNoSender
 	}
+	if err := h.Cells.Validate(); err != nil {
+		return err
+	}
 	if err := h.RateCells.Validate(); err != nil {
 		return err
 	}
@@ -153,11 +163,15 @@
 	// Age is how long ago it was read.
 	Position btinventory.Position `cbor:"revision"`
 	Age      time.Duration        `cbor:"age"`
-	// Targets is omitted if the asking entry has the same ones, which Same reports.
+	// Targets is omitted if the asking entry has the same ones, which Same reports. Cells
+	// are the cells of the list that it holds; empty if it holds the whole list.
 	Targets []btinventory.Target `cbor:"targets,omitempty"`
 	Same    bool                 `cbor:"same,omitempty"`
-	// Drained are the drained data centres; omitted with Targets.
-	Drained btinventory.DrainedDataCentres `cbor:"drained,omitempty"`
+	Cells   btinventory.CellSet  `cbor:"cells,omitempty"`
+	// Drained are the drained data centres. HasDrained is false in lists of processes
+	// that don't know them.
+	Drained    btinventory.DrainedDataCentres `cbor:"drained,omitempty"`
+	HasDrained bool                           `cbor:"has_drained,omitempty"`
 }
 
 // Validate returns an error if there are too many entries or a field is out of range.
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"bilberrytide/core/btcatalog"
-	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -88,11 +87,13 @@
 	loggedErrors map[string]string
 	// catalogBytes is the catalog in its published form.
 	catalogBytes []byte
-	// targetsDigest is the digest of the targets if digestValid is set. rosters holds
-	// the rosters for agents, by service. Both are computed again after a change.
+	// targetsDigest is the digest of the targets and cellDigests are those of their cells if
+	// digestValid is set. rosters holds the rosters for agents. All are computed again after
+	// a change.
 	targetsDigest uint64
+	cellDigests   btinventory.CellDigests
 	digestValid   bool
-	rosters       map[btid.Service]btinventory.Roster
+	rosters       map[rosterKey]cachedRoster
 }
 
 func newSourceCache(o Options, onChange func(listing)) *sourceCache {
@@ -105,7 +106,7 @@
 		onChange:     onChange,
 		register:     btinventory.NewRegistry(missingGrace),
 		hasCatalog:   make(chan struct{}),
-		rosters:      make(map[btid.Service]btinventory.Roster),
+		rosters:      make(map[rosterKey]cachedRoster),
 		loggedErrors: make(map[string]string),
 	}
 }
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -114,7 +114,7 @@
 		maps:    btround.NewMapCache(),
 		tree:    btrelay.New(o.Address),
 	}
-	a.directory = newDirectory(o, calls)
+	a.directory = newDirectory(o, calls, func() string { return a.ownState().Group })
 	a.lead = newLead(o, a, calls)
 	a.relay = newRelay(a)
 	return a
--- a/io/btrank/directory.go
+++ b/io/btrank/directory.go
@@ -34,6 +34,10 @@
 	// roster listed.
 	entries       []netip.AddrPort
 	rosterEntries []netip.AddrPort
+	// cells are the digests of the cells of the roster's targets.
+	cells btinventory.CellDigests
+	// group returns the name of the agent's group; empty until the engine has reported it.
+	group func() string
 	// seeds are the entries of the current settings.
 	seeds []netip.AddrPort
 	// nextEntry is the index, modulo the number of entries, of the one to ask. It starts
@@ -43,35 +47,42 @@
 	lost bool
 }
 
-func newDirectory(o Options, calls *btcall.Client) *directory {
-	return &directory{options: o, calls: calls, entries: o.Settings.Seeds, seeds: o.Settings.Seeds, nextEntry: rand.Int()}
+func newDirectory(o Options, calls *btcall.Client, group func() string) *directory {
+	return &directory{options: o, calls: calls, group: group, entries: o.Settings.Seeds, seeds: o.Settings.Seeds, nextEntry: rand.Int()}
 }
 
-// run refreshes the roster until the context ends, sooner after a failure.
+// run refreshes the roster until the context ends, sooner after a failure. It begins when
+// the engine has reported its group, as the roster of all groups is several times as large.
 func (d *directory) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := rosterInterval
-		if !d.refresh(ctx) {
+		group := d.group()
+		switch {
+		case group == "":
+			wait = closedReadInterval
+		case !d.refresh(ctx, group):
 			wait = rosterInterval / 4
 		}
 		sleep(ctx, wait)
 	}
 }
 
-// refresh asks one entry for the roster, and reports whether it answered. After a failure
-// the next entry is asked.
-func (d *directory) refresh(ctx context.Context) bool {
+// refresh asks one entry for the group's roster, and reports whether it answered. After a
+// failure the next entry is asked.
+func (d *directory) refresh(ctx context.Context, group string) bool {
 	d.mu.Lock()
 	if len(d.entries) == 0 {
 		d.mu.Unlock()
 		return false
 	}
 	entry := d.entries[d.nextEntry%len(d.entries)]
-	known := d.roster.Digest
+	question := btdirect.RosterRequest{
+		Service: d.options.Settings.Service, Group: group,
+		Known: d.roster.Digest, Cells: d.cells, KnownEntries: d.roster.EntriesDigest,
+	}
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
-	question := btdirect.RosterRequest{Service: d.options.Settings.Service, Known: known}
 	roster, err := btcall.Call[btinventory.Roster](ctx, d.calls, entry, btdirect.PathRoster, question)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -91,21 +102,35 @@
 	return true
 }
 
-// apply applies a roster. One without targets means that the targets haven't changed. The
-// lock must be held.
+// apply applies a roster. One without targets and cells means that the targets haven't
+// changed. The lock must be held.
 func (d *directory) apply(r btinventory.Roster) {
-	d.entries = slices.Clone(d.seeds)
-	for _, e := range r.Entries {
-		if !slices.Contains(d.entries, e) {
-			d.entries = append(d.entries, e)
-		}
+	if r.EntriesDigest == 0 || r.EntriesDigest != d.roster.EntriesDigest {
+		d.rosterEntries = r.Entries
+		d.entries = union(d.seeds, r.Entries)
 	}
-	d.rosterEntries = r.Entries
-	if len(r.Targets) > 0 {
-		d.roster = r
+	d.roster.EntriesDigest = r.EntriesDigest
+	if len(r.Targets) == 0 && r.Cells == 0 {
+		return
+	}
+	merged, complete := d.roster.Merge(r)
+	d.roster = merged
+	d.cells = btinventory.NewCellDigests(merged.Targets)
+	if !complete {
+		// The next request asks for the whole roster.
+		d.options.Meter.Counter("rosters_incomplete").Inc(1)
+		d.roster.Digest = 0
+		d.cells = nil
 	}
 }
 
+// union returns the addresses of both lists, in order.
+func union(a, b []netip.AddrPort) []netip.AddrPort {
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	return slices.Compact(all)
+}
+
 // engines returns the sorted addresses of a group's engines. A service may have several
 // groups.
 func (d *directory) engines(group string) []netip.AddrPort {
@@ -121,16 +146,12 @@
 	return slices.Compact(list)
 }
 
-// setSeeds replaces the seeds. Earlier seeds may be asked until the next roster.
+// setSeeds replaces the seeds. Earlier seeds may be asked until a roster has other entries.
 func (d *directory) setSeeds(seeds []netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.seeds = seeds
-	for _, s := range seeds {
-		if !slices.Contains(d.entries, s) {
-			d.entries = append(d.entries, s)
-		}
-	}
+	d.entries = union(seeds, d.entries)
 }
 
 // shape returns the description of the service's groups; false if it isn't known yet.
