btdirect: limit the requests at cold targets

A target that had just started got the part of a warm one, and all requests of a quiet entry at once, as the least loaded.

Change: records say whether a target is cold, services how many requests a second a cold one takes. Entries share that as they share advertised rates. An entry that doesn't know the others yet sends one request a second to each. The targets of a data centre that is taken back count as cold until their records must have said whether they are.

Ruled out: no request at all from an entry that has just started, as for advertised rates: after a loss of the whole fleet all targets are cold.

--- a/core/btcatalog/btcatalog.go
+++ b/core/btcatalog/btcatalog.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"bilberrytide/core/btid"
@@ -72,6 +73,9 @@
 	Name btid.Service
 	// Engine is set for model services.
 	Engine *Engine
+	// ColdRate is how many requests a second a cold target takes from all callers
+	// together; zero if there is no limit.
+	ColdRate float64
 }
 
 // Engine describes the model engines of a service.
@@ -143,6 +147,9 @@
 		if s.Name == "" || known[s.Name] {
 			return fmt.Errorf("%w: version %d: service %q is unnamed or listed twice", ErrCatalog, c.Version, s.Name)
 		}
+		if !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 0) {
+			return fmt.Errorf("%w: version %d: service %q: rate of cold targets %v", ErrCatalog, c.Version, s.Name, s.ColdRate)
+		}
 		known[s.Name] = true
 	}
 	for i := range c.Routes {
--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -72,6 +72,9 @@
 	// Created is the position of the list at which the record was created; zero if the
 	// list has no positions. Of two records with one address the later one is valid.
 	Created Position `json:"since,omitempty"`
+	// Cold reports that the target is slow and takes few requests for some time after its
+	// start.
+	Cold bool `json:"cold,omitempty"`
 	// Member is set for ranks of a lock-step group.
 	Member *Member `json:"member,omitempty"`
 	// GroupBroken tells that the rank's group wasn't open when the record was written, a
--- a/core/btrate/shares.go
+++ b/core/btrate/shares.go
@@ -97,6 +97,10 @@
 	return s.allowedAt
 }
 
+// Settled reports whether the entry knows the others and they know it: some seconds after
+// its start, or after it was suspended.
+func (s *Shares) Settled(now time.Time) bool { return !now.Before(s.sendingAllowedAt(now)) }
+
 // EffectiveRate returns the rate at which a target that advertises perSecond is sent
 // requests.
 func EffectiveRate(perSecond float64) float64 { return max(perSecond, minRate) }
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -40,9 +40,15 @@
 	// The fields below are guarded by the fleet's mutex.
 	state btinventory.State
 	// drained reports that the target's data centre is drained.
-	drained  bool
-	slots    int
-	requests int
+	drained bool
+	// cold reports that the target's record says that it is cold. Until coldUntil it may be
+	// although its record doesn't say so.
+	cold      bool
+	coldUntil time.Time
+	// assignedAt is when a request was last assigned to the target.
+	assignedAt time.Time
+	slots      int
+	requests   int
 	// pendingTokens counts the prompt tokens that the target has not read yet.
 	pendingTokens int
 	// failures counts the consecutive failures.
@@ -112,6 +118,8 @@
 	// the rates and enforces them.
 	shares *btrate.Shares
 	rates  *btrate.Register
+	// coldRates enforces the limits of cold targets.
+	coldRates *btrate.Register
 	// notices holds what targets have announced to this entry.
 	notices *btnotice.Register
 }
@@ -138,6 +146,7 @@
 	return &fleet{
 		shares:       shares,
 		rates:        btrate.New(shares, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		coldRates:    btrate.New(shares, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		dataCentre:   o.Settings.DataCentre,
 		clock:        o.Clock,
 		drainTime:    o.Settings.DrainTime,
@@ -162,7 +171,9 @@
 	for _, info := range list {
 		listed[info.Instance()] = true
 		t := f.target(info)
+		wasDrained := t.drained
 		t.drained = l.drained.Contains(info.DataCentre)
+		f.updateCold(t, info, wasDrained, l.coldRate(info.Service))
 		s := f.service(info.Service)
 		s.targets = append(s.targets, t)
 	}
@@ -173,6 +184,7 @@
 		}
 	}
 	f.rates.Retain(f.listed)
+	f.coldRates.Retain(f.listed)
 	f.notices.Retain(f.clock(), f.listed)
 	return f.adoptReportedBroken(list)
 }
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -99,14 +99,14 @@
 		if tried[t.info.Instance()] {
 			continue
 		}
-		// The rate that an overloaded target advertises is for all entries together.
-		// Entries that each sent that much would overload it further.
+		// The rate of an overloaded or cold target is for all entries together. Entries
+		// that each sent that much would overload it further.
+		if f.rateWait(t, now) > 0 {
+			f.rates.CountSkipped(t.info.Instance())
+			c.exhausted = append(c.exhausted, t)
+			continue
+		}
 		if f.rates.Limit(t.info.Instance()).Active {
-			if f.rates.Wait(now, t.info.Instance()) > 0 {
-				f.rates.CountSkipped(t.info.Instance())
-				c.exhausted = append(c.exhausted, t)
-				continue
-			}
 			c.rateLimited[t] = true
 		}
 		c.add(t, f.preference(s, t, leaving, now))
@@ -119,7 +119,7 @@
 func (f *fleet) pickExhausted(s *service, exhausted []*target, tokens int, maxWait time.Duration, now time.Time) choice {
 	var next choice
 	for _, t := range exhausted {
-		wait := f.rates.Wait(now, t.info.Instance())
+		wait := f.rateWait(t, now)
 		if next.target == nil || wait < next.wait {
 			next = choice{target: t, wait: wait}
 		}
@@ -138,6 +138,8 @@
 func (f *fleet) assign(s *service, t *target, tokens int, now time.Time) {
 	s.recordProbe(t, now)
 	f.rates.Take(t.info.Instance())
+	f.coldRates.Take(t.info.Instance())
+	t.assignedAt = now
 	t.requests++
 	t.pendingTokens += tokens
 }
@@ -147,6 +149,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rates.Refund(t.info.Instance())
+	f.coldRates.Refund(t.info.Instance())
 	t.requests--
 	t.pendingTokens -= tokens
 }
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -50,6 +51,15 @@
 	drained btinventory.DrainedDataCentres
 }
 
+// coldRate returns how many requests a second a cold target of the service takes; zero if
+// there is no limit.
+func (l listing) coldRate(name btid.Service) float64 {
+	if s, found := l.catalog.Service(name); found {
+		return s.ColdRate
+	}
+	return 0
+}
+
 // sourceCache holds the catalog and the targets as last read from the source, by this
 // entry or by another one that passed them on.
 type sourceCache struct {
