btdirect: run requests in the home regions of their route and account

Cause: home regions of routes and client accounts were not decoded; a request could reach a target of any region.

Change: the catalog has homes, the settings the region of each data centre. A request is sent only to targets in a region that the homes of both allow, at its first try, retries, resumed and moved streams alike. Where no listed target is in one, it is refused at once as outside_home_regions.

Ruled out: a region field of targets. Their records name the data centre only, and the settings map these to regions; a data centre without a region is no home.

--- a/core/btcatalog/btcatalog.go
+++ b/core/btcatalog/btcatalog.go
@@ -61,6 +61,8 @@
 	Public bool
 	// Resumable streams may be continued by another target.
 	Resumable bool
+	// Homes restrict where the route's requests may be run.
+	Homes Homes
 }
 
 // Repeatable tells whether a request of the route may be run more than once.
@@ -116,6 +118,8 @@
 	Keys []string
 	// Priority, if set, overrides the route's.
 	Priority *int
+	// Homes restrict where the account's requests may be run, beside those of the route.
+	Homes Homes
 }
 
 // Limits bound what a caller may send and how long it may take. Zero BodyBytes leaves
--- a/core/btid/btid.go
+++ b/core/btid/btid.go
@@ -44,6 +44,9 @@
 // Host names a host on which processes and targets run; it may be replaced at any time.
 type Host string
 
+// Region names a group of data centres that are near each other.
+type Region string
+
 // DataCentre names a failure domain inside a region.
 type DataCentre string
 
@@ -65,6 +68,9 @@
 // UnmarshalText checks and sets the name.
 func (h *Host) UnmarshalText(text []byte) error { return setName(h, text) }
 
+// UnmarshalText checks and sets the name.
+func (r *Region) UnmarshalText(text []byte) error { return setName(r, text) }
+
 // UnmarshalText checks and sets the name.
 func (d *DataCentre) UnmarshalText(text []byte) error { return setName(d, text) }
 
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -23,15 +23,17 @@
 
 // exchange is the handling of one request of a caller.
 type exchange struct {
-	entry      *Entry
-	writer     http.ResponseWriter
-	request    *http.Request
-	info       RequestInfo
-	body       []byte
-	index      *btcatalog.Index
-	route      *btcatalog.Route
-	service    *btcatalog.Service
-	account    btid.Account
+	entry   *Entry
+	writer  http.ResponseWriter
+	request *http.Request
+	info    RequestInfo
+	body    []byte
+	index   *btcatalog.Index
+	route   *btcatalog.Route
+	service *btcatalog.Service
+	account btid.Account
+	// residency is where the request may be run.
+	residency  btcatalog.Residency
 	priority   int
 	receivedAt time.Time
 	deadline   time.Time
@@ -126,6 +128,7 @@
 	}
 	x.route = route
 	x.priority = route.Priority
+	x.residency = btcatalog.NewResidency(route.Homes)
 	if refused := x.authenticate(); refused != nil {
 		return refused
 	}
@@ -146,6 +149,7 @@
 	account, found := x.index.Account(x.info.Key)
 	if found {
 		x.account = account.Name
+		x.residency = btcatalog.NewResidency(x.route.Homes, account.Homes)
 		if account.Priority != nil {
 			x.priority = *account.Priority
 		}
@@ -218,7 +222,10 @@
 		if x.refuseOverdue() {
 			return false
 		}
-		c := e.fleet.pick(x.service.Name, x.info.PromptTokens, x.tried, x.queueing.WaitUntil.Sub(e.options.Clock()))
+		c := e.fleet.pick(pickRequest{
+			service: x.service.Name, residency: x.residency, tokens: x.info.PromptTokens,
+			tried: x.tried, maxWait: x.queueing.WaitUntil.Sub(e.options.Clock()),
+		})
 		if c.exhausted > 0 {
 			e.meter.Counter(metricRatesSkipped).Inc(int64(c.exhausted))
 		}
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -104,7 +104,9 @@
 // fleet holds the state of all targets and chooses among them.
 type fleet struct {
 	dataCentre btid.DataCentre
-	clock      btloop.Clock
+	// regions has the region of each data centre.
+	regions map[btid.DataCentre]btid.Region
+	clock   btloop.Clock
 	// drainTime is how long a target is sent requests after it has announced that it is
 	// leaving, if there are no others.
 	drainTime time.Duration
@@ -148,6 +150,7 @@
 		rates:        btrate.New(shares, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		coldRates:    btrate.New(shares, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		dataCentre:   o.Settings.DataCentre,
+		regions:      o.Settings.Regions,
 		clock:        o.Clock,
 		drainTime:    o.Settings.DrainTime,
 		targets:      make(map[btinventory.Instance]*target),
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btpick"
@@ -49,19 +50,30 @@
 	c.preference = p
 }
 
+// pickRequest is a request for which a target is to be chosen.
+type pickRequest struct {
+	service   btid.Service
+	residency btcatalog.Residency
+	// tokens is the number of prompt tokens.
+	tokens int
+	tried  map[btinventory.Instance]bool
+	// maxWait is the longest time that the request waits for a target's rate.
+	maxWait time.Duration
+}
+
 // pick chooses a target for a request and assigns the request to it. It skips targets
-// that the request has tried, those that are excluded, and those that advertise a rate of
-// which this entry's share is used up. Of the others it uses the most preferred ones. If
-// only rates are in the way, the request waits for the first target that may be sent one,
-// if that is within maxWait.
-func (f *fleet) pick(name btid.Service, tokens int, tried map[btinventory.Instance]bool, maxWait time.Duration) choice {
+// outside the request's home regions, those that the request has tried, those that are
+// excluded, and those with a rate of which this entry's share is used up. Of the others
+// it uses the most preferred ones. If only rates are in the way, the request waits for
+// the first target that may be sent one.
+func (f *fleet) pick(r pickRequest) choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
-	s := f.service(name)
-	found := f.candidates(s, tried, now)
+	s := f.service(r.service)
+	found := f.candidates(s, r, now)
 	if len(found.best) == 0 {
-		c := f.pickExhausted(s, found.exhausted, tokens, maxWait, now)
+		c := f.pickExhausted(s, found.exhausted, r, now)
 		c.exhausted = len(found.exhausted)
 		c.skipped = found.skipped
 		return c
@@ -78,15 +90,18 @@
 		}
 	}
 	t := found.best[btpick.Pick(compared, rand.IntN)]
-	f.assign(s, t, tokens, now)
+	f.assign(s, t, r.tokens, now)
 	return choice{target: t, exhausted: len(found.exhausted), skipped: found.skipped}
 }
 
 // candidates returns the service's targets to which a request may be sent. f.mu must be
 // held.
-func (f *fleet) candidates(s *service, tried map[btinventory.Instance]bool, now time.Time) candidates {
+func (f *fleet) candidates(s *service, r pickRequest, now time.Time) candidates {
 	c := candidates{rateLimited: make(map[*target]bool, f.rates.ActiveLimits())}
 	for _, t := range s.targets {
+		if !f.isHome(r.residency, t) {
+			continue
+		}
 		exclusion, end := f.exclusion(t, now)
 		leavingEnd, leaving := f.leavingEnd(t)
 		if leaving && exclusion != btpick.Leaving {
@@ -96,7 +111,7 @@
 			c.skipped = appendSkipped(c.skipped, t, exclusion, end)
 			continue
 		}
-		if tried[t.info.Instance()] {
+		if r.tried[t.info.Instance()] {
 			continue
 		}
 		// The rate of an overloaded or cold target is for all entries together. Entries
@@ -116,7 +131,7 @@
 
 // pickExhausted assigns a request to the target that is the first to accept another one
 // under its rate. f.mu must be held.
-func (f *fleet) pickExhausted(s *service, exhausted []*target, tokens int, maxWait time.Duration, now time.Time) choice {
+func (f *fleet) pickExhausted(s *service, exhausted []*target, r pickRequest, now time.Time) choice {
 	var next choice
 	for _, t := range exhausted {
 		wait := f.rateWait(t, now)
@@ -127,10 +142,10 @@
 	if next.target == nil {
 		return choice{}
 	}
-	if next.wait > maxWait {
+	if next.wait > r.maxWait {
 		return choice{wait: next.wait}
 	}
-	f.assign(s, next.target, tokens, now)
+	f.assign(s, next.target, r.tokens, now)
 	return next
 }
 
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -40,6 +40,9 @@
 	// ReasonDataCentreDrained: all targets that are left are in data centres that the
 	// operator has drained.
 	ReasonDataCentreDrained btrequest.Reason = "data_centre_drained"
+	// ReasonOutsideHome: no target is in a region in which the route and the client account
+	// allow the request to be run.
+	ReasonOutsideHome btrequest.Reason = "outside_home_regions"
 	// ReasonNotSent: no connection to the target could be opened.
 	ReasonNotSent btrequest.Reason = "not_sent"
 	// ReasonTargetRefused: the target says that it did not run the request.
--- a/io/btdirect/settings.go
+++ b/io/btdirect/settings.go
@@ -19,6 +19,8 @@
 type Settings struct {
 	Name       string
 	DataCentre btid.DataCentre
+	// Regions has the region of each data centre.
+	Regions map[btid.DataCentre]btid.Region
 	// Front is the address for callers, Ready the one for the load balancer's readiness
 	// check, Peer the one for the fleet's other processes. An address is zero if the
 	// process doesn't listen there.
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -38,6 +38,10 @@
 	if x.refuseQuarantined() {
 		return false
 	}
+	if !e.fleet.hasHome(x.service.Name, x.residency) {
+		x.endUnserved(ReasonOutsideHome, x.defaultRetryAfter())
+		return false
+	}
 	switch x.awaitGroup(ctx) {
 	case ReasonGroupBroken:
 		if !x.callerGone() {
