btdirect: disconnect callers that accept nothing, and don't blame their targets

Cause: writes to a caller had no time limit, so that one who read nothing held its slot, its buffers and its engine until its deadline, in a write that no cancellation ends. While a write waited, the target's silence was counted: after 1.2 s the stream was requested again from another target, which a caller that reads slowly paid for with a cut answer, and the fleet with a second run. An answer of 256 kB and more was relayed before its status was checked for one that callers take for not run.

Change: each 16 kB of an answer must be accepted within 4 s, or the caller is disconnected as caller_stalled. The target's silence is measured between reads only. An attempt that its caller ended is never repeated. The status is checked first.

Ruled out: one limit for the whole answer. Who reads slowly but reads gets all of it.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -98,7 +99,7 @@
 		return result
 	}
 	// A connection to a caller that has disconnected breaks off in the same way.
-	if result.complete || result.notRun || result.reason == ReasonCallerGone || !bttarget.ClosedByTarget(result.err) {
+	if result.complete || result.notRun || callerLost(result.reason) || !bttarget.ClosedByTarget(result.err) {
 		return result
 	}
 	crashed, first := x.entry.crashes.targetCrashed(ctx, t)
@@ -222,6 +223,11 @@
 // relayWhole reads an answer to its end before relaying it. An answer larger than the
 // buffer is relayed as it arrives.
 func (x *exchange) relayWhole(answer *bttarget.Response) attemptResult {
+	if promisesNotRun(answer.Status) && !x.route.Repeatable() {
+		// Callers would take the status to mean that the request did not run, which the
+		// target has not said.
+		return attemptResult{reason: ReasonTargetError}
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
 	if err != nil {
 		return attemptResult{reason: ReasonAnswerCut, err: err}
@@ -230,15 +236,12 @@
 	if len(body) == bufferBytes {
 		return x.relayLarge(answer, buffered)
 	}
-	if promisesNotRun(answer.Status) && !x.route.Repeatable() {
-		// Callers would take the status to mean that the request did not run, which the
-		// target has not said.
-		return attemptResult{reason: ReasonTargetError}
-	}
 	if answer.Status >= http.StatusInternalServerError {
 		return attemptResult{reason: ReasonTargetError, buffered: buffered}
 	}
-	x.relayBuffered(buffered)
+	if err := x.relayBuffered(buffered); err != nil {
+		return writeFailed(err)
+	}
 	return attemptResult{complete: true}
 }
 
@@ -252,18 +255,23 @@
 	return false
 }
 
-// relayBuffered relays a complete answer.
-func (x *exchange) relayBuffered(buffered *bufferedAnswer) {
+// relayBuffered relays a buffered answer. The error is the caller's.
+func (x *exchange) relayBuffered(buffered *bufferedAnswer) error {
 	x.copyHeader(buffered.header)
 	x.writer.WriteHeader(buffered.status)
-	// Writing fails only if the caller has disconnected.
-	_, _ = x.writer.Write(buffered.body)
+	_, err := newCallerWriter(x.writer).Write(buffered.body)
+	return err
 }
 
 // relayLarge relays an answer that is larger than the buffer.
 func (x *exchange) relayLarge(answer *bttarget.Response, buffered *bufferedAnswer) attemptResult {
-	x.relayBuffered(buffered)
-	_, err := io.Copy(x.writer, answer.Body)
+	if err := x.relayBuffered(buffered); err != nil {
+		return writeFailed(err)
+	}
+	_, err := io.Copy(newCallerWriter(x.writer), answer.Body)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return writeFailed(err)
+	}
 	if err != nil {
 		x.entry.logFailure(x, ReasonAnswerCut, attemptResult{reason: ReasonAnswerCut, err: err})
 		x.abort()
@@ -296,7 +304,7 @@
 		}
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
-	case result.reason == ReasonCallerGone, result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
+	case callerLost(result.reason), result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
 	case result.withheld:
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -288,8 +288,12 @@
 func (x *exchange) retryOrEnd(ctx context.Context, result attemptResult) bool {
 	e := x.entry
 	now := e.options.Clock()
-	if x.callerGone() {
-		e.logFailure(x, ReasonCallerGone, result)
+	if x.callerGone() || callerLost(result.reason) {
+		reason := ReasonCallerGone
+		if result.reason == ReasonCallerStalled {
+			reason = ReasonCallerStalled
+		}
+		e.logFailure(x, reason, result)
 		x.abort()
 		return false
 	}
@@ -350,7 +354,9 @@
 	x.entry.admission.recordRefusal()
 	x.entry.logFailure(x, reason, result)
 	if result.buffered != nil && !x.streamStarted() {
-		x.relayBuffered(result.buffered)
+		if err := x.relayBuffered(result.buffered); err != nil {
+			x.abort()
+		}
 		return
 	}
 	if x.mayHaveRun {
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -99,7 +99,7 @@
 
 // result returns the attempt's result, changed to a move if one was requested.
 func (m attemptMove) result(r attemptResult) attemptResult {
-	if m.move == nil || r.complete || r.notRun || r.reason == ReasonCallerGone {
+	if m.move == nil || r.complete || r.notRun || callerLost(r.reason) {
 		return r
 	}
 	if reason := m.move.reason.Load(); reason != nil {
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -72,6 +72,8 @@
 	ReasonTimeout btrequest.Reason = "timeout"
 	// ReasonCallerGone: the caller closed its connection.
 	ReasonCallerGone btrequest.Reason = "caller_gone"
+	// ReasonCallerStalled: the caller accepted nothing of its answer for some seconds.
+	ReasonCallerStalled btrequest.Reason = "caller_stalled"
 	// ReasonBudget: the retry budget is used up.
 	ReasonBudget btrequest.Reason = "retry_budget"
 )
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +25,7 @@
 // streamWriter relays a stream event by event, from any number of targets in turn.
 type streamWriter struct {
 	x      *exchange
-	flush  *http.ResponseController
+	writer callerWriter
 	events *btevents.Splitter
 	begun  bool
 	// lastWrite is when the last event was sent.
@@ -65,16 +64,13 @@
 		s.x.writer.Header().Del("Content-Length")
 		s.x.writer.WriteHeader(answer.Status)
 	}
-	if _, err := s.x.writer.Write(events); err != nil {
-		return err
-	}
-	return s.flush.Flush()
+	return s.writer.writeEvents(events)
 }
 
 // relayStream relays a stream until it ends.
 func (x *exchange) relayStream(ctx context.Context, cancel context.CancelFunc, t *target, answer *bttarget.Response, tokens *promptTokens) attemptResult {
 	if x.stream == nil {
-		x.stream = &streamWriter{x: x, flush: http.NewResponseController(x.writer), events: btevents.New()}
+		x.stream = &streamWriter{x: x, writer: newCallerWriter(x.writer), events: btevents.New()}
 		if x.info.LastEvent != "" {
 			x.stream.events = btevents.NewAfter(x.info.LastEvent)
 		}
@@ -89,11 +85,13 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			silence.reset()
+			// The target isn't silent while the caller is slow to accept a piece.
+			silence.stop()
 			tokens.markRead()
 			if result, failed := x.relayPiece(t, buffer[:n], answer); failed {
 				return result
 			}
+			silence.reset()
 		}
 		if err == nil {
 			continue
@@ -132,7 +130,7 @@
 	x.stream.observer.observe(now.Sub(x.stream.lastWrite))
 	x.stream.lastWrite = now
 	if err := x.stream.write(events, answer); err != nil {
-		return attemptResult{reason: ReasonCallerGone, err: err}, true
+		return writeFailed(err), true
 	}
 	return attemptResult{}, false
 }
