btdirect: bound the memory held for bodies and buffered answers

Cause: an entry held the body of each request until its end, up to 4 MB, and up to 256 kB of each answer, without any bound in all. A few hundred requests at slow targets exceed the 136 MB of the smallest hosts.

Change: both are reserved from a quarter of the process's memory. A request that finds none left is refused at once as memory, before it is read; an answer is relayed without a buffer, so that it can't be requested again.

Ruled out: a bound by the number of requests. Their bodies differ by a factor of a thousand.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -228,6 +228,9 @@
 		// target has not said.
 		return attemptResult{reason: ReasonTargetError}
 	}
+	if !x.reserveAnswer(answer) {
+		return x.relayLarge(answer, &bufferedAnswer{status: answer.Status, header: answer.Header})
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
 	if err != nil {
 		return attemptResult{reason: ReasonAnswerCut, err: err}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -28,10 +28,12 @@
 	request *http.Request
 	info    RequestInfo
 	body    []byte
-	index   *btcatalog.Index
-	route   *btcatalog.Route
-	service *btcatalog.Service
-	account btid.Account
+	// reserved is the memory reserved for the request, in bytes.
+	reserved int64
+	index    *btcatalog.Index
+	route    *btcatalog.Route
+	service  *btcatalog.Service
+	account  btid.Account
 	// residency is where the request may be run.
 	residency  btcatalog.Residency
 	priority   int
@@ -91,6 +93,7 @@
 		tried:      make(map[btinventory.Instance]bool),
 	}
 	x.fingerprint = sync.OnceValue(x.computeFingerprint)
+	defer x.releaseMemory()
 	e.meter.Counter(metricRequests).Inc(1)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -174,7 +177,10 @@
 	if x.request.ContentLength == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	body, reserved, err := x.readReserved(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, limit)
+	if !reserved {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonMemory, retryAfter: x.otherEntryRetryAfter()}
+	}
 	var tooBig *http.MaxBytesError
 	if errors.As(err, &tooBig) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
--- /dev/null
+++ b/io/btdirect/memory.go
@@ -0,0 +1,86 @@
+package btdirect
+
+import (
+	"io"
+	"strconv"
+	"sync/atomic"
+
+	"bilberrytide/io/bttarget"
+)
+
+const (
+	// heldShare is the part of the process's memory that bodies of requests and buffered
+	// answers may take; the rest is for connections, lists and garbage.
+	heldShare = 0.25
+	// reserveBytes is the amount reserved at a time for a body of unknown size.
+	reserveBytes = 64 << 10
+)
+
+// heldMemory bounds the bytes that an entry holds for callers and targets that are slow. It
+// is safe for concurrent use.
+type heldMemory struct {
+	// limit is in bytes; zero means that there is none.
+	limit int64
+	used  atomic.Int64
+}
+
+func newHeldMemory(memory int64) *heldMemory {
+	return &heldMemory{limit: int64(float64(memory) * heldShare)}
+}
+
+// reserve reserves bytes, and returns false if they are more than are left.
+func (m *heldMemory) reserve(n int64) bool {
+	if m.used.Add(n) <= m.limit || m.limit <= 0 {
+		return true
+	}
+	m.used.Add(-n)
+	return false
+}
+
+func (m *heldMemory) release(n int64) { m.used.Add(-n) }
+
+// reserve reserves bytes until the request ends, and returns false if they are more than
+// are left.
+func (x *exchange) reserve(n int64) bool {
+	if !x.entry.held.reserve(n) {
+		return false
+	}
+	x.reserved += n
+	return true
+}
+
+// releaseMemory releases what the request has reserved.
+func (x *exchange) releaseMemory() { x.entry.held.release(x.reserved) }
+
+// readReserved reads a body of at most limit bytes and reserves its size. It returns false
+// if that is more than is left.
+func (x *exchange) readReserved(body io.Reader, size, limit int64) ([]byte, bool, error) {
+	if size >= 0 {
+		if !x.reserve(size) {
+			return nil, false, nil
+		}
+		data, err := io.ReadAll(body)
+		return data, true, err
+	}
+	var data []byte
+	for int64(len(data)) <= limit {
+		if !x.reserve(reserveBytes) {
+			return nil, false, nil
+		}
+		part, err := io.ReadAll(io.LimitReader(body, reserveBytes))
+		data = append(data, part...)
+		if err != nil || len(part) < reserveBytes {
+			return data, true, err
+		}
+	}
+	return data, true, nil
+}
+
+// reserveAnswer reserves the buffer for an answer.
+func (x *exchange) reserveAnswer(answer *bttarget.Response) bool {
+	size, err := strconv.ParseInt(answer.Header.Get("Content-Length"), 10, 64)
+	if err != nil || size < 0 || size > bufferBytes {
+		size = bufferBytes
+	}
+	return x.reserve(size)
+}
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -13,6 +13,9 @@
 	ReasonKeyUnknown btrequest.Reason = "key_unknown"
 	// ReasonBodyTooBig: the body exceeds the limit.
 	ReasonBodyTooBig btrequest.Reason = "body_too_big"
+	// ReasonMemory: the entry holds as many bytes of requests and answers as its memory
+	// allows.
+	ReasonMemory btrequest.Reason = "memory"
 	// ReasonBodyCut: the body broke off.
 	ReasonBodyCut btrequest.Reason = "body_cut"
 	// ReasonStopping: the entry is shutting down and accepts no more requests of this
