btgossip, btdirect: one substitute is enough, and readers are spread over hosts

The first entries by address are neighbours, in one data centre, and are cut off or lost together.

Change: a substitute stops when it receives the list from one before it. The order of readers goes by a hash of the addresses. Only the first three repeat failed reads at the same short interval.

--- a/core/btgossip/btgossip.go
+++ b/core/btgossip/btgossip.go
@@ -64,8 +64,8 @@
 type Membership struct {
 	self     netip.AddrPort
 	lastSeen map[netip.AddrPort]time.Time
-	// sorted lists the entries by address.
-	sorted []netip.AddrPort
+	// sorted lists the entries by address, readingOrder by CompareReaders.
+	sorted, readingOrder []netip.AddrPort
 	// supplier is the entry that sent the platform's list last; zero if it has stopped.
 	// probes counts the entries contacted in search of another one.
 	supplier netip.AddrPort
@@ -93,6 +93,8 @@
 	}
 	i, _ := slices.BinarySearchFunc(m.sorted, a, netip.AddrPort.Compare)
 	m.sorted = slices.Insert(m.sorted, i, a)
+	i, _ = slices.BinarySearchFunc(m.readingOrder, a, CompareReaders)
+	m.readingOrder = slices.Insert(m.readingOrder, i, a)
 	return []Change{{Address: a, Known: true}}
 }
 
@@ -123,6 +125,9 @@
 		changes = append(changes, Change{Address: a, Age: age})
 		return true
 	})
+	if len(changes) > 0 {
+		m.readingOrder = slices.DeleteFunc(m.readingOrder, func(a netip.AddrPort) bool { return m.lastSeen[a].IsZero() })
+	}
 	return changes
 }
 
--- a/core/btgossip/supplier.go
+++ b/core/btgossip/supplier.go
@@ -1,17 +1,33 @@
 package btgossip
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// The first few entries by address read the platform's list, the others receive it from
-// them. If the platform turns these away, the next ones read it in their place, and the
-// others have to find them: each then keeps to the entry that supplies the list. If each
-// entry read the platform as soon as it missed the list, its calls would grow with the
+// The first few entries in the reading order read the platform's list, the others receive
+// it from them. If the platform turns these away, the next ones read it in their place, and
+// the others have to find them: each then keeps to the entry that supplies the list. If
+// each entry read the platform as soon as it missed the list, its calls would grow with the
 // fleet.
 
+// CompareReaders compares two entries by the reading order. It is by a hash of their
+// addresses, as hosts with similar addresses are lost or cut off together.
+func CompareReaders(a, b netip.AddrPort) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.String()), xxhash.Sum64String(b.String())), a.Compare(b))
+}
+
+// Rank returns the number of known entries that are before this one in the reading order.
+func (m *Membership) Rank() int {
+	i, _ := slices.BinarySearchFunc(m.readingOrder, m.self, CompareReaders)
+	return i
+}
+
 const (
 	// probesPerWindow is how many entries are contacted among the first few, and then among
 	// each larger number of them.
@@ -22,7 +38,7 @@
 	// a list.
 	substituteDelay = 250 * time.Millisecond
 	// retryDelay is the time until a failed read is repeated. It doubles up to
-	// maxRetryDelay for those that others don't depend on.
+	// maxRetryDelay for all but the first few.
 	retryDelay    = 400 * time.Millisecond
 	maxRetryDelay = 1600 * time.Millisecond
 	// SearchInterval is the interval of contacts while an entry looks for a supplier, for
@@ -49,25 +65,25 @@
 	return !m.supplier.IsValid() && len(m.sorted) > 0 && m.probes < SearchProbes
 }
 
-// supplierOrProbe returns the supplier, or an entry that may be one: of the first few by
-// address, then of twice as many and so on, and of the first few again.
+// supplierOrProbe returns the supplier, or an entry that may be one: of the first few in
+// the reading order, then of twice as many and so on, and of the first few again.
 func (m *Membership) supplierOrProbe(readers int, random *rand.Rand) netip.AddrPort {
 	if m.supplier.IsValid() {
 		return m.supplier
 	}
 	window := readers << (m.probes / probesPerWindow % (maxWindows + 1))
 	m.probes++
-	return m.sorted[random.IntN(min(window, len(m.sorted)))]
+	return m.readingOrder[random.IntN(min(window, len(m.readingOrder)))]
 }
 
 // Substitutes reports whether an entry that had to read the platform goes on for a while, so
-// that others find it. Rank is the number of entries with a lower address.
+// that others find it.
 func Substitutes(rank, readers int) bool { return rank < readers<<maxWindows }
 
 // RetryDelay returns the time until an entry repeats a read of the platform after so many
 // failed ones.
 func RetryDelay(rank, readers, failures int) time.Duration {
-	if Substitutes(rank, readers) {
+	if rank < readers {
 		return retryDelay
 	}
 	return min(retryDelay<<max(min(failures, 8)-1, 0), maxRetryDelay)
--- a/core/btgossip/supplier_test.go
+++ b/core/btgossip/supplier_test.go
@@ -1,6 +1,7 @@
 package btgossip_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	allAway  bool
 	failures []int
 	nextRead []time.Time
+	// order holds the entries in the reading order, rank the place of each in it.
+	order, rank []int
 	// oldest is the greatest age of the list of an entry that the platform serves.
 	oldest time.Duration
 }
@@ -45,6 +48,14 @@
 	for range 8 * messageCount(size) {
 		f.tick()
 	}
+	for n := range size {
+		f.order = append(f.order, n)
+	}
+	slices.SortFunc(f.order, func(a, b int) int { return btgossip.CompareReaders(address(a), address(b)) })
+	f.rank = make([]int, size)
+	for rank, n := range f.order {
+		f.rank[n] = rank
+	}
 	for n := range size {
 		f.listedAt[n] = f.now
 	}
@@ -66,6 +77,9 @@
 			e.ObserveReply(to, supplies)
 			if supplies && f.readAt[m].After(f.listedAt[n]) {
 				f.listedAt[n] = f.readAt[m]
+				if f.rank[m] < f.rank[n] {
+					f.readsUntil[n] = time.Time{}
+				}
 			}
 		}
 		if !f.away[n] && !f.allAway {
@@ -76,22 +90,23 @@
 
 // read has an entry read the platform if it is due.
 func (f *listFleet) read(n int) {
-	overdue := f.now.Sub(f.listedAt[n]) > listTTL+btgossip.SubstituteDelay(n, readers)
-	if n >= readers && !overdue && !f.now.Before(f.readsUntil[n]) || f.now.Before(f.nextRead[n]) {
+	rank := f.entries[n].Rank()
+	overdue := f.now.Sub(f.listedAt[n]) > listTTL+btgossip.SubstituteDelay(rank, readers)
+	if rank >= readers && !overdue && !f.now.Before(f.readsUntil[n]) || f.now.Before(f.nextRead[n]) {
 		return
 	}
-	if n >= readers {
+	if rank >= readers {
 		f.calls++
 	}
 	if f.away[n] || f.allAway {
 		f.failures[n]++
-		f.nextRead[n] = f.now.Add(btgossip.RetryDelay(n, readers, f.failures[n]))
+		f.nextRead[n] = f.now.Add(btgossip.RetryDelay(rank, readers, f.failures[n]))
 		return
 	}
 	f.failures[n] = 0
 	f.nextRead[n] = f.now.Add(readInterval)
 	f.readAt[n], f.listedAt[n] = f.now, f.now
-	if overdue && btgossip.Substitutes(n, readers) {
+	if overdue && btgossip.Substitutes(rank, readers) {
 		f.readsUntil[n] = f.now.Add(substitution)
 	}
 }
@@ -115,10 +130,10 @@
 func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
 	const seconds, mostCalls, oldest = 10, 40, 3 * time.Second
 	for _, away := range []int{1, 2, 3, 5} {
-		for _, size := range []int{35, 208} {
+		for _, size := range []int{13, 35, 208} {
 			f := newListFleet(1, size)
 			f.settle()
-			for n := range away {
+			for _, n := range f.order[:away] {
 				f.away[n] = true
 			}
 			f.run(seconds)
@@ -133,7 +148,7 @@
 // platform.
 func TestFewEntriesCallAfterAnOutage(t *testing.T) {
 	const seconds, outage = 10, 6
-	for _, size := range []int{35, 208} {
+	for _, size := range []int{13, 35, 208} {
 		f := newListFleet(1, size)
 		f.settle()
 		f.allAway = true
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -32,7 +32,7 @@
 	helloInterval = 500 * time.Millisecond
 	helloTimeout  = 400 * time.Millisecond
 	// listReaders is how many entries read the list of targets from the source: the first
-	// ones by address. The others receive it from them. There are several, so that the loss of one causes no
+	// ones in the reading order. The others receive it from them. There are several, so that the loss of one causes no
 	// delay.
 	listReaders = 3
 	// peerListTTL is how old a list that another entry has read may be. An entry
@@ -98,15 +98,12 @@
 	return helloInterval
 }
 
-// rank returns the number of known entries with lower addresses.
+// rank returns the number of known entries before this one in the reading order.
 func (p *peers) rank() int {
-	rank := 0
-	for _, a := range p.list() {
-		if a.Compare(p.entry.options.Settings.Peer) < 0 {
-			rank++
-		}
-	}
-	return rank
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire()
+	return p.membership.Rank()
 }
 
 // contacts returns the entries to send a hello to.
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -171,6 +171,10 @@
 		return
 	}
 	now := sc.clock()
+	if btgossip.CompareReaders(from, sc.self) < 0 {
+		// One substitute is enough.
+		sc.readsUntil = time.Time{}
+	}
 	sc.setPosition(now, l.Position, from.String())
 	sc.listedAt = readAt
 	sc.hasList = true
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -90,9 +90,11 @@
 	// failed since.
 	readAt    time.Time
 	storeLost bool
-	// rank returns the number of other entries with lower addresses. The first ones read
-	// the source even while they receive the list from others.
+	// rank returns the number of other entries before this one in the reading order. The
+	// first ones read the source even while they receive the list from others.
 	rank func() int
+	// self is the entry's own address.
+	self netip.AddrPort
 	// readFailures counts the reads that have failed since the last successful one.
 	readFailures int
 	// readsUntil is until when this entry reads the source in place of those that should.
@@ -115,6 +117,7 @@
 func newSourceCache(o Options, onChange func(listing)) *sourceCache {
 	return &sourceCache{
 		source:       o.Source,
+		self:         o.Settings.Peer,
 		decode:       o.Decode,
 		clock:        o.Clock,
 		log:          o.Log,
