btdirect: keep to an entry only while its list is fresh

Cause: each entry reads the store once as it starts, and answers with that list ever after. It was taken for one that supplies the list, and its followers had to read the store themselves.

--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -146,7 +146,7 @@
 		return
 	}
 	p.mergeSightings(askedAt, to, reply.Entries)
-	p.observeReply(to, reply.List.Position != 0)
+	p.observeReply(to, reply.List.fresh())
 	if len(reply.Catalog) > 0 {
 		p.entry.cache.mergeCatalog(reply.Catalog, to)
 	}
@@ -202,7 +202,7 @@
 	p.logChanges(p.membership.Merge(now, askedAt, sightings))
 }
 
-// observeReply records whether an entry's reply had a list that it has read itself.
+// observeReply records whether an entry's reply had a list that it has just read itself.
 func (p *peers) observeReply(from netip.AddrPort, hasList bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -174,6 +174,10 @@
 	HasDrained bool                           `cbor:"has_drained,omitempty"`
 }
 
+// fresh reports whether the list was read recently. An entry that read it once, as it
+// started, has an old one of its own.
+func (l ReadList) fresh() bool { return l.Position != 0 && l.Age < peerListTTL }
+
 // Validate returns an error if there are too many entries or a field is out of range.
 func (r helloReply) Validate() error {
 	if len(r.Entries) > btgossip.MaxSightings {
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -101,7 +101,7 @@
 	// failed since.
 	readAt    time.Time
 	storeLost bool
-	reading func() reading
+	reading   func() reading
 	// self is the entry's own address.
 	self netip.AddrPort
 	// readFailures counts the reads that have failed since the last successful one.
