--- a/io/btdirect/memory.go
+++ b/io/btdirect/body.go
@@ -1,7 +1,9 @@
 package btdirect
 
 import (
+	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 
@@ -52,6 +54,37 @@
 // releaseMemory releases what the request has reserved.
 func (x *exchange) releaseMemory() { x.entry.held.release(x.reserved) }
 
+// readBody reads the whole body, so that an attempt can be repeated and the server
+// notices a caller that disconnects.
+func (x *exchange) readBody() *refusal {
+	limit := x.index.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.request.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
+	}
+	if x.request.ContentLength == 0 {
+		return nil
+	}
+	body, reserved, err := x.readReserved(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, limit)
+	if !reserved {
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonMemory, retryAfter: x.otherEntryRetryAfter()}
+	}
+	var tooBig *http.MaxBytesError
+	if errors.As(err, &tooBig) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
+	}
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyCut}
+	}
+	x.body = body
+	return nil
+}
+
+// defaultBodyBytes is the body limit if the catalog sets none.
+const defaultBodyBytes = 4 << 20
+
 // readReserved reads a body of at most limit bytes and reserves its size. It returns false
 // if that is more than is left.
 func (x *exchange) readReserved(body io.Reader, size, limit int64) ([]byte, bool, error) {
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -164,37 +163,6 @@
 	return &refusal{status: http.StatusUnauthorized, reason: ReasonKeyUnknown}
 }
 
-// readBody reads the whole body, so that an attempt can be repeated and the server
-// notices a caller that disconnects.
-func (x *exchange) readBody() *refusal {
-	limit := x.index.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.request.ContentLength > limit {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
-	}
-	if x.request.ContentLength == 0 {
-		return nil
-	}
-	body, reserved, err := x.readReserved(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, limit)
-	if !reserved {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonMemory, retryAfter: x.otherEntryRetryAfter()}
-	}
-	var tooBig *http.MaxBytesError
-	if errors.As(err, &tooBig) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
-	}
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyCut}
-	}
-	x.body = body
-	return nil
-}
-
-// defaultBodyBytes is the body limit if the catalog sets none.
-const defaultBodyBytes = 4 << 20
-
 // serve admits the request and makes attempts until it has an answer.
 func (x *exchange) serve(ctx context.Context) {
 	e := x.entry
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -5,14 +5,11 @@
 	"errors"
 	"log/slog"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bilberrytide/core/btcatalog"
-	"bilberrytide/core/btgossip"
-	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -46,33 +43,6 @@
 	metricEras = "source.eras"
 )
 
-// reading is an entry's part in reading the source for all.
-type reading struct {
-	// rank is the number of other entries before this one in the reading order. The first
-	// ones read the source even while they receive the list from others.
-	rank int
-	// patience is how much longer than peerListTTL the entry waits for a list.
-	patience time.Duration
-	// substitutes reports whether the entry goes on reading if it had to once.
-	substitutes bool
-}
-
-// listing is what is published of the targets.
-type listing struct {
-	catalog *btcatalog.Index
-	targets []btinventory.Target
-	drained btinventory.DrainedDataCentres
-}
-
-// coldRate returns how many requests a second a cold target of the service takes; zero if
-// there is no limit.
-func (l listing) coldRate(name btid.Service) float64 {
-	if s, found := l.catalog.Service(name); found {
-		return s.ColdRate
-	}
-	return 0
-}
-
 // sourceCache holds the catalog and the targets as last read from the source, by this
 // entry or by another one that passed them on.
 type sourceCache struct {
@@ -155,18 +125,6 @@
 	}
 }
 
-// awaitRetry waits after a failed read, until another entry has passed the list on or the
-// read is to be repeated.
-func (sc *sourceCache) awaitRetry(ctx context.Context) {
-	rank := sc.reading().rank
-	sc.mu.Lock()
-	end := sc.clock().Add(btgossip.RetryDelay(rank, listReaders, sc.readFailures))
-	sc.mu.Unlock()
-	for ctx.Err() == nil && sc.clock().Before(end) && !sc.listedByPeer(sc.clock()) {
-		sleep(ctx, min(peerListPoll, end.Sub(sc.clock())))
-	}
-}
-
 // read reads the source once, and reports whether that succeeded.
 func (sc *sourceCache) read(ctx context.Context) bool {
 	sc.meter.Counter(metricReads).Inc(1)
@@ -305,33 +263,6 @@
 	return sc.register.Put(c.Target)
 }
 
-// drainedAfter returns the drained data centres after an update.
-func (sc *sourceCache) drainedAfter(u Update) btinventory.DrainedDataCentres {
-	drained := sc.drained
-	if u.Full {
-		drained = nil
-	}
-	for _, d := range u.Drains {
-		if d.Ended {
-			drained = drained.Without(d.DataCentre)
-		} else {
-			drained = drained.With(d.DataCentre)
-		}
-	}
-	return drained
-}
-
-// setDrained replaces the drained data centres, and reports whether they changed. sc.mu
-// must be held.
-func (sc *sourceCache) setDrained(drained btinventory.DrainedDataCentres, p btinventory.Position, from string) bool {
-	if slices.Equal(drained, sc.drained) {
-		return false
-	}
-	sc.log.Info("drained data centres changed", "drained", drained, "before", sc.drained, "position", p.String(), "from", from)
-	sc.drained = drained
-	return true
-}
-
 // adoptCatalog puts a catalog in force if it is newer, and reports whether it did.
 func (sc *sourceCache) adoptCatalog(c *btcatalog.Catalog, data []byte, from string) bool {
 	if c == nil {
