--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -32,8 +32,8 @@
 	helloInterval = 500 * time.Millisecond
 	helloTimeout  = 400 * time.Millisecond
 	// listReaders is how many entries read the list of targets from the source: the first
-	// ones in the reading order. The others receive it from them. There are several, so that the loss of one causes no
-	// delay.
+	// ones in the reading order. The others receive it from them. There are several, so
+	// that the loss of one causes no delay.
 	listReaders = 3
 	// peerListTTL is how old a list that another entry has read may be. An entry
 	// without one as recent as this reads the source itself, so a change is known
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -65,7 +65,7 @@
 // outside the request's home regions, those that the request has tried, those that are
 // excluded, and those with a rate of which this entry's share is used up. Of the others
 // it uses the most preferred ones. If only rates are in the way, the request waits for
-// the first target that may be sent one.
+// the first target that may be sent one, if that is within its maxWait.
 func (f *fleet) pick(r pickRequest) choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
