btdirect: keep sending the list while its history is gone

Cause: an entry whose watch was refused, as the store had lost its history, dropped its list, waited 0.4 s and read the store as a whole.

Change: the list stays until it is replaced, and the whole read follows at once.

--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -178,6 +178,7 @@
 	sc.setPosition(now, l.Position, from.String())
 	sc.listedAt = readAt
 	sc.hasList = true
+	sc.historyGone = false
 	var changes []btinventory.Change
 	if !l.Same {
 		changes = sc.register.ReplaceFromPeer(now, l.Cells.Replace(sc.register.Targets(), l.Targets))
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -67,6 +67,8 @@
 	// position is that of the cached list. hasList reports that there is one.
 	position btinventory.Position
 	hasList  bool
+	// historyGone reports that the source no longer has the changes since the position.
+	historyGone bool
 	// readAt is when this entry last read the source. storeLost reports that reads have
 	// failed since.
 	readAt    time.Time
@@ -117,7 +119,12 @@
 			sleep(ctx, peerListPoll)
 			continue
 		}
-		if sc.read(ctx) {
+		ok := sc.read(ctx)
+		if _, known := sc.currentPosition(); !ok && !known {
+			// Without changes the list is read as a whole, which may succeed at once.
+			ok = sc.read(ctx)
+		}
+		if ok {
 			sleep(ctx, readInterval-sc.clock().Sub(began))
 		} else {
 			sc.awaitRetry(ctx)
@@ -147,11 +154,12 @@
 	return true
 }
 
-// currentPosition returns the position of the cached list, if there is one.
+// currentPosition returns the position of the cached list, if there is one from which the
+// source has the changes.
 func (sc *sourceCache) currentPosition() (btinventory.Position, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.position, sc.hasList
+	return sc.position, sc.hasList && !sc.historyGone
 }
 
 // recordReadError records a failed read.
@@ -160,7 +168,8 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if errors.Is(err, ErrHistoryGone) {
-		sc.hasList = false
+		// The list is valid until it is replaced, and other entries receive it meanwhile.
+		sc.historyGone = true
 		sc.log.Info("history gone", "position", sc.position.String(), "outcome", "read in full")
 		return
 	}
@@ -199,6 +208,7 @@
 	sc.readAt = now
 	sc.listedAt = now
 	sc.hasList = true
+	sc.historyGone = false
 	for _, m := range u.Malformed {
 		sc.recordMalformed(m, u.Position)
 	}
