btdirect, btgossip: name the memory of bodies, and shorten comments

Names and comments only: heldMemory is bodyMemory, comments say what holds in three lines, and 'goes on', 'turned away' and 'later word' give way to the usual terms.

--- a/core/btgossip/supplier.go
+++ b/core/btgossip/supplier.go
@@ -11,10 +11,8 @@
 )
 
 // The first few entries in the reading order read the platform's list, the others receive
-// it from them. If the platform turns these away, the next ones read it in their place, and
-// the others have to find them: each then keeps to the entry that supplies the list. If
-// each entry read the platform as soon as it missed the list, its calls would grow with the
-// fleet.
+// it from one of them, their supplier. If all entries that miss the list read the platform,
+// its calls grow with the fleet, so only the next few in the order substitute for the first.
 
 // CompareReaders compares two entries by the reading order. It is by a hash of their
 // addresses, as hosts with similar addresses are lost or cut off together.
@@ -34,8 +32,8 @@
 	probesPerWindow = 4
 	// maxWindows bounds the doublings, and so the substitutes that have to be found.
 	maxWindows = 2
-	// substituteDelay is how much longer than the nearer substitutes the next ones wait for
-	// a list, supplierPatience how much longer an entry waits whose supplier has answered.
+	// substituteDelay is the additional wait of later substitutes, so that earlier ones are
+	// found first. supplierPatience is the additional wait while a supplier answers.
 	substituteDelay  = 250 * time.Millisecond
 	supplierPatience = 500 * time.Millisecond
 	// retryDelay is the time until a failed read is repeated. It doubles up to
@@ -77,8 +75,8 @@
 	return m.readingOrder[random.IntN(min(window, len(m.readingOrder)))]
 }
 
-// Substitutes reports whether an entry that had to read the platform goes on for a while, so
-// that others find it.
+// Substitutes reports whether an entry that had to read the platform continues to do so for
+// a while, so that others find it.
 func (m *Membership) Substitutes(readers int) bool {
 	return !m.supplier.IsValid() && m.Rank() < readers<<maxWindows
 }
--- a/core/btgossip/supplier_test.go
+++ b/core/btgossip/supplier_test.go
@@ -12,8 +12,8 @@
 
 const (
 	// listTTL is how old a list may be before an entry reads the platform itself,
-	// readInterval the interval at which it is read, substitution how long an entry that
-	// had to read it goes on.
+	// readInterval the interval at which it is read, substitution how long a
+	// substitute continues to read it.
 	listTTL      = 1300 * time.Millisecond
 	readInterval = 700 * time.Millisecond
 	substitution = 10 * time.Second
@@ -25,7 +25,7 @@
 // listFleet simulates entries that receive the platform's list from those that read it.
 type listFleet struct {
 	*fleet
-	// away holds the entries that the platform turns away.
+	// away holds the entries whose calls the platform rejects.
 	away map[int]bool
 	// readAt is when each entry last read the platform, listedAt when its list was read,
 	// readsUntil until when it reads in another entry's place.
@@ -145,9 +145,8 @@
 	}
 }
 
-// Guards against calls to the platform that grow with the fleet while it turns entries
-// away: each entry that missed the list read the platform itself, at once and again and
-// again.
+// Guards against calls to the platform that grow with the fleet while it rejects those of
+// the readers: each entry that missed the list read the platform itself.
 func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
 	const seconds, mostCalls, oldest = 10, 40, 3 * time.Second
 	for _, away := range []int{1, 2, 3, 5} {
--- a/io/btdirect/body.go
+++ b/io/btdirect/body.go
@@ -11,27 +11,27 @@
 )
 
 const (
-	// heldShare is the part of the process's memory that bodies of requests and buffered
-	// answers may take; the rest is for connections, lists and garbage.
-	heldShare = 0.25
+	// bodyMemoryShare is the fraction of the process's memory that bodies of requests and
+	// buffered answers may take; the rest is for connections, lists and garbage.
+	bodyMemoryShare = 0.25
 	// reserveBytes is the amount reserved at a time for a body of unknown size.
 	reserveBytes = 64 << 10
 )
 
-// heldMemory bounds the bytes that an entry holds for callers and targets that are slow. It
-// is safe for concurrent use.
-type heldMemory struct {
+// bodyMemory bounds the bytes that are buffered for slow callers and targets. It is safe for
+// concurrent use.
+type bodyMemory struct {
 	// limit is in bytes; zero means that there is none.
 	limit int64
 	used  atomic.Int64
 }
 
-func newHeldMemory(memory int64) *heldMemory {
-	return &heldMemory{limit: int64(float64(memory) * heldShare)}
+func newBodyMemory(memory int64) *bodyMemory {
+	return &bodyMemory{limit: int64(float64(memory) * bodyMemoryShare)}
 }
 
 // reserve reserves bytes, and returns false if they are more than are left.
-func (m *heldMemory) reserve(n int64) bool {
+func (m *bodyMemory) reserve(n int64) bool {
 	if m.used.Add(n) <= m.limit || m.limit <= 0 {
 		return true
 	}
@@ -39,12 +39,12 @@
 	return false
 }
 
-func (m *heldMemory) release(n int64) { m.used.Add(-n) }
+func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
 
 // reserve reserves bytes until the request ends, and returns false if they are more than
 // are left.
 func (x *exchange) reserve(n int64) bool {
-	if !x.entry.held.reserve(n) {
+	if !x.entry.bodies.reserve(n) {
 		return false
 	}
 	x.reserved += n
@@ -52,7 +52,7 @@
 }
 
 // releaseMemory releases what the request has reserved.
-func (x *exchange) releaseMemory() { x.entry.held.release(x.reserved) }
+func (x *exchange) releaseMemory() { x.entry.bodies.release(x.reserved) }
 
 // readBody reads the whole body, so that an attempt can be repeated and the server
 // notices a caller that disconnects.
--- a/io/btdirect/cold.go
+++ b/io/btdirect/cold.go
@@ -15,10 +15,9 @@
 // doesn't know the other ones yet.
 const unsettledInterval = time.Second
 
-// updateCold applies a target's record to its limit as a cold target. perSecond is how many
-// requests a cold target of the service takes from all callers together; zero if there is
-// no limit. Targets of a data centre that is taken back count as cold until their records
-// must have said whether they are. f.mu must be held.
+// updateCold sets or ends a target's limit as a cold target; perSecond is zero if the
+// service has none. After a drain, targets count as cold for recordDelay, as their records
+// may be older. f.mu must be held.
 func (f *fleet) updateCold(t *target, info btinventory.Target, wasDrained bool, perSecond float64) {
 	now := f.clock()
 	if wasDrained && !t.drained {
@@ -31,10 +30,9 @@
 // isCold reports whether the target is, or may be, cold.
 func (f *fleet) isCold(t *target, now time.Time) bool { return t.cold || now.Before(t.coldUntil) }
 
-// coldWait returns the time until the target may be sent a request if it is cold; zero
-// means now. An entry that doesn't know the other ones yet can't know its share, and sends
-// few requests rather than none: after a restart of the whole fleet there may be no warm
-// target. f.mu must be held.
+// coldWait returns the time until a cold target may be sent a request; zero means now. An
+// entry that doesn't know the others yet sends few requests rather than none: after a
+// restart of the whole fleet no target may be warm. f.mu must be held.
 func (f *fleet) coldWait(t *target, now time.Time) time.Duration {
 	switch {
 	case !f.isCold(t, now) || !f.coldRates.Limit(t.info.Instance()).Active:
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -46,7 +46,7 @@
 	admission *admission
 	peers     *peers
 	crashes   *crashDetector
-	held      *heldMemory
+	bodies    *bodyMemory
 	// quarantine keeps requests that crash targets away from targets.
 	quarantine *quarantine
 
@@ -73,7 +73,7 @@
 		meter:         o.Meter,
 		fleet:         newFleet(o),
 		crashes:       newCrashDetector(o.Clock),
-		held:          newHeldMemory(o.Settings.Memory),
+		bodies:        newBodyMemory(o.Settings.Memory),
 		quarantine:    newQuarantine(o),
 		stopRequested: make(chan struct{}),
 		budgets:       make(map[btid.Service]*budget),
--- a/io/btdirect/pick.go
+++ b/io/btdirect/pick.go
@@ -61,11 +61,9 @@
 	maxWait time.Duration
 }
 
-// pick chooses a target for a request and assigns the request to it. It skips targets
-// outside the request's home regions, those that the request has tried, those that are
-// excluded, and those with a rate of which this entry's share is used up. Of the others
-// it uses the most preferred ones. If only rates are in the way, the request waits for
-// the first target that may be sent one, if that is within its maxWait.
+// pick chooses one of the most preferred candidates for a request and assigns the request to
+// it. If all candidates have rates that are used up, the request waits for the first that may
+// be sent one, if that is within its maxWait.
 func (f *fleet) pick(r pickRequest) choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +92,8 @@
 	return choice{target: t, exhausted: len(found.exhausted), skipped: found.skipped}
 }
 
-// candidates returns the service's targets to which a request may be sent. f.mu must be
+// candidates returns the service's targets that the request may be sent to: those in its home
+// regions that it hasn't tried, that aren't excluded and whose rates allow it. f.mu must be
 // held.
 func (f *fleet) candidates(s *service, r pickRequest, now time.Time) candidates {
 	c := candidates{rateLimited: make(map[*target]bool, f.rates.ActiveLimits())}
--- a/io/btdirect/reading.go
+++ b/io/btdirect/reading.go
@@ -14,7 +14,7 @@
 	rank int
 	// patience is how much longer than peerListTTL the entry waits for a list.
 	patience time.Duration
-	// substitutes reports whether the entry goes on reading if it had to once.
+	// substitutes reports whether the entry continues to read if it had to once.
 	substitutes bool
 }
 
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -13,7 +13,7 @@
 	ReasonKeyUnknown btrequest.Reason = "key_unknown"
 	// ReasonBodyTooBig: the body exceeds the limit.
 	ReasonBodyTooBig btrequest.Reason = "body_too_big"
-	// ReasonMemory: the entry holds as many bytes of requests and answers as its memory
+	// ReasonMemory: the entry buffers as many bytes of requests and answers as its memory
 	// allows.
 	ReasonMemory btrequest.Reason = "memory"
 	// ReasonBodyCut: the body broke off.
--- a/io/btdirect/skipped.go
+++ b/io/btdirect/skipped.go
@@ -9,14 +9,13 @@
 )
 
 const (
-	// metricRestsSkipped, metricLeavingSkipped and metricDrainedSkipped count how often
-	// targets were skipped because they rest, are leaving or are in a drained data centre,
-	// metricWithheld the requests that were not sent to a chosen target because it had
-	// become excluded since.
+	// The counters of skipped targets by cause.
 	metricRestsSkipped   = "target_rests.skipped"
 	metricLeavingSkipped = "target_leaving.skipped"
 	metricDrainedSkipped = "target_drained.skipped"
-	metricWithheld       = "target_notices.withheld"
+	// metricWithheld counts requests that were not sent to a chosen target because it had
+	// become excluded since.
+	metricWithheld = "target_notices.withheld"
 	// maxSkippedShown bounds the skipped targets of a kind in a log line.
 	maxSkippedShown = 4
 )
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -26,7 +26,7 @@
 	// peerListPoll is how often an entry that receives the list from other entries
 	// checks that it still does.
 	peerListPoll = 100 * time.Millisecond
-	// substitution is how long an entry that received no list goes on reading the source, so
+	// substitution is how long an entry that received no list continues to read the source, so
 	// that others receive the list from it.
 	substitution = 10 * time.Second
 	// missingGrace is how long after an interruption a missing target is kept: live
