btinventory, btdirect: keep known drains while a restored store may lack them

Cause: a whole read of a store that was restored from an older copy replaced the drained data centres, so that those drained since the copy got requests until the operator had written the drains again.

Change: for 5 s after a change of era, known drains that a whole list lacks stay, as targets that are known to drain do. The operator's write or removal ends that at once.

Ruled out: keeping them until they are removed. Who writes nothing again would leave the data centre drained for good, with no key to remove.

--- a/core/btinventory/drained.go
+++ b/core/btinventory/drained.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"bilberrytide/core/btid"
 )
@@ -55,3 +56,57 @@
 	}
 	return nil
 }
+
+// Drains tracks the drained data centres across whole lists and changes. After the list was
+// restored from a snapshot, known drains that it lacks stay for staleWindow, in which the
+// operator writes them again. It is not safe for concurrent use.
+type Drains struct {
+	set DrainedDataCentres
+	// keptUntil holds the deadlines of drains that a restored list lacks.
+	keptUntil map[btid.DataCentre]time.Time
+}
+
+// NewDrains returns Drains without a drained data centre.
+func NewDrains() *Drains { return &Drains{keptUntil: make(map[btid.DataCentre]time.Time)} }
+
+// Set returns the drained data centres.
+func (d *Drains) Set() DrainedDataCentres { return d.set }
+
+// Change applies a write or removal by the operator.
+func (d *Drains) Change(c btid.DataCentre, drained bool) {
+	delete(d.keptUntil, c)
+	if drained {
+		d.set = d.set.With(c)
+	} else {
+		d.set = d.set.Without(c)
+	}
+}
+
+// Replace applies a whole list. Restored reports that it may lack recent drains, because the
+// list was restored from a snapshot at most staleWindow ago.
+func (d *Drains) Replace(now time.Time, list DrainedDataCentres, restored bool) {
+	for _, c := range d.set {
+		if _, kept := d.keptUntil[c]; restored && !kept && !list.Contains(c) {
+			d.keptUntil[c] = now.Add(staleWindow)
+		}
+	}
+	for c := range d.keptUntil {
+		if list.Contains(c) {
+			delete(d.keptUntil, c)
+		} else {
+			list = list.With(c)
+		}
+	}
+	d.set = list
+	d.Expire(now)
+}
+
+// Expire ends the drains that a restored list lacks and that were not written again.
+func (d *Drains) Expire(now time.Time) {
+	for c, until := range d.keptUntil {
+		if !now.Before(until) {
+			delete(d.keptUntil, c)
+			d.set = d.set.Without(c)
+		}
+	}
+}
--- a/core/btinventory/drained_test.go
+++ b/core/btinventory/drained_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,3 +43,24 @@
 	assert.DeepEqual(t, after, btinventory.DrainedDataCentres{"a", "b", "c"})
 	assert.Assert(t, !before.Contains(btid.DataCentre("b")))
 }
+
+// Guards against requests to a drained data centre because the list was restored from a
+// snapshot that lacks the drain, until the operator has written it again.
+func TestKnownDrainsOutlastARestoredList(t *testing.T) {
+	start := time.Unix(1000, 0)
+	drains := btinventory.NewDrains()
+	drains.Change("north", true)
+	drains.Change("south", true)
+	// The snapshot has neither, and one that had ended before.
+	drains.Replace(start, btinventory.NewDrainedDataCentres("west"), true)
+	assert.DeepEqual(t, drains.Set(), btinventory.NewDrainedDataCentres("north", "south", "west"))
+	drains.Change("north", true)
+	drains.Change("west", false)
+	// A later list of the era has what the operator has written since.
+	drains.Replace(start.Add(2*time.Second), btinventory.NewDrainedDataCentres("north"), true)
+	assert.DeepEqual(t, drains.Set(), btinventory.NewDrainedDataCentres("north", "south"))
+	drains.Expire(start.Add(6 * time.Second))
+	assert.DeepEqual(t, drains.Set(), btinventory.NewDrainedDataCentres("north"))
+	drains.Replace(start.Add(7*time.Second), nil, false)
+	assert.Equal(t, len(drains.Set()), 0)
+}
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -25,6 +25,10 @@
 	return r.recentlyRestored(now) && t.Created != 0 && t.Created.Era() < r.era
 }
 
+// RecentlyRestored tells whether a whole list may still lack recent writes, because the list
+// was restored from a snapshot.
+func (r *Registry) RecentlyRestored(now time.Time) bool { return r.recentlyRestored(now) }
+
 // recentlyRestored tells whether a list may still hold records older than the known ones.
 func (r *Registry) recentlyRestored(now time.Time) bool {
 	return !r.restoredAt.IsZero() && now.Before(r.restoredAt.Add(staleWindow))
--- a/io/btdirect/listing.go
+++ b/io/btdirect/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
@@ -24,29 +25,42 @@
 	return 0
 }
 
-// drainedAfter returns the drained data centres after an update.
-func (sc *sourceCache) drainedAfter(u Update) btinventory.DrainedDataCentres {
-	drained := sc.drained
+// updateDrains applies an update to the drained data centres, and reports whether they
+// changed. sc.mu must be held.
+func (sc *sourceCache) updateDrains(now time.Time, u Update) bool {
+	before := sc.drains.Set()
 	if u.Full {
-		drained = nil
-	}
-	for _, d := range u.Drains {
-		if d.Ended {
-			drained = drained.Without(d.DataCentre)
-		} else {
-			drained = drained.With(d.DataCentre)
+		var list btinventory.DrainedDataCentres
+		for _, d := range u.Drains {
+			list = list.With(d.DataCentre)
+		}
+		sc.drains.Replace(now, list, sc.register.RecentlyRestored(now))
+	} else {
+		for _, d := range u.Drains {
+			sc.drains.Change(d.DataCentre, !d.Ended)
 		}
 	}
-	return drained
+	sc.drains.Expire(now)
+	return sc.logDrains(before, u.Position, "store")
+}
+
+// mergeDrains adopts the drained data centres of a list that another entry has read, and
+// reports whether they changed. sc.mu must be held.
+func (sc *sourceCache) mergeDrains(now time.Time, l ReadList, from string) bool {
+	if !l.HasDrained {
+		return false
+	}
+	before := sc.drains.Set()
+	sc.drains.Replace(now, l.Drained, sc.register.RecentlyRestored(now))
+	return sc.logDrains(before, l.Position, from)
 }
 
-// setDrained replaces the drained data centres, and reports whether they changed. sc.mu
-// must be held.
-func (sc *sourceCache) setDrained(drained btinventory.DrainedDataCentres, p btinventory.Position, from string) bool {
-	if slices.Equal(drained, sc.drained) {
+// logDrains reports whether the drained data centres changed, and logs it.
+func (sc *sourceCache) logDrains(before btinventory.DrainedDataCentres, p btinventory.Position, from string) bool {
+	drained := sc.drains.Set()
+	if slices.Equal(drained, before) {
 		return false
 	}
-	sc.log.Info("drained data centres changed", "drained", drained, "before", sc.drained, "position", p.String(), "from", from)
-	sc.drained = drained
+	sc.log.Info("drained data centres changed", "drained", drained, "before", before, "position", p.String(), "from", from)
 	return true
 }
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -140,7 +140,7 @@
 	if !sc.hasList || sc.storeLost || sc.readAt.IsZero() {
 		return ReadList{}
 	}
-	l := ReadList{Position: sc.position, Age: max(sc.clock().Sub(sc.readAt), 0), Drained: sc.drained, HasDrained: true}
+	l := ReadList{Position: sc.position, Age: max(sc.clock().Sub(sc.readAt), 0), Drained: sc.drains.Set(), HasDrained: true}
 	if sc.listDigest() == known {
 		l.Same = true
 		return l
@@ -186,7 +186,7 @@
 	for _, c := range changes {
 		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", l.Position.String(), "from", from, "age_ms", now.Sub(readAt).Milliseconds())
 	}
-	drainsChanged := l.HasDrained && sc.setDrained(l.Drained, l.Position, from.String())
+	drainsChanged := sc.mergeDrains(now, l, from.String())
 	if drainsChanged || len(changes) > 0 {
 		sc.publish()
 	}
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -62,8 +62,7 @@
 
 	mu       sync.Mutex
 	register *btinventory.Registry
-	// drained are the data centres that are drained.
-	drained btinventory.DrainedDataCentres
+	drains   *btinventory.Drains
 	// position is that of the cached list. hasList reports that there is one.
 	position btinventory.Position
 	hasList  bool
@@ -105,6 +104,7 @@
 		meter:        o.Meter,
 		onChange:     onChange,
 		register:     btinventory.NewRegistry(missingGrace),
+		drains:       btinventory.NewDrains(),
 		hasCatalog:   make(chan struct{}),
 		rosters:      make(map[rosterKey]cachedRoster),
 		loggedErrors: make(map[string]string),
@@ -213,7 +213,7 @@
 		sc.recordMalformed(m, u.Position)
 	}
 	changes := sc.updateTargets(now, u)
-	drainsChanged := sc.setDrained(sc.drainedAfter(u), u.Position, "store")
+	drainsChanged := sc.updateDrains(now, u)
 	renewed := sc.adoptCatalog(u.Catalog, u.CatalogBytes, "store")
 	for _, c := range changes {
 		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", u.Position.String())
@@ -331,7 +331,7 @@
 func (sc *sourceCache) publish() {
 	sc.invalidate()
 	if index := sc.index.Load(); index != nil {
-		sc.onChange(listing{catalog: index, targets: sc.register.Targets(), drained: sc.drained})
+		sc.onChange(listing{catalog: index, targets: sc.register.Targets(), drained: sc.drains.Set()})
 		sc.hasCatalogOnce.Do(func() { close(sc.hasCatalog) })
 	}
 }
