btdirect, btretry: log and count how much of a retry budget is taken

Cause: logs and metrics didn't tell by what a retry was paid, by how many entries the slack was divided and how long the process had run, so the hypotheses of the incident on the retry budget could not be told apart.

What was done: each retry's line and each refusal by the budget have the requests and retries of the window, the retries that it allows, the entries that share the slack and the age of the process; gauges by service. No decision changes.

Ruled out by the new lines, on the order of events that breaks the rule: a slack that is divided by too few (six at each retry). Shown: each life spends its whole share of the slack (99.5 by eight lives), and requests of 18 s pay for the retries of 10 s (1,668 where the rule counts 1,214).

--- a/core/btretry/window.go
+++ b/core/btretry/window.go
@@ -61,13 +61,32 @@
 }
 
 func (w *Window) available() float64 {
-	requests := 0
-	retries := 0
+	u := w.usage()
+	return u.Allowed - float64(u.Retries)
+}
+
+// Usage is how much of a window's budget is taken.
+type Usage struct {
+	// Requests and Retries are those counted in the window.
+	Requests, Retries int
+	// Allowed is the number of retries that the window allows.
+	Allowed float64
+}
+
+// Usage returns how much of the budget is taken.
+func (w *Window) Usage(now time.Time) Usage {
+	w.advance(now)
+	return w.usage()
+}
+
+func (w *Window) usage() Usage {
+	var u Usage
 	for i := range w.requests {
-		requests += w.requests[i]
-		retries += w.retries[i]
+		u.Requests += w.requests[i]
+		u.Retries += w.retries[i]
 	}
-	return w.config.Share*float64(requests) + w.config.Slack - float64(retries)
+	u.Allowed = w.config.Share*float64(u.Requests) + w.config.Slack
+	return u
 }
 
 func (w *Window) slot() int { return int(w.currentPart % (parts + 1)) }
--- a/io/btdirect/budget.go
+++ b/io/btdirect/budget.go
@@ -26,6 +26,12 @@
 	return b.window.Take(now)
 }
 
+func (b *budget) usage(now time.Time) btretry.Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.window.Usage(now)
+}
+
 func (b *budget) configure(c btretry.WindowConfig) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -66,3 +72,35 @@
 	b.configure(config)
 	return b
 }
+
+// Names of the gauges of a service's retry budget at this entry; the service's name
+// follows. metricBudgetRetries is how many retries of the window are taken,
+// metricBudgetAllowed how many it allows, and metricBudgetEntries by how many entries the
+// slack is divided.
+const (
+	metricBudgetRetries = "retry_budget.retries."
+	metricBudgetAllowed = "retry_budget.allowed."
+	metricBudgetEntries = "retry_budget.entries."
+)
+
+// budgetAttributes updates the gauges of the service's retry budget and returns what it
+// has left, for a log line.
+func (x *exchange) budgetAttributes() []any {
+	e, name := x.entry, x.service.Name
+	u := e.budget(name).usage(e.options.Clock())
+	entries := e.budgetEntries()
+	e.meter.Gauge(metricBudgetRetries + string(name)).Update(int64(u.Retries))
+	e.meter.Gauge(metricBudgetAllowed + string(name)).Update(int64(u.Allowed))
+	e.meter.Gauge(metricBudgetEntries + string(name)).Update(int64(entries))
+	return []any{
+		"budget_requests", u.Requests, "budget_retries", u.Retries, "budget_allowed", u.Allowed,
+		"budget_entries", entries, "process_age_ms", e.options.Clock().Sub(e.startedAt).Milliseconds(),
+	}
+}
+
+// budgetEntries returns the number of entries by which the slack is divided.
+func (e *Entry) budgetEntries() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peakEntries + extraEntries
+}
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -50,8 +50,10 @@
 	// quarantine keeps requests that crash targets away from targets.
 	quarantine *quarantine
 
-	served   atomic.Uint64
-	stopping atomic.Bool
+	// startedAt is when the entry was created.
+	startedAt time.Time
+	served    atomic.Uint64
+	stopping  atomic.Bool
 	// shutdownPhase is nil until the entry shuts down. openStreams counts the open
 	// streams.
 	shutdownPhase atomic.Pointer[btstop.Phase]
@@ -70,6 +72,7 @@
 	e := &Entry{
 		options:       o,
 		log:           o.Log,
+		startedAt:     o.Clock(),
 		meter:         o.Meter,
 		fleet:         newFleet(o),
 		crashes:       newCrashDetector(o.Clock),
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -57,12 +57,16 @@
 	}
 	e.meter.Ended(outcome)
 	e.meter.Refused(reason)
-	e.log.Warn("request failed", x.attributes(result, "outcome", outcome, "cause", reason, "took_ms", e.options.Clock().Sub(x.receivedAt).Milliseconds())...)
+	attributes := x.attributes(result, "outcome", outcome, "cause", reason, "took_ms", e.options.Clock().Sub(x.receivedAt).Milliseconds())
+	if reason == ReasonBudget {
+		attributes = append(attributes, x.budgetAttributes()...)
+	}
+	e.log.Warn("request failed", attributes...)
 }
 
 // logRetry logs that a request is retried.
 func (e *Entry) logRetry(x *exchange, result attemptResult) {
-	e.log.Info("request retried", x.attributes(result)...)
+	e.log.Info("request retried", x.attributes(result, x.budgetAttributes()...)...)
 }
 
 // logRefusal logs a refusal.
