btinventory, btdirect: keep no target whose removal was written after an outage

What callers saw: a target that had been removed got requests for up to 2.5 s after its removal was read, 0.5 s over the bound; one that may run once was broken off and answered 502.

Cause: the grace for records that lapse while the store is away applied to each removal that was read within 2.2 s of the first read after any failed one, and was only looked at with the next read.

Change: only what the first read after an interruption lacks may have lapsed, and only if there was no read for more than two heartbeats, in which a live target's record can lapse; a cut watch that continues from its position is no outage. The grace ends by a timer. The heartbeat interval is read from the settings.

The tests of grace periods are unchanged but for NewRegistry's new argument.

Ruled out: a late read (within 20 ms), requests that waited. No grace at all isn't what the platform asks for.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -3,9 +3,9 @@
 // target that restarts under its ID is a new Instance, to which no state of the
 // earlier one applies.
 //
-// The list reaches an entry late and with interruptions. A target whose record
-// lapsed while the list could not be read stays usable for a grace period after
-// reading resumes: it may only have been unable to renew its record.
+// The list reaches an entry late and with interruptions. A target whose record may have
+// lapsed during an outage stays usable for a grace period after reading resumes: it may
+// only have been unable to renew its record.
 package btinventory
 
 import (
@@ -151,10 +151,13 @@
 
 // Registry holds the records of the listed targets. It is not safe for concurrent use.
 type Registry struct {
-	grace       time.Duration
-	records     map[ID]*record
-	interrupted bool
-	resumedAt   time.Time
+	grace, minLapse time.Duration
+	records         map[ID]*record
+	interrupted     bool
+	// readAt is the time of the last read. mayHaveLapsed reports that live targets' records
+	// may have lapsed before that read, since the one before it.
+	readAt        time.Time
+	mayHaveLapsed bool
 	// dropped holds the records that were dropped last, by ID; dropOrder lists their IDs,
 	// the earliest first.
 	dropped   map[ID]Target
@@ -169,21 +172,24 @@
 // that are removed within the few seconds in which a peer may still list them.
 const maxDropped = 1024
 
-// NewRegistry returns an empty registry. Grace is how long after the end of an
-// interruption a ready target that the list lacks is kept.
-func NewRegistry(grace time.Duration) *Registry {
-	return &Registry{grace: grace, records: make(map[ID]*record), dropped: make(map[ID]Target)}
+// NewRegistry returns an empty registry. Grace is how long a ready target is kept that the
+// list lacks in the first read after an outage. An interruption is an outage if there was no
+// read for more than minLapse, the shortest time in which the record of a live target lapses
+// that can't renew it.
+func NewRegistry(grace, minLapse time.Duration) *Registry {
+	return &Registry{grace: grace, minLapse: minLapse, records: make(map[ID]*record), dropped: make(map[ID]Target)}
 }
 
 // Interrupted records that the list can't be read.
 func (r *Registry) Interrupted() { r.interrupted = true }
 
-// Resumed records that the list can be read again, which begins the grace period.
+// Resumed records that the list was read, before what was read is applied. What the list
+// lacks in the first read after an outage may have lapsed. Later removals were written when
+// targets could renew their records again.
 func (r *Registry) Resumed(now time.Time) {
-	if r.interrupted {
-		r.interrupted = false
-		r.resumedAt = now
-	}
+	r.mayHaveLapsed = r.interrupted && (r.readAt.IsZero() || now.Sub(r.readAt) > r.minLapse)
+	r.interrupted = false
+	r.readAt = now
 }
 
 // Put stores a record. A record of another start under the same ID drops the earlier
@@ -283,15 +289,15 @@
 	return ma == nil || *ma == *mb
 }
 
-// Remove applies a removal. A ready target gets the rest of the grace period if reading
-// the list resumed less than that ago; any other is dropped at once.
+// Remove applies a removal. A ready target whose record may have lapsed during an outage is
+// kept for the grace period; any other is dropped at once.
 func (r *Registry) Remove(now time.Time, id ID) []Change {
 	rec, found := r.records[id]
 	if !found {
 		return nil
 	}
-	graceEnds := r.resumedAt.Add(r.grace)
-	if rec.target.State == Ready && !r.resumedAt.IsZero() && now.Before(graceEnds) {
+	graceEnds := r.readAt.Add(r.grace)
+	if rec.target.State == Ready && r.mayHaveLapsed && now.Before(graceEnds) {
 		rec.missingUntil = graceEnds
 		return []Change{{ID: id, Target: rec.target, What: Missing}}
 	}
@@ -330,6 +336,17 @@
 	return changes
 }
 
+// NextExpiry returns when the next grace period ends; zero if no target is missing.
+func (r *Registry) NextExpiry() time.Time {
+	var next time.Time
+	for _, rec := range r.records {
+		if !rec.missingUntil.IsZero() && (next.IsZero() || rec.missingUntil.Before(next)) {
+			next = rec.missingUntil
+		}
+	}
+	return next
+}
+
 // Targets returns all known targets, sorted by ID.
 func (r *Registry) Targets() []Target {
 	list := make([]Target, 0, len(r.records))
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -10,7 +10,10 @@
 	"bilberrytide/core/btinventory"
 )
 
-const grace = 2 * time.Second
+const (
+	grace    = 2 * time.Second
+	minLapse = 2400 * time.Millisecond
+)
 
 var start = time.Unix(1000, 0)
 
@@ -34,7 +37,7 @@
 }
 
 func TestRemovedTargetsAreGoneAtOnce(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(target("a"))
 	r.Put(target("b"))
 	changes := r.Remove(start, "a")
@@ -46,7 +49,7 @@
 // While the list is unavailable, targets can't renew their records, which lapse. Such a
 // target must stay usable until it had time to write its record again.
 func TestRecordsThatLapseDuringAnInterruptionGetAGracePeriod(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(target("back"))
 	r.Put(target("dead"))
 	r.Interrupted()
@@ -65,7 +68,7 @@
 }
 
 func TestAnInterruptionThatHasNotEndedGivesNoGrace(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(target("a"))
 	r.Interrupted()
 	r.Remove(start, "a")
@@ -73,7 +76,7 @@
 }
 
 func TestDrainingTargetsGetNoGrace(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	a := target("a")
 	r.Put(a)
 	a.State = btinventory.Draining
@@ -86,7 +89,7 @@
 }
 
 func TestAWholeListRemovesWhatItLacks(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Replace(start, []btinventory.Target{target("a"), target("b")})
 	changes := r.Replace(start, []btinventory.Target{target("b"), target("c")})
 	assert.Equal(t, len(changes), 2)
@@ -94,7 +97,7 @@
 }
 
 func TestAPeersListReplacesTheOwn(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(target("a"))
 	r.Put(target("b"))
 	r.Interrupted()
@@ -105,7 +108,7 @@
 }
 
 func TestRenewalsAreNoChange(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	a := target("a")
 	a.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
 	r.Put(a)
@@ -132,7 +135,7 @@
 
 // Two records with one address are two starts of a target, of which the later one runs.
 func TestALaterIncarnationReplacesTheFormer(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(listed("old", 3))
 	changes := r.Put(listed("new", 7))
 	assert.Equal(t, changes[0].What, btinventory.Gone)
@@ -156,8 +159,8 @@
 	stays := target("stays")
 	stays.Created = 3
 	stays.Address = netip.MustParseAddrPort("127.0.0.1:81")
-	interrupted := btinventory.NewRegistry(grace)
-	reader := btinventory.NewRegistry(grace)
+	interrupted := btinventory.NewRegistry(grace, minLapse)
+	reader := btinventory.NewRegistry(grace, minLapse)
 	for _, r := range []*btinventory.Registry{interrupted, reader} {
 		r.Put(gone)
 		r.Put(stays)
@@ -184,7 +187,7 @@
 func TestADroppedRecordThatIsListedAgainIsTakenFromAPeer(t *testing.T) {
 	back := target("back")
 	back.Created = 7
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(back)
 	r.Remove(start, "back")
 	r.Put(back)
@@ -196,7 +199,7 @@
 // clear the deadline: each would clear the other's, and a removed target stayed known for
 // good.
 func TestAPeersGraceDoesNotExtendTheOwn(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(listed("a", 3))
 	r.Interrupted()
 	r.Resumed(start)
--- a/core/btinventory/instance_test.go
+++ b/core/btinventory/instance_test.go
@@ -33,7 +33,7 @@
 // A restart under the same ID must be reported as one instance gone and another added, so
 // that state kept by instance isn't carried over to the new start.
 func TestANewStartReplacesTheEarlierOneOfTheID(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(started("a", 3, 100))
 	changes := r.Put(started("a", 3, 50))
 	assert.Equal(t, len(changes), 2)
@@ -46,7 +46,7 @@
 
 // The grace deadline of an earlier start's record must not drop the new start.
 func TestTheGraceOfAnEarlierStartDoesNotDropTheNewOne(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(started("a", 3, 1))
 	r.Interrupted()
 	r.Resumed(start)
@@ -59,7 +59,7 @@
 // A record that can't be used drops the target at once, also within the grace period of
 // a lapsed record.
 func TestAnInvalidRecordDropsTheTarget(t *testing.T) {
-	r := btinventory.NewRegistry(grace)
+	r := btinventory.NewRegistry(grace, minLapse)
 	r.Put(target("a"))
 	r.Put(target("b"))
 	r.Interrupted()
@@ -79,7 +79,7 @@
 	rank := listed("rank", 9)
 	rank.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
 	for _, foreign := range []btinventory.Target{other, rank} {
-		r := btinventory.NewRegistry(grace)
+		r := btinventory.NewRegistry(grace, minLapse)
 		r.Put(listed("a", 3))
 		r.Put(foreign)
 		r.Put(listed("a", 3))
@@ -92,7 +92,7 @@
 func TestRegisterFollowsTheListThroughRestarts(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		r := btinventory.NewRegistry(grace)
+		r := btinventory.NewRegistry(grace, minLapse)
 		now := start
 		last := map[btinventory.ID]btid.Incarnation{}
 		alive := map[btinventory.Instance]bool{}
--- /dev/null
+++ b/core/btinventory/outage_test.go
@@ -0,0 +1,38 @@
+package btinventory_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btinventory"
+)
+
+// TestRemovalAfterOutageCountsAtOnce guards against requests to a target whose removal was
+// written after the list could be read again: only what lapsed during the outage may be back.
+func TestRemovalAfterOutageCountsAtOnce(t *testing.T) {
+	r := btinventory.NewRegistry(grace, minLapse)
+	r.Resumed(start)
+	r.Put(target("a"))
+	r.Put(target("b"))
+	r.Interrupted()
+	back := start.Add(10 * time.Second)
+	r.Resumed(back)
+	assert.Equal(t, r.Remove(back, "a")[0].What, btinventory.Missing)
+	r.Resumed(back.Add(time.Second))
+	assert.Equal(t, r.Remove(back.Add(time.Second), "b")[0].What, btinventory.Gone)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"a"})
+}
+
+// TestCutWatchIsNoOutage guards against requests to a removed target after a read failed
+// once: in the time without reads no record of a live target can have lapsed.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	r := btinventory.NewRegistry(grace, minLapse)
+	r.Resumed(start)
+	r.Put(target("a"))
+	r.Interrupted()
+	now := start.Add(1600 * time.Millisecond)
+	r.Resumed(now)
+	assert.Equal(t, r.Remove(now, "a")[0].What, btinventory.Gone)
+}
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -13,8 +13,9 @@
 // for the grace period, one that was removed or is draining gets no requests, and an earlier
 // start doesn't replace a later one. Records that targets write from now on apply at once.
 func (r *Registry) Restored(now time.Time, era uint64) {
-	r.Interrupted()
-	r.Resumed(now)
+	r.interrupted = false
+	r.readAt = now
+	r.mayHaveLapsed = true
 	r.restoredAt = now
 	r.era = era
 }
--- a/core/btinventory/restored_test.go
+++ b/core/btinventory/restored_test.go
@@ -218,7 +218,7 @@
 		w.targets = append(w.targets, &eraTarget{id: btinventory.ID(rune('a' + i)), start: 1, alive: true, changedAt: start})
 	}
 	for i := range 5 {
-		w.entries = append(w.entries, &eraEntry{register: btinventory.NewRegistry(eraGrace), reads: i < 3, leavingSince: map[btinventory.Instance]time.Time{}, ignoreEras: ignoreEras})
+		w.entries = append(w.entries, &eraEntry{register: btinventory.NewRegistry(eraGrace, minLapse), reads: i < 3, leavingSince: map[btinventory.Instance]time.Time{}, ignoreEras: ignoreEras})
 	}
 	return w
 }
--- a/core/btinventory/sync_test.go
+++ b/core/btinventory/sync_test.go
@@ -105,7 +105,7 @@
 	s := &store{}
 	entries := make([]*entry, 4)
 	for i := range entries {
-		entries[i] = &entry{register: btinventory.NewRegistry(grace)}
+		entries[i] = &entry{register: btinventory.NewRegistry(grace, minLapse)}
 	}
 	for range 120 {
 		l := entries[random.IntN(len(entries))]
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -190,6 +190,7 @@
 	if drainsChanged || len(changes) > 0 {
 		sc.publish()
 	}
+	sc.scheduleExpiry(now)
 }
 
 // setPosition sets the position of the cached list. A change of era means that the
--- a/io/btdirect/settings.go
+++ b/io/btdirect/settings.go
@@ -44,6 +44,8 @@
 	StopGrace time.Duration
 	// DrainTime is how long a target still serves after it is listed as leaving.
 	DrainTime time.Duration
+	// Heartbeat is the interval at which targets renew their records; zero if it isn't known.
+	Heartbeat time.Duration
 	// StallTime is how long an engine group waits for a lost member.
 	StallTime time.Duration
 	Retry     RetrySettings
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -29,9 +29,12 @@
 	// substitution is how long an entry that received no list continues to read the source, so
 	// that others receive the list from it.
 	substitution = 10 * time.Second
-	// missingGrace is how long after an interruption a missing target is kept: live
-	// targets are listed again within about two seconds.
+	// missingGrace is how long after an outage a missing target is kept: live targets are
+	// listed again within about two seconds.
 	missingGrace = 2200 * time.Millisecond
+	// lapseHeartbeats is how many heartbeats a target misses at least before its record
+	// lapses, if it wrote the last one just before: records lapse after three.
+	lapseHeartbeats = 2
 )
 
 // Names of metrics.
@@ -92,6 +95,8 @@
 	cellDigests   btinventory.CellDigests
 	digestValid   bool
 	rosters       map[rosterKey]cachedRoster
+	// expiry drops missing targets at the end of their grace period; nil without any.
+	expiry *time.Timer
 }
 
 func newSourceCache(o Options, onChange func(listing)) *sourceCache {
@@ -103,7 +108,7 @@
 		log:          o.Log,
 		meter:        o.Meter,
 		onChange:     onChange,
-		register:     btinventory.NewRegistry(missingGrace),
+		register:     btinventory.NewRegistry(missingGrace, lapseHeartbeats*o.Settings.Heartbeat),
 		drains:       btinventory.NewDrains(),
 		hasCatalog:   make(chan struct{}),
 		rosters:      make(map[rosterKey]cachedRoster),
@@ -221,6 +226,34 @@
 	if renewed || drainsChanged || len(changes) > 0 {
 		sc.publish()
 	}
+	sc.scheduleExpiry(now)
+}
+
+// scheduleExpiry drops missing targets when their grace period ends, as the next read may
+// come a second later. sc.mu must be held.
+func (sc *sourceCache) scheduleExpiry(now time.Time) {
+	if sc.expiry != nil {
+		sc.expiry.Stop()
+		sc.expiry = nil
+	}
+	if next := sc.register.NextExpiry(); !next.IsZero() {
+		sc.expiry = time.AfterFunc(next.Sub(now), sc.expire)
+	}
+}
+
+// expire drops the missing targets whose grace period has ended.
+func (sc *sourceCache) expire() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	now := sc.clock()
+	changes := sc.register.Expire(now)
+	for _, c := range changes {
+		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", sc.position.String(), "age_ms", sc.readAge().Milliseconds())
+	}
+	if len(changes) > 0 {
+		sc.publish()
+	}
+	sc.scheduleExpiry(now)
 }
 
 // maxMalformed limits the keys in loggedErrors.
