--- a/core/btgossip/supplier_test.go
+++ b/core/btgossip/supplier_test.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// Guards against calls to the platform that grow with the fleet while it rejects those of
-// the readers: each entry that missed the list read the platform itself.
-func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
+// Guards against calls of all entries while the platform rejects those of the readers: each
+// entry that missed the list read the platform itself.
+func TestFewEntriesCallWhileReadersAreRejected(t *testing.T) {
 	const seconds, mostCalls, oldest = 10, 40, 3 * time.Second
 	for _, away := range []int{1, 2, 3, 5} {
 		for _, size := range []int{13, 35, 208} {
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -36,9 +36,9 @@
 	// ones in the reading order. The others receive it from them. There are several, so
 	// that the loss of one causes no delay.
 	listReaders = 3
-	// peerListTTL is how old a list that another entry has read may be. An entry
-	// without one as recent as this reads the source itself, so a change is known
-	// everywhere within two seconds.
+	// peerListTTL is how old a list that another entry has read may be. An entry without
+	// one as recent as this reads the source itself half a second later at the latest
+	// (btgossip.Membership.Patience).
 	peerListTTL = 1300 * time.Millisecond
 )
 
