btsoak, btdirect: soak restarts in series and removed records; bound what a grant may name

In the reply to a hello, an empty grant took some bytes, and its number of entries had no bound.

An empty grant is omitted, its number of entries bounded.

--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -39,6 +39,8 @@
 	drains := app.Flag("drains", "How often the operator drains a data centre.").Default("1").Int()
 	fatal := app.Flag("fatal", "How many requests come that end the targets which run them.").Default("1").Int()
 	restarts := app.Flag("restarts", "How many targets start again under their IDs, and how many records of other writers come.").Default("3").Int()
+	killSeries := app.Flag("kill-series", "How often entries are killed in series while answers are lost.").Default("1").Int()
+	removals := app.Flag("removals", "How many records of living targets are removed.").Default("2").Int()
 	logDir := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -49,7 +51,7 @@
 	for i := range *seeds {
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
-			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts,
+			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals,
 			Dir: filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
 		}
 		if !soak(o, *verbose) {
--- a/core/btretry/allotment.go
+++ b/core/btretry/allotment.go
@@ -14,8 +14,8 @@
 	// entries is the largest number of entries known so far: one that has left may have
 	// used its part, and one that is out of reach still uses it.
 	entries int
-	// settled reports that the entry has learned the number of entries by itself, informed
-	// that a settled one has told it.
+	// settled reports that the entry has found the number of entries by itself, informed
+	// that it received the number from a settled one.
 	settled, informed bool
 	// accruesSince is when the entry started, or was last found not to be settled.
 	accruesSince time.Time
@@ -42,7 +42,7 @@
 	a.settled = settled
 }
 
-// Inform records the number of entries that a settled entry knows.
+// Inform records the number of entries that a settled entry has sent.
 func (a *Allotment) Inform(entries int) {
 	a.entries = max(a.entries, entries)
 	a.informed = true
--- a/core/btretry/window.go
+++ b/core/btretry/window.go
@@ -25,7 +25,8 @@
 //
 // Retries are paid by requests as far as these suffice, and else by the slack: a token
 // bucket that holds half of the slack, gains the other half over a window, and is empty in
-// a new process until another entry grants some of its own. A Window is not safe for concurrent use.
+// a new process until another entry grants some of its own. A Window is not safe for
+// concurrent use.
 type Window struct {
 	config WindowConfig
 	// requests are counted by part; retries are those that requests have paid for, or a
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -160,7 +160,7 @@
 	Rates btrate.Records `cbor:"rates,omitempty"`
 	// Slack is empty if the hello doesn't ask for it or the entry doesn't know its part
 	// itself.
-	Slack slackGrant `cbor:"slack,omitempty"`
+	Slack slackGrant `cbor:"slack,omitzero"`
 }
 
 // ReadList is a list of targets that an entry has read from the source.
--- a/io/btdirect/slack.go
+++ b/io/btdirect/slack.go
@@ -7,12 +7,13 @@
 	"net/netip"
 	"slices"
 
+	"bilberrytide/core/btgossip"
 	"bilberrytide/core/btid"
 )
 
 // An entry that has just started knows neither by how many entries the slack for retries is
-// divided nor what its predecessor has used of it. Others tell it the number and grant it
-// a part of their own slack.
+// divided nor what its predecessor has used of it. Others send it the number and grant it a
+// part of their own slack.
 
 // slackGrant is the slack that an entry grants to another one.
 type slackGrant struct {
@@ -37,7 +38,7 @@
 
 // Validate returns an error if a number is out of range.
 func (g slackGrant) Validate() error {
-	bad := g.Entries < 0 || len(g.Services) > maxGrantedServices
+	bad := g.Entries < 0 || g.Entries > btgossip.MaxEntries+1 || len(g.Services) > maxGrantedServices
 	for _, s := range g.Services {
 		bad = bad || s.Service == "" || !(s.Retries >= 0) || math.IsInf(float64(s.Retries), 0)
 	}
