--- a/core/btexpert/activations.go
+++ b/core/btexpert/activations.go
@@ -7,9 +7,8 @@
 
 const (
 	// activationHalfLife is the time in which an activation loses half of its
-	// weight. The experts in demand change abruptly every few seconds; a half-life
-	// of 250 ms served less in time over eight simulated days of high load (mean
-	// worth 0.705 against 0.754).
+	// weight. The experts in demand change abruptly every few seconds, and with a
+	// longer half-life former demand weighs too much.
 	activationHalfLife = 150 * time.Millisecond
 	// decayInterval is how often the weights are decayed: a sixth of the half-life.
 	decayInterval = 25 * time.Millisecond
@@ -44,10 +43,9 @@
 
 // Resume restarts the decay when the group has formed after an outage, as no expert
 // was activated meanwhile. The counts from before the outage keep their weight, and
-// the first map can be planned with the first states reported. Waiting for half a
-// second of activations instead left steps at twice their length on the map that a
-// group forms with: the mean worth of a simulated day with one outage was 0.488,
-// against 0.527.
+// the first map can be planned with the first states reported. Waiting for new
+// activations instead would leave steps at twice their length on the map that a group
+// forms with.
 func (c *Activations) Resume(now time.Time) { c.decayed = now }
 
 // Load returns the decayed counts by layer and expert, and their sum. The load is
--- a/core/btexpert/price_factor.go
+++ b/core/btexpert/price_factor.go
@@ -12,9 +12,8 @@
 	lowStrain  = 0.5
 	highStrain = 0.9
 	// maxPriceFactor is how many times its price a change must be worth at low
-	// strain. Twice as much, with low strain up to 0.6, was no better where answers
-	// are early (mean worth of five simulated days 0.778 in both cases) and cost
-	// 0.02 and 0.03 where steps are near the allowed pause.
+	// strain. With a larger one less is served in time where steps are near the
+	// allowed pause.
 	maxPriceFactor = 10.0
 )
 
@@ -48,10 +47,8 @@
 
 // PriceFactor returns how many times its price, and how many times the least gain,
 // a change of the map must be worth at a strain. A balanced map is of no use to
-// callers whose answers are early anyway, and of much use where steps are as long
-// as they may be. On a simulated calm day with ten changes of demand and first
-// events after 0.4 of the promised time, 50 maps moved 420 GB with the factor and
-// 171 maps 1,518 GB without, and as many answers were in time.
+// callers whose answers are early anyway, where changes only move weights, and of much
+// use where steps are as long as they may be.
 func PriceFactor(strain float64) float64 {
 	slack := (highStrain - strain) / (highStrain - lowStrain)
 	return math.Pow(maxPriceFactor, min(max(slack, 0), 1))
--- a/core/btexpert/search.go
+++ b/core/btexpert/search.go
@@ -107,14 +107,14 @@
 
 func (y *layerSearch) full(r Rank) bool { return len(y.held[r]) == y.shape.Slots }
 
-// add places a replica on a rank and splits the expert's load anew.
+// add places a replica on a rank and splits the expert's load between all replicas.
 func (y *layerSearch) add(r Rank, e Expert) {
 	y.addShares(e, -1)
 	y.recordReplica(r, e)
 	y.addShares(e, 1)
 }
 
-// drop removes a replica from a rank and splits the expert's load anew.
+// drop removes a replica from a rank and splits the expert's load between the others.
 func (y *layerSearch) drop(r Rank, e Expert) {
 	y.addShares(e, -1)
 	y.eraseReplica(r, e)
--- a/core/btgate/deadline.go
+++ b/core/btgate/deadline.go
@@ -34,10 +34,9 @@
 }
 
 // DeadlineEstimator estimates the range of first-attempt deadlines, which differ
-// between the callers of one route. With deadlines spread by 15 % and only the longest
-// one known, two of three first attempts were taken for retries, and requests that
-// could still be in time waited behind those that could not. A DeadlineEstimator is not
-// safe for concurrent use.
+// between the callers of one route. With only the longest one known, first attempts with
+// shorter deadlines would be taken for retries, and requests that can still be in time
+// would wait behind those that can't. A DeadlineEstimator is not safe for concurrent use.
 type DeadlineEstimator struct {
 	longest   time.Duration
 	longestAt time.Time
--- a/core/btgate/entry_limit.go
+++ b/core/btgate/entry_limit.go
@@ -51,12 +51,10 @@
 // entry has an equal fraction of the limit. By the last report, free slots beyond that
 // are divided in proportion to the entries' running requests, so that an entry with
 // many callers can use slots that others leave, without a request between entries.
-// Until the next reports the entries together may exceed the limit: in a simulation
-// with five times the load of a group they exceeded 192 slots by 53 for 2.4 s.
+// Until the next reports the entries together may exceed the limit.
 //
-// With equal fractions alone, one of four entries with 36 of 100 callers refused some
-// of them at normal load, and half of the entries did so while the others restarted:
-// the mean worth of five simulated days was 0.747 against 0.774 to 0.782.
+// With equal fractions alone, an entry with more callers than the others would refuse some
+// of them at normal load, as would the entries left while others restart.
 func (g *Gate[V]) EntryLimit(now time.Time) int {
 	if g.pauseLeft(now) > 0 {
 		return 0
--- a/core/btgate/queue.go
+++ b/core/btgate/queue.go
@@ -64,10 +64,7 @@
 
 // precedes reports whether r, which arrived first, is admitted before o. Among on-time
 // requests the one with the most time left is first: when not all can be served in
-// time, first-in-first-out order would start each one just as its time runs out. In one
-// simulated day at three times a group's capacity, 0.36 of the worth was served in
-// first-in-first-out order with only the longest deadline known, and 0.47 with this
-// order.
+// time, first-in-first-out order would start each one just as its time runs out.
 func (r Request) precedes(o Request, now time.Time) bool {
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
@@ -127,9 +124,7 @@
 
 // nextIndex returns the index of the request to admit next; the queue must not be
 // empty. A retryFraction of the slots is reserved for last attempts, even if others
-// could be in time, as their callers don't try a third time. On a simulated day with
-// two outages 1.7 % of the requests were refused for good without this rule, and 1.2 to
-// 1.6 % with it.
+// could be in time, as their callers don't try a third time.
 func (g *Gate[V]) nextIndex(now time.Time) int {
 	last := g.expiringLastAttempt(now)
 	if last < 0 {
--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -74,9 +74,8 @@
 	// Member is set for ranks of a lock-step group.
 	Member *Member `json:"member,omitempty"`
 	// GroupBroken tells that the rank's group wasn't open when the record was written, a
-	// second ago or longer. It isn't sent to other processes: the whole list would be sent
-	// again each time a group breaks or opens, 0.21 GB between data centres instead of 0.11
-	// on a simulated day of 300 hosts.
+	// second ago or longer. It isn't sent to other processes, because the whole list would
+	// be sent again each time a group breaks or opens.
 	GroupBroken bool `json:"-"`
 }
 
@@ -196,8 +195,7 @@
 // instance first, as no state of that one applies to the new one.
 //
 // A target is also dropped if a later record has its address and rank, though its own
-// record takes some seconds to lapse. Without this rule 161 requests were sent to former
-// targets, and refused, on a day on which all engines restarted; with it none.
+// record takes some seconds to lapse. Requests to the former target would be refused.
 func (r *Registry) Put(t Target) []Change {
 	var changes []Change
 	for _, id := range r.ids() {
--- a/core/btrelay/btrelay.go
+++ b/core/btrelay/btrelay.go
@@ -22,10 +22,9 @@
 
 const (
 	// MaxSingleBlock is the largest group whose members report to the lead directly. A
-	// relay adds a report interval of delay but reduces the interval between counts:
-	// with 32 members and 1,536 experts, counts are sent to a lead every 0.25 s and to
-	// a relay every 0.05 s. On six pairs of simulated days of high load with groups of
-	// 32, the mean worth was 0.703 with one block of 32 and 0.738 with six blocks.
+	// relay adds a report interval of delay but reduces the interval between counts, which
+	// grows with the members that report to one agent: in larger groups maps would follow
+	// the demand later.
 	MaxSingleBlock = 16
 	// MissLimit is the number of consecutive reports a relay or lead may leave
 	// unanswered before it is skipped.
