btround, btgossip, btquarantine, btretry: rename the last figurative local names

What was done: hasCommand, undisturbed, sightings or exported, sender. Only unexported names; a CBOR tag of a test message keeps its text, as its length is part of what the test measures.

--- a/core/btgossip/btgossip_test.go
+++ b/core/btgossip/btgossip_test.go
@@ -65,16 +65,16 @@
 				continue
 			}
 			f.entries[m].Observe(f.now, address(n))
-			told := f.entries[m].Sample(f.now, f.random)
+			sightings := f.entries[m].Sample(f.now, f.random)
 			e.Observe(f.now, to)
-			e.Merge(f.now, f.now, told)
+			e.Merge(f.now, f.now, sightings)
 		}
 	}
 }
 
-func size(t *testing.T, told []btgossip.Sighting) int {
+func size(t *testing.T, sightings []btgossip.Sighting) int {
 	t.Helper()
-	data, err := btwire.Encode(message{Told: told})
+	data, err := btwire.Encode(message{Told: sightings})
 	assert.NilError(t, err)
 	return len(data)
 }
@@ -184,9 +184,9 @@
 			f.tick()
 		}
 		for _, e := range f.entries {
-			told := e.Sample(f.now, f.random)
-			assert.Assert(t, len(told) <= btgossip.MaxSightings)
-			assert.Assert(t, 3*size(t, told) <= tickBudget, "%d entries: %d B", n, size(t, told))
+			sightings := e.Sample(f.now, f.random)
+			assert.Assert(t, len(sightings) <= btgossip.MaxSightings)
+			assert.Assert(t, 3*size(t, sightings) <= tickBudget, "%d entries: %d B", n, size(t, sightings))
 		}
 	}
 }
--- a/core/btquarantine/delay_test.go
+++ b/core/btquarantine/delay_test.go
@@ -161,10 +161,10 @@
 func TestLateReportOfServedRequestIsIgnored(t *testing.T) {
 	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.RecordCrash(start, request(1), 1, btquarantine.Answering)
-	told := a.Export(after(100 * time.Millisecond))
-	b.Merge(after(100*time.Millisecond), told)
+	exported := a.Export(after(100 * time.Millisecond))
+	b.Merge(after(100*time.Millisecond), exported)
 	b.RecordServed(after(time.Second), request(1))
-	b.Merge(after(2600*time.Millisecond), told)
+	b.Merge(after(2600*time.Millisecond), exported)
 	assert.Equal(t, len(b.ExportRecord(after(2600*time.Millisecond), request(1)).Crashes), 0)
 }
 
--- a/core/btquarantine/fuzz_test.go
+++ b/core/btquarantine/fuzz_test.go
@@ -29,10 +29,10 @@
 		r := btquarantine.New(btquarantine.DefaultPolicy())
 		r.Merge(start, records)
 		assert.Assert(t, r.Len() <= btquarantine.MaxRecords)
-		told := r.Export(start)
-		assert.NilError(t, told.Validate())
+		exported := r.Export(start)
+		assert.NilError(t, exported.Validate())
 		again := btquarantine.New(btquarantine.DefaultPolicy())
-		again.Merge(start, told)
+		again.Merge(start, exported)
 		assert.Assert(t, again.Len() <= r.Len())
 	})
 }
--- a/core/btquarantine/register_test.go
+++ b/core/btquarantine/register_test.go
@@ -51,9 +51,9 @@
 func TestRegisterDeduplicatesDelayedCrashReports(t *testing.T) {
 	a, b := btquarantine.New(btquarantine.DefaultPolicy()), btquarantine.New(btquarantine.DefaultPolicy())
 	a.RecordCrash(start, request(1), 1, btquarantine.Answering)
-	told := a.Export(after(100 * time.Millisecond))
-	b.Merge(after(100*time.Millisecond), told)
-	b.Merge(after(2600*time.Millisecond), told)
+	exported := a.Export(after(100 * time.Millisecond))
+	b.Merge(after(100*time.Millisecond), exported)
+	b.Merge(after(2600*time.Millisecond), exported)
 	assert.Assert(t, !b.Quarantined(after(2600*time.Millisecond), request(1)), "one crash was counted twice")
 	assert.Equal(t, a.Digest(), b.Digest())
 }
@@ -140,10 +140,10 @@
 	assert.Equal(t, r.Len(), btquarantine.MaxRecords)
 	now := after(time.Minute)
 	assert.Assert(t, r.Quarantined(now, request(-1)))
-	told := r.Export(now)
-	assert.Equal(t, len(told), btquarantine.MaxRecordsPerMessage)
-	assert.Equal(t, told[0].Fingerprint, request(-1))
-	data, err := btwire.Encode(told)
+	exported := r.Export(now)
+	assert.Equal(t, len(exported), btquarantine.MaxRecordsPerMessage)
+	assert.Equal(t, exported[0].Fingerprint, request(-1))
+	data, err := btwire.Encode(exported)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) <= maxExportBytes, "%d bytes", len(data))
 }
--- a/core/btquarantine/suspect_test.go
+++ b/core/btquarantine/suspect_test.go
@@ -70,10 +70,10 @@
 	for i := range 3 * btquarantine.MaxSuspects {
 		r.RecordCrash(after(time.Duration(i)*time.Millisecond), request(i), uint64(i), btquarantine.BegunWithoutOutput)
 	}
-	told := r.ExportSuspects(after(time.Second))
-	assert.Equal(t, len(told), btquarantine.MaxSuspects)
-	assert.Equal(t, told[0].Fingerprint, request(3*btquarantine.MaxSuspects-1))
-	data, err := btwire.Encode(told)
+	exported := r.ExportSuspects(after(time.Second))
+	assert.Equal(t, len(exported), btquarantine.MaxSuspects)
+	assert.Equal(t, exported[0].Fingerprint, request(3*btquarantine.MaxSuspects-1))
+	data, err := btwire.Encode(exported)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) <= maxSuspectBytes, "%d bytes", len(data))
 }
--- a/core/btretry/fleet_disturb_test.go
+++ b/core/btretry/fleet_disturb_test.go
@@ -80,14 +80,14 @@
 
 // join lets a life that isn't settled ask up to three others.
 func (f *modelFleet) join(e *modelEntry) {
-	life, asks := e.life.(*allotted)
-	if !asks || life.allotment.Settled() || f.step < 0 {
+	life, takesSlack := e.life.(*allotted)
+	if !takesSlack || life.allotment.Settled() || f.step < 0 {
 		return
 	}
 	for range 3 {
 		other := f.entries[f.random.IntN(len(f.entries))]
-		if giver, running := other.life.(*allotted); running && other != e && f.reachable(other) {
-			life.join(f.now(), giver)
+		if sender, running := other.life.(*allotted); running && other != e && f.reachable(other) {
+			life.join(f.now(), sender)
 		}
 	}
 }
--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -115,7 +115,7 @@
 	w.startLead(0)
 	var again func()
 	again = func() {
-		if w.calm {
+		if w.undisturbed {
 			return
 		}
 		w.schedule(w.millis(500, 4000), again)
@@ -145,7 +145,7 @@
 func isolate(w *world) {
 	var again func()
 	again = func() {
-		if w.calm {
+		if w.undisturbed {
 			return
 		}
 		w.schedule(w.millis(500, 6000), again)
--- a/core/btround/compete_test.go
+++ b/core/btround/compete_test.go
@@ -20,7 +20,7 @@
 	}
 	var again func()
 	again = func() {
-		if w.calm {
+		if w.undisturbed {
 			return
 		}
 		w.schedule(w.millis(300, 3000), again)
--- a/core/btround/resume_test.go
+++ b/core/btround/resume_test.go
@@ -19,7 +19,7 @@
 // endDisturbances leaves one lead, makes all hosts reachable, and stops losing orders
 // and messages. Orders sent earlier may still be carried out late.
 func (w *world) endDisturbances() {
-	w.calm = true
+	w.undisturbed = true
 	w.delayedShare, w.lostShare = 0, 0
 	w.busy = true
 	for _, e := range w.engines {
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -15,15 +15,15 @@
 	l.advance(now)
 	var commands []Command
 	for r := range l.size {
-		if l.asks(btexpert.Rank(r)) {
+		if l.hasCommand(btexpert.Rank(r)) {
 			commands = l.appendCommand(now, commands, btexpert.Rank(r))
 		}
 	}
 	return commands
 }
 
-// asks reports whether the phase has a command for a rank.
-func (l *Lead) asks(r btexpert.Rank) bool {
+// hasCommand reports whether the phase has a command for a rank.
+func (l *Lead) hasCommand(r btexpert.Rank) bool {
 	switch l.phase {
 	case Preparing, Arming, Disarming, ReadingStates:
 		return l.participates(r)
--- a/core/btround/view.go
+++ b/core/btround/view.go
@@ -18,7 +18,7 @@
 	for r := range l.size {
 		rank := btexpert.Rank(r)
 		m, found := l.members[rank]
-		if l.asks(rank) && !(found && (m.reached || m.refused)) {
+		if l.hasCommand(rank) && !(found && (m.reached || m.refused)) {
 			ranks = append(ranks, rank)
 		}
 	}
--- a/core/btround/world_test.go
+++ b/core/btround/world_test.go
@@ -55,8 +55,8 @@
 	epoch                   uint64
 	// forming is set from the restart of an engine until the group has formed again.
 	forming bool
-	// calm stops further disturbances.
-	calm bool
+	// undisturbed stops further disturbances.
+	undisturbed bool
 	// naive skips holds. ownHolder has each lead hold the group at its own rank,
 	// otherHolder at another rank.
 	naive, ownHolder, otherHolder bool
