--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"bilberrytide/platform/btmock"
 	"bilberrytide/platform/btsoak"
 )
 
@@ -40,6 +41,8 @@
 	fatal := app.Flag("fatal", "How many requests come that end the targets which run them.").Default("1").Int()
 	restarts := app.Flag("restarts", "How many targets start again under their IDs, and how many records of other writers come.").Default("3").Int()
 	killSeries := app.Flag("kill-series", "How often entries are killed in series while answers are lost.").Default("1").Int()
+	retryRatio := app.Flag("retry-ratio", "The share of requests that the entries may retry.").Default("0.2").Float64()
+	retrySlack := app.Flag("retry-slack", "How many retries the entries may make beyond that share in 10 s.").Default("100").Float64()
 	removals := app.Flag("removals", "How many records of living targets are removed.").Default("2").Int()
 	logDir := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
@@ -52,7 +55,8 @@
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
 			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals,
-			Dir: filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
+			RetryBudget: btmock.RetryBudget{Ratio: *retryRatio, Slack: *retrySlack, Window: 10 * time.Second},
+			Dir:         filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
 		}
 		if !soak(o, *verbose) {
 			failed++
