--- a/io/btentry/fixture_test.go
+++ b/io/btentry/fixture_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"bilberrytide/core/btbundle"
@@ -209,6 +210,17 @@
 	return w.Meters[process].Counter(btmetric.PrefixRefused + reason).Count()
 }
 
+// refusalCounts returns the counts of all reasons in a process.
+func (w *system) refusalCounts(process string) map[string]int64 {
+	counts := make(map[string]int64)
+	w.Meters[process].Registry().Each(func(name string, metric any) {
+		if c, isCounter := metric.(metrics.Counter); isCounter && strings.HasPrefix(name, btmetric.PrefixRefused) {
+			counts[name] = c.Count()
+		}
+	})
+	return counts
+}
+
 func (w *system) retries(reason string) int64 {
 	return w.Meters["e1"].Counter(btmetric.PrefixRetried + reason).Count()
 }
--- a/io/btentry/outcome_test.go
+++ b/io/btentry/outcome_test.go
@@ -132,7 +132,7 @@
 	_, err = io.WriteString(caller, "GET /services/pages/x HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer "+btinprocess.CallerKey+"\r\n\r\n")
 	assert.NilError(t, err)
 	w.await(func() bool { return w.Meters["e1"].Counter("outcome.unknown").Count() == 1 })
-	assert.Equal(t, w.refusals("e1", "caller_gone"), int64(1))
+	assert.Equal(t, w.refusals("e1", "caller_gone"), int64(1), "counted: %v", w.refusalCounts("e1"))
 }
 
 // TestOverLimit: a client account over its limit is refused at once with a Retry-After.
