btinventory, btdirect: end a grace period before the platform's bounds apply

What callers saw: requests at a target whose record had been removed, up to 2.7 s after another entry first read the list: by then its exit breaks them off.

Cause: the grace period of a target whose record may have lapsed belonged to the entry that had read the list. Another entry took the target from that list like a listed one, and kept it until the first one dropped it and a hello later, also if it had itself had a list all the while. And the period began with the first read, however late after the outage that was, as with an entry that had backed off.

Change: a list for other entries marks the targets in their grace period and says when that ends. The receiver drops such a target at once if its own list is no older than a record takes to lapse, and else keeps it until that end. The age of a list counts by whichever entry has read it, so an entry that couldn't read the store but received lists has had no outage. The period ends at the latest when the platform's bounds apply again after the last read that found the store away (bounds.contact_ms of the settings).

Ruled out: leaving targets in grace out of lists. Entries that receive the list would drop living targets after each outage of the store.

Evidence: TestPeersGraceNeedsAnOutageHereToo, TestPeersGraceEndsAtThePeersDeadline, TestOwnReadAfterPeersListsIsNoOutage and TestGraceEndsBeforeTheBoundsApply state each case; the code before has no deadline to give. The calls of NewRegistry, Interrupted and ReplaceFromPeer in older tests carry the new arguments; what they check is unchanged.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -77,6 +77,9 @@
 	// second ago or longer. It isn't sent to other processes, because the whole list would
 	// be sent again each time a group breaks or opens.
 	GroupBroken bool `json:"-"`
+	// InGrace is set in lists for other processes: the sender's list lacks the target, whose
+	// record may have lapsed.
+	InGrace bool `json:"in_grace,omitempty"`
 }
 
 // Instance returns the instance of the target that wrote the record.
@@ -150,13 +153,15 @@
 
 // Registry holds the records of the listed targets. It is not safe for concurrent use.
 type Registry struct {
-	grace, minLapse time.Duration
-	records         map[ID]*record
-	interrupted     bool
-	// readAt is the time of the last read. mayHaveLapsed reports that live targets' records
-	// may have lapsed before that read, since the one before it.
-	readAt        time.Time
+	policy  LapsePolicy
+	records map[ID]*record
+	// listedAt is when the list was last read, by whichever process. awayAt is when this
+	// process last couldn't read it since its own last read; zero if it could.
+	listedAt, awayAt time.Time
+	// mayHaveLapsed reports that live targets' records may have lapsed before the last read,
+	// since the one before it. What it lacks is kept until graceEnds.
 	mayHaveLapsed bool
+	graceEnds     time.Time
 	// dropped holds the records that were dropped last, by ID; dropOrder lists their IDs,
 	// the earliest first.
 	dropped   map[ID]Target
@@ -171,24 +176,9 @@
 // that are removed within the few seconds in which a peer may still list them.
 const maxDropped = 1024
 
-// NewRegistry returns an empty registry. Grace is how long a ready target is kept that the
-// list lacks in the first read after an outage. An interruption is an outage if there was no
-// read for more than minLapse, the shortest time in which the record of a live target lapses
-// that can't renew it.
-func NewRegistry(grace, minLapse time.Duration) *Registry {
-	return &Registry{grace: grace, minLapse: minLapse, records: make(map[ID]*record), dropped: make(map[ID]Target)}
-}
-
-// Interrupted records that the list can't be read.
-func (r *Registry) Interrupted() { r.interrupted = true }
-
-// Resumed records that the list was read, before what was read is applied. What the list
-// lacks in the first read after an outage may have lapsed. Later removals were written when
-// targets could renew their records again.
-func (r *Registry) Resumed(now time.Time) {
-	r.mayHaveLapsed = r.interrupted && (r.readAt.IsZero() || now.Sub(r.readAt) > r.minLapse)
-	r.interrupted = false
-	r.readAt = now
+// NewRegistry returns an empty registry.
+func NewRegistry(p LapsePolicy) *Registry {
+	return &Registry{policy: p, records: make(map[ID]*record), dropped: make(map[ID]Target)}
 }
 
 // Put stores a record. A record of another start under the same ID drops the earlier
@@ -294,9 +284,8 @@
 	if !found {
 		return nil
 	}
-	graceEnds := r.readAt.Add(r.grace)
-	if rec.target.State == Ready && r.mayHaveLapsed && now.Before(graceEnds) {
-		rec.missingUntil = graceEnds
+	if rec.target.State == Ready && r.mayHaveLapsed && now.Before(r.graceEnds) {
+		rec.missingUntil = r.graceEnds
 		return []Change{{ID: id, Target: rec.target, What: Missing}}
 	}
 	return r.drop(id)
@@ -354,6 +343,15 @@
 	return list
 }
 
+// List returns all known targets, sorted by ID, for other processes.
+func (r *Registry) List() []Target {
+	list := r.Targets()
+	for i := range list {
+		list[i].InGrace = !r.records[list[i].ID].missingUntil.IsZero()
+	}
+	return list
+}
+
 func (r *Registry) ids() []ID {
 	ids := make([]ID, 0, len(r.records))
 	for id := range r.records {
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -28,6 +28,15 @@
 	return t
 }
 
+func newRegistry() *btinventory.Registry {
+	return btinventory.NewRegistry(btinventory.LapsePolicy{Grace: grace, MinLapse: minLapse})
+}
+
+// peerList returns the list of a peer that has just read it and keeps no missing target.
+func peerList(targets ...btinventory.Target) btinventory.PeerList {
+	return btinventory.PeerList{ReadAt: start, Targets: targets}
+}
+
 func ids(r *btinventory.Registry) []btinventory.ID {
 	var list []btinventory.ID
 	for _, t := range r.Targets() {
@@ -37,7 +46,7 @@
 }
 
 func TestRemovedTargetsAreGoneAtOnce(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(target("a"))
 	r.Put(target("b"))
 	changes := r.Remove(start, "a")
@@ -49,10 +58,10 @@
 // While the list is unavailable, targets can't renew their records, which lapse. Such a
 // target must stay usable until it had time to write its record again.
 func TestRecordsThatLapseDuringAnInterruptionGetAGracePeriod(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(target("back"))
 	r.Put(target("dead"))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
 	r.Remove(start, "back")
 	r.Remove(start, "dead")
@@ -68,28 +77,28 @@
 }
 
 func TestAnInterruptionThatHasNotEndedGivesNoGrace(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(target("a"))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Remove(start, "a")
 	assert.Equal(t, len(ids(r)), 0)
 }
 
 func TestDrainingTargetsGetNoGrace(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	a := target("a")
 	r.Put(a)
 	a.State = btinventory.Draining
 	changes := r.Put(a)
 	assert.Equal(t, changes[0].What, btinventory.Drained)
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
 	r.Remove(start, "a")
 	assert.Equal(t, len(ids(r)), 0)
 }
 
 func TestAWholeListRemovesWhatItLacks(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Replace(start, []btinventory.Target{target("a"), target("b")})
 	changes := r.Replace(start, []btinventory.Target{target("b"), target("c")})
 	assert.Equal(t, len(changes), 2)
@@ -97,18 +106,18 @@
 }
 
 func TestAPeersListReplacesTheOwn(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(target("a"))
 	r.Put(target("b"))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
-	assert.Equal(t, len(r.ReplaceFromPeer(start, []btinventory.Target{target("b"), target("c")})), 2)
+	assert.Equal(t, len(r.ReplaceFromPeer(start, peerList([]btinventory.Target{target("b"), target("c")}...))), 2)
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"b", "c"})
-	assert.Equal(t, len(r.ReplaceFromPeer(start, []btinventory.Target{target("b"), target("c")})), 0)
+	assert.Equal(t, len(r.ReplaceFromPeer(start, peerList([]btinventory.Target{target("b"), target("c")}...))), 0)
 }
 
 func TestRenewalsAreNoChange(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	a := target("a")
 	a.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
 	r.Put(a)
@@ -135,7 +144,7 @@
 
 // Two records with one address are two starts of a target, of which the later one runs.
 func TestALaterIncarnationReplacesTheFormer(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(listed("old", 3))
 	changes := r.Put(listed("new", 7))
 	assert.Equal(t, changes[0].What, btinventory.Gone)
@@ -159,24 +168,24 @@
 	stays := target("stays")
 	stays.Created = 3
 	stays.Address = netip.MustParseAddrPort("127.0.0.1:81")
-	interrupted := btinventory.NewRegistry(grace, minLapse)
-	reader := btinventory.NewRegistry(grace, minLapse)
+	interrupted := newRegistry()
+	reader := newRegistry()
 	for _, r := range []*btinventory.Registry{interrupted, reader} {
 		r.Put(gone)
 		r.Put(stays)
 	}
-	interrupted.Interrupted()
+	interrupted.Interrupted(start)
 	interrupted.Resumed(start)
 	interrupted.Remove(start, "gone")
 	reader.Remove(start, "gone")
 	assert.Equal(t, len(interrupted.Targets()), 2)
 
-	reader.ReplaceFromPeer(start, interrupted.Targets())
+	reader.ReplaceFromPeer(start, peerList(interrupted.Targets()...))
 	assert.DeepEqual(t, ids(reader), []btinventory.ID{"stays"})
 
 	// A record created again is taken: the former one had only lapsed.
 	gone.Created = 9
-	changes := reader.ReplaceFromPeer(start, []btinventory.Target{gone, stays})
+	changes := reader.ReplaceFromPeer(start, peerList([]btinventory.Target{gone, stays}...))
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].What, btinventory.Added)
 	assert.DeepEqual(t, ids(reader), []btinventory.ID{"gone", "stays"})
@@ -187,11 +196,11 @@
 func TestADroppedRecordThatIsListedAgainIsTakenFromAPeer(t *testing.T) {
 	back := target("back")
 	back.Created = 7
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(back)
 	r.Remove(start, "back")
 	r.Put(back)
-	r.ReplaceFromPeer(start, []btinventory.Target{back})
+	r.ReplaceFromPeer(start, peerList([]btinventory.Target{back}...))
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"back"})
 }
 
@@ -199,20 +208,20 @@
 // clear the deadline: each would clear the other's, and a removed target stayed known for
 // good.
 func TestAPeersGraceDoesNotExtendTheOwn(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(listed("a", 3))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
 	assert.Equal(t, r.Remove(start, "a")[0].What, btinventory.Missing)
-	r.ReplaceFromPeer(start.Add(grace/2), []btinventory.Target{listed("a", 3)})
+	r.ReplaceFromPeer(start.Add(grace/2), peerList([]btinventory.Target{listed("a", 3)}...))
 	assert.Equal(t, len(r.Expire(start.Add(grace))), 1)
 	assert.Equal(t, len(ids(r)), 0)
 	// A target that is listed again after its record lapsed has a newer record.
 	r.Put(listed("b", 4))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
 	r.Remove(start, "b")
-	r.ReplaceFromPeer(start.Add(grace/2), []btinventory.Target{listed("b", 9)})
+	r.ReplaceFromPeer(start.Add(grace/2), peerList([]btinventory.Target{listed("b", 9)}...))
 	assert.Equal(t, len(r.Expire(start.Add(grace))), 0)
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"b"})
 }
--- a/core/btinventory/from_peer.go
+++ b/core/btinventory/from_peer.go
@@ -2,24 +2,37 @@
 
 import "time"
 
-// ReplaceFromPeer applies the whole list of another process's registry. The peer has
-// already given missing targets their grace period, so targets that its list lacks are
-// dropped. Records that this registry dropped stay dropped, even if the peer, whose
-// watch was interrupted, still holds them in grace: without this rule a removed target
-// got seven requests over three seconds after its removal was listed.
-func (r *Registry) ReplaceFromPeer(now time.Time, list []Target) []Change {
+// PeerList is the whole list of another process.
+type PeerList struct {
+	// ReadAt is when that process read it.
+	ReadAt time.Time
+	// Targets have InGrace set if that process keeps them although its list lacks them, until
+	// GraceEnds.
+	Targets   []Target
+	GraceEnds time.Time
+}
+
+// ReplaceFromPeer applies the list of another process. Targets that it lacks are dropped, as
+// the process has given them their grace period. Records that this registry dropped stay
+// dropped, even if the process, whose reads were interrupted, still keeps them.
+//
+// A target in that process's grace period is kept until the end of it, but only if its record
+// may have lapsed since this registry's list was read: this process may have had a list all the
+// while.
+func (r *Registry) ReplaceFromPeer(now time.Time, l PeerList) []Change {
 	changes := r.Expire(now)
-	listed := make(map[ID]bool, len(list))
-	for _, t := range list {
-		if r.wasDropped(t) || r.missingAtPeer(now, t) {
+	lapsePossible := r.lapsePossible(l.ReadAt)
+	r.ListedByPeer(l.ReadAt)
+	listed := make(map[ID]bool, len(l.Targets))
+	for _, t := range l.Targets {
+		if r.wasDropped(t) || r.missingAtPeer(now, t) || t.InGrace && !lapsePossible && !r.inGrace(t.ID) {
 			continue
 		}
+		listed[t.ID] = true
 		if r.mayBeStale(now, t) {
-			listed[t.ID] = true
 			continue
 		}
-		listed[t.ID] = true
-		changes = append(changes, r.putFromPeer(t)...)
+		changes = append(changes, r.putFromPeer(t, l.GraceEnds)...)
 	}
 	for _, id := range r.ids() {
 		if !listed[id] && !r.keepAsMissing(now, id) {
@@ -29,14 +42,33 @@
 	return changes
 }
 
+// ListedByPeer records when another process read a list that equals the known one.
+func (r *Registry) ListedByPeer(readAt time.Time) {
+	if readAt.After(r.listedAt) {
+		r.listedAt = readAt
+	}
+}
+
+// inGrace reports whether the target is kept although the list lacks it.
+func (r *Registry) inGrace(id ID) bool {
+	rec, found := r.records[id]
+	return found && !rec.missingUntil.IsZero()
+}
+
 // putFromPeer stores a peer's record. If the same record is missing here, it keeps its
 // deadline, as the peer may hold it in grace too: two peers that cleared each other's
 // deadlines would keep a removed target for good.
-func (r *Registry) putFromPeer(t Target) []Change {
+func (r *Registry) putFromPeer(t Target, graceEnds time.Time) []Change {
 	var until time.Time
-	if rec, found := r.records[t.ID]; found && rec.target.Start == t.Start && t.Created <= rec.target.Created {
-		until = rec.missingUntil
+	if t.InGrace {
+		until = graceEnds
+	}
+	if rec, found := r.records[t.ID]; found && rec.target.Start == t.Start && t.Created <= rec.target.Created && !rec.missingUntil.IsZero() {
+		if until.IsZero() || rec.missingUntil.Before(until) {
+			until = rec.missingUntil
+		}
 	}
+	t.InGrace = false
 	changes := r.Put(t)
 	if rec, found := r.records[t.ID]; found {
 		rec.missingUntil = until
--- /dev/null
+++ b/core/btinventory/from_peer_test.go
@@ -0,0 +1,91 @@
+package btinventory_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bilberrytide/core/btinventory"
+)
+
+// peerInGrace returns the list of a peer that was read after an outage and keeps a target that
+// it lacks.
+func peerInGrace(readAt time.Time) btinventory.PeerList {
+	t := listed("a", 3)
+	t.InGrace = true
+	return btinventory.PeerList{ReadAt: readAt, Targets: []btinventory.Target{t}, GraceEnds: readAt.Add(grace)}
+}
+
+// TestPeersGraceNeedsAnOutageHereToo guards against requests to a removed target at a process
+// that had the list all the while, as the one that it received it from had not.
+func TestPeersGraceNeedsAnOutageHereToo(t *testing.T) {
+	r := newRegistry()
+	r.Resumed(start)
+	r.Put(listed("a", 3))
+	changes := r.ReplaceFromPeer(start, peerInGrace(start.Add(minLapse)))
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].What, btinventory.Gone)
+}
+
+// TestPeersGraceEndsAtThePeersDeadline guards against a target that a process keeps until the
+// peer drops it, however late that is received.
+func TestPeersGraceEndsAtThePeersDeadline(t *testing.T) {
+	r := newRegistry()
+	r.Resumed(start)
+	r.Put(listed("a", 3))
+	back := start.Add(2 * minLapse)
+	assert.Equal(t, len(r.ReplaceFromPeer(back, peerInGrace(back))), 0)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"a"})
+	assert.Equal(t, r.NextExpiry(), back.Add(grace))
+	// The next list of the peer, of the same outage, doesn't extend it.
+	again := peerInGrace(back.Add(time.Second))
+	again.GraceEnds = back.Add(2 * grace)
+	r.ReplaceFromPeer(back.Add(time.Second), again)
+	assert.Equal(t, len(r.Expire(back.Add(grace))), 1)
+	assert.Equal(t, len(ids(r)), 0)
+}
+
+// TestListTellsWhichTargetsAreInGrace guards against a peer that takes a missing target for a
+// listed one.
+func TestListTellsWhichTargetsAreInGrace(t *testing.T) {
+	r := newRegistry()
+	r.Resumed(start)
+	r.Put(listed("a", 3))
+	r.Interrupted(start.Add(minLapse))
+	back := start.Add(2 * minLapse)
+	r.Resumed(back)
+	listed := r.List()
+	assert.Equal(t, r.Remove(back, "a")[0].What, btinventory.Missing)
+	assert.Assert(t, !listed[0].InGrace)
+	assert.Assert(t, r.List()[0].InGrace)
+	assert.Assert(t, !r.Targets()[0].InGrace)
+	assert.Assert(t, string(btinventory.NewCellDigests(listed)) != string(btinventory.NewCellDigests(r.List())))
+}
+
+// TestOwnReadAfterPeersListsIsNoOutage guards against a grace period for a removed target at an
+// entry that couldn't read the list itself but received it from others.
+func TestOwnReadAfterPeersListsIsNoOutage(t *testing.T) {
+	r := newRegistry()
+	r.Resumed(start)
+	r.Put(listed("a", 3))
+	r.Interrupted(start.Add(time.Second))
+	now := start.Add(10 * time.Second)
+	r.ReplaceFromPeer(now, btinventory.PeerList{ReadAt: now.Add(-time.Second), Targets: []btinventory.Target{listed("a", 3)}})
+	r.Resumed(now)
+	assert.Equal(t, r.Remove(now, "a")[0].What, btinventory.Gone)
+}
+
+// TestGraceEndsBeforeTheBoundsApply guards against a grace period that starts late, as the first
+// read came late after the outage, and lasts until requests to a removed target count.
+func TestGraceEndsBeforeTheBoundsApply(t *testing.T) {
+	r := btinventory.NewRegistry(btinventory.LapsePolicy{Grace: grace, MinLapse: minLapse, Recovery: 3 * time.Second})
+	r.Resumed(start)
+	r.Put(target("a"))
+	away := start.Add(5 * time.Second)
+	r.Interrupted(away)
+	back := away.Add(1600 * time.Millisecond)
+	r.Resumed(back)
+	assert.Equal(t, r.Remove(back, "a")[0].What, btinventory.Missing)
+	assert.Equal(t, r.NextExpiry(), away.Add(3*time.Second))
+}
--- a/core/btinventory/instance_test.go
+++ b/core/btinventory/instance_test.go
@@ -33,7 +33,7 @@
 // A restart under the same ID must be reported as one instance gone and another added, so
 // that state kept by instance isn't carried over to the new start.
 func TestANewStartReplacesTheEarlierOneOfTheID(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(started("a", 3, 100))
 	changes := r.Put(started("a", 3, 50))
 	assert.Equal(t, len(changes), 2)
@@ -46,9 +46,9 @@
 
 // The grace deadline of an earlier start's record must not drop the new start.
 func TestTheGraceOfAnEarlierStartDoesNotDropTheNewOne(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(started("a", 3, 1))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
 	r.Remove(start, "a")
 	r.Put(started("a", 9, 2))
@@ -59,10 +59,10 @@
 // A record that can't be used drops the target at once, also within the grace period of
 // a lapsed record.
 func TestAnInvalidRecordDropsTheTarget(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Put(target("a"))
 	r.Put(target("b"))
-	r.Interrupted()
+	r.Interrupted(start)
 	r.Resumed(start)
 	assert.Equal(t, len(r.Invalidate("a")), 1)
 	assert.Equal(t, len(r.Invalidate("never listed")), 0)
@@ -79,7 +79,7 @@
 	rank := listed("rank", 9)
 	rank.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
 	for _, foreign := range []btinventory.Target{other, rank} {
-		r := btinventory.NewRegistry(grace, minLapse)
+		r := newRegistry()
 		r.Put(listed("a", 3))
 		r.Put(foreign)
 		r.Put(listed("a", 3))
@@ -92,7 +92,7 @@
 func TestRegisterFollowsTheListThroughRestarts(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		r := btinventory.NewRegistry(grace, minLapse)
+		r := newRegistry()
 		now := start
 		last := map[btinventory.ID]btid.Incarnation{}
 		alive := map[btinventory.Instance]bool{}
@@ -120,7 +120,7 @@
 				follow(r.Invalidate(id))
 				delete(last, id)
 			case 2:
-				r.Interrupted()
+				r.Interrupted(start)
 			case 3:
 				r.Resumed(now)
 			default:
--- a/core/btinventory/outage_test.go
+++ b/core/btinventory/outage_test.go
@@ -12,11 +12,11 @@
 // TestRemovalAfterOutageCountsAtOnce guards against requests to a target whose removal was
 // written after the list could be read again: only what lapsed during the outage may be back.
 func TestRemovalAfterOutageCountsAtOnce(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Resumed(start)
 	r.Put(target("a"))
 	r.Put(target("b"))
-	r.Interrupted()
+	r.Interrupted(start)
 	back := start.Add(10 * time.Second)
 	r.Resumed(back)
 	assert.Equal(t, r.Remove(back, "a")[0].What, btinventory.Missing)
@@ -28,10 +28,10 @@
 // TestCutWatchIsNoOutage guards against requests to a removed target after a read failed
 // once: in the time without reads no record of a live target can have lapsed.
 func TestCutWatchIsNoOutage(t *testing.T) {
-	r := btinventory.NewRegistry(grace, minLapse)
+	r := newRegistry()
 	r.Resumed(start)
 	r.Put(target("a"))
-	r.Interrupted()
+	r.Interrupted(start)
 	now := start.Add(1600 * time.Millisecond)
 	r.Resumed(now)
 	assert.Equal(t, r.Remove(now, "a")[0].What, btinventory.Gone)
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -13,9 +13,10 @@
 // for the grace period, one that was removed or is draining gets no requests, and an earlier
 // start doesn't replace a later one. Records that targets write from now on apply at once.
 func (r *Registry) Restored(now time.Time, era uint64) {
-	r.interrupted = false
-	r.readAt = now
+	r.awayAt = time.Time{}
+	r.listedAt = now
 	r.mayHaveLapsed = true
+	r.graceEnds = now.Add(r.policy.Grace)
 	r.restoredAt = now
 	r.era = era
 }
@@ -59,9 +60,9 @@
 // keepAsMissing starts the grace period of a ready target that a restored list lacks, as it
 // may write its record again. It returns false if the target is to be dropped instead.
 func (r *Registry) keepAsMissing(now time.Time, id ID) bool {
-	if r.records[id].target.State != Ready || !r.recentlyRestored(now) || !now.Before(r.restoredAt.Add(r.grace)) {
+	if r.records[id].target.State != Ready || !r.recentlyRestored(now) || !now.Before(r.restoredAt.Add(r.policy.Grace)) {
 		return false
 	}
-	r.records[id].missingUntil = r.restoredAt.Add(r.grace)
+	r.records[id].missingUntil = r.restoredAt.Add(r.policy.Grace)
 	return true
 }
--- a/core/btinventory/restored_test.go
+++ b/core/btinventory/restored_test.go
@@ -158,7 +158,7 @@
 // read reads the store's changes, or the whole list if the changes aren't known.
 func (e *eraEntry) read(now time.Time, s *eraStore) {
 	if s.down {
-		e.register.Interrupted()
+		e.register.Interrupted(now)
 		return
 	}
 	e.register.Resumed(now)
@@ -197,7 +197,7 @@
 	e.setPosition(now, o.position)
 	e.listedAt = o.listedAt
 	e.known = true
-	e.recordLeaving(now, e.register.ReplaceFromPeer(now, o.register.Targets()))
+	e.recordLeaving(now, e.register.ReplaceFromPeer(now, btinventory.PeerList{ReadAt: o.listedAt, Targets: o.register.List(), GraceEnds: o.register.NextExpiry()}))
 }
 
 // eraModel simulates a store, its targets and the entries.
@@ -218,7 +218,7 @@
 		w.targets = append(w.targets, &eraTarget{id: btinventory.ID(rune('a' + i)), start: 1, alive: true, changedAt: start})
 	}
 	for i := range 5 {
-		w.entries = append(w.entries, &eraEntry{register: btinventory.NewRegistry(eraGrace, minLapse), reads: i < 3, leavingSince: map[btinventory.Instance]time.Time{}, ignoreEras: ignoreEras})
+		w.entries = append(w.entries, &eraEntry{register: btinventory.NewRegistry(btinventory.LapsePolicy{Grace: eraGrace, MinLapse: minLapse}), reads: i < 3, leavingSince: map[btinventory.Instance]time.Time{}, ignoreEras: ignoreEras})
 	}
 	return w
 }
--- a/core/btinventory/sync_test.go
+++ b/core/btinventory/sync_test.go
@@ -82,7 +82,7 @@
 	if checkAge && other.revision < l.revision {
 		return
 	}
-	l.register.ReplaceFromPeer(start, other.register.Targets())
+	l.register.ReplaceFromPeer(start, peerList(other.register.Targets()...))
 	l.revision = max(l.revision, other.revision)
 }
 
@@ -105,7 +105,7 @@
 	s := &store{}
 	entries := make([]*entry, 4)
 	for i := range entries {
-		entries[i] = &entry{register: btinventory.NewRegistry(grace, minLapse)}
+		entries[i] = &entry{register: newRegistry()}
 	}
 	for range 120 {
 		l := entries[random.IntN(len(entries))]
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -37,7 +37,7 @@
 // times a second. sc.mu must be held.
 func (sc *sourceCache) listDigest() uint64 {
 	if !sc.digestValid {
-		list := sc.register.Targets()
+		list := sc.register.List()
 		sc.targetsDigest = targetsDigest(list)
 		sc.cellDigests = btinventory.NewCellDigests(list)
 		sc.digestValid = true
@@ -140,12 +140,16 @@
 	if !sc.hasList || sc.storeLost || sc.readAt.IsZero() {
 		return ReadList{}
 	}
-	l := ReadList{Position: sc.position, Age: max(sc.clock().Sub(sc.readAt), 0), Drained: sc.drains.Set(), HasDrained: true}
+	now := sc.clock()
+	l := ReadList{Position: sc.position, Age: max(now.Sub(sc.readAt), 0), Drained: sc.drains.Set(), HasDrained: true}
+	if ends := sc.register.NextExpiry(); !ends.IsZero() {
+		l.Grace = max(ends.Sub(now), 0)
+	}
 	if sc.listDigest() == known {
 		l.Same = true
 		return l
 	}
-	l.Targets = sc.register.Targets()
+	l.Targets = sc.register.List()
 	if len(cells) > 0 {
 		l.Cells = sc.cellDigests.Differing(cells)
 		l.Targets = l.Cells.Select(l.Targets)
@@ -180,8 +184,12 @@
 	sc.hasList = true
 	sc.historyGone = false
 	var changes []btinventory.Change
-	if !l.Same {
-		changes = sc.register.ReplaceFromPeer(now, l.Cells.Replace(sc.register.Targets(), l.Targets))
+	if l.Same {
+		sc.register.ListedByPeer(readAt)
+	} else {
+		changes = sc.register.ReplaceFromPeer(now, btinventory.PeerList{
+			ReadAt: readAt, Targets: l.Cells.Replace(sc.register.List(), l.Targets), GraceEnds: askedAt.Add(l.Grace),
+		})
 	}
 	for _, c := range changes {
 		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", l.Position.String(), "from", from, "age_ms", now.Sub(readAt).Milliseconds())
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -174,6 +174,8 @@
 	Targets []btinventory.Target `cbor:"targets,omitempty"`
 	Same    bool                 `cbor:"same,omitempty"`
 	Cells   btinventory.CellSet  `cbor:"cells,omitempty"`
+	// Grace is how long the targets are kept that the source's list lacks (Target.InGrace).
+	Grace time.Duration `cbor:"grace,omitempty"`
 	// Drained are the drained data centres. HasDrained is false in lists of processes
 	// that don't know them.
 	Drained    btinventory.DrainedDataCentres `cbor:"drained,omitempty"`
@@ -209,6 +211,9 @@
 	if r.List.Age < 0 {
 		return fmt.Errorf("welcome with a list read in %s", -r.List.Age)
 	}
+	if r.List.Grace < 0 || r.List.Grace > missingGrace {
+		return fmt.Errorf("welcome with a list whose missing targets are kept for %s", r.List.Grace)
+	}
 	if err := r.List.Drained.Validate(); err != nil {
 		return err
 	}
--- a/io/btdirect/settings.go
+++ b/io/btdirect/settings.go
@@ -44,6 +44,9 @@
 	StopGrace time.Duration
 	// DrainTime is how long a target still serves after it is listed as leaving.
 	DrainTime time.Duration
+	// RecoveryTime is how long after a disruption the platform's bounds don't apply yet; zero
+	// if it isn't known.
+	RecoveryTime time.Duration
 	// Heartbeat is the interval at which targets renew their records; zero if it isn't known.
 	Heartbeat time.Duration
 	// StallTime is how long an engine group waits for a lost member.
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -101,14 +101,16 @@
 
 func newSourceCache(o Options, onChange func(listing)) *sourceCache {
 	return &sourceCache{
-		source:       o.Source,
-		self:         o.Settings.Peer,
-		decode:       o.Decode,
-		clock:        o.Clock,
-		log:          o.Log,
-		meter:        o.Meter,
-		onChange:     onChange,
-		register:     btinventory.NewRegistry(missingGrace, lapseHeartbeats*o.Settings.Heartbeat),
+		source:   o.Source,
+		self:     o.Settings.Peer,
+		decode:   o.Decode,
+		clock:    o.Clock,
+		log:      o.Log,
+		meter:    o.Meter,
+		onChange: onChange,
+		register: btinventory.NewRegistry(btinventory.LapsePolicy{
+			Grace: missingGrace, MinLapse: lapseHeartbeats * o.Settings.Heartbeat, Recovery: o.Settings.RecoveryTime,
+		}),
 		drains:       btinventory.NewDrains(),
 		hasCatalog:   make(chan struct{}),
 		rosters:      make(map[rosterKey]cachedRoster),
@@ -140,6 +142,7 @@
 // read reads the source once, and reports whether that succeeded.
 func (sc *sourceCache) read(ctx context.Context) bool {
 	sc.meter.Counter(metricReads).Inc(1)
+	sentAt := sc.clock()
 	position, known := sc.currentPosition()
 	var update Update
 	var err error
@@ -152,7 +155,7 @@
 		return false
 	}
 	if err != nil {
-		sc.recordReadError(err)
+		sc.recordReadError(sentAt, err)
 		return false
 	}
 	sc.apply(update)
@@ -167,8 +170,8 @@
 	return sc.position, sc.hasList && !sc.historyGone
 }
 
-// recordReadError records a failed read.
-func (sc *sourceCache) recordReadError(err error) {
+// recordReadError records that a read has failed which was sent at the given time.
+func (sc *sourceCache) recordReadError(sentAt time.Time, err error) {
 	sc.meter.Counter(metricReadErrors).Inc(1)
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
@@ -179,7 +182,7 @@
 		return
 	}
 	sc.readFailures++
-	sc.register.Interrupted()
+	sc.register.Interrupted(sentAt)
 	if !sc.storeLost {
 		sc.storeLost = true
 		sc.log.Warn("dependency lost", "dependency", "store", "position", sc.position.String(), "age_ms", sc.readAge().Milliseconds(), "error", err)
