btinventory, btdirect: poll the list after a watch that was cut or is late

Cause: an entry's only read was a watch that waits, repeated after 0.4 s if it failed. While watches were cut before anything happened, no read succeeded, and after 2.4 s that counted as an outage: the next removal might be a record that had lapsed, and its target was kept for 2.2 s. A watch on a connection that no longer works had the same effect: 0.7 s until the watch, 2.0 s until its timeout and 0.4 s until the next one are 3.1 s.

Change: btinventory.Schedule decides when the list is read and how. After a watch that failed, at once, and 0.5 s after one that is late, the list is polled on a connection of its own. While reads fail, they are polls, sent each 0.4 s also if earlier ones still hang (0.8 s at entries that back off, 1.6 s before), so that the first good read follows the return of the store by that much. The time without a good read is then the time in which the store answered nothing, and what polls leave open is an outage.

Why not by evidence in what is read: renewals of other targets within the interruption show that the store took writes, but not at stores whose targets write rarely, and not in a whole list, which has no removals. A removal that ended a watch that had waited is news, but a slow answer looks the same.

--- a/core/btgossip/supplier.go
+++ b/core/btgossip/supplier.go
@@ -37,9 +37,10 @@
 	substituteDelay  = 250 * time.Millisecond
 	supplierPatience = 500 * time.Millisecond
 	// retryDelay is the time until a failed read is repeated. It doubles up to
-	// maxRetryDelay for all but the first few.
+	// maxRetryDelay for all but the first few. It bounds how well an entry knows when an
+	// outage ended.
 	retryDelay    = 400 * time.Millisecond
-	maxRetryDelay = 1600 * time.Millisecond
+	maxRetryDelay = 800 * time.Millisecond
 	// SearchInterval is the interval of contacts while an entry looks for a supplier, for
 	// the first SearchProbes contacts.
 	SearchInterval = 100 * time.Millisecond
--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -1,8 +1,6 @@
 package btdirect
 
 import (
-	"context"
-	"errors"
 	"log/slog"
 	"net/netip"
 	"sync"
@@ -37,9 +35,15 @@
 	lapseHeartbeats = 2
 )
 
+// readSchedule has the intervals of the reads: as many polls are in flight as are sent before
+// the first one times out.
+var readSchedule = btinventory.SchedulePolicy{Interval: readInterval, Wait: changesTimeout, Late: 500 * time.Millisecond, MaxInFlight: 4}
+
 // Names of metrics.
 const (
-	metricReads      = "source.reads"
+	metricReads = "source.reads"
+	// metricPolls counts the reads that repeat a watch that failed or is late.
+	metricPolls      = "source.polls"
 	metricReadErrors = "source.read_errors"
 	metricMalformed  = "source.malformed"
 	// metricEras counts how often the store was restored from a copy.
@@ -65,6 +69,7 @@
 
 	mu       sync.Mutex
 	register *btinventory.Registry
+	schedule *btinventory.Schedule
 	drains   *btinventory.Drains
 	// position is that of the cached list. hasList reports that there is one.
 	position btinventory.Position
@@ -78,8 +83,6 @@
 	reading   func() reading
 	// self is the entry's own address.
 	self netip.AddrPort
-	// readFailures counts the reads that have failed since the last successful one.
-	readFailures int
 	// readsUntil is until when this entry reads the source in place of those that should.
 	readsUntil time.Time
 	// listedAt is when the cached list was read, by whichever entry.
@@ -108,6 +111,7 @@
 		log:      o.Log,
 		meter:    o.Meter,
 		onChange: onChange,
+		schedule: btinventory.NewSchedule(readSchedule),
 		register: btinventory.NewRegistry(btinventory.LapsePolicy{
 			Grace: missingGrace, MinLapse: lapseHeartbeats * o.Settings.Heartbeat, Recovery: o.Settings.RecoveryTime,
 		}),
@@ -118,77 +122,6 @@
 	}
 }
 
-// run reads the source until the context ends.
-func (sc *sourceCache) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		began := sc.clock()
-		if sc.listedByPeer(began) {
-			sleep(ctx, peerListPoll)
-			continue
-		}
-		ok := sc.read(ctx)
-		if _, known := sc.currentPosition(); !ok && !known {
-			// Without changes the list is read as a whole, which may succeed at once.
-			ok = sc.read(ctx)
-		}
-		if ok {
-			sleep(ctx, readInterval-sc.clock().Sub(began))
-		} else {
-			sc.awaitRetry(ctx)
-		}
-	}
-}
-
-// read reads the source once, and reports whether that succeeded.
-func (sc *sourceCache) read(ctx context.Context) bool {
-	sc.meter.Counter(metricReads).Inc(1)
-	sentAt := sc.clock()
-	position, known := sc.currentPosition()
-	var update Update
-	var err error
-	if known {
-		update, err = sc.source.Changes(ctx, position, changesTimeout)
-	} else {
-		update, err = sc.source.Snapshot(ctx)
-	}
-	if ctx.Err() != nil {
-		return false
-	}
-	if err != nil {
-		sc.recordReadError(sentAt, err)
-		return false
-	}
-	sc.apply(update)
-	return true
-}
-
-// currentPosition returns the position of the cached list, if there is one from which the
-// source has the changes.
-func (sc *sourceCache) currentPosition() (btinventory.Position, bool) {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.position, sc.hasList && !sc.historyGone
-}
-
-// recordReadError records that a read has failed which was sent at the given time.
-func (sc *sourceCache) recordReadError(sentAt time.Time, err error) {
-	sc.meter.Counter(metricReadErrors).Inc(1)
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	if errors.Is(err, ErrHistoryGone) {
-		// The list is valid until it is replaced, and other entries receive it meanwhile.
-		sc.historyGone = true
-		sc.log.Info("history gone", "position", sc.position.String(), "outcome", "read in full")
-		return
-	}
-	sc.readFailures++
-	sc.register.Interrupted(sentAt)
-	if !sc.storeLost {
-		sc.storeLost = true
-		sc.log.Warn("dependency lost", "dependency", "store", "position", sc.position.String(), "age_ms", sc.readAge().Milliseconds(), "error", err)
-	}
-}
-
 // readAge returns the time since this entry last read the source.
 func (sc *sourceCache) readAge() time.Duration {
 	if sc.readAt.IsZero() {
@@ -197,6 +130,14 @@
 	return sc.clock().Sub(sc.readAt)
 }
 
+// listAge returns the age of the cached list, by whichever entry it was read; zero without one.
+func (sc *sourceCache) listAge(now time.Time) time.Duration {
+	if !sc.hasList {
+		return 0
+	}
+	return now.Sub(sc.listedAt)
+}
+
 // apply applies an update.
 func (sc *sourceCache) apply(u Update) {
 	substitutes := sc.reading().substitutes
@@ -210,7 +151,7 @@
 	if sc.hasList && now.Sub(sc.listedAt) >= peerListTTL && substitutes {
 		sc.readsUntil = now.Add(substitution)
 	}
-	sc.readFailures = 0
+	interruption := sc.listAge(now)
 	sc.register.Resumed(now)
 	sc.setPosition(now, u.Position, "store")
 	sc.readAt = now
@@ -224,7 +165,7 @@
 	drainsChanged := sc.updateDrains(now, u)
 	renewed := sc.adoptCatalog(u.Catalog, u.CatalogBytes, "store")
 	for _, c := range changes {
-		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", u.Position.String())
+		sc.log.Info(c.What, "target", c.Target.Instance(), "service", c.Target.Service, "address", c.Target.Address, "position", u.Position.String(), "interruption_ms", interruption.Milliseconds())
 	}
 	if renewed || drainsChanged || len(changes) > 0 {
 		sc.publish()
@@ -371,16 +312,3 @@
 		sc.hasCatalogOnce.Do(func() { close(sc.hasCatalog) })
 	}
 }
-
-// sleep waits for the duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
