btplatform: don't wait for changes after a failed read

What operators saw: a bundle that was signed off in a series of cut watches came into force many seconds late on the guarded path.

Each cut doubled the wait before the next call, up to 15 s, as no call could succeed before the watch ended.

Change: after a failure the watcher reads without waiting. If the service answers, the failure is over.

Ruled out for the host list of that path: it is read by polls alone, and a host that it lists as leaving gets no request from then on, in an outage too.

--- a/io/btplatform/btplatform_test.go
+++ b/io/btplatform/btplatform_test.go
@@ -189,6 +189,42 @@
 	})
 }
 
+// TestWatcherReadsOnWhileWatchesAreCut guards against a value that is delivered many seconds late,
+// because the service cut one call after the other while it waited and each cut counted as an
+// outage.
+func TestWatcherReadsOnWhileWatchesAreCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const written = 20 * time.Second
+		start := time.Now()
+		delivered := time.Minute
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		w := btplatform.NewWatcher(btplatform.WatcherOptions{
+			Client: client(func(r *http.Request) (int, http.Header, string) {
+				if time.Since(start) >= written {
+					return 200, revision(2), "two"
+				}
+				switch r.URL.Query().Get("wait") {
+				case "":
+					return 200, revision(1), "one"
+				case "0s":
+					return 304, nil, ""
+				}
+				time.Sleep(20 * time.Millisecond)
+				return 0, nil, ""
+			}),
+			Key: "bundle",
+			Deliver: func(_ context.Context, v btplatform.Value) {
+				if string(v.Data) == "two" && delivered == time.Minute {
+					delivered = time.Since(start) - written
+				}
+			},
+		})
+		assert.NilError(t, w.Run(ctx))
+		assert.Assert(t, delivered <= 2*time.Second, "delivered after %s", delivered)
+	})
+}
+
 // TestWatcherFollowsRestoredService guards against a watcher that stays on the old value
 // forever when the service is restored to lower revisions: it then answers no watch for a
 // higher one.
--- a/io/btplatform/watcher.go
+++ b/io/btplatform/watcher.go
@@ -127,13 +127,19 @@
 	return nil
 }
 
+// read reads the value. After a failure it doesn't wait for a change: a service that cuts calls
+// while they wait still answers.
 func (w *Watcher) read(ctx context.Context) (Value, bool, error) {
-	after := w.State().Revision
+	state := w.State()
+	after, wait := state.Revision, w.options.Wait
+	if state.Failures > 0 {
+		wait = 0
+	}
 	now := time.Now()
 	if now.Sub(w.lastFullRead) >= w.options.Refresh {
 		after = 0
 	}
-	value, changed, err := w.options.Client.Config(ctx, w.options.Key, after, w.options.Wait)
+	value, changed, err := w.options.Client.Config(ctx, w.options.Key, after, wait)
 	if err == nil && after == 0 {
 		w.lastFullRead = now
 	}
