--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -44,6 +44,8 @@
 	retryRatio := app.Flag("retry-ratio", "The share of requests that the entries may retry.").Default("0.2").Float64()
 	retrySlack := app.Flag("retry-slack", "How many retries the entries may make beyond that share in 10 s.").Default("100").Float64()
 	removals := app.Flag("removals", "How many records of living targets are removed.").Default("2").Int()
+	watchCuts := app.Flag("watch-cuts", "How often waiting watches of the store are cut in series.").Default("1").Int()
+	onlySeries := app.Flag("only-series", "Inject no random faults beside the series that the other flags ask for.").Bool()
 	logDir := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -54,7 +56,7 @@
 	for i := range *seeds {
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
-			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals,
+			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals, WatchCuts: *watchCuts, OnlySeries: *onlySeries,
 			RetryBudget: btmock.RetryBudget{Ratio: *retryRatio, Slack: *retrySlack, Window: 10 * time.Second},
 			Dir:         filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
 		}
