btexpert, btdirect, btrank: rename strain to latency ratio

One term for one concept: entries call the ratio of latencies to the promised ones latency ratio (btgate.LatencyRatio), leads and planners called it strain.

--- a/core/btexpert/price_factor_test.go
+++ b/core/btexpert/price_factor_test.go
@@ -15,9 +15,9 @@
 // on a group that is planned twice a second.
 type fluctuatingLoad struct {
 	shape btexpert.Shape
-	// balancedStrain is the strain of a balanced group, and expertShare the part of
+	// balancedLatencyRatio is the latency ratio of a balanced group, and expertShare the part of
 	// a step that grows with the most loaded rank.
-	balancedStrain, expertShare float64
+	balancedLatencyRatio, expertShare float64
 }
 
 const (
@@ -39,16 +39,16 @@
 }
 
 // simulate follows the load with maps whose cost and least gain are multiplied by
-// the price factor for the strain.
-func (d fluctuatingLoad) simulate(seed uint64, priceFactor func(strain float64) float64) fluctuationResult {
+// the price factor for the latency ratio.
+func (d fluctuatingLoad) simulate(seed uint64, priceFactor func(latencyRatio float64) float64) fluctuationResult {
 	random := rand.New(rand.NewPCG(seed, seed))
 	m := btexpert.SingleReplica(d.shape)
-	strain := 1.0
+	latencyRatio := 1.0
 	var o fluctuationResult
 	for range shifts {
 		load := skewedLoad(d.shape, random)
 		for range plansPerShift {
-			c := priceFactor(strain)
+			c := priceFactor(latencyRatio)
 			limits := btexpert.FastLimits{MaxLayerTransfers: 4, TransferCost: transferCost * c, MaxChanges: 60, MaxRankTransfers: 4}
 			plan := btexpert.FastRebalance(m, load, limits)
 			peak := plan.PeakBefore
@@ -57,8 +57,8 @@
 				o.transfers += plan.Transfers
 				peak = plan.PeakAfter
 			}
-			strain = d.balancedStrain * (1 - d.expertShare + d.expertShare*peak)
-			if strain > 1 {
+			latencyRatio = d.balancedLatencyRatio * (1 - d.expertShare + d.expertShare*peak)
+			if latencyRatio > 1 {
 				o.late++
 			}
 		}
@@ -72,7 +72,7 @@
 // price factor of 1, maps follow each shift of the load even where answers are
 // early on an unbalanced group.
 func TestPriceFactorAvoidsTransfersAtLowStrain(t *testing.T) {
-	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 8, Layers: 6, Experts: 64, Slots: 11, ExpertBytes: 1}, balancedStrain: 0.35, expertShare: 0.85}
+	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 8, Layers: 6, Experts: 64, Slots: 11, ExpertBytes: 1}, balancedLatencyRatio: 0.35, expertShare: 0.85}
 	for seed := range uint64(5) {
 		constant := d.simulate(seed, constantFactor)
 		scaled := d.simulate(seed, btexpert.PriceFactor)
@@ -85,7 +85,7 @@
 // Guards against a price factor that delays the maps where steps are as long as
 // promised to callers: no more intervals may be late than without it, within 5%.
 func TestPriceFactorAllowsTransfersAtHighStrain(t *testing.T) {
-	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 16, Layers: 4, Experts: 64, Slots: 5, ExpertBytes: 1}, balancedStrain: 0.85, expertShare: 0.85}
+	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 16, Layers: 4, Experts: 64, Slots: 5, ExpertBytes: 1}, balancedLatencyRatio: 0.85, expertShare: 0.85}
 	for seed := range uint64(5) {
 		constant := d.simulate(seed, constantFactor)
 		scaled := d.simulate(seed, btexpert.PriceFactor)
@@ -96,8 +96,8 @@
 
 func TestPriceFactorFallsWithStrain(t *testing.T) {
 	last := math.Inf(1)
-	for strain := 0.0; strain < 1.5; strain += 0.01 {
-		c := btexpert.PriceFactor(strain)
+	for latencyRatio := 0.0; latencyRatio < 1.5; latencyRatio += 0.01 {
+		c := btexpert.PriceFactor(latencyRatio)
 		assert.Assert(t, c <= last && c >= 1)
 		last = c
 	}
@@ -105,12 +105,12 @@
 }
 
 // A peak must last over the next change of demand, 4 s later, and be forgotten
-// after a minute. An outage, with a strain of 2, must not be remembered for longer
+// after a minute. An outage, with a latency ratio of 2, must not be remembered for longer
 // than that.
 func TestPeakStrainOutlastsOneChangeOfDemand(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	for _, worst := range []float64{0.9, 2} {
-		var m btexpert.PeakStrain
+		var m btexpert.PeakLatencyRatio
 		assert.Equal(t, m.Observe(begin, 0.3), 0.9, "nothing is known yet")
 		m.Observe(begin.Add(time.Minute), worst)
 		assert.Assert(t, m.Observe(begin.Add(time.Minute+4*time.Second), 0.3) > 0.6)
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -228,15 +228,15 @@
 	}
 }
 
-// strain returns how close a service's latencies come to the promised ones.
-func (a *admission) strain(name btid.Service) Strain {
+// latencyRatio returns how close a service's latencies come to the promised ones.
+func (a *admission) latencyRatio(name btid.Service) LatencyRatio {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g, found := a.gates[name]
 	if !found {
-		return Strain{}
+		return LatencyRatio{}
 	}
-	return Strain{Value: max(g.pauseRatio.Value(), g.firstEventRatio.Value()), Streams: g.gate.Running()}
+	return LatencyRatio{Value: max(g.pauseRatio.Value(), g.firstEventRatio.Value()), Streams: g.gate.Running()}
 }
 
 // gateLoad is the state of a service's gate, for logs.
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -291,13 +291,13 @@
 	return digest
 }
 
-// handleLoad applies a lead's load report and returns the service's strain.
-func (p *peers) handleLoad(_ context.Context, l LoadReport) (Strain, error) {
+// handleLoad applies a lead's load report and returns the service's latency ratio.
+func (p *peers) handleLoad(_ context.Context, l LoadReport) (LatencyRatio, error) {
 	if p.entry.fleet.applyLoadReport(l) {
 		p.entry.log.Info("group open", "service", l.Service, "epoch", l.Epoch, "evidence", "lead")
 	}
 	if total, known := p.entry.fleet.totalRequests(l.Service); known {
 		p.entry.admission.observeTotal(l.Service, total)
 	}
-	return p.entry.admission.strain(l.Service), nil
+	return p.entry.admission.latencyRatio(l.Service), nil
 }
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -81,9 +81,9 @@
 // errPace means that a pace is negative, infinite or not a number.
 var errPace = errors.New("malformed pace")
 
-// Strain is the answer to a load report: how close the latencies of the service come to
+// LatencyRatio is the answer to a load report: how close the latencies of the service come to
 // the promised ones at this entry.
-type Strain struct {
+type LatencyRatio struct {
 	// Value is the level below which nearly all pauses and first events stay, as a
 	// fraction of the promised time. It has no meaning if Streams is zero.
 	Value float64 `cbor:"value"`
@@ -91,14 +91,14 @@
 	Streams int `cbor:"streams"`
 }
 
-// errStrain means that a strain is negative, infinite or not a number, or counts a
+// errLatencyRatio means that a latency ratio is negative, infinite or not a number, or counts a
 // negative number of streams.
-var errStrain = errors.New("strain must be a number from zero on, and so must its streams")
+var errLatencyRatio = errors.New("latency ratio must be a number from zero on, and so must its streams")
 
-// Validate returns an error if the strain is out of range.
-func (s Strain) Validate() error {
+// Validate returns an error if the latency ratio is out of range.
+func (s LatencyRatio) Validate() error {
 	if !(s.Value >= 0) || math.IsInf(s.Value, 0) || s.Streams < 0 {
-		return errStrain
+		return errLatencyRatio
 	}
 	return nil
 }
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -67,9 +67,9 @@
 	loadSentAt   time.Time
 	// skippedUntil is the time until which a rank's agent isn't asked to send the load.
 	skippedUntil map[btexpert.Rank]time.Time
-	// strains holds the last strain reported by each entry, or by each agent for the
+	// latencyRatios holds the last latency ratio reported by each entry, or by each agent for the
 	// entries that it sends the load to.
-	strains map[netip.AddrPort]receivedStrain
+	latencyRatios map[netip.AddrPort]receivedLatencyRatio
 	// holdSelfUntil is the time until which the group is held at the own rank, because
 	// another rank's agent didn't store the record.
 	holdSelfUntil time.Time
@@ -97,7 +97,7 @@
 		skippedUntil:   make(map[btexpert.Rank]time.Time),
 		directReader:   btrelay.NewDirectReader(),
 		remoteEngines:  make(map[netip.AddrPort]Engine),
-		strains:        make(map[netip.AddrPort]receivedStrain),
+		latencyRatios:  make(map[netip.AddrPort]receivedLatencyRatio),
 	}
 }
 
@@ -227,11 +227,11 @@
 	if !found || !consistent || !l.machine.AllRanksOpen(now) {
 		return
 	}
-	plan, reason := l.planner.plan(now, group, l.paces(now), version, l.strain(now))
+	plan, reason := l.planner.plan(now, group, l.paces(now), version, l.latencyRatio(now))
 	if reason != "" {
 		if now.Sub(l.planLoggedAt) > time.Second {
 			l.planLoggedAt = now
-			l.log.Info("map kept", "reason", reason, "version", version, "peak", plan.PeakBefore, "planned_peak", plan.PeakAfter, "loads", plan.Transfers, "strain", l.planner.strain)
+			l.log.Info("map kept", "reason", reason, "version", version, "peak", plan.PeakBefore, "planned_peak", plan.PeakAfter, "loads", plan.Transfers, "strain", l.planner.latencyRatio)
 		}
 		return
 	}
@@ -242,7 +242,7 @@
 	}
 	l.planLoggedAt = now
 	l.planner.roundBegun(version, next, plan)
-	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.PeakBefore, "planned_peak", plan.PeakAfter, "loads", plan.Transfers, "strain", l.planner.strain, "holder", holder, "ballot", l.machine.Ballot())
+	l.log.Info("map round begun", "version", next, "before", version, "epoch", l.machine.Epoch(), "peak", plan.PeakBefore, "planned_peak", plan.PeakAfter, "loads", plan.Transfers, "strain", l.planner.latencyRatio, "holder", holder, "ballot", l.machine.Ballot())
 }
 
 // chooseHolder returns the rank that is to hold the group: the first one after the own
--- a/io/btrank/load.go
+++ b/io/btrank/load.go
@@ -80,7 +80,7 @@
 func (l *lead) sendLoadThrough(ctx context.Context, r btexpert.Rank, agent netip.AddrPort, n LoadNotice) {
 	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	strain, err := btcall.Call[btdirect.Strain](bounded, l.calls, agent, pathLoadNotice, n)
+	latencyRatio, err := btcall.Call[btdirect.LatencyRatio](bounded, l.calls, agent, pathLoadNotice, n)
 	if err != nil {
 		l.options.Meter.Counter("load_untold").Inc(int64(len(n.Entries)))
 		l.mu.Lock()
@@ -88,44 +88,44 @@
 		l.mu.Unlock()
 		return
 	}
-	l.recordStrain(agent, strain)
+	l.recordLatencyRatio(agent, latencyRatio)
 }
 
 // sendLoadTo sends the load to one entry.
 func (l *lead) sendLoadTo(ctx context.Context, load btdirect.LoadReport, entry netip.AddrPort) {
-	strain, err := postLoad(ctx, l.calls, load, entry)
+	latencyRatio, err := postLoad(ctx, l.calls, load, entry)
 	if err != nil {
 		l.options.Meter.Counter("load_untold").Inc(1)
 		return
 	}
-	l.recordStrain(entry, strain)
+	l.recordLatencyRatio(entry, latencyRatio)
 }
 
-// postLoad sends the load to one entry, and returns the strain that it answers with.
-func postLoad(ctx context.Context, calls *btcall.Client, load btdirect.LoadReport, entry netip.AddrPort) (btdirect.Strain, error) {
+// postLoad sends the load to one entry, and returns the latency ratio that it answers with.
+func postLoad(ctx context.Context, calls *btcall.Client, load btdirect.LoadReport, entry netip.AddrPort) (btdirect.LatencyRatio, error) {
 	bounded, cancel := context.WithTimeout(ctx, loadInterval)
 	defer cancel()
-	return btcall.Call[btdirect.Strain](bounded, calls, entry, btdirect.PathLoad, load)
+	return btcall.Call[btdirect.LatencyRatio](bounded, calls, entry, btdirect.PathLoad, load)
 }
 
 // handleLoadNotice sends the load to entries for the lead, and returns the mean of their
-// strains, weighted by their streams.
-func (r *relay) handleLoadNotice(ctx context.Context, n LoadNotice) (btdirect.Strain, error) {
+// latency ratios, weighted by their streams.
+func (r *relay) handleLoadNotice(ctx context.Context, n LoadNotice) (btdirect.LatencyRatio, error) {
 	var mu sync.Mutex
-	var all meanStrain
+	var all meanLatencyRatio
 	var wg sync.WaitGroup
 	for _, entry := range n.Entries {
 		wg.Go(func() {
-			strain, err := postLoad(ctx, r.agent.calls, n.Load, entry)
+			latencyRatio, err := postLoad(ctx, r.agent.calls, n.Load, entry)
 			if err != nil {
 				r.agent.options.Meter.Counter("load_untold").Inc(1)
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			all.add(strain)
+			all.add(latencyRatio)
 		})
 	}
 	wg.Wait()
-	return all.strain(), nil
+	return all.latencyRatio(), nil
 }
--- a/io/btrank/planner.go
+++ b/io/btrank/planner.go
@@ -59,10 +59,10 @@
 	pendingVersion btround.Version
 	failedAt       time.Time
 	stallBudget    btexpert.StallBudget
-	// peakStrain is the decaying maximum of the strain: how close answers come to the
-	// times that callers are promised. strain is the value of the last plan, for logs.
-	peakStrain btexpert.PeakStrain
-	strain     float64
+	// peakLatencyRatio is the decaying maximum of the latency ratio: how close answers come to the
+	// times that callers are promised. latencyRatio is the value of the last plan, for logs.
+	peakLatencyRatio btexpert.PeakLatencyRatio
+	latencyRatio     float64
 	// formedAt is when the group formed.
 	formedAt time.Time
 }
@@ -106,10 +106,10 @@
 	return int(r) < p.size && (!p.known[r] || p.held[r].Version < v)
 }
 
-// plan returns a plan for a better map, or the reason why the active one is kept. Strain
+// plan returns a plan for a better map, or the reason why the active one is kept. Latency ratio
 // is how close the latest answers came to the times that callers are promised, with 1 at
 // the limit.
-func (p *planner) plan(now time.Time, g *btcatalog.Group, pace []float64, version btround.Version, strain float64) (btexpert.FastPlan, string) {
+func (p *planner) plan(now time.Time, g *btcatalog.Group, pace []float64, version btround.Version, latencyRatio float64) (btexpert.FastPlan, string) {
 	size := len(pace)
 	if now.Sub(p.failedAt) < failedRoundDelay {
 		return btexpert.FastPlan{}, keepPause
@@ -129,8 +129,8 @@
 	if total < minMeanCount*float64(g.Layers*g.Experts) {
 		return btexpert.FastPlan{}, keepNoCounts
 	}
-	p.strain = p.updateStrain(now, strain)
-	priceFactor := btexpert.PriceFactor(p.strain)
+	p.latencyRatio = p.updateLatencyRatio(now, latencyRatio)
+	priceFactor := btexpert.PriceFactor(p.latencyRatio)
 	plan := btexpert.FastRebalance(m, load, btexpert.FastLimits{
 		MaxLayerTransfers: g.NewPerMap,
 		TransferCost:      priceFactor * minTransferGain(g),
@@ -239,13 +239,13 @@
 	p.pending = nil
 }
 
-// updateStrain adds a strain and returns the decayed maximum. A group that has just formed
-// has an unbalanced map and serves all requests that waited for it, so its strain doesn't
+// updateLatencyRatio adds a latency ratio and returns the decayed maximum. A group that has just formed
+// has an unbalanced map and serves all requests that waited for it, so its latency ratio doesn't
 // show the effect of a change of demand: it isn't added, and at least 1 is returned, so
 // that the group is balanced at once.
-func (p *planner) updateStrain(now time.Time, strain float64) float64 {
+func (p *planner) updateLatencyRatio(now time.Time, latencyRatio float64) float64 {
 	if now.Sub(p.formedAt) < settleTime {
-		return max(strain, 1)
+		return max(latencyRatio, 1)
 	}
-	return p.peakStrain.Observe(now, strain)
+	return p.peakLatencyRatio.Observe(now, latencyRatio)
 }
