--- a/core/btbench/result.go
+++ b/core/btbench/result.go
@@ -77,7 +77,7 @@
 	r.offeredBy[c.arrival.Account]++
 }
 
-// duringTrace tells whether a retry was sent while new requests still arrived. Later ones
+// duringTrace reports whether a retry was sent while new requests still arrived. Later ones
 // find an idle fleet, so their success proves nothing.
 func (r *Result) duringTrace(c *call) bool { return c.at.Before(r.lastArrival) }
 
--- a/core/btcatalog/btcatalog.go
+++ b/core/btcatalog/btcatalog.go
@@ -18,7 +18,7 @@
 // ErrCatalog is wrapped by every error of Validate.
 var ErrCatalog = errors.New("invalid catalog")
 
-// Kind tells whether requests of a route may be repeated.
+// Kind determines whether requests of a route may be repeated.
 type Kind string
 
 const (
@@ -65,7 +65,7 @@
 	Homes Homes
 }
 
-// Repeatable tells whether a request of the route may be run more than once.
+// Repeatable reports whether a request of the route may be run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
--- a/core/btcatalog/index.go
+++ b/core/btcatalog/index.go
@@ -74,7 +74,7 @@
 	return strings.ToLower(host)
 }
 
-// RequiresKey tells whether the catalog lists accounts, so that requests of routes that
+// RequiresKey reports whether the catalog lists accounts, so that requests of routes that
 // aren't public need a key.
 func (x *Index) RequiresKey() bool { return len(x.catalog.Accounts) > 0 }
 
--- a/core/btevents/btevents.go
+++ b/core/btevents/btevents.go
@@ -63,7 +63,7 @@
 	return out, nil
 }
 
-// accept records the event's ID and tells whether the event is new.
+// accept records the event's ID and reports whether the event is new.
 func (s *Splitter) accept(event []byte) bool {
 	id, found := eventID(event)
 	if !found {
@@ -87,7 +87,7 @@
 // Count returns the number of new events with an ID.
 func (s *Splitter) Count() int { return s.count }
 
-// Partial tells whether an incomplete event is buffered.
+// Partial reports whether an incomplete event is buffered.
 func (s *Splitter) Partial() bool { return len(s.pending) > 0 }
 
 // eventEnd returns the length of the first event including its blank line, or -1 if it
--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -19,7 +19,7 @@
 	"bilberrytide/core/btid"
 )
 
-// State tells whether a target takes new requests.
+// State determines whether a target takes new requests.
 type State string
 
 const (
@@ -216,7 +216,7 @@
 	return changes
 }
 
-// conflictsWith tells whether only one of the two targets can exist: they share an
+// conflictsWith reports whether only one of the two targets can exist: they share an
 // address, a service and a rank. A record of another service or rank with the same
 // address doesn't drop the target: whichever runs there refuses requests for the other.
 func (t Target) conflictsWith(o Target) bool {
@@ -259,7 +259,7 @@
 	}
 }
 
-// wasDropped tells whether this record was dropped. A target that is listed again after
+// wasDropped reports whether this record was dropped. A target that is listed again after
 // its record lapsed has a newer one.
 func (r *Registry) wasDropped(t Target) bool {
 	known, found := r.dropped[t.ID]
--- a/core/btinventory/completeness.go
+++ b/core/btinventory/completeness.go
@@ -70,7 +70,7 @@
 	return missing
 }
 
-// Incomplete tells whether the group has lacked a rank for IncompleteAfter, so that callers
+// Incomplete reports whether the group has lacked a rank for IncompleteAfter, so that callers
 // shouldn't wait for it.
 func (c *Completeness) Incomplete(now time.Time, service btid.Service, group string) bool {
 	since, missing := c.incompleteSince[Group{Service: service, Name: group}]
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -21,22 +21,22 @@
 	r.era = era
 }
 
-// missingAtPeer tells whether a peer's record is one that the peer holds in grace: after a
+// missingAtPeer reports whether a peer's record is one that the peer holds in grace: after a
 // restore, only records that the list lacks still have a position of an earlier era.
 func (r *Registry) missingAtPeer(now time.Time, t Target) bool {
 	return r.recentlyRestored(now) && t.Created != 0 && t.Created.Era() < r.era
 }
 
-// RecentlyRestored tells whether a whole list may still lack recent writes, because the list
+// RecentlyRestored reports whether a whole list may still lack recent writes, because the list
 // was restored from a snapshot.
 func (r *Registry) RecentlyRestored(now time.Time) bool { return r.recentlyRestored(now) }
 
-// recentlyRestored tells whether a list may still hold records older than the known ones.
+// recentlyRestored reports whether a list may still hold records older than the known ones.
 func (r *Registry) recentlyRestored(now time.Time) bool {
 	return !r.restoredAt.IsZero() && now.Before(r.restoredAt.Add(staleWindow))
 }
 
-// mayBeStale tells whether a record of a list may be older than the known ones.
+// mayBeStale reports whether a record of a list may be older than the known ones.
 func (r *Registry) mayBeStale(now time.Time, t Target) bool {
 	if !r.recentlyRestored(now) {
 		return false
--- a/core/btinventory/sync_test.go
+++ b/core/btinventory/sync_test.go
@@ -86,7 +86,7 @@
 	l.revision = max(l.revision, other.revision)
 }
 
-// upToDate tells whether the entry's list equals the store's at the entry's revision.
+// upToDate reports whether the entry's list equals the store's at the entry's revision.
 func (l *entry) upToDate(s *store) bool {
 	if l.revision == 0 {
 		return true
@@ -99,7 +99,7 @@
 }
 
 // simulateSync makes four entries read the store at their own pace and get the list from each
-// other, and tells whether each was up to date after every step.
+// other, and reports whether each was up to date after every step.
 func simulateSync(seed uint64, checkAge bool) bool {
 	random := rand.New(rand.NewPCG(seed, 7))
 	s := &store{}
--- a/core/btrequest/btrequest.go
+++ b/core/btrequest/btrequest.go
@@ -26,7 +26,7 @@
 	Unknown Outcome = "unknown"
 )
 
-// Valid tells whether the outcome is one of the three.
+// Valid reports whether the outcome is one of the three.
 func (o Outcome) Valid() bool { return o == Done || o == NotRun || o == Unknown }
 
 // Reason identifies why a request was refused, retried or abandoned. It is in snake
@@ -83,5 +83,5 @@
 	High Priority = 1
 )
 
-// Valid tells whether the priority is one of the three.
+// Valid reports whether the priority is one of the three.
 func (p Priority) Valid() bool { return p >= Low && p <= High }
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -144,7 +144,7 @@
 	return nil
 }
 
-// hasType tells whether the expression names the type, from inside its package
+// hasType reports whether the expression names the type, from inside its package
 // or from outside.
 func hasType(expression ast.Expr, self, pkg, name string) bool {
 	switch e := expression.(type) {
--- a/io/btagent/host_status.go
+++ b/io/btagent/host_status.go
@@ -51,7 +51,7 @@
 	s.leaving()
 }
 
-// leaving tells whether a valid report says that the host is leaving.
+// leaving reports whether a valid report says that the host is leaving.
 func (s *hostStatus) leaving() bool {
 	now := s.clock()
 	s.mu.Lock()
--- a/io/btprocess/read_turns.go
+++ b/io/btprocess/read_turns.go
@@ -116,7 +116,7 @@
 
 // Readers shows operators which processes read the configuration service.
 type Readers struct {
-	// Reads tells whether this process reads the service now.
+	// Reads reports whether this process reads the service now.
 	Reads bool `json:"reads"`
 	// Latest are the newest reads known in this data centre.
 	Latest []btannounce.Read `json:"latest"`
