btinventory: remember a dropped record whose target was listed in between

What callers may see: requests at a removed target that another entry's list still has. Found by reading the code and listed as open; not seen in a run.

Cause: a target that is listed again after its record was dropped left its ID in the order of eviction. When it was dropped again, the next eviction, after 1,024 drops, discarded the new record in place of the old one.

Change: a record that is listed again leaves the order, too.

Evidence: TestDroppedRecordIsRememberedAfterItsTargetWasListedAgain failed before.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -204,7 +204,7 @@
 		found = false
 	}
 	r.records[t.ID] = &record{target: t}
-	delete(r.dropped, t.ID)
+	r.forgetDropped(t.ID)
 	switch {
 	case !found:
 		return append(changes, Change{ID: t.ID, Target: t, What: Added})
@@ -259,6 +259,15 @@
 	}
 }
 
+// forgetDropped discards the dropped record of an ID that is listed again, also from the order
+// of eviction: a later drop of the ID would be evicted in its place.
+func (r *Registry) forgetDropped(id ID) {
+	if _, found := r.dropped[id]; found {
+		delete(r.dropped, id)
+		r.dropOrder = slices.DeleteFunc(r.dropOrder, func(o ID) bool { return o == id })
+	}
+}
+
 // wasDropped reports whether this record was dropped. A target that is listed again after
 // its record lapsed has a newer one.
 func (r *Registry) wasDropped(t Target) bool {
--- a/core/btinventory/from_peer_test.go
+++ b/core/btinventory/from_peer_test.go
@@ -1,6 +1,7 @@
 package btinventory_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,23 @@
 	assert.Equal(t, r.Remove(back, "a")[0].What, btinventory.Missing)
 	assert.Equal(t, r.NextExpiry(), away.Add(3*time.Second))
 }
+
+// TestDroppedRecordIsRememberedAfterItsTargetWasListedAgain guards against a removed target that
+// is taken from a peer's list, because an earlier drop of it was evicted in place of the last one.
+func TestDroppedRecordIsRememberedAfterItsTargetWasListedAgain(t *testing.T) {
+	const remembered = 1024
+	r := newRegistry()
+	r.Put(listed("a", 1))
+	r.Remove(start, "a")
+	for i := range remembered - 1 {
+		id := btinventory.ID(fmt.Sprint(i))
+		r.Put(listed(id, btinventory.Position(2+i)))
+		r.Remove(start, id)
+	}
+	r.Put(listed("a", 5000))
+	r.Remove(start, "a")
+	r.Put(listed("last", 5001))
+	r.Remove(start, "last")
+	r.ReplaceFromPeer(start, peerList(listed("a", 5000)))
+	assert.Equal(t, len(ids(r)), 0)
+}
