--- a/core/btgossip/supplier.go
+++ b/core/btgossip/supplier.go
@@ -33,9 +33,9 @@
 	// maxWindows bounds the doublings, and so the substitutes that have to be found.
 	maxWindows = 2
 	// substituteDelay is the additional wait of later substitutes, so that earlier ones are
-	// found first. supplierPatience is the additional wait while a supplier answers.
-	substituteDelay  = 250 * time.Millisecond
-	supplierPatience = 500 * time.Millisecond
+	// found first. supplierExtraWait is the additional wait while a supplier answers.
+	substituteDelay   = 250 * time.Millisecond
+	supplierExtraWait = 500 * time.Millisecond
 	// retryDelay is the time until a failed read is repeated. It doubles up to
 	// maxRetryDelay for all but the first few. It bounds how well an entry knows when an
 	// outage ended.
@@ -91,11 +91,11 @@
 	return min(retryDelay<<max(min(failures, 8)-1, 0), maxRetryDelay)
 }
 
-// Patience returns how much longer than usual this entry waits for a list before it reads
+// ExtraWait returns how much longer than usual this entry waits for a list before it reads
 // the platform itself.
-func (m *Membership) Patience(readers int) time.Duration {
+func (m *Membership) ExtraWait(readers int) time.Duration {
 	if m.supplier.IsValid() {
-		return supplierPatience
+		return supplierExtraWait
 	}
 	rank := m.Rank()
 	for n := range maxWindows {
--- a/core/btgossip/supplier_test.go
+++ b/core/btgossip/supplier_test.go
@@ -97,7 +97,7 @@
 func (f *listFleet) read(n int) {
 	e := f.entries[n]
 	rank := e.Rank()
-	overdue := f.now.Sub(f.listedAt[n]) > listTTL+e.Patience(readers)
+	overdue := f.now.Sub(f.listedAt[n]) > listTTL+e.ExtraWait(readers)
 	if rank >= readers && !overdue && !f.now.Before(f.readsUntil[n]) || f.now.Before(f.nextRead[n]) {
 		return
 	}
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -38,7 +38,7 @@
 	listReaders = 3
 	// peerListTTL is how old a list that another entry has read may be. An entry without
 	// one as recent as this reads the source itself half a second later at the latest
-	// (btgossip.Membership.Patience).
+	// (btgossip.Membership.ExtraWait).
 	peerListTTL = 1300 * time.Millisecond
 )
 
@@ -106,7 +106,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire()
-	return reading{rank: p.membership.Rank(), patience: p.membership.Patience(listReaders), substitutes: p.membership.Substitutes(listReaders)}
+	return reading{rank: p.membership.Rank(), extraWait: p.membership.ExtraWait(listReaders), substitutes: p.membership.Substitutes(listReaders)}
 }
 
 // contacts returns the entries to send a hello to.
--- a/io/btdirect/peer_list.go
+++ b/io/btdirect/peer_list.go
@@ -22,7 +22,7 @@
 	if r.rank < listReaders || now.Before(sc.readsUntil) {
 		return false
 	}
-	return sc.hasList && sc.index.Load() != nil && now.Sub(sc.listedAt) < peerListTTL+r.patience
+	return sc.hasList && sc.index.Load() != nil && now.Sub(sc.listedAt) < peerListTTL+r.extraWait
 }
 
 // digests returns the digests of the cached targets and of their cells.
--- a/io/btdirect/reading.go
+++ b/io/btdirect/reading.go
@@ -14,8 +14,8 @@
 	// rank is the number of other entries before this one in the reading order. The first
 	// ones read the source even while they receive the list from others.
 	rank int
-	// patience is how much longer than peerListTTL the entry waits for a list.
-	patience time.Duration
+	// extraWait is how much longer than peerListTTL the entry waits for a list.
+	extraWait time.Duration
 	// substitutes reports whether the entry continues to read if it had to once.
 	substitutes bool
 }
