--- a/core/btquiet/btquiet.go
+++ b/core/btstall/btstall.go
@@ -1,9 +1,9 @@
-// Package btquiet detects the members of a lock-step group that have fallen silent.
+// Package btstall detects the members of a lock-step group that have stalled.
 //
 // All members that have streams send an event with each step of the group. A member
 // that doesn't, while others do, is on a host that is frozen or cut off. What is sent
 // to it meanwhile is read when the host resumes, after the callers have left.
-package btquiet
+package btstall
 
 import (
 	"math"
@@ -11,14 +11,14 @@
 )
 
 const (
-	// silentDeviations is the number of mean deviations above the mean pause after
-	// which a member with streams counts as silent, as in a retransmission timer (RFC
+	// stallDeviations is the number of mean deviations above the mean pause after
+	// which a member with streams counts as stalled, as in a retransmission timer (RFC
 	// 6298). If events hold more tokens than a step makes, a stream skips a step now
 	// and then.
-	silentDeviations = 4
-	// minSilence is the shortest time that counts as silence: an event may wait in a
+	stallDeviations = 4
+	// minStall is the shortest time that counts as a stall: an event may wait in a
 	// link's queue for some tens of milliseconds.
-	minSilence = 100 * time.Millisecond
+	minStall = 100 * time.Millisecond
 	// smoothing is the weight of a new pause in the means, so that they cover a few
 	// steps of each member of a small group.
 	smoothing = 1.0 / 16
@@ -50,12 +50,12 @@
 	w.deviation += smoothing * (math.Abs(off) - w.deviation)
 }
 
-// Silent reports whether a member with streams, whose last event arrived at the given
-// time, has fallen silent while others continue.
-func (w *Watch) Silent(memberLastEvent time.Time) bool {
+// Stalled reports whether a member with streams, whose last event arrived at the given
+// time, has stalled while others continue.
+func (w *Watch) Stalled(memberLastEvent time.Time) bool {
 	if w.meanPause == 0 {
 		return false
 	}
-	usual := time.Duration(w.meanPause + silentDeviations*w.deviation)
-	return w.lastEvent.Sub(memberLastEvent) > max(usual, minSilence)
+	usual := time.Duration(w.meanPause + stallDeviations*w.deviation)
+	return w.lastEvent.Sub(memberLastEvent) > max(usual, minStall)
 }
--- a/core/btquiet/btquiet_test.go
+++ b/core/btstall/btstall_test.go
@@ -1,4 +1,4 @@
-package btquiet_test
+package btstall_test
 
 import (
 	"testing"
@@ -6,12 +6,12 @@
 
 	"gotest.tools/v3/assert"
 
-	"bilberrytide/core/btquiet"
+	"bilberrytide/core/btstall"
 )
 
 // group is four members with a stream each, whose events arrive with each step.
 type group struct {
-	watch     btquiet.Watch
+	watch     btstall.Watch
 	now       time.Time
 	lastEvent [4]time.Time
 }
@@ -35,10 +35,10 @@
 	}
 }
 
-func (g *group) silent() []int {
+func (g *group) stalled() []int {
 	var list []int
 	for m, at := range g.lastEvent {
-		if g.watch.Silent(at) {
+		if g.watch.Stalled(at) {
 			list = append(list, m)
 		}
 	}
@@ -57,34 +57,34 @@
 		g.step(step, 0, 1, 2, 3)
 	}
 	g.step(step, 0, 1, 3)
-	assert.Equal(t, len(g.silent()), 0, "silent after one late event")
+	assert.Equal(t, len(g.stalled()), 0, "stalled after one late event")
 	g.step(step, 0, 1, 3)
 	g.step(step, 0, 1, 3)
-	assert.DeepEqual(t, g.silent(), []int{2})
+	assert.DeepEqual(t, g.stalled(), []int{2})
 	g.step(step, 0, 1, 2, 3)
-	assert.Equal(t, len(g.silent()), 0, "still silent after its host resumed")
+	assert.Equal(t, len(g.stalled()), 0, "still stalled after its host resumed")
 }
 
-// TestStalledGroupHasNoSilentMember guards against counting members as silent when the
+// TestPausedGroupHasNoStalledMember guards against counting members as stalled when the
 // whole group stalls or its steps become longer.
-func TestStalledGroupHasNoSilentMember(t *testing.T) {
+func TestPausedGroupHasNoStalledMember(t *testing.T) {
 	g := newGroup()
 	for range 20 {
 		g.step(step, 0, 1, 2, 3)
 	}
 	g.now = g.now.Add(4 * time.Second)
-	assert.Equal(t, len(g.silent()), 0)
+	assert.Equal(t, len(g.stalled()), 0)
 	for range 40 {
 		g.step(4*step, 0, 1, 2, 3)
 	}
 	g.step(4*step, 0, 1, 3)
-	assert.Equal(t, len(g.silent()), 0, "silent although the group's steps have become longer")
+	assert.Equal(t, len(g.stalled()), 0, "stalled although the group's steps have become longer")
 }
 
-// TestSkippedStepIsNotSilence guards against counting skipped steps as silence: if
+// TestSkippedStepIsNoStall guards against counting skipped steps as a stall: if
 // events hold more tokens than a step makes, each stream skips a step now and then, one
 // after the other.
-func TestSkippedStepIsNotSilence(t *testing.T) {
+func TestSkippedStepIsNoStall(t *testing.T) {
 	g := newGroup()
 	for n := range 200 {
 		var senders []int
@@ -95,7 +95,7 @@
 		}
 		g.step(2*step, senders...)
 		if n > 50 {
-			assert.Equal(t, len(g.silent()), 0, "step %d", n)
+			assert.Equal(t, len(g.stalled()), 0, "step %d", n)
 		}
 	}
 }
@@ -103,8 +103,8 @@
 // TestNoMemberIsSilentBeforePaceIsKnown covers the time before two events of one
 // stream, when the usual pause is unknown.
 func TestNoMemberIsSilentBeforePaceIsKnown(t *testing.T) {
-	var w btquiet.Watch
+	var w btstall.Watch
 	now := time.Unix(1000, 0)
 	w.StreamStarted(now.Add(time.Second))
-	assert.Assert(t, !w.Silent(now))
+	assert.Assert(t, !w.Stalled(now))
 }
--- a/core/btquiet/unreported.go
+++ b/core/btstall/unreported.go
@@ -1,4 +1,4 @@
-package btquiet
+package btstall
 
 // maxUnreportedShare is the largest share of a group without a recent state for which
 // the missing states are evidence of failure. A lead that has just begun has received
--- a/core/btquiet/unreported_test.go
+++ b/core/btstall/unreported_test.go
@@ -1,11 +1,11 @@
-package btquiet_test
+package btstall_test
 
 import (
 	"testing"
 
 	"gotest.tools/v3/assert"
 
-	"bilberrytide/core/btquiet"
+	"bilberrytide/core/btstall"
 )
 
 // TestFrozenHostIsUnreported guards against requests that wait at a frozen host on
@@ -22,9 +22,9 @@
 		}
 		return list
 	}
-	assert.Equal(t, len(btquiet.Unreported(known(8))), 0)
-	assert.DeepEqual(t, btquiet.Unreported(known(8, 2, 5)), []int{2, 5})
-	assert.Equal(t, len(btquiet.Unreported(known(8, 1, 2, 5))), 0, "ranks unreported although the lead has just begun")
-	assert.Equal(t, len(btquiet.Unreported(make([]bool, 8))), 0)
-	assert.Equal(t, len(btquiet.Unreported(nil)), 0)
+	assert.Equal(t, len(btstall.Unreported(known(8))), 0)
+	assert.DeepEqual(t, btstall.Unreported(known(8, 2, 5)), []int{2, 5})
+	assert.Equal(t, len(btstall.Unreported(known(8, 1, 2, 5))), 0, "ranks unreported although the lead has just begun")
+	assert.Equal(t, len(btstall.Unreported(make([]bool, 8))), 0)
+	assert.Equal(t, len(btstall.Unreported(nil)), 0)
 }
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -8,8 +8,8 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btnotice"
-	"bilberrytide/core/btquiet"
 	"bilberrytide/core/btrate"
+	"bilberrytide/core/btstall"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/bttarget"
 )
@@ -140,7 +140,7 @@
 	// they serve.
 	observedGroups map[string]bool
 	// watches tracks the pace of each group's streams.
-	watches map[string]*btquiet.Watch
+	watches map[string]*btstall.Watch
 }
 
 func newFleet(o Options) *fleet {
@@ -228,7 +228,7 @@
 			opened:         make(chan struct{}),
 			epochs:         make(map[string]uint64),
 			observedGroups: make(map[string]bool),
-			watches:        make(map[string]*btquiet.Watch),
+			watches:        make(map[string]*btstall.Watch),
 		}
 		f.services[name] = s
 	}
--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"bilberrytide/core/btid"
-	"bilberrytide/core/btquiet"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/core/btstall"
 )
 
 const (
@@ -62,12 +62,12 @@
 	}
 }
 
-// stalledMoves returns the attempts at unresponsive or silent members of a service
+// stalledMoves returns the attempts at unresponsive or stalled members of a service
 // whose answers should have begun. f.mu must be held.
 func (f *fleet) stalledMoves(s *service, now time.Time) []*move {
 	var moves []*move
 	for _, t := range s.targets {
-		if !s.silent(t, now) {
+		if !s.stalled(t, now) {
 			continue
 		}
 		for m := range t.moves {
@@ -151,7 +151,7 @@
 	for rank, requests := range l.Requests {
 		known[rank] = requests != LoadUnknown
 	}
-	unresponsive := btquiet.Unreported(known)
+	unresponsive := btstall.Unreported(known)
 	for _, t := range s.targets {
 		m := t.info.Member
 		if m == nil || m.Group != l.Group {
--- a/io/btdirect/skipped.go
+++ b/io/btdirect/skipped.go
@@ -91,7 +91,7 @@
 		Slow:        t.skippedAsSlow(now),
 		Recovering:  f.windowFull(t),
 		Departing:   leaving,
-		Silent:      s.silent(t, now),
+		Silent:      s.stalled(t, now),
 		Failing:     now.Before(t.suspendedUntil),
 		GroupBroken: s.skipsGroup(t, now),
 	}.Preference()
--- a/io/btdirect/silent.go
+++ b/io/btdirect/stalled.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"bilberrytide/core/btquiet"
+	"bilberrytide/core/btstall"
 )
 
-// minStreams is the smallest number of streams by which a member can be found silent. A
+// minStreams is the smallest number of streams by which a member can be found to have stalled. A
 // single stream may skip a step or be postponed by the engine.
 const minStreams = 2
 
@@ -54,21 +54,21 @@
 }
 
 // watch returns the watch of a group's streams. The fleet's mutex must be held.
-func (s *service) watch(group string) *btquiet.Watch {
+func (s *service) watch(group string) *btstall.Watch {
 	w, found := s.watches[group]
 	if !found {
-		w = &btquiet.Watch{}
+		w = &btstall.Watch{}
 		s.watches[group] = w
 	}
 	return w
 }
 
-// silent reports whether a group member is silent: it has streams but sends nothing
+// stalled reports whether a group member has stalled: it has streams but sends nothing
 // while other members do, or its agent doesn't answer the lead. The fleet's mutex must
 // be held.
-func (s *service) silent(t *target, now time.Time) bool {
+func (s *service) stalled(t *target, now time.Time) bool {
 	if !t.unresponsiveAt.IsZero() && now.Sub(t.unresponsiveAt) <= loadTTL {
 		return true
 	}
-	return t.info.Member != nil && t.streams.open >= minStreams && s.watch(t.groupName()).Silent(t.streams.lastEvent)
+	return t.info.Member != nil && t.streams.open >= minStreams && s.watch(t.groupName()).Stalled(t.streams.lastEvent)
 }
