btdirect: wake a reader of the list only when a read is due

Cause: since reads overlap, an entry looked each 0.1 s whether a read was due, also one of those that read the list while they receive it from others. These look when the next read is due or one ends. Found by reading the change; no figure was taken.

--- a/io/btdirect/reading.go
+++ b/io/btdirect/reading.go
@@ -90,11 +90,16 @@
 	defer sc.mu.Unlock()
 	known := btinventory.KnownList{HasPosition: sc.hasList && !sc.historyGone, ReadAt: sc.listedAt}
 	kind, due, ok := sc.schedule.Next(now, known, btgossip.RetryDelay(rank, listReaders, sc.schedule.Failures()))
-	switch {
-	case !ok:
-		return scheduledRead{}, peerListPoll
-	case due.After(now):
-		return scheduledRead{}, min(due.Sub(now), peerListPoll)
+	wait := readInterval
+	if ok {
+		wait = due.Sub(now)
+	}
+	if rank >= listReaders {
+		// Meanwhile the list may be received from another entry.
+		wait = min(wait, peerListPoll)
+	}
+	if !ok || wait > 0 {
+		return scheduledRead{}, wait
 	}
 	sc.meter.Counter(metricReads).Inc(1)
 	if kind == btinventory.Poll {
