btinventory: test what polls cost

Without a failure a reader makes as many calls as with watches alone, and in an outage of 10 s no more than one in each retry delay, whether the store hangs or refuses.

--- a/core/btinventory/reads_test.go
+++ b/core/btinventory/reads_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bilberrytide/core/btgossip"
 	"bilberrytide/core/btinventory"
 )
 
@@ -162,3 +163,33 @@
 		assert.Equal(t, lapsedTarget(seed, asBuilt), "", "seed %d", seed)
 	}
 }
+
+// callsOfReader plays a run with the spells and returns the calls of one reader.
+func callsOfReader(v variant, away ...spell) int {
+	m := newReadModel(1, v)
+	m.away = away
+	m.renew(at(5), at(int(modelLength.Milliseconds())))
+	for m.now.Sub(start) < modelLength {
+		m.step()
+	}
+	return m.entries[0].calls
+}
+
+// TestReadsCostNoMoreCallsWithoutFailures guards against polls while watches are answered, as the
+// platform limits and counts all calls.
+func TestReadsCostNoMoreCallsWithoutFailures(t *testing.T) {
+	assert.Equal(t, callsOfReader(asBuilt), callsOfReader(watchesOnly))
+}
+
+// TestReadsInAnOutageAreLimited guards against more calls in an outage than one in each retry
+// delay, also while those sent before hang.
+func TestReadsInAnOutageAreLimited(t *testing.T) {
+	const length = 10 * time.Second
+	for _, kind := range []trouble{hang, refuse} {
+		s := spell{trouble: kind, from: at(5000), to: at(5000).Add(length)}
+		calm := int((modelLength - length) / modelSchedule.Interval)
+		most := calm + int(length/btgossip.RetryDelay(0, modelReaders, 1)) + 2
+		calls := callsOfReader(asBuilt, s)
+		assert.Assert(t, calls <= most, "trouble %d: %d calls, at most %d", kind, calls, most)
+	}
+}
