--- a/core/btinventory/reads_model_test.go
+++ b/core/btinventory/reads_model_test.go
@@ -69,11 +69,11 @@
 const (
 	// cut ends watches while they wait.
 	cut trouble = iota
-	// hang lets reads without an answer.
+	// hang leaves reads without an answer.
 	hang
 	// refuse answers reads with an error.
 	refuse
-	// dead lets the pooled connection without an answer, until it is closed.
+	// dead leaves the pooled connection without answers until it is closed.
 	dead
 )
 
@@ -173,7 +173,7 @@
 	}
 }
 
-// disturbed returns the entry's trouble of the kind at the time.
+// disturbed reports whether one of the kinds of trouble affects the entry at the time.
 func (m *readModel) disturbed(e *readingEntry, t time.Time, kinds ...trouble) bool {
 	for _, s := range append(append([]spell(nil), e.spells...), m.away...) {
 		for _, k := range kinds {
