btinventory: end a grace period after a restore by the end that a list names

What callers may see: requests at a removed target until 3.4 s after the store came back from a copy; the platform's bounds apply again after 3 s on the smallest sites.

Cause: an entry that learned of the restore from another entry's list began a grace period of its own, up to a hello after the other's.

Change: the end that the list names bounds this period, as it does after an outage.

Ruled out for a later deadline of targets that the list lacks altogether: the other entry has given them their grace, and they are in no list that names an end.

--- a/core/btinventory/from_peer.go
+++ b/core/btinventory/from_peer.go
@@ -24,7 +24,12 @@
 	lapsePossible := r.lapsePossible(l.ReadAt)
 	r.ListedByPeer(l.ReadAt)
 	listed := make(map[ID]bool, len(l.Targets))
+	// peersGrace is the end of the peer's grace periods; zero if it has none.
+	var peersGrace time.Time
 	for _, t := range l.Targets {
+		if t.InGrace {
+			peersGrace = l.GraceEnds
+		}
 		if r.wasDropped(t) || r.missingAtPeer(now, t) || t.InGrace && !lapsePossible && !r.inGrace(t.ID) {
 			continue
 		}
@@ -35,7 +40,7 @@
 		changes = append(changes, r.putFromPeer(t, l.GraceEnds)...)
 	}
 	for _, id := range r.ids() {
-		if !listed[id] && !r.keepAsMissing(now, id) {
+		if !listed[id] && !r.keepAsMissing(now, id, peersGrace) {
 			changes = append(changes, r.drop(id)...)
 		}
 	}
--- a/core/btinventory/from_peer_test.go
+++ b/core/btinventory/from_peer_test.go
@@ -110,3 +110,21 @@
 	r.ReplaceFromPeer(start, peerList(listed("a", 5000)))
 	assert.Equal(t, len(ids(r)), 0)
 }
+
+// TestPeersGraceAfterRestoreEndsAtThePeersDeadline guards against a target that is kept longer
+// where an entry learns from another's list that the platform's list was restored.
+func TestPeersGraceAfterRestoreEndsAtThePeersDeadline(t *testing.T) {
+	old, err := btinventory.NewPosition(1, 3)
+	assert.NilError(t, err)
+	r := newRegistry()
+	r.Resumed(start)
+	r.Put(listed("a", old))
+	learned := start.Add(time.Second)
+	r.Restored(learned, 2)
+	l := peerInGrace(start.Add(500 * time.Millisecond))
+	l.Targets[0] = listed("a", old)
+	l.Targets[0].InGrace = true
+	r.ReplaceFromPeer(learned, l)
+	assert.DeepEqual(t, ids(r), []btinventory.ID{"a"})
+	assert.Equal(t, r.NextExpiry(), l.GraceEnds)
+}
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -58,11 +58,19 @@
 }
 
 // keepAsMissing starts the grace period of a ready target that a restored list lacks, as it
-// may write its record again. It returns false if the target is to be dropped instead.
-func (r *Registry) keepAsMissing(now time.Time, id ID) bool {
-	if r.records[id].target.State != Ready || !r.recentlyRestored(now) || !now.Before(r.restoredAt.Add(r.policy.Grace)) {
+// may write its record again. It ends by the given time, if that isn't zero. It returns false
+// if the target is to be dropped instead.
+func (r *Registry) keepAsMissing(now time.Time, id ID, latest time.Time) bool {
+	if r.records[id].target.State != Ready || !r.recentlyRestored(now) {
 		return false
 	}
-	r.records[id].missingUntil = r.restoredAt.Add(r.policy.Grace)
+	ends := r.restoredAt.Add(r.policy.Grace)
+	if !latest.IsZero() && latest.Before(ends) {
+		ends = latest
+	}
+	if !now.Before(ends) {
+		return false
+	}
+	r.records[id].missingUntil = ends
 	return true
 }
