--- a/core/btinventory/from_peer.go
+++ b/core/btinventory/from_peer.go
@@ -12,13 +12,9 @@
 	GraceEnds time.Time
 }
 
-// ReplaceFromPeer applies the list of another process. Targets that it lacks are dropped, as
-// the process has given them their grace period. Records that this registry dropped stay
-// dropped, even if the process, whose reads were interrupted, still keeps them.
-//
-// A target in that process's grace period is kept until the end of it, but only if its record
-// may have lapsed since this registry's list was read: this process may have had a list all the
-// while.
+// ReplaceFromPeer applies the list of another process. Targets that it lacks are dropped. Those in
+// its grace period are kept until the end of that, unless this registry has dropped the record or
+// its own list is too recent for a lapse: it may have had a list all the while.
 func (r *Registry) ReplaceFromPeer(now time.Time, l PeerList) []Change {
 	changes := r.Expire(now)
 	lapsePossible := r.lapsePossible(l.ReadAt)
--- a/core/btinventory/schedule.go
+++ b/core/btinventory/schedule.go
@@ -43,15 +43,9 @@
 	ReadAt time.Time
 }
 
-// Schedule decides when an entry reads the platform's list and how.
-//
-// A watch that fails or is late doesn't show that the platform is away: it may be cut while
-// it waits, or its connection may be dead. A poll follows at once. So the time without a
-// successful read is the time in which the platform answered nothing, and the first read
-// after an outage follows its end by one retry delay, even if reads during it hang until they
-// time out.
-//
-// It is not safe for concurrent use.
+// Schedule decides when an entry reads the platform's list and how. A poll follows a watch that
+// failed or is late, which may have been cut or whose connection may be dead. It is not safe for
+// concurrent use.
 type Schedule struct {
 	policy   SchedulePolicy
 	inFlight []Read
