btdirect, btstall: keep streams whose silent target has no successor

Cause: an attempt was cancelled after 8 longest pauses without an event, at least 1.2 s, before it was known whether the request may be tried again. Without an attempt or a retry in the budget the answer of a target that still had the request was given up. A group's members make their steps together, so a pause of the group silences all streams of all entries at once, and moving between its members only spends attempts and budget.

Change: a stream leaves its silent target only if it has an attempt left, another target accepts requests, the group isn't paused as a whole (btstall.Silence) and the retry has been taken from the budget. Otherwise it stays until the target goes on, its deadline passes or the caller disconnects, and is checked again every 300 ms.

Ruled out: a longer silence limit, as pauses have no bound; a second attempt beside the silent one, which doubles the load of a group that has just paused.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -32,6 +32,8 @@
 	// moved reports that the stream moved away from its target. The move has been taken
 	// from the retry budget.
 	moved bool
+	// retryTaken reports that the next attempt has been taken from the retry budget.
+	retryTaken bool
 	// groupBroken reports that the whole group can't serve, so that its other members
 	// need not be tried.
 	groupBroken bool
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -295,7 +295,7 @@
 	if _, held := x.entry.quarantine.Remaining(x.fingerprint); held {
 		return ReasonQuarantined
 	}
-	if result.moved {
+	if result.moved || result.retryTaken {
 		return ""
 	}
 	if result.notRun {
--- /dev/null
+++ b/io/btdirect/silence.go
@@ -0,0 +1,157 @@
+package btdirect
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"bilberrytide/core/btstall"
+)
+
+const (
+	// silencePauses is how long a stream's target may send nothing before the stream is
+	// continued at another one, in multiples of the longest pause that the route
+	// allows. It is at least minSilenceTimeout. Callers give up after two seconds.
+	silencePauses     = 8
+	minSilenceTimeout = 1200 * time.Millisecond
+	// silenceRecheck is how often a stream that stays at its silent target is checked
+	// again.
+	silenceRecheck = 300 * time.Millisecond
+)
+
+// Names of the counters of streams whose target was silent for too long: those that were
+// continued at another target, and the checks after which they stayed.
+const (
+	metricSilenceLeft   = "stream_silences.left"
+	metricSilenceStayed = "stream_silences.stayed"
+)
+
+// silenceTimer cancels an attempt whose target sends nothing for too long, if the stream
+// can be continued at another target.
+type silenceTimer struct {
+	limit time.Duration
+	clock func() time.Time
+	// leave reports whether to leave a target that has been silent since the given time.
+	leave  func(since time.Time) bool
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// running reports that the target's next bytes are awaited, since the given time.
+	running bool
+	since   time.Time
+	left    bool
+}
+
+func newSilenceTimer(maxGap time.Duration, clock func() time.Time, leave func(since time.Time) bool, cancel context.CancelFunc) *silenceTimer {
+	s := &silenceTimer{limit: max(silencePauses*maxGap, minSilenceTimeout), clock: clock, leave: leave, cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running, s.since = true, clock()
+	s.timer = time.AfterFunc(s.limit, s.expire)
+	return s
+}
+
+// expire leaves the target or checks again later.
+func (s *silenceTimer) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.running || s.left {
+		return
+	}
+	if s.clock().Sub(s.since) < s.limit {
+		// The timer was reset after it had fired.
+		return
+	}
+	if !s.leave(s.since) {
+		s.timer.Reset(silenceRecheck)
+		return
+	}
+	s.left = true
+	s.cancel()
+}
+
+// reset begins to wait for the target's next bytes.
+func (s *silenceTimer) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running, s.since = true, s.clock()
+	s.timer.Reset(s.limit)
+}
+
+func (s *silenceTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = false
+	s.timer.Stop()
+}
+
+// expired reports whether the attempt was cancelled.
+func (s *silenceTimer) expired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
+// leavesSilent returns a function that decides whether the stream leaves its target, and
+// takes the retry from the budget if it does. The function is called while the attempt waits
+// for the target.
+func (x *exchange) leavesSilent(t *target) func(since time.Time) bool {
+	e := x.entry
+	silence := btstall.Silence{AttemptsLeft: x.route.Attempts - x.attempts}
+	if !x.route.Repeatable() {
+		silence.AttemptsLeft = 0
+	}
+	r := pickRequest{service: x.service.Name, residency: x.residency, tried: maps.Clone(x.tried)}
+	return func(since time.Time) bool {
+		silence.Since = since
+		if !e.fleet.leaves(t, silence, r) || x.quarantined() || !e.budget(x.service.Name).take(e.options.Clock()) {
+			e.meter.Counter(metricSilenceStayed).Inc(1)
+			return false
+		}
+		e.meter.Counter(metricSilenceLeft).Inc(1)
+		return true
+	}
+}
+
+// quarantined reports whether the request is quarantined.
+func (x *exchange) quarantined() bool {
+	_, held := x.entry.quarantine.Remaining(x.fingerprint)
+	return held
+}
+
+// leaves reports whether a stream should leave its silent target for another one.
+func (f *fleet) leaves(t *target, silence btstall.Silence, r pickRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(r.service)
+	silence.OtherStreams = s.streamsBeside(t)
+	silence.Alternative = f.hasAlternative(s, r)
+	return s.watch(t.groupName()).Leave(silence)
+}
+
+// hasAlternative reports whether a request can be sent to a target that it hasn't tried, in a
+// group that isn't broken. f.mu must be held.
+func (f *fleet) hasAlternative(s *service, r pickRequest) bool {
+	now := f.clock()
+	if open, _ := f.groupUsable(s, now); !open {
+		return false
+	}
+	return len(f.candidates(s, r, now).best) > 0
+}
+
+// streamsBeside returns the number of this entry's streams at the other members of a target's
+// group; zero for a target that is in no group.
+func (s *service) streamsBeside(t *target) int {
+	if t.info.Member == nil {
+		return 0
+	}
+	open := 0
+	for _, o := range s.targets {
+		if o != t && o.info.Member != nil && o.info.Member.Group == t.info.Member.Group {
+			open += o.streams.open
+		}
+	}
+	return open
+}
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -4,23 +4,14 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"bilberrytide/core/btevents"
 	"bilberrytide/io/bttarget"
 )
 
-const (
-	// silencePauses is how long a stream's target may send nothing before the stream is
-	// continued at another one, in multiples of the longest pause that the route
-	// allows. It is at least minSilenceTimeout. Callers give up after two seconds.
-	silencePauses     = 8
-	minSilenceTimeout = 1200 * time.Millisecond
-	// readBufferBytes is the buffer size for one read of a stream. Events are much
-	// smaller.
-	readBufferBytes = 8 << 10
-)
+// readBufferBytes is the buffer size for one read of a stream. Events are much smaller.
+const readBufferBytes = 8 << 10
 
 // streamWriter relays a stream event by event, from any number of targets in turn.
 type streamWriter struct {
@@ -77,7 +68,7 @@
 	} else {
 		x.stream.resume()
 	}
-	silence := newSilenceTimer(x.route.MaxGap, cancel)
+	silence := newSilenceTimer(x.route.MaxGap, x.entry.options.Clock, x.leavesSilent(t), cancel)
 	defer silence.stop()
 	x.stream.observer = &streamObserver{fleet: x.entry.fleet, target: t}
 	defer x.stream.observer.close()
@@ -154,30 +145,9 @@
 		result.reason = ReasonCallerGone
 	case silence.expired():
 		result.reason = ReasonSilent
+		result.retryTaken = true
 	case ctx.Err() != nil:
 		result.reason = ReasonTimeout
 	}
 	return result
 }
-
-// silenceTimer cancels an attempt whose target sends nothing for too long.
-type silenceTimer struct {
-	limit    time.Duration
-	timer    *time.Timer
-	timedOut atomic.Bool
-}
-
-func newSilenceTimer(maxGap time.Duration, cancel context.CancelFunc) *silenceTimer {
-	s := &silenceTimer{limit: max(silencePauses*maxGap, minSilenceTimeout)}
-	s.timer = time.AfterFunc(s.limit, func() {
-		s.timedOut.Store(true)
-		cancel()
-	})
-	return s
-}
-
-func (s *silenceTimer) reset() { s.timer.Reset(s.limit) }
-
-func (s *silenceTimer) stop() { s.timer.Stop() }
-
-func (s *silenceTimer) expired() bool { return s.timedOut.Load() }
