btdirect: move a stream only if another target accepts it

A stream at a member that had become slow or unresponsive was cancelled before another target was known: if all others were leaving or excluded the entry closed it, status 200 and 62 events of 150, though its member would have finished it.

The move now takes the retry only if a target that the request hasn't tried accepts requests in a group that isn't broken, as for silent targets.

TestStreamStaysAtASlowMemberWithoutAlternative failed before as quoted and passes now; TestStreamsLeaveASlowMember passes as before.

--- a/io/btdirect/group.go
+++ b/io/btdirect/group.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,8 @@
 
 // move lets an attempt move away from a target that has become slow or unresponsive.
 type move struct {
-	// takeRetry takes the move from the service's retry budget.
+	// takeRetry takes the move from the service's retry budget, if another target accepts
+	// the request.
 	takeRetry func() bool
 	cancel    context.CancelFunc
 	// reason is why the move was requested; nil before.
@@ -39,7 +41,7 @@
 	answerBegun atomic.Bool
 }
 
-// request makes the attempt move, if the retry budget allows it.
+// request makes the attempt move, if another target and the retry budget allow it.
 func (m *move) request(reason btrequest.Reason) {
 	if m.reason.Load() != nil || !m.takeRetry() {
 		return
@@ -93,7 +95,9 @@
 	}
 	e := x.entry
 	b := e.budget(x.service.Name)
-	m := &move{cancel: cancel, takeRetry: func() bool { return b.take(e.options.Clock()) }, sentAt: e.options.Clock()}
+	r := pickRequest{service: x.service.Name, residency: x.residency, tried: maps.Clone(x.tried)}
+	m := &move{cancel: cancel, sentAt: e.options.Clock()}
+	m.takeRetry = func() bool { return e.fleet.offersAlternative(r) && b.take(e.options.Clock()) }
 	return attemptMove{move: m, remove: e.fleet.addMove(t, m)}
 }
 
--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -131,6 +131,13 @@
 	return s.watch(t.groupName()).Leave(silence)
 }
 
+// offersAlternative is hasAlternative for callers that don't hold f.mu.
+func (f *fleet) offersAlternative(r pickRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hasAlternative(f.service(r.service), r)
+}
+
 // hasAlternative reports whether a request can be sent to a target that it hasn't tried, in a
 // group that isn't broken. f.mu must be held.
 func (f *fleet) hasAlternative(s *service, r pickRequest) bool {
