btdirect, btstop: refuse what a stopping entry is not expected to finish

Plain requests were accepted until 1.5 s before the end whatever their deadline.

The entry now knows how long answers of each route take (mean and mean deviation of those served) and refuses a request as not run, with the connection closed, if its answer is not expected before the end: on arrival, and again when it gets its slot. A request that must not run twice is bounded by its deadline until durations are known.

Ways weighed: by the time left alone (refuses usual streams of 1.5 s as early as those of 6 s, or cuts the latter); everything on kept connections at once (for 2.5 s callers of usual streams spend their retry for nothing); by the expected length (kept: usual streams are served as before, long ones go to another entry while they have time).

--- /dev/null
+++ b/io/btdirect/acceptance.go
@@ -0,0 +1,71 @@
+package btdirect
+
+import (
+	"sync"
+	"time"
+
+	"bilberrytide/core/btcatalog"
+	"bilberrytide/core/btstop"
+)
+
+// acceptance decides which requests a stopping entry accepts.
+type acceptance struct {
+	plan btstop.Plan
+
+	mu        sync.Mutex
+	durations *btstop.Durations
+	// began is when the stop began; zero before.
+	began time.Time
+}
+
+func newAcceptance(grace time.Duration) *acceptance {
+	return &acceptance{plan: btstop.New(grace), durations: btstop.NewDurations(maxRoutes)}
+}
+
+// begin records that the stop begins.
+func (a *acceptance) begin(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.began = now
+}
+
+// record adds the duration of an answered request.
+func (a *acceptance) record(route string, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.durations.Record(route, took)
+}
+
+// finishes reports whether a request is expected to be answered before the end of the stop;
+// true without a stop.
+func (a *acceptance) finishes(now time.Time, r btstop.Request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.began.IsZero() || a.plan.Finishes(now.Sub(a.began), a.durations.Expected(r))
+}
+
+// refuseStopping refuses a request that the entry doesn't accept because it is stopping, and
+// reports whether it did.
+func (x *exchange) refuseStopping() bool {
+	phase := x.entry.currentPhase()
+	if phase == btstop.Serving || phase == btstop.NoStreams && !x.streams() {
+		return x.refuseUnfinished()
+	}
+	x.endUnserved(ReasonStopping, x.otherEntryRetryAfter())
+	return true
+}
+
+// refuseUnfinished refuses a request that no target has received if its answer is not
+// expected before the end of the stop, and reports whether it did.
+func (x *exchange) refuseUnfinished() bool {
+	now := x.entry.options.Clock()
+	r := btstop.Request{Route: x.route.Name, Stream: x.streams(), Left: x.deadline.Sub(now)}
+	if x.mayHaveRun || x.entry.acceptance.finishes(now, r) {
+		return false
+	}
+	x.endUnserved(ReasonStopping, x.otherEntryRetryAfter())
+	return true
+}
+
+// streams reports whether the route's answers are streams.
+func (x *exchange) streams() bool { return x.route.Kind == btcatalog.Stream }
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -59,6 +59,8 @@
 	// streams.
 	shutdownPhase atomic.Pointer[btstop.Phase]
 	openStreams   atomic.Int64
+	// acceptance decides what is accepted during the shutdown.
+	acceptance    *acceptance
 	stopRequested chan struct{}
 	stopOnce      sync.Once
 
@@ -79,6 +81,7 @@
 		crashes:       newCrashDetector(o.Clock),
 		bodies:        newBodyMemory(o.Settings.Memory),
 		quarantine:    newQuarantine(o),
+		acceptance:    newAcceptance(o.Settings.StopGrace),
 		stopRequested: make(chan struct{}),
 		budgets:       make(map[btid.Service]*budget),
 		allotment:     btretry.NewAllotment(o.Clock(), o.Settings.Retry.windowConfig(), o.Settings.FirstStart),
@@ -113,6 +116,7 @@
 func (e *Entry) Stop() {
 	e.stopOnce.Do(func() {
 		e.stopping.Store(true)
+		e.acceptance.begin(e.options.Clock())
 		e.log.Info("stop begun", "grace_ms", e.options.Settings.StopGrace.Milliseconds())
 		close(e.stopRequested)
 	})
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -17,7 +17,6 @@
 	"bilberrytide/core/btpick"
 	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
-	"bilberrytide/core/btstop"
 )
 
 // exchange is the handling of one request of a caller.
@@ -166,12 +165,10 @@
 // serve admits the request and makes attempts until it has an answer.
 func (x *exchange) serve(ctx context.Context) {
 	e := x.entry
-	streams := x.route.Kind == btcatalog.Stream
-	if phase := e.currentPhase(); phase != btstop.Serving && (streams || phase != btstop.NoStreams) {
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: x.otherEntryRetryAfter()})
+	if x.refuseStopping() {
 		return
 	}
-	if streams {
+	if x.streams() {
 		e.openStreams.Add(1)
 		defer e.openStreams.Add(-1)
 	}
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -34,6 +34,7 @@
 	e.quarantine.RecordServed(x.fingerprint())
 	e.meter.Ended(btrequest.Done)
 	e.meter.Duration(metricAnswer, took)
+	e.acceptance.record(x.route.Name, took)
 	number := e.served.Add(1)
 	// A request that needed several attempts is always logged.
 	sample := 1
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -64,6 +64,9 @@
 	}
 	x.admittedAt = e.options.Clock()
 	defer e.admission.release(x)
+	if x.refuseUnfinished() {
+		return false
+	}
 	return x.makeAttempts(ctx)
 }
 
