btdirect: log which requests a stop cuts, and why

What operators saw: `stop cuts requests` with an error, and nothing about the requests.

Change: an entry keeps its open requests by connection, until the answer is completely written. `stop begun` counts them by kind, stage and age; `request cut` names each one that the end of the stop cuts, with its stage, target and last event; `stopped` counts how all requests since the beginning of the stop ended. A request that is cut is no longer logged as `caller_gone`. No change of behaviour.

Ruled out: logging by the handlers as they end, which may come after the process's exit.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -65,6 +65,8 @@
 	defer e.fleet.requestDone(t)
 	defer tokens.markRead()
 	x.tried[t.info.Instance()] = true
+	x.open.attempt(t.info.ID)
+	defer func() { x.open.attemptEnded(x.mayHaveRun) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer e.quarantine.trackAttempt(x, cancel)()
@@ -262,7 +264,9 @@
 func (x *exchange) relayBuffered(buffered *bufferedAnswer) error {
 	x.copyHeader(buffered.header)
 	x.writer.WriteHeader(buffered.status)
+	x.open.write("")
 	_, err := newCallerWriter(x.writer).Write(buffered.body)
+	x.open.written(x.entry.options.Clock())
 	return err
 }
 
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -15,6 +15,7 @@
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
+	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btstop"
 	"bilberrytide/io/btloop"
@@ -55,6 +56,7 @@
 	startedAt time.Time
 	served    atomic.Uint64
 	stopping  atomic.Bool
+	open      *openRequests
 	// shutdownPhase is nil until the entry shuts down. openStreams counts the open
 	// streams.
 	shutdownPhase atomic.Pointer[btstop.Phase]
@@ -74,6 +76,7 @@
 		options:       o,
 		log:           o.Log,
 		startedAt:     o.Clock(),
+		open:          newOpenRequests(o.Clock),
 		meter:         o.Meter,
 		fleet:         newFleet(o),
 		crashes:       newCrashDetector(o.Clock),
@@ -113,7 +116,8 @@
 func (e *Entry) Stop() {
 	e.stopOnce.Do(func() {
 		e.stopping.Store(true)
-		e.log.Info("stop begun", "grace_ms", e.options.Settings.StopGrace.Milliseconds())
+		e.open.beginStop()
+		e.log.Info("stop begun", append([]any{"grace_ms", e.options.Settings.StopGrace.Milliseconds()}, e.open.summary()...)...)
 		close(e.stopRequested)
 	})
 }
@@ -131,6 +135,15 @@
 	stopPollInterval = 20 * time.Millisecond
 )
 
+// connectionKey is the key of a caller's connection in the contexts of its requests.
+type connectionKey struct{}
+
+// openRequest adds a request to the open ones until its connection is idle or closed.
+func (e *Entry) openRequest(x *exchange) *openRequest {
+	c, _ := x.request.Context().Value(connectionKey{}).(net.Conn)
+	return e.open.add(c, x.info.ID, x.receivedAt)
+}
+
 // Run serves until a graceful shutdown is complete or the context ends.
 func (e *Entry) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -145,6 +158,14 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if s == http.StateIdle || s == http.StateClosed {
+				e.open.connectionDone(c)
+			}
+		},
 	}
 	ready, err := e.serveReady()
 	if err != nil {
@@ -205,6 +226,7 @@
 func (e *Entry) shutDown(ctx context.Context, server *http.Server) {
 	select {
 	case <-ctx.Done():
+		e.cutRequests(ReasonProcessEnded, ctx.Err())
 		_ = server.Close()
 		return
 	case <-e.stopRequested:
@@ -222,10 +244,26 @@
 	bounded, cancel := context.WithTimeout(ctx, max(plan.End-e.options.Clock().Sub(began), 0))
 	defer cancel()
 	if err := server.Shutdown(bounded); err != nil {
-		e.log.Warn("stop cuts requests", "error", err)
+		reason := ReasonStopTimeout
+		if ctx.Err() != nil {
+			reason = ReasonProcessEnded
+		}
+		e.cutRequests(reason, err)
 		_ = server.Close()
 	}
-	e.log.Info("stopped", "took_ms", e.options.Clock().Sub(began).Milliseconds())
+	e.log.Info("stopped", append([]any{"took_ms", e.options.Clock().Sub(began).Milliseconds()}, e.open.outcomes()...)...)
+}
+
+// cutRequests logs each request that is cut when the connections are closed. The logger
+// limits the lines; the count is exact.
+func (e *Entry) cutRequests(reason btrequest.Reason, err error) {
+	summary := e.open.summary()
+	now := e.options.Clock()
+	all := e.open.cutAll(reason)
+	for _, r := range all {
+		e.log.Warn("request cut", r.attributes(now)...)
+	}
+	e.log.Warn("stop cuts requests", append(summary, "cut", len(all), "reason", reason, "error", err)...)
 }
 
 // currentPhase returns the phase of the shutdown, or Serving before it.
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -38,6 +38,7 @@
 	priority   int
 	receivedAt time.Time
 	deadline   time.Time
+	open       *openRequest
 	// admittedAt is when the request got its slot, firstEventAt when its first event
 	// was sent.
 	admittedAt, firstEventAt time.Time
@@ -93,6 +94,7 @@
 	}
 	x.fingerprint = sync.OnceValue(x.computeFingerprint)
 	defer x.releaseMemory()
+	x.open = e.openRequest(x)
 	e.meter.Counter(metricRequests).Inc(1)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -135,6 +137,7 @@
 		return refused
 	}
 	x.deadline = x.receivedAt.Add(min(x.callerTimeout(), route.Timeout))
+	x.open.setRoute(route, x.deadline)
 	service, found := x.index.Service(route.PickService(rand.Float64()))
 	if !found {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.defaultRetryAfter()}
@@ -171,6 +174,7 @@
 		x.refuse(&refusal{status: http.StatusServiceUnavailable, reason: ReasonStopping, retryAfter: x.otherEntryRetryAfter()})
 		return
 	}
+	x.open.setAccepted()
 	if streams {
 		e.openStreams.Add(1)
 		defer e.openStreams.Add(-1)
@@ -331,6 +335,7 @@
 		if err := x.relayBuffered(result.buffered); err != nil {
 			x.abort()
 		}
+		x.open.setOutcome(outcome{answered: true})
 		return
 	}
 	if x.mayHaveRun {
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -30,6 +30,7 @@
 // recordServed records that the caller has the complete answer.
 func (x *exchange) recordServed(result attemptResult) {
 	e := x.entry
+	x.open.setOutcome(outcome{answered: true})
 	took := e.options.Clock().Sub(x.receivedAt)
 	e.quarantine.RecordServed(x.fingerprint())
 	e.meter.Ended(btrequest.Done)
@@ -51,13 +52,18 @@
 		return
 	}
 	x.logged = true
-	outcome := btrequest.NotRun
+	// A request that a stop has cut looks like one whose caller has disconnected.
+	if cut := x.open.cutReason(); cut != "" {
+		reason = cut
+	}
+	x.open.setOutcome(outcome{failed: reason})
+	run := btrequest.NotRun
 	if x.mayHaveRun {
-		outcome = btrequest.Unknown
+		run = btrequest.Unknown
 	}
-	e.meter.Ended(outcome)
+	e.meter.Ended(run)
 	e.meter.Refused(reason)
-	attributes := x.attributes(result, "outcome", outcome, "cause", reason, "took_ms", e.options.Clock().Sub(x.receivedAt).Milliseconds())
+	attributes := x.attributes(result, "outcome", run, "cause", reason, "took_ms", e.options.Clock().Sub(x.receivedAt).Milliseconds())
 	if reason == ReasonBudget {
 		attributes = append(attributes, x.budgetAttributes()...)
 	}
@@ -71,6 +77,7 @@
 
 // logRefusal logs a refusal.
 func (e *Entry) logRefusal(x *exchange, r *refusal) {
+	x.open.setOutcome(outcome{refused: true})
 	var load gateLoad
 	if x.service != nil {
 		load = e.admission.load(x.service.Name)
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -21,6 +21,11 @@
 	// ReasonStopping: the entry is shutting down and accepts no more requests of this
 	// kind.
 	ReasonStopping btrequest.Reason = "entry_stopping"
+	// ReasonStopTimeout: the request was still open at the end of a planned stop, and its
+	// connection was closed.
+	ReasonStopTimeout btrequest.Reason = "stop_timeout"
+	// ReasonProcessEnded: the process ended without a planned stop, or before its end.
+	ReasonProcessEnded btrequest.Reason = "process_ended"
 	// ReasonOverload: the service has no free slot in time.
 	ReasonOverload btrequest.Reason = "overload"
 	// ReasonGroupBroken: the service's engine group doesn't serve.
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -64,7 +64,10 @@
 		s.x.writer.Header().Del("Content-Length")
 		s.x.writer.WriteHeader(answer.Status)
 	}
-	return s.writer.writeEvents(events)
+	s.x.open.write(s.lastEventID())
+	err := s.writer.writeEvents(events)
+	s.x.open.written(s.x.entry.options.Clock())
+	return err
 }
 
 // relayStream relays a stream until it ends.
