btdirect: answer what open connections send until the end of a stop

What callers saw: (1) the answer to a request that was read before the stop and answered during it didn't announce that its connection closes; (2) the caller of a stream that began before the stop sent its next request on that connection and got no answer, as http.Server.Shutdown closes a connection without handling what it reads from then on; (3) a connection on which nothing was sent delayed the exit by up to 5 s, with the listener closed: Shutdown waits for connections that are new.

Change: each answer that begins during a stop announces the close. The server is shut down only when no accepted request is open and 0.2 s have passed; until then requests on open connections are refused as not run. After that it waits for open requests only. In the last part of a stop with streams the listener stays open, and new connections are refused with a time to retry. When no stream is open, it closes at the same time as before.

Ruled out: a request whose handler runs while its connection is closed as idle. The server marks a connection active before it checks whether it is shut down, and Shutdown reads these marks after it sets that flag.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -286,17 +286,14 @@
 	return attemptResult{complete: true}
 }
 
-// copyHeader copies the header of a target's answer. It keeps the entry's own
-// Connection field.
+// copyHeader copies the header of a target's answer, whose Connection field is the
+// target's own.
 func (x *exchange) copyHeader(header http.Header) {
 	h := x.writer.Header()
-	connection := h.Get("Connection")
 	for name, values := range header {
 		h[name] = values
 	}
-	if connection != "" {
-		h.Set("Connection", connection)
-	}
+	x.entry.announceClose(h)
 }
 
 // recordResult updates the state of the target and its group from the result of an
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -15,7 +15,6 @@
 
 	"bilberrytide/core/btcatalog"
 	"bilberrytide/core/btid"
-	"bilberrytide/core/btrequest"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btstop"
 	"bilberrytide/io/btloop"
@@ -112,16 +111,6 @@
 	return !e.stopping.Load() && e.cache.index.Load() != nil && e.fleet.ready()
 }
 
-// Stop begins the graceful shutdown. Further calls do nothing.
-func (e *Entry) Stop() {
-	e.stopOnce.Do(func() {
-		e.stopping.Store(true)
-		e.open.beginStop()
-		e.log.Info("stop begun", append([]any{"grace_ms", e.options.Settings.StopGrace.Milliseconds()}, e.open.summary()...)...)
-		close(e.stopRequested)
-	})
-}
-
 const (
 	// headerTimeout limits the time to read a request's header, and maxHeaderBytes its
 	// size. Both are above what any known catalog allows.
@@ -131,8 +120,6 @@
 	// longer than callers reuse one, so that no request is sent on a connection that is
 	// just being closed.
 	callerIdleTimeout = 75 * time.Second
-	// stopPollInterval is how often the phase of a shutdown is updated.
-	stopPollInterval = 20 * time.Millisecond
 )
 
 // connectionKey is the key of a caller's connection in the contexts of its requests.
@@ -180,16 +167,16 @@
 	group.Go(func() error {
 		defer cancel()
 		defer ready.Close()
-		e.shutDown(ctx, server)
+		e.shutDown(ctx, server, front)
 		return nil
 	})
 	return group.Wait()
 }
 
-// serve runs a server until it is shut down.
+// serve runs a server until its listener is closed.
 func serve(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -215,61 +202,3 @@
 	}()
 	return server, nil
 }
-
-// shutDown waits for Stop and shuts the server down. Streams are accepted until the
-// load balancer has stopped sending connections. If no other entry is ready, the
-// balancer keeps sending callers here; they are refused with a time to retry until the
-// last stream has ended. Without this, 198 of 2,650 requests failed because nothing
-// listened any more, when all entries stopped within five seconds, three times; with it
-// 49 did. At the end every request is refused for a while, so that those accepted last
-// are still answered.
-func (e *Entry) shutDown(ctx context.Context, server *http.Server) {
-	select {
-	case <-ctx.Done():
-		e.cutRequests(ReasonProcessEnded, ctx.Err())
-		_ = server.Close()
-		return
-	case <-e.stopRequested:
-	}
-	began := e.options.Clock()
-	plan := btstop.New(e.options.Settings.StopGrace)
-	for ctx.Err() == nil {
-		phase := plan.Phase(e.options.Clock().Sub(began), e.openStreams.Load() > 0)
-		e.shutdownPhase.Store(&phase)
-		if phase == btstop.Refusing || phase == btstop.Ended {
-			break
-		}
-		sleep(ctx, stopPollInterval)
-	}
-	bounded, cancel := context.WithTimeout(ctx, max(plan.End-e.options.Clock().Sub(began), 0))
-	defer cancel()
-	if err := server.Shutdown(bounded); err != nil {
-		reason := ReasonStopTimeout
-		if ctx.Err() != nil {
-			reason = ReasonProcessEnded
-		}
-		e.cutRequests(reason, err)
-		_ = server.Close()
-	}
-	e.log.Info("stopped", append([]any{"took_ms", e.options.Clock().Sub(began).Milliseconds()}, e.open.outcomes()...)...)
-}
-
-// cutRequests logs each request that is cut when the connections are closed. The logger
-// limits the lines; the count is exact.
-func (e *Entry) cutRequests(reason btrequest.Reason, err error) {
-	summary := e.open.summary()
-	now := e.options.Clock()
-	all := e.open.cutAll(reason)
-	for _, r := range all {
-		e.log.Warn("request cut", r.attributes(now)...)
-	}
-	e.log.Warn("stop cuts requests", append(summary, "cut", len(all), "reason", reason, "error", err)...)
-}
-
-// currentPhase returns the phase of the shutdown, or Serving before it.
-func (e *Entry) currentPhase() btstop.Phase {
-	if p := e.shutdownPhase.Load(); p != nil {
-		return *p
-	}
-	return btstop.Serving
-}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -96,9 +96,6 @@
 	defer x.releaseMemory()
 	x.open = e.openRequest(x)
 	e.meter.Counter(metricRequests).Inc(1)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if refused := x.identify(); refused != nil {
 		x.refuse(refused)
 		return
@@ -373,6 +370,7 @@
 	h := x.writer.Header()
 	e.options.Headers.SetRefusal(h, x.info.ID, r.retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	e.announceClose(h)
 	x.writer.WriteHeader(r.status)
 	// Writing fails only if the caller has disconnected.
 	_, _ = io.WriteString(x.writer, string(r.reason)+"\n")
--- a/io/btdirect/open_requests.go
+++ b/io/btdirect/open_requests.go
@@ -73,6 +73,12 @@
 	r.accepted = true
 }
 
+func (r *openRequest) isAccepted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted
+}
+
 // attempt records an attempt at a target.
 func (r *openRequest) attempt(t btinventory.ID) {
 	r.mu.Lock()
@@ -194,6 +200,25 @@
 	}
 }
 
+// none reports whether no request is open.
+func (o *openRequests) none() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.requests) == 0
+}
+
+// anyAccepted reports whether a request is open that a stop doesn't refuse.
+func (o *openRequests) anyAccepted() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.requests {
+		if r.isAccepted() {
+			return true
+		}
+	}
+	return false
+}
+
 // count counts a request that has ended. The mutex must be held.
 func (o *openRequests) count(r *openRequest) {
 	r.mu.Lock()
