btcall: wait for a port in use, and accept again after an error

What callers would see: an entry or agent that ends at its start because a connection of its host has the port for a moment, or later because one accept returned an error of the network (accept(2): ENETUNREACH, EPERM and others concern one connection).

Ruled out: addresses in TIME_WAIT, as Go sets SO_REUSEADDR. EMFILE and ENFILE were temporary already.

--- a/io/btcall/btcall.go
+++ b/io/btcall/btcall.go
@@ -120,17 +120,12 @@
 	})
 }
 
-// Listen opens a listener at an address of this host.
-func Listen(address netip.AddrPort) (net.Listener, error) {
-	return net.Listen("tcp", address.String())
-}
-
 // Serve handles calls on the listener until the context ends.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.Serve(listener)
+	err := server.Serve(RetryAccept(listener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -126,7 +126,7 @@
 // Run serves and reports until the context ends. It returns an error if the agent can't
 // listen or serve.
 func (a *Agent) Run(ctx context.Context) error {
-	listener, err := a.options.Listen(a.options.Address)
+	listener, err := btcall.AwaitListen(ctx, a.options.Listen, a.options.Address)
 	if err != nil {
 		return err
 	}
