btdirect: stop gracefully when a part fails, and log panics

What callers would see: (1) all open answers cut when one listener fails: the group of the entry's parts cancelled their context, and the server was closed; (2) a request cut by a panic without a line, as the server's own is on the debug level; (3) a process killed in its stop, because grace_s had been shortened while it ran and only the seeds were reloaded.

Change: an error of a part begins a planned stop and is returned at its end; panics are logged with the request, and end only that request; a stop uses the grace period in force. An entry opens all listeners before it accepts a caller, the front last.

Ruled out: a second SIGTERM or a SIGINT (Stop acts once), SIGHUP (reloads), a signal before its handler is set (no listener is open yet).

--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,7 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btstop"
+	"bilberrytide/io/btcall"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 )
@@ -62,6 +65,8 @@
 	openStreams   atomic.Int64
 	stopRequested chan struct{}
 	stopOnce      sync.Once
+	// stopGrace is the grace period in force, in nanoseconds.
+	stopGrace atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[btid.Service]*budget
@@ -85,6 +90,7 @@
 		budgets:       make(map[btid.Service]*budget),
 		allotment:     btretry.NewAllotment(o.Clock(), o.Settings.Retry.windowConfig(), o.Settings.FirstStart),
 	}
+	e.stopGrace.Store(int64(o.Settings.StopGrace))
 	e.cache = newSourceCache(o, e.configure)
 	e.peers = newPeers(e)
 	e.cache.reading = e.peers.reading
@@ -102,9 +108,12 @@
 // one included: the known ones, and at least as many as there are seeds.
 func (e *Entry) estimatedEntries() int { return max(len(e.options.Settings.Seeds), e.peers.count()+1) }
 
-// Reload applies changed settings. Only the seeds can change; new addresses need a
-// restart of the process.
-func (e *Entry) Reload(s Settings) { e.peers.setSeeds(s.Seeds) }
+// Reload applies changed settings. Only the seeds and the grace period of a stop that has
+// not begun can change; new addresses need a restart of the process.
+func (e *Entry) Reload(s Settings) {
+	e.peers.setSeeds(s.Seeds)
+	e.stopGrace.Store(int64(s.StopGrace))
+}
 
 // Ready reports whether the entry accepts requests.
 func (e *Entry) Ready() bool {
@@ -131,16 +140,34 @@
 	return e.open.add(c, x.info.ID, x.receivedAt)
 }
 
-// Run serves until a graceful shutdown is complete or the context ends.
+// listeners are those of an entry.
+type listeners struct{ front, ready, peer net.Listener }
+
+// openListeners opens all listeners. It waits a moment for ports that are in use.
+func (e *Entry) openListeners(ctx context.Context) (l listeners, err error) {
+	s := e.options.Settings
+	for _, open := range []struct {
+		to *net.Listener
+		at netip.AddrPort
+	}{{&l.ready, s.Ready}, {&l.peer, s.Peer}, {&l.front, s.Front}} {
+		if *open.to, err = btcall.AwaitListen(ctx, e.options.Listen, open.at); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+// Run serves until a graceful shutdown is complete or the context ends. If a part of the
+// entry fails, it shuts down gracefully and returns the error.
 func (e *Entry) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	front, err := e.options.Listen(e.options.Settings.Front)
+	l, err := e.openListeners(ctx)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{
-		Handler:           http.HandlerFunc(e.serveHTTP),
+		Handler:           http.HandlerFunc(e.handle),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
@@ -154,40 +181,60 @@
 			}
 		},
 	}
-	ready, err := e.serveReady()
-	if err != nil {
-		return err
-	}
-	group, ctx := errgroup.WithContext(ctx)
+	ready := e.serveReady(l.ready)
+	// The group doesn't cancel the context: that would cut all answers.
+	group := &errgroup.Group{}
 	group.Go(func() error { e.cache.run(ctx); return nil })
-	group.Go(func() error { return serve(server, front) })
-	group.Go(func() error { return e.peers.serve(ctx) })
+	group.Go(func() error { return e.stopOnError("front", e.serveFront(server, l.front)) })
+	group.Go(func() error { return e.stopOnError("peer", e.peers.serve(ctx, l.peer)) })
 	group.Go(func() error { e.peers.run(ctx); return nil })
 	group.Go(func() error { e.quarantine.Run(ctx, e.peers.sendQuarantine); return nil })
 	group.Go(func() error {
 		defer cancel()
 		defer ready.Close()
-		e.shutDown(ctx, server, front)
+		e.shutDown(ctx, server, l.front)
 		return nil
 	})
 	return group.Wait()
 }
 
-// serve runs a server until its listener is closed.
-func serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+// stopOnError begins the graceful shutdown if a part of the entry has failed, and returns
+// the error.
+func (e *Entry) stopOnError(part string, err error) error {
+	if err != nil {
+		e.log.Error("part failed", "part", part, "error", err)
+		e.Stop()
+	}
+	return err
+}
+
+// handle handles a caller's request and logs a panic, which cuts only that request.
+func (e *Entry) handle(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if cause != http.ErrAbortHandler {
+			c, _ := r.Context().Value(connectionKey{}).(net.Conn)
+			e.log.Error("request panicked", "request", e.open.fail(c, ReasonPanic), "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	e.serveHTTP(w, r)
+}
+
+// serveFront serves callers until the shutdown closes the listener.
+func (e *Entry) serveFront(server *http.Server, listener net.Listener) error {
+	err := server.Serve(btcall.RetryAccept(listener))
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && e.stopping.Load() {
 		return nil
 	}
 	return err
 }
 
 // serveReady answers the load balancer's readiness check.
-func (e *Entry) serveReady() (*http.Server, error) {
-	listener, err := e.options.Listen(e.options.Settings.Ready)
-	if err != nil {
-		return nil, err
-	}
+func (e *Entry) serveReady(listener net.Listener) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(e.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !e.Ready() {
@@ -196,9 +243,9 @@
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	go func() {
-		if err := serve(server, listener); err != nil {
+		if err := server.Serve(btcall.RetryAccept(listener)); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("readiness check ended", "error", err)
 		}
 	}()
-	return server, nil
+	return server
 }
--- a/io/btdirect/open_requests.go
+++ b/io/btdirect/open_requests.go
@@ -186,6 +186,18 @@
 	return r
 }
 
+// fail records the failure of a connection's request and returns the request's ID.
+func (o *openRequests) fail(c net.Conn, reason btrequest.Reason) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, found := o.requests[c]
+	if !found {
+		return ""
+	}
+	r.setOutcome(outcome{failed: reason})
+	return r.id
+}
+
 // connectionDone removes the request of a connection that is idle or closed.
 func (o *openRequests) connectionDone(c net.Conn) {
 	o.mu.Lock()
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -67,11 +68,7 @@
 }
 
 // serve answers calls of the fleet's processes until the context ends.
-func (p *peers) serve(ctx context.Context) error {
-	listener, err := p.entry.options.Listen(p.entry.options.Settings.Peer)
-	if err != nil {
-		return err
-	}
+func (p *peers) serve(ctx context.Context, listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle("POST "+PathRoster, btcall.Handle(p.handleRoster))
 	mux.Handle("POST "+PathLoad, btcall.Handle(p.handleLoad))
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -26,6 +26,8 @@
 	ReasonStopTimeout btrequest.Reason = "stop_timeout"
 	// ReasonProcessEnded: the process ended without a planned stop, or before its end.
 	ReasonProcessEnded btrequest.Reason = "process_ended"
+	// ReasonPanic: a defect of the entry ended the request.
+	ReasonPanic btrequest.Reason = "panic"
 	// ReasonOverload: the service has no free slot in time.
 	ReasonOverload btrequest.Reason = "overload"
 	// ReasonGroupBroken: the service's engine group doesn't serve.
--- a/io/btdirect/stop.go
+++ b/io/btdirect/stop.go
@@ -24,11 +24,14 @@
 	e.stopOnce.Do(func() {
 		e.stopping.Store(true)
 		e.open.beginStop()
-		e.log.Info("stop begun", append([]any{"grace_ms", e.options.Settings.StopGrace.Milliseconds()}, e.open.summary()...)...)
+		e.log.Info("stop begun", append([]any{"grace_ms", e.grace().Milliseconds()}, e.open.summary()...)...)
 		close(e.stopRequested)
 	})
 }
 
+// grace returns the grace period in force.
+func (e *Entry) grace() time.Duration { return time.Duration(e.stopGrace.Load()) }
+
 // shutDown waits for Stop and shuts the server down. Streams are accepted until the
 // load balancer has stopped sending connections. If no other entry is ready, the
 // balancer keeps sending callers here; they are refused with a time to retry until the
@@ -44,7 +47,7 @@
 	case <-e.stopRequested:
 	}
 	began := e.options.Clock()
-	plan := btstop.New(e.options.Settings.StopGrace)
+	plan := btstop.New(e.grace())
 	for ctx.Err() == nil {
 		elapsed := e.options.Clock().Sub(began)
 		phase := plan.Phase(elapsed, e.openStreams.Load() > 0)
