--- a/io/btdirect/acceptance.go
+++ b/io/btdirect/acceptance.go
@@ -10,23 +10,22 @@
 
 // acceptance decides which requests a stopping entry accepts.
 type acceptance struct {
-	plan btstop.Plan
-
 	mu        sync.Mutex
 	durations *btstop.Durations
-	// began is when the stop began; zero before.
+	// plan is the plan of the stop that began at began; nil before.
+	plan  *btstop.Plan
 	began time.Time
 }
 
-func newAcceptance(grace time.Duration) *acceptance {
-	return &acceptance{plan: btstop.New(grace), durations: btstop.NewDurations(maxRoutes)}
+func newAcceptance() *acceptance {
+	return &acceptance{durations: btstop.NewDurations(maxRoutes)}
 }
 
-// begin records that the stop begins.
-func (a *acceptance) begin(now time.Time) {
+// begin records that a stop begins.
+func (a *acceptance) begin(now time.Time, plan btstop.Plan) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.began = now
+	a.plan, a.began = &plan, now
 }
 
 // record adds the duration of an answered request.
@@ -41,7 +40,7 @@
 func (a *acceptance) finishes(now time.Time, r btstop.Request) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.began.IsZero() || a.plan.Finishes(now.Sub(a.began), a.durations.Expected(r))
+	return a.plan == nil || a.plan.Finishes(now.Sub(a.began), a.durations.Expected(r))
 }
 
 // refuseStopping refuses a request that the entry doesn't accept because it is stopping, and
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -67,6 +67,8 @@
 	defer e.fleet.requestDone(t)
 	defer tokens.markRead()
 	x.tried[t.info.Instance()] = true
+	x.open.attempt(t.info.ID)
+	defer func() { x.open.attemptEnded(x.mayHaveRun) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer e.quarantine.trackAttempt(x, cancel)()
@@ -264,7 +266,9 @@
 func (x *exchange) relayBuffered(buffered *bufferedAnswer) error {
 	x.copyHeader(buffered.header)
 	x.writer.WriteHeader(buffered.status)
+	x.open.write("")
 	_, err := newCallerWriter(x.writer).Write(buffered.body)
+	x.open.written(x.entry.options.Clock())
 	return err
 }
 
@@ -284,17 +288,14 @@
 	return attemptResult{complete: true}
 }
 
-// copyHeader copies the header of a target's answer. It keeps the entry's own
-// Connection field.
+// copyHeader copies the header of a target's answer, whose Connection field is the
+// target's own.
 func (x *exchange) copyHeader(header http.Header) {
 	h := x.writer.Header()
-	connection := h.Get("Connection")
 	for name, values := range header {
 		h[name] = values
 	}
-	if connection != "" {
-		h.Set("Connection", connection)
-	}
+	x.entry.announceClose(h)
 }
 
 // recordResult updates the state of the target and its group from the result of an
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -37,6 +37,7 @@
 	priority   int
 	receivedAt time.Time
 	deadline   time.Time
+	open       *openRequest
 	// admittedAt is when the request got its slot, firstEventAt when its first event
 	// was sent.
 	admittedAt, firstEventAt time.Time
@@ -92,10 +93,8 @@
 	}
 	x.fingerprint = sync.OnceValue(x.computeFingerprint)
 	defer x.releaseMemory()
+	x.open = e.openRequest(x)
 	e.meter.Counter(metricRequests).Inc(1)
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if refused := x.identify(); refused != nil {
 		x.refuse(refused)
 		return
@@ -134,6 +133,7 @@
 		return refused
 	}
 	x.deadline = x.receivedAt.Add(min(x.callerTimeout(), route.Timeout))
+	x.open.setRoute(route, x.deadline)
 	service, found := x.index.Service(route.PickService(rand.Float64()))
 	if !found {
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.defaultRetryAfter()}
@@ -168,6 +168,7 @@
 	if x.refuseStopping() {
 		return
 	}
+	x.open.setAccepted()
 	if x.streams() {
 		e.openStreams.Add(1)
 		defer e.openStreams.Add(-1)
@@ -328,6 +329,7 @@
 		if err := x.relayBuffered(result.buffered); err != nil {
 			x.abort()
 		}
+		x.open.setOutcome(outcome{answered: true})
 		return
 	}
 	if x.mayHaveRun {
@@ -365,6 +367,7 @@
 	h := x.writer.Header()
 	e.options.Headers.SetRefusal(h, x.info.ID, r.retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	e.announceClose(h)
 	x.writer.WriteHeader(r.status)
 	// Writing fails only if the caller has disconnected.
 	_, _ = io.WriteString(x.writer, string(r.reason)+"\n")
