bttarget: bound the head of an answer in time

A target in trouble may send a head that never ends. The bytes were bounded by 64 KB, the time wasn't: a head dripped byte by byte, one begun and not finished, and informational answers (1xx) without end each lasted until the request's deadline, so that no other target could be tried. An answer 101 was worse: net/http hands its connection over and no longer closes it with the request's context, so reading it could last for ever.

btbound.Transport starts a timer with the first byte of a head and cancels the exchange if the head isn't complete within a second. The error is lost contact: the request may have run. A target that sends nothing, also after a 100, is not bounded, as it may be at work. At most 4 informational answers precede an answer, of 64 KB each. An answer 101 is lost contact too, as nothing asks for it.

Ruled out: http.Transport's ResponseHeaderTimeout runs from the request and would end requests of targets at work; httptrace's GotFirstResponseByte comes only once for all informational answers.

--- /dev/null
+++ b/io/btbound/btbound.go
@@ -0,0 +1,186 @@
+// Package btbound bounds what an HTTP client reads of an answer's head, whatever the
+// server sends: in bytes, in time from its first byte, and in the number of informational
+// answers before it. It also refuses an answer that switches to another protocol, whose
+// body net/http reads without regard to the request's context.
+//
+// A server that sends nothing is not bounded here: it may be at work. The body is bounded
+// by the request's context, and in size by its reader.
+package btbound
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxHeaderBytes is the size limit of one head: its status line and header.
+	MaxHeaderBytes = 64 << 10
+	// HeadTimeout is how long a head may take from its first byte to its end. Servers
+	// write it at once, so it is long enough for lost packets to be sent again.
+	HeadTimeout = time.Second
+	// MaxInformational is how many answers with a status 1xx may precede the answer.
+	MaxInformational = 4
+)
+
+var (
+	// ErrSlowHead means that a head was begun and not completed within HeadTimeout.
+	ErrSlowHead = errors.New("head not complete in time")
+	// ErrInformational means that there were more than MaxInformational answers with a
+	// status 1xx.
+	ErrInformational = errors.New("too many informational answers")
+	// ErrSwitched means that the answer switches to another protocol.
+	ErrSwitched = errors.New("answer switches protocols")
+)
+
+// Transport is an http.Transport with these bounds. Its errors wrap ErrSlowHead,
+// ErrInformational or ErrSwitched where one of them was exceeded. It is safe for
+// concurrent use.
+type Transport struct {
+	transport *http.Transport
+	timeout   time.Duration
+}
+
+// New returns a transport that makes its requests with t, whose DialContext may be nil. t
+// must not be used otherwise afterwards.
+func New(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	t.MaxResponseHeaderBytes = MaxHeaderBytes
+	return &Transport{transport: t, timeout: HeadTimeout}
+}
+
+// CloseIdleConnections closes idle connections.
+func (t *Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
+
+// RoundTrip makes a request. The answer's body must be closed.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	h := &headTimer{limit: t.timeout, cancel: cancel}
+	trace := &httptrace.ClientTrace{GotConn: h.connected, Got1xxResponse: h.informational}
+	answer, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	h.end()
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		closeErr := answer.Body.Close()
+		cancel(nil)
+		return nil, errors.Join(ErrSwitched, closeErr)
+	}
+	answer.Body = &body{ReadCloser: answer.Body, cancel: cancel}
+	return answer, nil
+}
+
+// body releases the context of its exchange when it is closed.
+type body struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close closes the body; before its end this closes the connection.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
+// conn notifies the timer of the exchange that uses it of arriving bytes.
+type conn struct {
+	net.Conn
+	timer atomic.Pointer[headTimer]
+}
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if h := c.timer.Load(); n > 0 && h != nil {
+		h.arrived()
+	}
+	return n, err
+}
+
+// headTimer cancels an exchange whose head takes too long.
+type headTimer struct {
+	limit  time.Duration
+	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
+	// conn is the connection in use.
+	conn *conn
+	// timer runs while a head is incomplete; nil before its first byte.
+	timer          *time.Timer
+	ended          bool
+	informationals int
+}
+
+func (h *headTimer) connected(i httptrace.GotConnInfo) {
+	c, ok := i.Conn.(*conn)
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conn = c
+	c.timer.Store(h)
+}
+
+// arrived starts the timer with the first byte of a head.
+func (h *headTimer) arrived() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.timer == nil && !h.ended {
+		h.timer = time.AfterFunc(h.limit, func() { h.cancel(ErrSlowHead) })
+	}
+}
+
+// informational handles an answer with a status 1xx. The server may be at work for any time
+// until the next one.
+func (h *headTimer) informational(status int, _ textproto.MIMEHeader) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stop()
+	h.informationals++
+	if h.informationals > MaxInformational {
+		return fmt.Errorf("%w: the last has status %d", ErrInformational, status)
+	}
+	return nil
+}
+
+// end ends the supervision.
+func (h *headTimer) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+	h.stop()
+	if h.conn != nil {
+		// Another exchange may use the connection already.
+		h.conn.timer.CompareAndSwap(h, nil)
+	}
+}
+
+// stop stops the timer. h.mu must be held.
+func (h *headTimer) stop() {
+	if h.timer != nil {
+		h.timer.Stop()
+		h.timer = nil
+	}
+}
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -20,6 +20,7 @@
 
 	"bilberrytide/core/btnotice"
 	"bilberrytide/core/btrate"
+	"bilberrytide/io/btbound"
 )
 
 // Defaults of Options.
@@ -33,8 +34,6 @@
 	// DefaultMaxAnswerBytes is the size limit of answers in the target's own protocol;
 	// it doesn't apply to answers for callers.
 	DefaultMaxAnswerBytes = 4 << 20
-	// DefaultMaxHeaderBytes is the size limit of the header of an answer.
-	DefaultMaxHeaderBytes = 64 << 10
 )
 
 // Names of the counters.
@@ -69,7 +68,7 @@
 // Client is a client of one target. It is safe for concurrent use.
 type Client struct {
 	options   Options
-	transport *http.Transport
+	transport *btbound.Transport
 	requests  metrics.Counter
 	notSent   metrics.Counter
 	lost      metrics.Counter
@@ -92,15 +91,14 @@
 	return &Client{
 		options: o,
 		created: time.Now(),
-		transport: &http.Transport{
-			DialContext:            dialler.DialContext,
-			MaxIdleConns:           o.MaxIdleConnections,
-			MaxIdleConnsPerHost:    o.MaxIdleConnections,
-			IdleConnTimeout:        o.IdleTimeout,
-			MaxResponseHeaderBytes: DefaultMaxHeaderBytes,
-			DisableCompression:     true,
-			DisableKeepAlives:      o.DisableKeepAlives,
-		},
+		transport: btbound.New(&http.Transport{
+			DialContext:         dialler.DialContext,
+			MaxIdleConns:        o.MaxIdleConnections,
+			MaxIdleConnsPerHost: o.MaxIdleConnections,
+			IdleConnTimeout:     o.IdleTimeout,
+			DisableCompression:  true,
+			DisableKeepAlives:   o.DisableKeepAlives,
+		}),
 		requests: metrics.GetOrRegisterCounter(MetricRequests, o.Registry),
 		notSent:  metrics.GetOrRegisterCounter(MetricNotSent, o.Registry),
 		lost:     metrics.GetOrRegisterCounter(MetricLost, o.Registry),
@@ -156,6 +154,8 @@
 
 // Do sends the request once and returns when the head of the answer has arrived. The
 // context applies to the whole exchange including the body. Redirects are not followed.
+// A head that exceeds the bounds of btbound is lost contact, as nothing shows whether the
+// request ran.
 //
 // Errors: ErrRequest (nothing was sent), ErrNotSent, ErrLost.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
