--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -4,7 +4,7 @@
 // body net/http reads without regard to the request's context.
 //
 // A server that sends nothing is not bounded here: it may be at work. The body is bounded
-// by the request's context, and in size by its reader.
+// by the request's context, and in size by its reader; ReadAll is one.
 package btbound
 
 import (
@@ -39,8 +39,19 @@
 	ErrInformational = errors.New("too many informational answers")
 	// ErrSwitched means that the answer switches to another protocol.
 	ErrSwitched = errors.New("answer switches protocols")
+	// ErrTooLarge means that a body is larger than the limit of its reader.
+	ErrTooLarge = errors.New("answer too large")
 )
 
+// ReadAll reads a body of at most limit bytes. The error of a larger one is ErrTooLarge.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, limit)
+	}
+	return data, err
+}
+
 // Transport is an http.Transport with these bounds. Its errors wrap ErrSlowHead,
 // ErrInformational or ErrSwitched where one of them was exceeded. It is safe for
 // concurrent use.
