btdirect, btevents: leave a stream whose bytes are no events

Callers lost streams whose target sent bytes without end that are no events, although another target could have continued them: any byte restarted the silence timer, so an event dripped byte by byte, comments, blank lines or garbage kept the stream at its target until the deadline.

Only whole events restart the timer now. Comments do so for one more limit after the last event, so that a target may send them while it works; a part of an event doesn't. As before, the stream leaves its target only if another one can continue it.

Ruled out: ignoring comments altogether, which would end streams of targets that announce their work in this way; not passing them on, which would change the body.

--- a/core/btevents/btevents_test.go
+++ b/core/btevents/btevents_test.go
@@ -68,6 +68,60 @@
 	assert.ErrorIs(t, err, btevents.ErrTooLong)
 }
 
+// TestSplitterBoundsBytesWithoutEvents guards against a target in trouble that sends bytes
+// without end which are no new events.
+func TestSplitterBoundsBytesWithoutEvents(t *testing.T) {
+	pieces := map[string]string{
+		"event":        "data: x\n",
+		"comments":     ": c\n\n",
+		"comment":      ": c\n",
+		"blank lines":  "\n",
+		"other blocks": "garbage\n\n",
+		"old events":   "id: 3\ndata: x\n\n",
+	}
+	for name, piece := range pieces {
+		t.Run(name, func(t *testing.T) {
+			s := btevents.NewAfter("3")
+			piece := []byte(strings.Repeat(piece, 100))
+			var err error
+			total := 0
+			for err == nil && total <= 2*btevents.MaxIdleBytes {
+				_, err = s.Add(piece)
+				total += len(piece)
+			}
+			assert.ErrorIs(t, err, btevents.ErrTooLong)
+			assert.Equal(t, s.Events(), 0)
+		})
+	}
+}
+
+// TestSplitterCountsWithinLimits guards against a limit that ends a long stream of events
+// with comments between them.
+func TestSplitterCountsWithinLimits(t *testing.T) {
+	s := btevents.New()
+	piece := []byte(": c\n\ndata: " + strings.Repeat("x", 1000) + "\n\n")
+	for range 4 * btevents.MaxIdleBytes / len(piece) {
+		out, err := s.Add(piece)
+		assert.NilError(t, err)
+		assert.Equal(t, string(out), string(piece))
+	}
+	assert.Equal(t, s.Blocks(), 2*s.Events())
+}
+
+// TestUnknownBlocksAreWithheld guards against passing on bytes of a target in trouble before
+// another target continues the stream, and against losing lines that belong to it.
+func TestUnknownBlocksAreWithheld(t *testing.T) {
+	s := btevents.New()
+	out, err := s.Add([]byte("garbage\n\n: c\n\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(out), "")
+	assert.Assert(t, s.Partial())
+	out, err = s.Add([]byte("version: 2\nid: 1\ndata: x\n\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(out), "garbage\n\n: c\n\nversion: 2\nid: 1\ndata: x\n\n")
+	assert.Assert(t, !s.Partial())
+}
+
 func FuzzSplitter(f *testing.F) {
 	f.Add([]byte(stream(1, 3)), 7)
 	f.Add([]byte("id:\n\n\n\n"), 1)
--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -42,13 +42,18 @@
 	running bool
 	since   time.Time
 	left    bool
+	// lastEvent is when the target last sent an event, or its header.
+	lastEvent time.Time
+	// due is when the timer expires next.
+	due time.Time
 }
 
 func newSilenceTimer(maxGap time.Duration, clock func() time.Time, leave func(since time.Time) bool, cancel context.CancelFunc) *silenceTimer {
 	s := &silenceTimer{limit: max(silencePauses*maxGap, minSilenceTimeout), clock: clock, leave: leave, cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running, s.since = true, clock()
+	now := clock()
+	s.running, s.since, s.lastEvent, s.due = true, now, now, now.Add(s.limit)
 	s.timer = time.AfterFunc(s.limit, s.expire)
 	return s
 }
@@ -65,6 +70,7 @@
 		return
 	}
 	if !s.leave(s.since) {
+		s.due = s.clock().Add(silenceRecheck)
 		s.timer.Reset(silenceRecheck)
 		return
 	}
@@ -72,12 +78,21 @@
 	s.cancel()
 }
 
-// reset begins to wait for the target's next bytes.
-func (s *silenceTimer) reset() {
+// resetAfter begins to wait for the target's next event after it has sent events, or only
+// comments. Comments count for one more limit after the last event: a target that sends
+// nothing else for longer may be in trouble.
+func (s *silenceTimer) resetAfter(hasEvents bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running, s.since = true, s.clock()
-	s.timer.Reset(s.limit)
+	now := s.clock()
+	if hasEvents {
+		s.lastEvent = now
+	}
+	s.running = true
+	if now.Sub(s.lastEvent) <= s.limit {
+		s.since, s.due = now, now.Add(s.limit)
+	}
+	s.timer.Reset(max(s.due.Sub(now), 0))
 }
 
 func (s *silenceTimer) stop() {
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -76,13 +76,10 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			// The target isn't silent while the caller is slow to accept a piece.
-			silence.stop()
 			tokens.markRead()
-			if result, failed := x.relayPiece(t, buffer[:n], answer); failed {
+			if result, failed := x.relayPiece(t, buffer[:n], answer, silence); failed {
 				return result
 			}
-			silence.reset()
 		}
 		if err == nil {
 			continue
@@ -94,15 +91,33 @@
 	}
 }
 
-// relayPiece relays a piece of a stream and records the pauses between events.
-func (x *exchange) relayPiece(t *target, piece []byte, answer *bttarget.Response) (attemptResult, bool) {
-	events, err := x.stream.events.Add(piece)
+// relayPiece relays a piece of a stream. A piece that completes nothing leaves the silence
+// timer running.
+func (x *exchange) relayPiece(t *target, piece []byte, answer *bttarget.Response, silence *silenceTimer) (attemptResult, bool) {
+	splitter := x.stream.events
+	events, blocks := splitter.Events(), splitter.Blocks()
+	out, err := splitter.Add(piece)
 	if err != nil {
 		return attemptResult{reason: ReasonMalformedAnswer, err: err}, true
 	}
-	if len(events) == 0 {
+	if splitter.Blocks() == blocks {
 		return attemptResult{}, false
 	}
+	// The target isn't silent while the caller is slow to accept a piece.
+	silence.stop()
+	hasEvents := splitter.Events() > events
+	if hasEvents {
+		x.recordEvents(t)
+	}
+	if err := x.stream.write(out, answer); err != nil {
+		return writeFailed(err), true
+	}
+	silence.resetAfter(hasEvents)
+	return attemptResult{}, false
+}
+
+// recordEvents records the arrival of events and the pause before them.
+func (x *exchange) recordEvents(t *target) {
 	now := x.entry.options.Clock()
 	if x.stream.lastWrite.IsZero() {
 		x.firstEventAt = now
@@ -120,10 +135,6 @@
 	}
 	x.stream.observer.observe(now.Sub(x.stream.lastWrite))
 	x.stream.lastWrite = now
-	if err := x.stream.write(events, answer); err != nil {
-		return writeFailed(err), true
-	}
-	return attemptResult{}, false
 }
 
 // endStream ends a stream that its target completed.
