btcall: bound calls and answers of peers

A process of the fleet that is in trouble, or anything else at its address, could send a head of 10 MB, an answer 101 that is read on after the call's timeout, or a call whose message never ends: the server bounded the time of the header only, so that a connection and up to 4 MB stayed for as long as a byte came now and then.

The client uses btbound.Transport. A message or answer over 4 MB is an error as such, and not only because its cut beginning can't be decoded.

--- a/io/btcall/btcall.go
+++ b/io/btcall/btcall.go
@@ -7,13 +7,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"bilberrytide/core/btwire"
+	"bilberrytide/io/btbound"
 )
 
 // ErrCall is wrapped by the error of every call without a valid answer.
@@ -33,8 +33,10 @@
 	dialTimeout = 250 * time.Millisecond
 	// idleTimeout is how long an idle connection to a peer is kept.
 	idleTimeout = 10 * time.Second
-	// readHeaderTimeout limits the time to read the header of a call.
+	// readHeaderTimeout limits the time to read the header of a call, readBodyTimeout that
+	// to read its message.
 	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 5 * time.Second
 )
 
 // Client calls peers. It is safe for concurrent use.
@@ -44,12 +46,12 @@
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: btbound.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 2,
 		DisableCompression:  true,
-	}}}
+	})}}
 }
 
 // Call sends a message to a peer and decodes the answer. Its errors wrap ErrCall.
@@ -68,7 +70,7 @@
 		return none, fmt.Errorf("%w: %s%s: %w", ErrCall, to, path, wrapDialError(err))
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxMessageBytes))
+	body, err := btbound.ReadAll(answer.Body, maxMessageBytes)
 	if err != nil {
 		return none, fmt.Errorf("%w: %s%s: %w", ErrCall, to, path, err)
 	}
@@ -95,7 +97,7 @@
 // An invalid message gets status 400, an error of answer status 503 with its text.
 func Handle[Q, A btwire.Validator](answer func(context.Context, Q) (A, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		data, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes))
+		data, err := readMessage(w, r)
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
@@ -120,6 +122,20 @@
 	})
 }
 
+// readMessage reads the message of a call. After an error the deadline stays, since the
+// server reads on to find the end of the message.
+func readMessage(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(readBodyTimeout)); err != nil {
+		return nil, err
+	}
+	data, err := btbound.ReadAll(r.Body, maxMessageBytes)
+	if err != nil {
+		return nil, err
+	}
+	return data, control.SetReadDeadline(time.Time{})
+}
+
 // Listen opens a listener at an address of this host.
 func Listen(address netip.AddrPort) (net.Listener, error) {
 	return net.Listen("tcp", address.String())
@@ -127,7 +143,7 @@
 
 // Serve handles calls on the listener until the context ends.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: btbound.MaxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	err := server.Serve(listener)
