btplatform: bound the head of an answer in size

A head without end was read up to net/http's 10 MB. The client now uses btbound.Transport: 64 KB, complete within a second of its first byte. Bodies and total times were bounded already, which the test keeps.

Before the change (go test -race ./io/btplatform -run Endless): 5.7 to 10.6 MB were accepted in the call's 0.5 s.

--- a/io/btplatform/client.go
+++ b/io/btplatform/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"bilberrytide/core/btbundle"
+	"bilberrytide/io/btbound"
 )
 
 // Defaults of Options.
@@ -55,7 +56,7 @@
 type Options struct {
 	// Address is the platform's HTTP address.
 	Address netip.AddrPort
-	// Transport makes the calls; nil means a new http.Transport.
+	// Transport makes the calls; nil means a new one with the bounds of btbound.
 	Transport http.RoundTripper
 	// Registry may be nil.
 	Registry         metrics.Registry
@@ -83,7 +84,7 @@
 // New returns a client; it makes no call.
 func New(o Options) *Client {
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+		o.Transport = btbound.New(&http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true})
 	}
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
