btentry: resume a stream only once if its engine no longer has it

In 20 processes at once on one core it failed 1 of 20 times in the same way; the counters of the entry were then retried.retry_resume=2, refused.retry_refused_attempts=1, refused.queue_full=1.

Cause: the engine answers the resumption with 404. The entry drops the answer after its head and asks the same engine again, whose only slot the dropped attempt may still hold. The caller was then given the reason of the queue, queue_full, for a stream that was lost. Whether the slot is free by then is a race between two processes, which the test never lost on an idle host.

Change: 404 to a resumption means that the engine no longer has the stream, so the request ends with answer_cut. An engine that fails otherwise (503) is asked again as before.

The test stays as it is and also checks that the engine is asked once.

Ruled out: a lost connection to the agent.

--- a/io/btentry/answer_test.go
+++ b/io/btentry/answer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -161,9 +162,14 @@
 
 // TestStreamThatCannotBeResumed: if the engine no longer has an interrupted stream, the
 // stream ends with an error event and a broken connection. The engine's own error is not
-// passed on.
+// passed on. It is asked once: a second time, its slot may still be taken, and the caller
+// gets the reason of the queue.
 func TestStreamThatCannotBeResumed(t *testing.T) {
+	var resumes atomic.Int32
 	w := newSystem(t, []testTarget{{name: "m1", service: model, handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/streams/") {
+			resumes.Add(1)
+		}
 		if r.Method == http.MethodGet {
 			http.Error(w, `{"error":"no such stream"}`, http.StatusNotFound)
 			return
@@ -180,6 +186,7 @@
 	assert.Assert(t, len(events) == 2 && strings.Contains(events[1], `"outcome":"unknown"`), "%s", r.body)
 	assert.Assert(t, !strings.Contains(r.body, "no such stream") && !strings.Contains(r.body, "[DONE]"))
 	assert.Equal(t, w.refusals("e1", "answer_cut"), int64(1))
+	assert.Equal(t, resumes.Load(), int32(1))
 }
 
 // TestCallerLeaving: when a caller disconnects, its request is cancelled at the target.
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -36,6 +36,8 @@
 	load cbor.RawMessage
 	// targetFault reports that the target, or the connection to it, failed.
 	targetFault bool
+	// streamLost reports that the engine no longer has the stream that was to be resumed.
+	streamLost bool
 	// status is the HTTP status of the target, if it answered.
 	status int
 	// outputTokens is the number of tokens that were streamed; zero if their timing says
@@ -148,6 +150,7 @@
 		result.outcome = btrequest.Unknown
 		result.reason = ReasonAnswerCut
 		result.targetFault = targetFailed(head.Status)
+		result.streamLost = head.Status == http.StatusNotFound
 		return result
 	}
 	if targetFailed(head.Status) && s.tryElsewhere(spec, &result) {
--- a/io/btentry/retry.go
+++ b/io/btentry/retry.go
@@ -114,7 +114,7 @@
 }
 
 func (f *retryFlow) evaluate(ctx context.Context, last attemptResult) btretry.Decision {
-	if ctx.Err() != nil || slices.Contains(finalReasons, last.reason) {
+	if ctx.Err() != nil || last.streamLost || slices.Contains(finalReasons, last.reason) {
 		// The reason of the attempt itself is sufficient.
 		return btretry.Decision{}
 	}
