btinventory: name outages, faults and tests in the usual terms

The time of the last failed read was called away (now unavailableAt), and the test models named faults trouble, spell, cut and refuse. They are now fault kinds and windows, reset and reject.

No change in behaviour.

--- a/core/btinventory/btinventory.go
+++ b/core/btinventory/btinventory.go
@@ -73,7 +73,7 @@
 	Cold bool `json:"cold,omitempty"`
 	// Member is set for ranks of a lock-step group.
 	Member *Member `json:"member,omitempty"`
-	// GroupBroken tells that the rank's group wasn't open when the record was written, a
+	// GroupBroken reports that the rank's group wasn't open when the record was written, a
 	// second ago or longer. It isn't sent to other processes, because the whole list would
 	// be sent again each time a group breaks or opens.
 	GroupBroken bool `json:"-"`
@@ -155,15 +155,15 @@
 type Registry struct {
 	policy  LapsePolicy
 	records map[ID]*record
-	// listedAt is when the list was last read, by whichever process. awayAt is when this
-	// process last couldn't read it since its own last read; zero if it could.
-	listedAt, awayAt time.Time
+	// listedAt is when the list was last read, by whichever process. unavailableAt is when this
+	// process last failed to read it since its own last successful read; zero if none failed.
+	listedAt, unavailableAt time.Time
 	// mayHaveLapsed reports that live targets' records may have lapsed before the last read,
 	// since the one before it. What it lacks is kept until graceEnds.
 	mayHaveLapsed bool
 	graceEnds     time.Time
-	// dropped holds the records that were dropped last, by ID; dropOrder lists their IDs,
-	// the earliest first.
+	// dropped holds the most recently dropped records, by ID; dropOrder lists their IDs,
+	// oldest first.
 	dropped   map[ID]Target
 	dropOrder []ID
 	// restoredAt is when the list was last restored from a snapshot, which began era;
@@ -172,7 +172,7 @@
 	era        uint64
 }
 
-// maxDropped bounds the remembered dropped records: it exceeds the number of targets
+// maxDropped bounds the stored dropped records: it exceeds the number of targets
 // that are removed within the few seconds in which a peer may still list them.
 const maxDropped = 1024
 
@@ -244,7 +244,7 @@
 	return []Change{{ID: id, Target: rec.target, What: Gone}}
 }
 
-// rememberDropped stores a dropped record, so that a peer's list can't bring it back.
+// rememberDropped stores a dropped record, so that a peer's list can't restore it.
 func (r *Registry) rememberDropped(t Target) {
 	if t.Created == 0 {
 		return
--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -45,7 +45,7 @@
 	return list
 }
 
-func TestRemovedTargetsAreGoneAtOnce(t *testing.T) {
+func TestRemoveDropsTargetImmediately(t *testing.T) {
 	r := newRegistry()
 	r.Put(target("a"))
 	r.Put(target("b"))
@@ -55,9 +55,9 @@
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"b"})
 }
 
-// While the list is unavailable, targets can't renew their records, which lapse. Such a
-// target must stay usable until it had time to write its record again.
-func TestRecordsThatLapseDuringAnInterruptionGetAGracePeriod(t *testing.T) {
+// Guards against dropping live targets whose records lapsed because the list was
+// unavailable: they need time to write their records again.
+func TestRecordLapsedDuringOutageIsKeptForGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Put(target("back"))
 	r.Put(target("dead"))
@@ -76,7 +76,7 @@
 	assert.Equal(t, len(ids(r)), 0)
 }
 
-func TestAnInterruptionThatHasNotEndedGivesNoGrace(t *testing.T) {
+func TestRemoveBeforeReadsResumeGrantsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Put(target("a"))
 	r.Interrupted(start)
@@ -84,7 +84,7 @@
 	assert.Equal(t, len(ids(r)), 0)
 }
 
-func TestDrainingTargetsGetNoGrace(t *testing.T) {
+func TestDrainingTargetGetsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	a := target("a")
 	r.Put(a)
@@ -97,7 +97,7 @@
 	assert.Equal(t, len(ids(r)), 0)
 }
 
-func TestAWholeListRemovesWhatItLacks(t *testing.T) {
+func TestReplaceDropsUnlistedTargets(t *testing.T) {
 	r := newRegistry()
 	r.Replace(start, []btinventory.Target{target("a"), target("b")})
 	changes := r.Replace(start, []btinventory.Target{target("b"), target("c")})
@@ -105,7 +105,7 @@
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"b", "c"})
 }
 
-func TestAPeersListReplacesTheOwn(t *testing.T) {
+func TestReplaceFromPeerDropsUnlistedTargets(t *testing.T) {
 	r := newRegistry()
 	r.Put(target("a"))
 	r.Put(target("b"))
@@ -116,7 +116,7 @@
 	assert.Equal(t, len(r.ReplaceFromPeer(start, peerList([]btinventory.Target{target("b"), target("c")}...))), 0)
 }
 
-func TestRenewalsAreNoChange(t *testing.T) {
+func TestRenewedRecordIsNotReportedAsChanged(t *testing.T) {
 	r := newRegistry()
 	a := target("a")
 	a.Member = &btinventory.Member{Group: "g", Rank: 1, Size: 2}
@@ -128,12 +128,12 @@
 	assert.Equal(t, len(r.Put(b)), 1)
 }
 
-func TestIncompleteTargetsAreInvalid(t *testing.T) {
+func TestValidateRejectsIncompleteTargets(t *testing.T) {
 	for _, change := range []func(*btinventory.Target){
 		func(t *btinventory.Target) { t.ID = "" },
 		func(t *btinventory.Target) { t.Service = "" },
 		func(t *btinventory.Target) { t.Address = netip.AddrPort{} },
-		func(t *btinventory.Target) { t.State = "asleep" },
+		func(t *btinventory.Target) { t.State = "unknown" },
 	} {
 		a := target("a")
 		change(&a)
@@ -143,7 +143,7 @@
 }
 
 // Two records with one address are two starts of a target, of which the later one runs.
-func TestALaterIncarnationReplacesTheFormer(t *testing.T) {
+func TestPutDropsEarlierRecordWithSameAddress(t *testing.T) {
 	r := newRegistry()
 	r.Put(listed("old", 3))
 	changes := r.Put(listed("new", 7))
@@ -160,9 +160,9 @@
 }
 
 // One registry reads that a target was removed; a peer, whose watch was interrupted
-// meanwhile, still holds it in grace and must not bring it back. Seen on a simulated day:
-// requests reached the target three seconds after its removal was listed.
-func TestADroppedRecordIsNotTakenFromAPeer(t *testing.T) {
+// meanwhile, still holds it in grace and must not bring it back. Otherwise
+// requests reach the target seconds after its removal is listed.
+func TestPeerListDoesNotRestoreDroppedRecord(t *testing.T) {
 	gone := target("gone")
 	gone.Created = 7
 	stays := target("stays")
@@ -183,7 +183,7 @@
 	reader.ReplaceFromPeer(start, peerList(interrupted.Targets()...))
 	assert.DeepEqual(t, ids(reader), []btinventory.ID{"stays"})
 
-	// A record created again is taken: the former one had only lapsed.
+	// A record that was created again is accepted: the earlier one had only lapsed.
 	gone.Created = 9
 	changes := reader.ReplaceFromPeer(start, peerList([]btinventory.Target{gone, stays}...))
 	assert.Equal(t, len(changes), 1)
@@ -193,7 +193,7 @@
 
 // A record that the list itself holds again after its removal must no longer count as
 // dropped when a peer sends it.
-func TestADroppedRecordThatIsListedAgainIsTakenFromAPeer(t *testing.T) {
+func TestPeerListRestoresRelistedRecord(t *testing.T) {
 	back := target("back")
 	back.Created = 7
 	r := newRegistry()
@@ -205,9 +205,9 @@
 }
 
 // Two entries hold the same missing target in grace. A peer's copy of the record must not
-// clear the deadline: each would clear the other's, and a removed target stayed known for
-// good.
-func TestAPeersGraceDoesNotExtendTheOwn(t *testing.T) {
+// clear the deadline: each would clear the other's, and a removed target would be kept
+// indefinitely.
+func TestPeerListDoesNotExtendGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Put(listed("a", 3))
 	r.Interrupted(start)
--- a/core/btinventory/completeness.go
+++ b/core/btinventory/completeness.go
@@ -8,7 +8,7 @@
 
 // IncompleteAfter is how long a rank of a group must be missing from the list before the
 // group counts as incomplete. A record lapses 3.6 s after its target's last renewal, and a
-// target that ended is back some seconds later: callers who wait for that are served.
+// crashed target restarts some seconds later: clients that wait that long are served.
 const IncompleteAfter = 10 * time.Second
 
 // Completeness tracks which lock-step groups lack ranks: a group can't serve requests
@@ -70,14 +70,14 @@
 	return missing
 }
 
-// Incomplete reports whether the group has lacked a rank for IncompleteAfter, so that callers
+// Incomplete reports whether the group has lacked a rank for IncompleteAfter, so that clients
 // shouldn't wait for it.
 func (c *Completeness) Incomplete(now time.Time, service btid.Service, group string) bool {
 	since, missing := c.incompleteSince[Group{Service: service, Name: group}]
 	return missing && now.Sub(since) >= IncompleteAfter
 }
 
-// BrokenGroups tells for each group in the list whether all of its ranks report that it isn't
+// BrokenGroups reports for each group in the list whether all of its ranks report that it isn't
 // open. The records are a second old or more, so an entry's own observation takes precedence.
 func BrokenGroups(list []Target) map[Group]bool {
 	broken := make(map[Group]bool)
--- a/core/btinventory/completeness_test.go
+++ b/core/btinventory/completeness_test.go
@@ -18,7 +18,7 @@
 	return list
 }
 
-func TestAGroupWithMissingRanksIsIncompleteAfterADelay(t *testing.T) {
+func TestGroupWithMissingRanksIsIncompleteAfterDelay(t *testing.T) {
 	start := time.Unix(1_000, 0)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	const short, long = btinventory.IncompleteAfter - time.Second, btinventory.IncompleteAfter
@@ -31,14 +31,14 @@
 		at         time.Duration
 		incomplete bool
 	}{
-		"all there":                        {[]listing{{0, ranks(2, 0, 1)}}, 2 * long, false},
+		"all listed":                       {[]listing{{0, ranks(2, 0, 1)}}, 2 * long, false},
 		"one missing for a short time":     {[]listing{{0, ranks(2, 0)}}, short, false},
 		"one missing for long":             {[]listing{{0, ranks(2, 0)}}, long, true},
-		"a rank listed twice is one":       {[]listing{{0, ranks(2, 0, 0)}}, long, true},
+		"a rank listed twice counts once":  {[]listing{{0, ranks(2, 0, 0)}}, long, true},
 		"missing again after all were":     {[]listing{{0, ranks(2, 0)}, {short, ranks(2, 0, 1)}, {long, ranks(2, 1)}}, long + short, false},
 		"another one missing all the time": {[]listing{{0, ranks(2, 0)}, {short, ranks(2, 1)}}, long, true},
-		"back":                             {[]listing{{0, ranks(2, 0)}, {2 * long, ranks(2, 0, 1)}}, 3 * long, false},
-		"not listed any more":              {[]listing{{0, ranks(2, 0)}, {short, nil}}, long, false},
+		"listed again":                     {[]listing{{0, ranks(2, 0)}, {2 * long, ranks(2, 0, 1)}}, 3 * long, false},
+		"group no longer listed":           {[]listing{{0, ranks(2, 0)}, {short, nil}}, long, false},
 		"of unknown size":                  {[]listing{{0, ranks(0, 0)}}, long, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/btinventory/drained.go
+++ b/core/btinventory/drained.go
@@ -10,7 +10,7 @@
 )
 
 // DrainedDataCentres is the set of data centres whose targets must not be sent requests,
-// ordered by name. The operator drains a data centre before it is taken away. A set is
+// ordered by name. The operator drains a data centre before it is shut down. A set is
 // never changed in place.
 type DrainedDataCentres []btid.DataCentre
 
--- a/core/btinventory/drained_test.go
+++ b/core/btinventory/drained_test.go
@@ -46,7 +46,7 @@
 
 // Guards against requests to a drained data centre because the list was restored from a
 // snapshot that lacks the drain, until the operator has written it again.
-func TestKnownDrainsOutlastARestoredList(t *testing.T) {
+func TestKnownDrainsSurviveRestoredList(t *testing.T) {
 	start := time.Unix(1000, 0)
 	drains := btinventory.NewDrains()
 	drains.Change("north", true)
--- a/core/btinventory/from_peer.go
+++ b/core/btinventory/from_peer.go
@@ -14,7 +14,7 @@
 
 // ReplaceFromPeer applies the list of another process. Targets that it lacks are dropped. Those in
 // its grace period are kept until the end of that, unless this registry has dropped the record or
-// its own list is too recent for a lapse: it may have had a list all the while.
+// its own list is too recent for a lapse: unlike the peer, it may have had no outage.
 func (r *Registry) ReplaceFromPeer(now time.Time, l PeerList) []Change {
 	changes := r.Expire(now)
 	lapsePossible := r.lapsePossible(l.ReadAt)
--- a/core/btinventory/from_peer_test.go
+++ b/core/btinventory/from_peer_test.go
@@ -18,9 +18,9 @@
 	return btinventory.PeerList{ReadAt: readAt, Targets: []btinventory.Target{t}, GraceEnds: readAt.Add(grace)}
 }
 
-// TestPeersGraceNeedsAnOutageHereToo guards against requests to a removed target at a process
-// that had the list all the while, as the one that it received it from had not.
-func TestPeersGraceNeedsAnOutageHereToo(t *testing.T) {
+// TestPeerGracePeriodIsIgnoredWithoutLocalOutage guards against requests to a removed target at a process
+// that could read the list throughout, because the peer that sent its list could not.
+func TestPeerGracePeriodIsIgnoredWithoutLocalOutage(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
 	r.Put(listed("a", 3))
@@ -29,9 +29,9 @@
 	assert.Equal(t, changes[0].What, btinventory.Gone)
 }
 
-// TestPeersGraceEndsAtThePeersDeadline guards against a target that a process keeps until the
-// peer drops it, however late that is received.
-func TestPeersGraceEndsAtThePeersDeadline(t *testing.T) {
+// TestPeerGracePeriodEndsAtPeerDeadline guards against a process that keeps a removed target
+// until it receives the peer's removal, however late.
+func TestPeerGracePeriodEndsAtPeerDeadline(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
 	r.Put(listed("a", 3))
@@ -47,9 +47,9 @@
 	assert.Equal(t, len(ids(r)), 0)
 }
 
-// TestListTellsWhichTargetsAreInGrace guards against a peer that takes a missing target for a
-// listed one.
-func TestListTellsWhichTargetsAreInGrace(t *testing.T) {
+// TestListMarksTargetsInGracePeriod guards against a peer that treats a missing target as
+// listed.
+func TestListMarksTargetsInGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
 	r.Put(listed("a", 3))
@@ -64,9 +64,9 @@
 	assert.Assert(t, string(btinventory.NewCellDigests(listed)) != string(btinventory.NewCellDigests(r.List())))
 }
 
-// TestOwnReadAfterPeersListsIsNoOutage guards against a grace period for a removed target at an
+// TestReadAfterPeerListsGrantsNoGracePeriod guards against a grace period for a removed target at an
 // entry that couldn't read the list itself but received it from others.
-func TestOwnReadAfterPeersListsIsNoOutage(t *testing.T) {
+func TestReadAfterPeerListsGrantsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
 	r.Put(listed("a", 3))
@@ -77,9 +77,10 @@
 	assert.Equal(t, r.Remove(now, "a")[0].What, btinventory.Gone)
 }
 
-// TestGraceEndsBeforeTheBoundsApply guards against a grace period that starts late, as the first
-// read came late after the outage, and lasts until requests to a removed target count.
-func TestGraceEndsBeforeTheBoundsApply(t *testing.T) {
+// TestGracePeriodEndsWithinRecovery guards against a grace period that starts late, because the first
+// read came late after the outage, and so extends beyond the recovery time, after which
+// requests to a removed target violate the platform's bounds.
+func TestGracePeriodEndsWithinRecovery(t *testing.T) {
 	r := btinventory.NewRegistry(btinventory.LapsePolicy{Grace: grace, MinLapse: minLapse, Recovery: 3 * time.Second})
 	r.Resumed(start)
 	r.Put(target("a"))
@@ -91,9 +92,9 @@
 	assert.Equal(t, r.NextExpiry(), away.Add(3*time.Second))
 }
 
-// TestDroppedRecordIsRememberedAfterItsTargetWasListedAgain guards against a removed target that
-// is taken from a peer's list, because an earlier drop of it was evicted in place of the last one.
-func TestDroppedRecordIsRememberedAfterItsTargetWasListedAgain(t *testing.T) {
+// TestRelistedTargetKeepsItsLastDroppedRecord guards against restoring a removed target from
+// a peer's list, because evicting an earlier drop of its ID discarded the last one.
+func TestRelistedTargetKeepsItsLastDroppedRecord(t *testing.T) {
 	const remembered = 1024
 	r := newRegistry()
 	r.Put(listed("a", 1))
@@ -111,9 +112,9 @@
 	assert.Equal(t, len(ids(r)), 0)
 }
 
-// TestPeersGraceAfterRestoreEndsAtThePeersDeadline guards against a target that is kept longer
-// where an entry learns from another's list that the platform's list was restored.
-func TestPeersGraceAfterRestoreEndsAtThePeersDeadline(t *testing.T) {
+// TestPeerGracePeriodAfterRestoreEndsAtPeerDeadline guards against a target that is kept too
+// long by an entry that detects the restore of the platform's list from a peer's list.
+func TestPeerGracePeriodAfterRestoreEndsAtPeerDeadline(t *testing.T) {
 	old, err := btinventory.NewPosition(1, 3)
 	assert.NilError(t, err)
 	r := newRegistry()
--- a/core/btinventory/instance_test.go
+++ b/core/btinventory/instance_test.go
@@ -32,7 +32,7 @@
 
 // A restart under the same ID must be reported as one instance gone and another added, so
 // that state kept by instance isn't carried over to the new start.
-func TestANewStartReplacesTheEarlierOneOfTheID(t *testing.T) {
+func TestPutReportsRestartAsGoneAndAdded(t *testing.T) {
 	r := newRegistry()
 	r.Put(started("a", 3, 100))
 	changes := r.Put(started("a", 3, 50))
@@ -44,8 +44,8 @@
 	assert.Equal(t, len(r.Put(started("a", 3, 50))), 0)
 }
 
-// The grace deadline of an earlier start's record must not drop the new start.
-func TestTheGraceOfAnEarlierStartDoesNotDropTheNewOne(t *testing.T) {
+// Guards against dropping a restarted target at the grace deadline of its earlier start.
+func TestGraceDeadlineOfEarlierStartDoesNotDropRestartedTarget(t *testing.T) {
 	r := newRegistry()
 	r.Put(started("a", 3, 1))
 	r.Interrupted(start)
@@ -58,7 +58,7 @@
 
 // A record that can't be used drops the target at once, also within the grace period of
 // a lapsed record.
-func TestAnInvalidRecordDropsTheTarget(t *testing.T) {
+func TestInvalidateDropsTargetInGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Put(target("a"))
 	r.Put(target("b"))
@@ -73,7 +73,7 @@
 
 // A record with the address of another target must not drop that target unless both have
 // the same service and rank.
-func TestAnAddressUsedTwiceKeepsTheTarget(t *testing.T) {
+func TestPutKeepsTargetOfOtherServiceOrRankWithSameAddress(t *testing.T) {
 	other := listed("foreign", 9)
 	other.Service = "another"
 	rank := listed("rank", 9)
@@ -88,22 +88,22 @@
 }
 
 // In any order of records, removals, invalid records and interruptions, the registry must
-// hold the last listed start of each ID and report each start's addition and end once.
-func TestRegisterFollowsTheListThroughRestarts(t *testing.T) {
+// hold the last listed start of each ID and report the addition and removal of each start once.
+func TestRegistryMatchesListAcrossRestarts(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		r := newRegistry()
 		now := start
 		last := map[btinventory.ID]btid.Incarnation{}
 		alive := map[btinventory.Instance]bool{}
-		follow := func(changes []btinventory.Change) {
+		apply := func(changes []btinventory.Change) {
 			for _, c := range changes {
 				switch c.What {
 				case btinventory.Added:
 					assert.Assert(t, !alive[c.Target.Instance()], "seed %d: %s added twice", seed, c.Target.Instance())
 					alive[c.Target.Instance()] = true
 				case btinventory.Gone:
-					assert.Assert(t, alive[c.Target.Instance()], "seed %d: %s ended twice", seed, c.Target.Instance())
+					assert.Assert(t, alive[c.Target.Instance()], "seed %d: %s gone twice", seed, c.Target.Instance())
 					delete(alive, c.Target.Instance())
 				}
 			}
@@ -112,12 +112,12 @@
 			now = now.Add(grace / 8)
 			number := random.IntN(4)
 			id := btinventory.ID(fmt.Sprint(number))
-			follow(r.Expire(now))
+			apply(r.Expire(now))
 			switch random.IntN(8) {
 			case 0:
-				follow(r.Remove(now, id))
+				apply(r.Remove(now, id))
 			case 1:
-				follow(r.Invalidate(id))
+				apply(r.Invalidate(id))
 				delete(last, id)
 			case 2:
 				r.Interrupted(start)
@@ -126,7 +126,7 @@
 			default:
 				next := started(id, btinventory.Position(i+1), btid.Incarnation(1+random.IntN(3)))
 				next.Address = netip.AddrPortFrom(next.Address.Addr(), uint16(1000+number))
-				follow(r.Put(next))
+				apply(r.Put(next))
 				last[id] = next.Start
 			}
 			for _, known := range r.Targets() {
--- a/core/btinventory/lapse.go
+++ b/core/btinventory/lapse.go
@@ -2,33 +2,33 @@
 
 import "time"
 
-// LapsePolicy decides for how long a target is kept whose record may have lapsed.
+// LapsePolicy configures how long a target is kept whose record may have lapsed.
 type LapsePolicy struct {
 	// Grace is how long after the first read after an outage a target is kept that the list
 	// lacks then. Live targets write their records again in this time.
 	Grace time.Duration
-	// MinLapse is the shortest time in which the record of a live target lapses that can't
-	// renew it. A shorter interruption is no outage.
+	// MinLapse is the shortest time after which the record of a live target that can't renew it
+	// lapses. A shorter interruption doesn't count as an outage.
 	MinLapse time.Duration
-	// Recovery is how long after an outage the platform's bounds don't apply yet; zero if that
-	// isn't known. A grace period ends by then.
+	// Recovery is how long after an outage the platform's bounds on requests to removed targets
+	// don't apply yet; zero if unknown. A grace period ends by then.
 	Recovery time.Duration
 }
 
 // graceEnds returns when the grace period ends of targets that the first read after an outage
-// lacks. The outage continued at awayAt at least.
-func (p LapsePolicy) graceEnds(readAt, awayAt time.Time) time.Time {
+// lacks. The outage continued at unavailableAt at least.
+func (p LapsePolicy) graceEnds(readAt, unavailableAt time.Time) time.Time {
 	end := readAt.Add(p.Grace)
-	if bound := awayAt.Add(p.Recovery); p.Recovery > 0 && bound.Before(end) {
+	if bound := unavailableAt.Add(p.Recovery); p.Recovery > 0 && bound.Before(end) {
 		return bound
 	}
 	return end
 }
 
-// Interrupted records that a read that was sent at the given time found the platform away.
+// Interrupted records that a read sent at the given time failed because the platform was unavailable.
 func (r *Registry) Interrupted(sentAt time.Time) {
-	if sentAt.After(r.awayAt) {
-		r.awayAt = sentAt
+	if sentAt.After(r.unavailableAt) {
+		r.unavailableAt = sentAt
 	}
 }
 
@@ -36,9 +36,9 @@
 // the list lacks in the first read after an outage may have lapsed. Later removals were written
 // when targets could renew their records again.
 func (r *Registry) Resumed(now time.Time) {
-	r.mayHaveLapsed = !r.awayAt.IsZero() && r.lapsePossible(now)
-	r.graceEnds = r.policy.graceEnds(now, r.awayAt)
-	r.awayAt = time.Time{}
+	r.mayHaveLapsed = !r.unavailableAt.IsZero() && r.lapsePossible(now)
+	r.graceEnds = r.policy.graceEnds(now, r.unavailableAt)
+	r.unavailableAt = time.Time{}
 	r.listedAt = now
 }
 
--- a/core/btinventory/outage_test.go
+++ b/core/btinventory/outage_test.go
@@ -9,9 +9,9 @@
 	"bilberrytide/core/btinventory"
 )
 
-// TestRemovalAfterOutageCountsAtOnce guards against requests to a target whose removal was
-// written after the list could be read again: only what lapsed during the outage may be back.
-func TestRemovalAfterOutageCountsAtOnce(t *testing.T) {
+// TestRemovalAfterOutageGetsNoGracePeriod guards against requests to a target whose removal was
+// written after the list could be read again: only records that lapsed during the outage may be written again.
+func TestRemovalAfterOutageGetsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
 	r.Put(target("a"))
@@ -25,9 +25,9 @@
 	assert.DeepEqual(t, ids(r), []btinventory.ID{"a"})
 }
 
-// TestCutWatchIsNoOutage guards against requests to a removed target after a read failed
-// once: in the time without reads no record of a live target can have lapsed.
-func TestCutWatchIsNoOutage(t *testing.T) {
+// TestFailedWatchGrantsNoGracePeriod guards against requests to a removed target after a single
+// failed read: the interruption was too short for a live target's record to lapse.
+func TestFailedWatchGrantsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
 	r.Put(target("a"))
--- a/core/btinventory/partition_test.go
+++ b/core/btinventory/partition_test.go
@@ -36,7 +36,7 @@
 
 // Guards against a list that differs from its sender's after the differing cells were
 // exchanged, for any mix of added, changed and removed targets.
-func TestExchangedCellsGiveTheSendersList(t *testing.T) {
+func TestReplacedCellsYieldSenderList(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
 		known := fleetTargets(r.IntN(300))
@@ -55,7 +55,7 @@
 
 // Guards against traffic that grows with the fleet at each change of one target: the whole
 // list was sent to every entry and agent.
-func TestOneChangeCostsTheSameInAFleetOfAnySize(t *testing.T) {
+func TestChangeOfOneTargetIsSentInBoundedSize(t *testing.T) {
 	const bound = 8 << 10
 	for _, n := range []int{192, 768, 1536} {
 		before := fleetTargets(n)
@@ -73,7 +73,7 @@
 }
 
 // Guards against a partial list for a process that has none, or that can't replace cells.
-func TestWithoutDigestsAllCellsDiffer(t *testing.T) {
+func TestMissingOrEqualDigestsSelectWholeList(t *testing.T) {
 	list := fleetTargets(10)
 	digests := btinventory.NewCellDigests(list)
 	assert.NilError(t, digests.Validate())
--- a/core/btinventory/position_test.go
+++ b/core/btinventory/position_test.go
@@ -17,7 +17,7 @@
 	// Output: true 1/900 2/31
 }
 
-func TestPositionsKeepTheirParts(t *testing.T) {
+func TestPositionRoundTrip(t *testing.T) {
 	for _, c := range []struct{ era, revision uint64 }{{0, 0}, {0, 7}, {1, 0}, {3, btinventory.MaxRevision}, {btinventory.MaxEra, btinventory.MaxRevision}} {
 		p, err := btinventory.NewPosition(c.era, c.revision)
 		assert.NilError(t, err)
--- a/core/btinventory/reads_test.go
+++ b/core/btinventory/reads_test.go
@@ -12,12 +12,12 @@
 	"bilberrytide/core/btinventory"
 )
 
-var readSeeds = flag.Int("read.seeds", 60, "runs of each way to disturb the reads of the list")
+var readSeeds = flag.Int("read.seeds", 60, "runs of each scenario of faults in reads of the list")
 
-// modelLength is how long a run of the model takes, leaveAfter the earliest time of a removal.
+// modelLength is how long a run of the model takes, removeAfter the earliest time of a removal.
 const (
 	modelLength = 24 * time.Second
-	leaveAfter  = 4 * time.Second
+	removeAfter = 4 * time.Second
 )
 
 // at returns the time after so many milliseconds of a run.
@@ -30,18 +30,18 @@
 	}
 }
 
-// run plays the model and returns the first entry that sends requests to the removed target
+// run runs the model and returns the first entry that sends requests to the removed target
 // later than the drain time after its removal, while the bounds apply to it. The removal counts
-// if it was written while the store was calm.
+// if it was written while the store had no faults.
 func (m *readModel) run(id btinventory.ID, removedAt time.Time) string {
-	calm := true
+	faultFree := true
 	for m.now.Sub(start) < modelLength {
 		m.step()
 		if m.now.Equal(removedAt) {
-			calm = m.calm(m.away)
+			faultFree = m.faultFree(m.storeFaults)
 		}
 		for i, e := range m.entries {
-			if calm && m.now.Sub(removedAt) > modelDrain+modelStep && m.inTouch(e) && e.knows(id) {
+			if faultFree && m.now.Sub(removedAt) > modelDrain+modelStep && m.boundsApply(e) && e.usesTarget(id) {
 				return fmt.Sprintf("entry %d still uses the target %s after its removal", i, m.now.Sub(removedAt))
 			}
 		}
@@ -49,27 +49,27 @@
 	return ""
 }
 
-// series returns spells of a random length, with random pauses, that cover at most the given
+// series returns faults of a random length, with random pauses, that cover at most the given
 // time.
-func (m *readModel) series(from, to time.Time, kinds ...trouble) []spell {
-	var spells []spell
+func (m *readModel) series(from, to time.Time, kinds ...faultKind) []faultWindow {
+	var faults []faultWindow
 	for t := from; t.Before(to); {
-		s := spell{trouble: kinds[m.random.IntN(len(kinds))], from: t, to: t.Add(time.Duration(100+m.random.IntN(9900)) * time.Millisecond)}
-		if s.trouble == dead {
+		s := faultWindow{kind: kinds[m.random.IntN(len(kinds))], from: t, to: t.Add(time.Duration(100+m.random.IntN(9900)) * time.Millisecond)}
+		if s.kind == dead {
 			s.to = s.from.Add(modelStep)
 		}
-		spells = append(spells, s)
+		faults = append(faults, s)
 		t = s.to.Add(time.Duration(50+m.random.IntN(3000)) * time.Millisecond)
 	}
-	return spells
+	return faults
 }
 
-// removedTarget plays a run in which a target leaves without an announcement and its record is
+// removedTarget runs the model with a target that stops without draining and whose record is
 // removed. It returns which entry sends requests to it too late, if any.
 func removedTarget(seed uint64, v variant, disturb func(m *readModel)) string {
 	m := newReadModel(seed, v)
 	disturb(m)
-	removedAt := at(int(leaveAfter.Milliseconds()) + 10*m.random.IntN(1200))
+	removedAt := at(int(removeAfter.Milliseconds()) + 10*m.random.IntN(1200))
 	m.write(start, "leaves", false)
 	m.renew(at(5), removedAt)
 	m.write(removedAt, "leaves", true)
@@ -77,64 +77,64 @@
 	return m.run("leaves", removedAt)
 }
 
-// TestRemovedTargetIsDroppedInTime guards against requests to a removed target after reads of the
-// list were disturbed in series: cut while they waited, refused, or without an answer, at one
-// entry, some, or all, and on connections that no longer work.
-func TestRemovedTargetIsDroppedInTime(t *testing.T) {
-	ways := []struct {
+// TestRemovedTargetIsDroppedWithinDrainTime guards against requests to a removed target
+// after repeated faults in reads of the list: watches reset while they wait, reads rejected or left
+// without a response, and dead connections, at one entry, several or all.
+func TestRemovedTargetIsDroppedWithinDrainTime(t *testing.T) {
+	scenarios := []struct {
 		name string
-		// naive is a variant that must fail in some of the runs, if there is one.
-		naive   variant
+		// faulty is a variant that must fail in some of the runs, if there is one.
+		faulty  variant
 		disturb func(m *readModel)
 	}{
-		{"watches of all cut in series", watchesOnly, func(m *readModel) {
-			m.away = m.series(at(2000), at(20000), cut)
+		{"watches of all entries reset repeatedly", watchesOnly, func(m *readModel) {
+			m.storeFaults = m.series(at(2000), at(20000), reset)
 		}},
-		{"connections of all dead", watchesOnly, func(m *readModel) {
+		{"connections of all entries dead", watchesOnly, func(m *readModel) {
 			for _, e := range m.entries {
-				e.spells = m.series(at(2000), at(20000), dead, cut)
+				e.faults = m.series(at(2000), at(20000), dead, reset)
 			}
 		}},
-		{"one reader disturbed", asBuilt, func(m *readModel) {
-			m.entries[0].spells = m.series(at(2000), at(20000), cut, hang, refuse, dead)
+		{"faults at one reader", asBuilt, func(m *readModel) {
+			m.entries[0].faults = m.series(at(2000), at(20000), reset, hang, reject, dead)
 		}},
-		{"all readers disturbed", unmarkedLists, func(m *readModel) {
+		{"faults at all readers", unmarkedLists, func(m *readModel) {
 			for _, e := range m.entries[:3] {
-				e.spells = m.series(at(2000), at(20000), cut, hang, refuse, dead)
+				e.faults = m.series(at(2000), at(20000), reset, hang, reject, dead)
 			}
 		}},
-		{"all entries disturbed", watchesOnly, func(m *readModel) {
+		{"faults at all entries", watchesOnly, func(m *readModel) {
 			for _, e := range m.entries {
-				e.spells = m.series(at(2000), at(20000), cut, hang, refuse, dead)
+				e.faults = m.series(at(2000), at(20000), reset, hang, reject, dead)
 			}
 		}},
-		{"store away in series", watchesOnly, func(m *readModel) {
-			m.away = m.series(at(2000), at(14000), hang, refuse, cut)
+		{"store unavailable repeatedly", watchesOnly, func(m *readModel) {
+			m.storeFaults = m.series(at(2000), at(14000), hang, reject, reset)
 		}},
 	}
-	for _, w := range ways {
+	for _, w := range scenarios {
 		t.Run(w.name, func(t *testing.T) {
-			naiveFailures := 0
+			faultyFailures := 0
 			for seed := range uint64(*readSeeds) {
 				assert.Equal(t, removedTarget(seed, asBuilt, w.disturb), "", "seed %d", seed)
-				if w.naive != asBuilt && removedTarget(seed, w.naive, w.disturb) != "" {
-					naiveFailures++
+				if w.faulty != asBuilt && removedTarget(seed, w.faulty, w.disturb) != "" {
+					faultyFailures++
 				}
 			}
-			assert.Assert(t, naiveFailures > 0 || w.naive == asBuilt, "no run of the naive variant fails")
+			assert.Assert(t, faultyFailures > 0 || w.faulty == asBuilt, "no run of the faulty variant fails")
 		})
 	}
 }
 
-// lapsedTarget plays a run in which the store is away, the record of a live target lapses
+// lapsedTarget runs the model so that the store is unavailable, the record of a live target lapses
 // meanwhile, and the target writes it again once the store is back. It returns which entry
 // loses the target, if any.
 func lapsedTarget(seed uint64, v variant) string {
 	m := newReadModel(seed, v)
-	kind := []trouble{hang, refuse}[m.random.IntN(2)]
+	kind := []faultKind{hang, reject}[m.random.IntN(2)]
 	from := at(3000 + 10*m.random.IntN(200))
 	to := from.Add(modelLapse + time.Duration(100+m.random.IntN(6000))*time.Millisecond)
-	m.away = []spell{{trouble: kind, from: from, to: to}}
+	m.storeFaults = []faultWindow{{kind: kind, from: from, to: to}}
 	m.write(start, "lives", false)
 	m.renew(at(5), from)
 	m.write(from.Add(modelLapse), "lives", true)
@@ -147,7 +147,7 @@
 			continue
 		}
 		for i, e := range m.entries {
-			if !e.knows("lives") {
+			if !e.usesTarget("lives") {
 				return fmt.Sprintf("entry %d lacks the target %s after the store was back", i, back)
 			}
 		}
@@ -155,19 +155,19 @@
 	return ""
 }
 
-// TestLapsedTargetStaysInUse guards against the loss of live targets whose records lapsed while
-// the store was away: they are listed again within two seconds of its return, and in use until
+// TestLapsedTargetStaysUsableUntilRelisted guards against dropping live targets whose records lapsed while
+// the store was unavailable: they are listed again within two seconds of its return, and in use until
 // then.
-func TestLapsedTargetStaysInUse(t *testing.T) {
+func TestLapsedTargetStaysUsableUntilRelisted(t *testing.T) {
 	for seed := range uint64(*readSeeds) {
 		assert.Equal(t, lapsedTarget(seed, asBuilt), "", "seed %d", seed)
 	}
 }
 
-// callsOfReader plays a run with the spells and returns the calls of one reader.
-func callsOfReader(v variant, away ...spell) int {
+// callsOfReader runs the model with the faults and returns the calls of one reader.
+func callsOfReader(v variant, storeFaults ...faultWindow) int {
 	m := newReadModel(1, v)
-	m.away = away
+	m.storeFaults = storeFaults
 	m.renew(at(5), at(int(modelLength.Milliseconds())))
 	for m.now.Sub(start) < modelLength {
 		m.step()
@@ -175,21 +175,21 @@
 	return m.entries[0].calls
 }
 
-// TestReadsCostNoMoreCallsWithoutFailures guards against polls while watches are answered, as the
-// platform limits and counts all calls.
-func TestReadsCostNoMoreCallsWithoutFailures(t *testing.T) {
+// TestNoPollsWhileWatchesSucceed guards against polls while watches are answered, as the
+// platform limits and counts all API calls.
+func TestNoPollsWhileWatchesSucceed(t *testing.T) {
 	assert.Equal(t, callsOfReader(asBuilt), callsOfReader(watchesOnly))
 }
 
-// TestReadsInAnOutageAreLimited guards against more calls in an outage than one in each retry
+// TestReadRateIsBoundedDuringOutage guards against more calls in an outage than one in each retry
 // delay, also while those sent before hang.
-func TestReadsInAnOutageAreLimited(t *testing.T) {
+func TestReadRateIsBoundedDuringOutage(t *testing.T) {
 	const length = 10 * time.Second
-	for _, kind := range []trouble{hang, refuse} {
-		s := spell{trouble: kind, from: at(5000), to: at(5000).Add(length)}
-		calm := int((modelLength - length) / modelSchedule.Interval)
-		most := calm + int(length/btgossip.RetryDelay(0, modelReaders, 1)) + 2
+	for _, kind := range []faultKind{hang, reject} {
+		s := faultWindow{kind: kind, from: at(5000), to: at(5000).Add(length)}
+		regular := int((modelLength - length) / modelSchedule.Interval)
+		most := regular + int(length/btgossip.RetryDelay(0, modelReaders, 1)) + 2
 		calls := callsOfReader(asBuilt, s)
-		assert.Assert(t, calls <= most, "trouble %d: %d calls, at most %d", kind, calls, most)
+		assert.Assert(t, calls <= most, "fault kind %d: %d calls, at most %d", kind, calls, most)
 	}
 }
--- a/core/btinventory/restored.go
+++ b/core/btinventory/restored.go
@@ -4,7 +4,7 @@
 
 // staleWindow is how long after the list was restored from a snapshot its records may be
 // older than the known ones: live targets write theirs again within two seconds, and the
-// others' lapse after three missed renewals of some 1.2 s.
+// others' lapse after three missed renewals, about 1.2 s apart.
 const staleWindow = 5 * time.Second
 
 // Restored records that the list was restored from a snapshot, which begins a new era. The
@@ -13,7 +13,7 @@
 // for the grace period, one that was removed or is draining gets no requests, and an earlier
 // start doesn't replace a later one. Records that targets write from now on apply at once.
 func (r *Registry) Restored(now time.Time, era uint64) {
-	r.awayAt = time.Time{}
+	r.unavailableAt = time.Time{}
 	r.listedAt = now
 	r.mayHaveLapsed = true
 	r.graceEnds = now.Add(r.policy.Grace)
@@ -50,7 +50,7 @@
 	}
 	for _, rec := range r.records {
 		if rec.target.Created.Era() < t.Created.Era() && t.conflictsWith(rec.target) {
-			// It had the address before the snapshot was taken, the known one after.
+			// The listed target had the address before the snapshot was taken, the known one after.
 			return true
 		}
 	}
--- a/core/btinventory/restored_test.go
+++ b/core/btinventory/restored_test.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	eraSeeds = flag.Uint64("era.seeds", 60, "runs of the model of stores that come back from copies")
+	eraSeeds = flag.Uint64("era.seeds", 60, "runs of the model of stores restored from snapshots")
 	eraFirst = flag.Uint64("era.first", 0, "the first seed of these runs")
 )
 
@@ -127,7 +127,7 @@
 
 // eraEntry is an entry that reads the list or gets it from another entry.
 type eraEntry struct {
-	register *btinventory.Registry
+	registry *btinventory.Registry
 	position btinventory.Position
 	known    bool
 	reads    bool
@@ -141,7 +141,7 @@
 // setPosition records the position of the entry's list, as io/btdirect does.
 func (e *eraEntry) setPosition(now time.Time, p btinventory.Position) {
 	if e.position != 0 && p.Era() != e.position.Era() && !e.ignoreEras {
-		e.register.Restored(now, p.Era())
+		e.registry.Restored(now, p.Era())
 	}
 	e.position = p
 }
@@ -158,32 +158,32 @@
 // read reads the store's changes, or the whole list if the changes aren't known.
 func (e *eraEntry) read(now time.Time, s *eraStore) {
 	if s.down {
-		e.register.Interrupted(now)
+		e.registry.Interrupted(now)
 		return
 	}
-	e.register.Resumed(now)
+	e.registry.Resumed(now)
 	p := s.position()
 	full := !e.known || p.Era() != e.position.Era() || e.position.Revision() > s.revision
 	from := e.position.Revision()
 	e.setPosition(now, p)
 	e.known = true
 	e.listedAt = now
-	changes := e.register.Expire(now)
+	changes := e.registry.Expire(now)
 	if full {
 		var list []btinventory.Target
 		for _, id := range slices.Sorted(maps.Keys(s.items)) {
 			list = append(list, s.items[id].target)
 		}
-		e.recordLeaving(now, append(changes, e.register.Replace(now, list)...))
+		e.recordLeaving(now, append(changes, e.registry.Replace(now, list)...))
 		return
 	}
 	for _, event := range s.history {
 		switch {
 		case event.revision <= from:
 		case event.removed:
-			changes = append(changes, e.register.Remove(now, event.id)...)
+			changes = append(changes, e.registry.Remove(now, event.id)...)
 		default:
-			changes = append(changes, e.register.Put(event.target)...)
+			changes = append(changes, e.registry.Put(event.target)...)
 		}
 	}
 	e.recordLeaving(now, changes)
@@ -197,7 +197,7 @@
 	e.setPosition(now, o.position)
 	e.listedAt = o.listedAt
 	e.known = true
-	e.recordLeaving(now, e.register.ReplaceFromPeer(now, btinventory.PeerList{ReadAt: o.listedAt, Targets: o.register.List(), GraceEnds: o.register.NextExpiry()}))
+	e.recordLeaving(now, e.registry.ReplaceFromPeer(now, btinventory.PeerList{ReadAt: o.listedAt, Targets: o.registry.List(), GraceEnds: o.registry.NextExpiry()}))
 }
 
 // eraModel simulates a store, its targets and the entries.
@@ -218,7 +218,7 @@
 		w.targets = append(w.targets, &eraTarget{id: btinventory.ID(rune('a' + i)), start: 1, alive: true, changedAt: start})
 	}
 	for i := range 5 {
-		w.entries = append(w.entries, &eraEntry{register: btinventory.NewRegistry(btinventory.LapsePolicy{Grace: eraGrace, MinLapse: minLapse}), reads: i < 3, leavingSince: map[btinventory.Instance]time.Time{}, ignoreEras: ignoreEras})
+		w.entries = append(w.entries, &eraEntry{registry: btinventory.NewRegistry(btinventory.LapsePolicy{Grace: eraGrace, MinLapse: minLapse}), reads: i < 3, leavingSince: map[btinventory.Instance]time.Time{}, ignoreEras: ignoreEras})
 	}
 	return w
 }
@@ -307,21 +307,21 @@
 func (w *eraModel) check(now time.Time) string {
 	for n, e := range w.entries {
 		known := map[btinventory.ID]btinventory.Target{}
-		for _, t := range e.register.Targets() {
+		for _, t := range e.registry.Targets() {
 			known[t.ID] = t
 		}
 		for _, t := range w.targets {
 			listed, found := known[t.id]
-			if wrong := w.wrong(now, e, t, listed, found); wrong != "" {
-				return fmt.Sprintf("after %s, entry %d: %s", now.Sub(start), n, wrong)
+			if violation := w.violation(now, e, t, listed, found); violation != "" {
+				return fmt.Sprintf("after %s, entry %d: %s", now.Sub(start), n, violation)
 			}
 		}
 	}
 	return ""
 }
 
-// wrong describes the violation in what an entry knows of a target; empty if there is none.
-func (w *eraModel) wrong(now time.Time, e *eraEntry, t *eraTarget, listed btinventory.Target, found bool) string {
+// violation describes the violation in what an entry knows of a target; empty if there is none.
+func (w *eraModel) violation(now time.Time, e *eraEntry, t *eraTarget, listed btinventory.Target, found bool) string {
 	instance := btinventory.Instance{ID: t.id, Start: t.start}
 	knownAt, leaving := e.leavingSince[listed.Instance()]
 	if found && listed.State == btinventory.Ready && leaving && !(listed.Instance() == instance && t.wroteReadyAt.After(knownAt)) {
@@ -340,7 +340,7 @@
 
 // runEras runs the model once and returns how often the store was restored and the first
 // violation.
-func runEras(seed uint64, ignoreEras bool) (restores uint64, wrong string) {
+func runEras(seed uint64, ignoreEras bool) (restores uint64, violation string) {
 	w := newEraModel(seed, ignoreEras)
 	for tick := range int(eraRun / eraTick) {
 		now := start.Add(time.Duration(tick) * eraTick)
@@ -348,11 +348,11 @@
 		w.stepStore(now, settling)
 		w.stepTargets(now, settling)
 		w.stepEntries(tick, now)
-		if wrong = w.check(now); wrong != "" {
+		if violation = w.check(now); violation != "" {
 			break
 		}
 	}
-	return w.store.era - 1, wrong
+	return w.store.era - 1, violation
 }
 
 // eraRegressionSeeds are seeds that failed before: a removed target stayed known, as entries
@@ -363,17 +363,17 @@
 // end and restart; some entries read it and others get the list from them. No entry may use a
 // target that it knew to drain or to be gone unless that target wrote again that it is ready,
 // and all must know the right targets some seconds later.
-func TestEntriesAgreeAfterTheStoreIsRestored(t *testing.T) {
+func TestEntriesConvergeAfterStoreRestore(t *testing.T) {
 	restored, ignoringFailed := uint64(0), 0
 	for _, seed := range eraRegressionSeeds {
-		_, wrong := runEras(seed, false)
-		assert.Check(t, wrong == "", "seed %d: %s", seed, wrong)
+		_, violation := runEras(seed, false)
+		assert.Check(t, violation == "", "seed %d: %s", seed, violation)
 	}
 	for seed := *eraFirst; seed < *eraFirst+*eraSeeds; seed++ {
-		restores, wrong := runEras(seed, false)
-		assert.Check(t, wrong == "", "seed %d: %s", seed, wrong)
+		restores, violation := runEras(seed, false)
+		assert.Check(t, violation == "", "seed %d: %s", seed, violation)
 		restored += restores
-		if _, wrong := runEras(seed, true); wrong != "" {
+		if _, violation := runEras(seed, true); violation != "" {
 			ignoringFailed++
 		}
 	}
--- a/core/btinventory/schedule.go
+++ b/core/btinventory/schedule.go
@@ -29,22 +29,22 @@
 	Interval time.Duration
 	// Wait is how long a watch waits for changes.
 	Wait time.Duration
-	// Late is how long after the wait the answer to a watch counts as late.
+	// Late is how long after Wait a watch without a response counts as late.
 	Late time.Duration
 	// MaxInFlight limits the concurrent reads.
 	MaxInFlight int
 }
 
-// KnownList is what is known of the platform's list.
+// KnownList describes the known copy of the platform's list.
 type KnownList struct {
-	// HasPosition reports that the changes to the list can be read.
+	// HasPosition reports whether its position is known, so that only changes need to be read.
 	HasPosition bool
 	// ReadAt is when it was read, by whichever process.
 	ReadAt time.Time
 }
 
 // Schedule decides when an entry reads the platform's list and how. A poll follows a watch that
-// failed or is late, which may have been cut or whose connection may be dead. It is not safe for
+// failed or is late, which may have been interrupted or whose connection may be dead. It is not safe for
 // concurrent use.
 type Schedule struct {
 	policy   SchedulePolicy
--- a/core/btinventory/stale_test.go
+++ b/core/btinventory/stale_test.go
@@ -13,7 +13,7 @@
 
 // After a restore, the list holds the record of a target whose address went to another
 // target after the snapshot was taken. The older record must not drop the newer target.
-func TestARestoredListDoesNotReplaceANewerRecord(t *testing.T) {
+func TestRestoredListDoesNotReplaceNewerRecord(t *testing.T) {
 	r := newRegistry()
 	at := func(era, revision uint64) btinventory.Position {
 		p, err := btinventory.NewPosition(era, revision)
--- a/core/btinventory/sync_test.go
+++ b/core/btinventory/sync_test.go
@@ -56,7 +56,7 @@
 
 // entry is an entry that reads the store or gets the list from another entry.
 type entry struct {
-	register *btinventory.Registry
+	registry *btinventory.Registry
 	revision uint64
 }
 
@@ -67,11 +67,11 @@
 		e := s.events[l.revision]
 		switch {
 		case e.removed:
-			l.register.Remove(start, e.id)
+			l.registry.Remove(start, e.id)
 		case e.invalid:
-			l.register.Invalidate(e.id)
+			l.registry.Invalidate(e.id)
 		default:
-			l.register.Put(e.target)
+			l.registry.Put(e.target)
 		}
 	}
 }
@@ -82,7 +82,7 @@
 	if checkAge && other.revision < l.revision {
 		return
 	}
-	l.register.ReplaceFromPeer(start, peerList(other.register.Targets()...))
+	l.registry.ReplaceFromPeer(start, peerList(other.registry.Targets()...))
 	l.revision = max(l.revision, other.revision)
 }
 
@@ -92,7 +92,7 @@
 		return true
 	}
 	named := map[btinventory.ID]btid.Incarnation{}
-	for _, target := range l.register.Targets() {
+	for _, target := range l.registry.Targets() {
 		named[target.ID] = target.Start
 	}
 	return maps.Equal(named, s.expected[l.revision-1])
@@ -105,7 +105,7 @@
 	s := &store{}
 	entries := make([]*entry, 4)
 	for i := range entries {
-		entries[i] = &entry{register: newRegistry()}
+		entries[i] = &entry{registry: newRegistry()}
 	}
 	for range 120 {
 		l := entries[random.IntN(len(entries))]
@@ -127,7 +127,7 @@
 // Entries that get the list from each other in any order must each know exactly the list of
 // the latest revision that reached them: the last written start of each ID, and none that was
 // removed or invalid since. An entry that applies lists older than its own must fail this.
-func TestEntriesSyncTheListFromEachOther(t *testing.T) {
+func TestEntriesConvergeThroughPeerLists(t *testing.T) {
 	uncheckedFailures := 0
 	for seed := range uint64(300) {
 		assert.Assert(t, simulateSync(seed, true), "seed %d", seed)
