btclaim: use usual terms for expiry, votes and lookups

A home that is closed, history that is forgotten and a voter that is silent become refused new claims, expired records and the time from which a voter may vote. References in docs follow.

No change in behaviour.

--- a/core/btclaim/claim.go
+++ b/core/btclaim/claim.go
@@ -49,8 +49,8 @@
 	return btrendezvous.First(key, epoch.Homes)
 }
 
-// EpochID identifies a set of homes. The digest tells two sets apart to which two
-// bundles gave the same number.
+// EpochID identifies a set of homes. The digest distinguishes two sets to which
+// two bundles gave the same number.
 type EpochID struct {
 	Number uint64          `cbor:"number" json:"number"`
 	Digest btbundle.Digest `cbor:"digest" json:"digest"`
@@ -97,7 +97,7 @@
 		return fmt.Errorf("%w: attempt zero", ErrMessage)
 	}
 	if g.IssuedAt.IsZero() || !g.NotAfter.After(g.IssuedAt) {
-		return fmt.Errorf("%w: grant ends before it was issued", ErrMessage)
+		return fmt.Errorf("%w: grant expires before it was issued", ErrMessage)
 	}
 	return nil
 }
--- a/core/btclaim/client.go
+++ b/core/btclaim/client.go
@@ -78,8 +78,8 @@
 // SendRequest sends the request with its grant to the executor that the grant names.
 type SendRequest struct{ Grant Grant }
 
-// Result is the final outcome. A not_run must be passed on at once, because it holds
-// only for a limited time.
+// Result is the final outcome. A not_run must be forwarded immediately, because it
+// is valid only for a limited time.
 type Result struct {
 	Outcome    btrequest.Outcome
 	Reason     btrequest.Reason
@@ -100,11 +100,11 @@
 	stageChoosing
 	stageAcquiring
 	stageRunning
-	stageEnded
+	stageDone
 )
 
 // Client takes one keyed request to its final outcome. It reports not_run only on the
-// home's answer, and only while that answer holds.
+// home's reply, and only while that reply is valid.
 type Client struct {
 	settings ClientSettings
 	clock    clock
@@ -176,7 +176,7 @@
 }
 
 func (c *Client) finish(e Result) []ClientEffect {
-	c.stage = stageEnded
+	c.stage = stageDone
 	return []ClientEffect{e}
 }
 
@@ -250,7 +250,7 @@
 	return []ClientEffect{SendRequest{Grant: g}}
 }
 
-// finishRefused passes on the home's refusal. A not_run is good for r.Hold less the
+// finishRefused reports the home's refusal. A not_run is valid for r.Hold less the
 // clock margin, counted from before the message was sent. After that the home may
 // have granted the claim, and the outcome is unknown.
 func (c *Client) finishRefused(r AcquireReply) []ClientEffect {
@@ -265,7 +265,7 @@
 	return c.finish(e)
 }
 
-// finishRun ends the request with the outcome of the run under way.
+// finishRun ends the request with the outcome of the run in progress.
 func (c *Client) finishRun(attempt uint32, e Result) []ClientEffect {
 	if c.stage != stageRunning || attempt != c.grant.Attempt {
 		return nil
@@ -276,7 +276,7 @@
 	return c.finish(e)
 }
 
-// handleRefused goes on to another executor if the refusal has a matching seal.
+// handleRefused retries on another executor if the refusal has a matching seal.
 // Without one the claim may have run.
 func (c *Client) handleRefused(r Refused) []ClientEffect {
 	if c.stage != stageRunning || r.Claim != c.settings.Claim || r.Attempt != c.grant.Attempt {
--- a/core/btclaim/client_test.go
+++ b/core/btclaim/client_test.go
@@ -22,8 +22,8 @@
 	return btclaim.NewClient(s), s
 }
 
-// TestNotRunIsReportedOnlyDuringHold: a home's not_run is good for its hold, counted
-// from before the request was sent. A reply that arrives later must end as unknown,
+// TestNotRunIsReportedOnlyDuringHold: a home's not_run is valid for its hold, counted
+// from before the request was sent. A reply that arrives later must yield unknown,
 // since the home may have granted the claim in the meantime.
 func TestNotRunIsReportedOnlyDuringHold(t *testing.T) {
 	cases := map[time.Duration]btclaim.Result{
@@ -46,9 +46,9 @@
 	}
 }
 
-// TestSealedGrantsAreReleased: the client sends each sealed refusal to the home with
+// TestClientSendsSealsToHome: the client sends each sealed refusal to the home with
 // the next executor, and the last one without.
-func TestSealedGrantsAreReleased(t *testing.T) {
+func TestClientSendsSealsToHome(t *testing.T) {
 	c, s := newClient()
 	c.Step(startTime, btclaim.ClientStarted{})
 	for attempt := uint32(1); attempt <= 2; attempt++ {
@@ -71,15 +71,15 @@
 	assert.DeepEqual(t, c.Step(startTime, reply), []btclaim.ClientEffect{want})
 }
 
-// TestUnansweredRequestsAreUnknown: the outcome is unknown if the home never answers.
-func TestUnansweredRequestsAreUnknown(t *testing.T) {
+// TestOutcomeIsUnknownWithoutHomeReply: the outcome is unknown if the home never answers.
+func TestOutcomeIsUnknownWithoutHomeReply(t *testing.T) {
 	c, s := newClient()
 	c.Step(startTime, btclaim.ClientStarted{})
 	c.Step(startTime, btclaim.ExecutorChosen{})
 	for ask := uint32(1); ask < s.MaxAsks; ask++ {
 		assert.Equal(t, len(c.Step(startTime, btclaim.HomeTimedOut{Ask: ask})), 1)
 	}
-	ended := c.Step(startTime, btclaim.HomeTimedOut{Ask: s.MaxAsks})[0].(btclaim.Result)
-	assert.Equal(t, ended.Outcome, btrequest.Unknown)
-	assert.Equal(t, ended.Reason, btclaim.HomeUnreachable)
+	result := c.Step(startTime, btclaim.HomeTimedOut{Ask: s.MaxAsks})[0].(btclaim.Result)
+	assert.Equal(t, result.Outcome, btrequest.Unknown)
+	assert.Equal(t, result.Reason, btclaim.HomeUnreachable)
 }
--- a/core/btclaim/clock.go
+++ b/core/btclaim/clock.go
@@ -11,7 +11,7 @@
 const maxHold = time.Minute
 
 // withClockMargin returns how much of a duration stated by another process may be
-// relied on, counted from before that process was asked.
+// relied on, counted from before that process was queried.
 func withClockMargin(d time.Duration) time.Duration { return d - d/clockMarginDivisor }
 
 // clock holds the latest time read and never goes back. Leases and holds are measured
@@ -32,7 +32,7 @@
 }
 
 // elapsed returns the time since an earlier reading: the longer of the monotonic and
-// the wall time, because the monotonic clock stands still while a virtual machine is
+// the wall time, because the monotonic clock stops while a virtual machine is
 // suspended.
 func (c *clock) elapsed(since time.Time) time.Duration {
 	return max(c.now.Sub(since), c.now.Round(0).Sub(since.Round(0)))
--- a/core/btclaim/cluster_nodes_test.go
+++ b/core/btclaim/cluster_nodes_test.go
@@ -133,8 +133,8 @@
 	})
 }
 
-// submit starts a request at the entry; ended is called with its result.
-func (e *entry) submit(c btclaim.Claim, ended func(btclaim.Result)) {
+// submit starts a request at the entry; onResult is called with its result.
+func (e *entry) submit(c btclaim.Claim, onResult func(btclaim.Result)) {
 	if e.down {
 		return
 	}
@@ -152,14 +152,14 @@
 	step = func(event btclaim.ClientEvent) {
 		e.cl.steps++
 		for _, f := range client.Step(e.localTime(), event) {
-			e.handleEffect(r, f, step, ended)
+			e.handleEffect(r, f, step, onResult)
 		}
 	}
 	e.cl.clients[r] = func(event btclaim.ClientEvent) { e.unlessRestarted(starts, func() { step(event) }) }
 	e.schedule(0, func() { step(btclaim.ClientStarted{}) })
 }
 
-func (e *entry) handleEffect(r btid.Request, f btclaim.ClientEffect, step func(btclaim.ClientEvent), ended func(btclaim.Result)) {
+func (e *entry) handleEffect(r btid.Request, f btclaim.ClientEffect, step func(btclaim.ClientEvent), onResult func(btclaim.Result)) {
 	switch m := f.(type) {
 	case btclaim.ChooseExecutor:
 		step(btclaim.ExecutorChosen{Executor: e.pickExecutor(m.Exclude)})
@@ -174,7 +174,7 @@
 		e.schedule(5*time.Second, func() { step(btclaim.ExecutorLost{Attempt: m.Grant.Attempt}) })
 	case btclaim.Result:
 		delete(e.cl.clients, r)
-		ended(m)
+		onResult(m)
 	}
 }
 
--- a/core/btclaim/destroyed.go
+++ b/core/btclaim/destroyed.go
@@ -8,9 +8,9 @@
 )
 
 // destroyedHomes tracks the homes that are listed as destroyed. Each is excluded from
-// the majorities only when the longest lease has passed since this home learned of
-// it: until then another home may hold a lease by a vote that the destroyed home
-// gave.
+// the majorities only when the longest lease has passed since this home first
+// saw it listed: until then another home may hold a lease by a vote of the destroyed
+// home.
 type destroyedHomes struct {
 	delay    time.Duration
 	listedAt map[btid.Target]time.Time
@@ -47,7 +47,7 @@
 }
 
 // voterSets returns the voters of each epoch. An old epoch whose homes are all
-// destroyed can't grant any more and needs no votes.
+// destroyed can no longer grant and needs no votes.
 func (h *Home) voterSets() []voterSet {
 	var list []voterSet
 	for i, e := range h.rules.Epochs {
--- a/core/btclaim/doc.go
+++ b/core/btclaim/doc.go
@@ -1,6 +1,6 @@
 // Package btclaim runs requests that carry an idempotency key at most once.
 //
-// Three state machines share the work. A Home, at the agent of each target that
+// There are three state machines. A Home, at the agent of each target that
 // the bundle lists as a key home, grants a key to one executor. A Ledger, at every
 // agent, runs each grant at most once; it can instead seal a grant, which proves
 // that the grant has not run and never will. A Client, at the entry, takes one
--- a/core/btclaim/example_test.go
+++ b/core/btclaim/example_test.go
@@ -11,7 +11,7 @@
 )
 
 // A service with one key home: the home gains its lease by its own vote, grants
-// a key once, and names the same executor to whoever asks again.
+// a key once, and returns the same executor for a repeated request.
 func Example() {
 	start := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 	assert := btassert.New(btassert.Panic())
--- a/core/btclaim/grant.go
+++ b/core/btclaim/grant.go
@@ -90,7 +90,7 @@
 		return []HomeEffect{q.unknownReply(NotHome, 0)}
 	}
 	if r, ok := h.records.get(q.claim); ok {
-		return h.answerKnown(q, r)
+		return h.replyKnown(q, r)
 	}
 	if reply, refused := h.precheck(q); refused {
 		return []HomeEffect{reply}
@@ -131,10 +131,10 @@
 	return AcquireReply{}, false
 }
 
-// answerKnown answers for a claim that has a record. An open grant is returned with
+// replyKnown answers for a claim that has a record. An open grant is returned with
 // or without a lease: it exists already, and its executor makes sure that it runs at
 // most once.
-func (h *Home) answerKnown(q query, r *record) []HomeEffect {
+func (h *Home) replyKnown(q query, r *record) []HomeEffect {
 	if q.content != r.content {
 		return []HomeEffect{q.unknownReply(KeyReused, 0)}
 	}
@@ -215,15 +215,15 @@
 	if !r.released && m.Sealed.Attempt >= r.attempt {
 		return []HomeEffect{q.unknownReply(SealMismatch, 0)}
 	}
-	return h.answerKnown(q, r)
+	return h.replyKnown(q, r)
 }
 
 // decideNew decides a claim without a record.
 func (h *Home) decideNew(q query) []HomeEffect {
-	if h.clock.now.Before(h.closedToNewUntil) || h.records.full() {
+	if h.clock.now.Before(h.newClaimsRefusedUntil) || h.records.full() {
 		return []HomeEffect{h.recordsFullReply(q)}
 	}
-	if !h.ungrantedBefore(q.claim, h.forgottenBefore) {
+	if !h.ungrantedBefore(q.claim, h.expiredBefore) {
 		return []HomeEffect{q.unknownReply(HistoryLost, 0)}
 	}
 	if h.ungrantedBefore(q.claim, h.lease.since) {
@@ -251,10 +251,10 @@
 // Where it can promise not_run without one, it closes this home to all new claims for
 // the time of the hold.
 func (h *Home) recordsFullReply(q query) AcquireReply {
-	if !h.ungrantedBefore(q.claim, h.lease.since) || !h.ungrantedBefore(q.claim, h.forgottenBefore) {
+	if !h.ungrantedBefore(q.claim, h.lease.since) || !h.ungrantedBefore(q.claim, h.expiredBefore) {
 		return q.unknownReply(RecordsFull, h.settings.Hold)
 	}
-	h.closedToNewUntil = h.clock.now.Add(h.settings.Hold)
+	h.newClaimsRefusedUntil = h.clock.now.Add(h.settings.Hold)
 	return q.notRunReply(RecordsFull, h.settings.Hold)
 }
 
--- a/core/btclaim/home.go
+++ b/core/btclaim/home.go
@@ -22,8 +22,8 @@
 	Incarnation btid.Incarnation
 	Service     btid.Service
 	// Since is the time from which this process has a record of all that it granted
-	// and voted for in the service: its start or, if it ended an earlier Home of the
-	// service, that end.
+	// and voted for in the service: its start or, if it stopped an earlier Home of the
+	// service, the time of that.
 	Since time.Time
 	// MaxLease is the longest lease that any bundle may state; all homes of a service
 	// must agree on it. A voter doesn't vote until this long after its start.
@@ -127,19 +127,19 @@
 	clock        clock
 	// since is the start of this home's history, in wall time.
 	since time.Time
-	// forgottenBefore is the time before which keys were made whose records may have
+	// expiredBefore is the time before which keys were made whose records may have
 	// expired under an earlier, shorter retention.
-	forgottenBefore time.Time
-	voter           *voter
-	lease           lease
-	destroyed       destroyedHomes
-	records         *expiringMap[Claim, *record]
-	// closedToNewUntil is the time until which no claim without a record is granted,
-	// because not_run was replied for lack of memory.
-	closedToNewUntil time.Time
-	pendingLookups   map[Claim]*pendingLookup
-	waiting          int
-	lastLookup       uint64
+	expiredBefore time.Time
+	voter         *voter
+	lease         lease
+	destroyed     destroyedHomes
+	records       *expiringMap[Claim, *record]
+	// newClaimsRefusedUntil is the time until which no claim without a record is granted,
+	// because not_run was replied when the records were full.
+	newClaimsRefusedUntil time.Time
+	pendingLookups        map[Claim]*pendingLookup
+	waiting               int
+	lastLookup            uint64
 }
 
 var _ btcore.Machine[HomeEvent, HomeEffect] = (*Home)(nil)
@@ -192,7 +192,7 @@
 	case LookupReply:
 		return h.handleLookupReply(e)
 	case LeaseAsk:
-		return h.answerLeaseAsk(e)
+		return h.voteOnLease(e)
 	case LeaseVote:
 		h.handleVote(e)
 	}
@@ -201,7 +201,7 @@
 
 // configure applies rules. The lease survives only if neither the epochs nor its
 // duration change, because the votes were given for those. Records that expired under
-// a shorter retention stay lost, and the clock error never shrinks, because keys were
+// a shorter retention aren't restored, and the clock error never shrinks, because keys were
 // accepted under the larger one.
 func (h *Home) configure(r Rules) []HomeEffect {
 	var listed []EpochID
@@ -211,8 +211,8 @@
 	r.Lease = min(r.Lease, h.settings.MaxLease)
 	r.ClockError = max(r.ClockError, h.rules.ClockError)
 	old := h.clock.wall.Add(-h.rules.Retention)
-	if len(h.listedEpochs) > 0 && r.Retention > h.rules.Retention && old.After(h.forgottenBefore) {
-		h.forgottenBefore = old
+	if len(h.listedEpochs) > 0 && r.Retention > h.rules.Retention && old.After(h.expiredBefore) {
+		h.expiredBefore = old
 	}
 	same := slices.Equal(listed, h.listedEpochs) && r.Lease == h.rules.Lease
 	h.rules = r
@@ -239,7 +239,7 @@
 	}
 	var effects []HomeEffect
 	for _, t := range h.lease.voters() {
-		a := h.leaseAsk(t)
+		a := h.leaseRequest(t)
 		if t == h.settings.Self {
 			h.handleVote(h.voter.decide(h.clock, h.currentEpochID(), a))
 			continue
@@ -249,7 +249,7 @@
 	return effects
 }
 
-func (h *Home) leaseAsk(to btid.Target) LeaseAsk {
+func (h *Home) leaseRequest(to btid.Target) LeaseAsk {
 	return LeaseAsk{
 		Service:     h.settings.Service,
 		From:        h.settings.Self,
@@ -262,7 +262,7 @@
 	}
 }
 
-func (h *Home) answerLeaseAsk(a LeaseAsk) []HomeEffect {
+func (h *Home) voteOnLease(a LeaseAsk) []HomeEffect {
 	if a.Service != h.settings.Service || a.To != h.settings.Self {
 		return nil
 	}
--- a/core/btclaim/home_test.go
+++ b/core/btclaim/home_test.go
@@ -41,9 +41,9 @@
 	return home.Step(now, a)[0].(btclaim.AcquireReply)
 }
 
-// TestLeaseExpiresBeforeItsVotes: the holder uses 15/16 of the lease, so that a
+// TestLeaseExpiresBeforeVotes: the holder uses 15/16 of the lease, so that a
 // slower clock doesn't let it grant after its votes have expired.
-func TestLeaseExpiresBeforeItsVotes(t *testing.T) {
+func TestLeaseExpiresBeforeVotes(t *testing.T) {
 	const used = time.Second * 15 / 16
 	for late, want := range map[time.Duration]btrequest.Reason{used - 1: "", used: btclaim.LeaseMissing} {
 		home := newSingleHome(t, startTime, time.Hour, 10)
@@ -55,10 +55,10 @@
 	}
 }
 
-// TestKeyAgeAllowsForClockError: an incarnation whose clock is ahead grants a key
+// TestKeyFromClockAheadIsNotGrantedTwice: an incarnation whose clock is ahead grants a key
 // with a time that is further ahead. The next incarnation, whose clock is behind,
-// must not take the key for newer than its own lease and grant it again.
-func TestKeyAgeAllowsForClockError(t *testing.T) {
+// must not treat the key as newer than its own lease and grant it again.
+func TestKeyFromClockAheadIsNotGrantedTwice(t *testing.T) {
 	const maxClockError = time.Second
 	ahead, behind := startTime.Add(maxClockError/2), startTime.Add(-maxClockError/2)
 	early := newSingleHome(t, ahead.Add(-10*time.Second), time.Hour, 10)
@@ -77,9 +77,9 @@
 	assert.Assert(t, acquireKey(late, leased.Add(maxClockError+time.Millisecond), newer).Grant != nil)
 }
 
-// TestFullHomeHonoursHold: a claim refused as not_run for lack of memory isn't
+// TestFullHomeDoesNotGrantDuringHold: a claim refused as not_run for lack of memory isn't
 // granted within the hold, even if a record has expired in the meantime.
-func TestFullHomeHonoursHold(t *testing.T) {
+func TestFullHomeDoesNotGrantDuringHold(t *testing.T) {
 	home := newSingleHome(t, startTime, time.Second, 1)
 	start := startTime.Add(5 * time.Second)
 	made := start.Add(3900 * time.Millisecond)
@@ -97,9 +97,9 @@
 	assert.Assert(t, again.Grant == nil)
 }
 
-// TestKeyTimes: a key older than the retention never runs again, although its record
-// is gone, and a key with a time in the future isn't taken for newer than any lease.
-func TestKeyTimes(t *testing.T) {
+// TestKeysOutsideRetentionOrClockErrorAreRefused: a key older than the retention never runs again, although its record
+// is gone, and a key with a time in the future isn't treated as newer than any lease.
+func TestKeysOutsideRetentionOrClockErrorAreRefused(t *testing.T) {
 	const retention = 5 * time.Second
 	home := newSingleHome(t, startTime, retention, 10)
 	now := startTime.Add(15 * time.Second)
@@ -118,9 +118,9 @@
 	assert.Assert(t, acquireKey(home, now, now.Add(-retention)).Grant != nil)
 }
 
-// TestLongerRetentionRestoresNothing: records that expired under a shorter retention
+// TestLongerRetentionDoesNotRevalidateExpiredKeys: records that expired under a shorter retention
 // are gone, so a longer one must not make their keys and grants valid again.
-func TestLongerRetentionRestoresNothing(t *testing.T) {
+func TestLongerRetentionDoesNotRevalidateExpiredKeys(t *testing.T) {
 	home := newSingleHome(t, startTime, 5*time.Second, 10)
 	made := startTime.Add(10 * time.Second)
 	tickBetween(home, startTime.Add(time.Second), made)
--- a/core/btclaim/invariant.go
+++ b/core/btclaim/invariant.go
@@ -10,9 +10,9 @@
 	// counting starts of which nothing reached the target, and only for a grant to
 	// that incarnation.
 	RunsAtMostOnce btassert.Name = "claim_runs_at_most_once"
-	// SealsNoEndedRun: a started run is sealed only while it is under way and if
+	// SealsOnlyRunInProgress: a started run is sealed only while it is in progress and if
 	// nothing of it reached the target.
-	SealsNoEndedRun btassert.Name = "claim_seals_no_ended_run"
+	SealsOnlyRunInProgress btassert.Name = "claim_seals_no_ended_run"
 	// LeaseMajority: a home grants only while a majority of the homes of every
 	// listed epoch confirms its lease.
 	LeaseMajority btassert.Name = "claim_lease_majority"
--- a/core/btclaim/lease.go
+++ b/core/btclaim/lease.go
@@ -27,15 +27,15 @@
 	since  time.Time
 }
 
-// lease is a home's right to grant. It is measured from before its votes were asked
-// for, so that it ends before they do.
+// lease is a home's right to grant. It is measured from before its votes were
+// requested, so that it expires before they do.
 type lease struct {
-	duration  time.Duration
-	voterSets []voterSet
-	round     uint64
-	sent      [trackedRounds]time.Time
-	votes     map[btid.Target]confirmation
-	nextAsk   time.Time
+	duration    time.Duration
+	voterSets   []voterSet
+	round       uint64
+	sent        [trackedRounds]time.Time
+	votes       map[btid.Target]confirmation
+	nextRoundAt time.Time
 	// quorumSentAt is when the oldest message was sent whose vote the majorities
 	// need; zero without a majority.
 	quorumSentAt time.Time
@@ -46,14 +46,14 @@
 	term uint64
 }
 
-// reset gives up the lease and starts again with other voters.
+// reset drops the lease and restarts with other voters.
 func (l *lease) reset(duration time.Duration, sets []voterSet) {
 	l.duration = duration
 	l.voterSets = sets
 	l.quorumSentAt = time.Time{}
 	l.votes = make(map[btid.Target]confirmation)
 	l.sent = [trackedRounds]time.Time{}
-	l.nextAsk = time.Time{}
+	l.nextRoundAt = time.Time{}
 	l.held = false
 }
 
@@ -69,12 +69,12 @@
 
 // startRoundIfDue starts the next round and returns true if it is due.
 func (l *lease) startRoundIfDue(c *clock) bool {
-	if c.now.Before(l.nextAsk) {
+	if c.now.Before(l.nextRoundAt) {
 		return false
 	}
 	l.round++
 	l.sent[l.round%trackedRounds] = c.now
-	l.nextAsk = c.now.Add(l.duration / roundsPerLease)
+	l.nextRoundAt = c.now.Add(l.duration / roundsPerLease)
 	return true
 }
 
@@ -113,7 +113,7 @@
 	}
 }
 
-// sendTimes returns when the voters' last granted votes were asked for, latest first.
+// sendTimes returns when the voters' last granted votes were requested, latest first.
 func (l *lease) sendTimes(s voterSet) []time.Time {
 	var sent []time.Time
 	for _, t := range s.voters {
--- a/core/btclaim/ledger.go
+++ b/core/btclaim/ledger.go
@@ -62,7 +62,7 @@
 
 // RunNotSent reports that nothing of a started grant reached the target. Only a
 // connection that was never established proves that. It is valid only while the run
-// is under way, in place of RunFinished and RunLost, and is answered by a Refused
+// is in progress, in place of RunFinished and RunLost, and is answered by a Refused
 // with the grant's seal.
 type RunNotSent struct {
 	Grant  Grant
@@ -164,11 +164,11 @@
 	// sealedThrough seals all grants without a record that were issued at or before
 	// it.
 	sealedThrough time.Time
-	// forgottenBefore is the time before which grants were issued whose records may
+	// expiredBefore is the time before which grants were issued whose records may
 	// have expired under an earlier, shorter retention.
-	forgottenBefore time.Time
-	keptAnswers     []*runRecord
-	keptBytes       int
+	expiredBefore time.Time
+	keptAnswers   []*runRecord
+	keptBytes     int
 }
 
 var _ btcore.Machine[LedgerEvent, LedgerEffect] = (*Ledger)(nil)
@@ -209,8 +209,8 @@
 // shrinks.
 func (l *Ledger) configure(r Rules) {
 	old := l.clock.wall.Add(-l.settings.Retention)
-	if r.Retention > l.settings.Retention && old.After(l.forgottenBefore) {
-		l.forgottenBefore = old
+	if r.Retention > l.settings.Retention && old.After(l.expiredBefore) {
+		l.expiredBefore = old
 	}
 	l.settings.Retention = r.Retention
 	l.settings.ClockError = max(l.settings.ClockError, r.ClockError)
@@ -237,7 +237,7 @@
 	}
 	r, ok := l.runs.get(g.Claim)
 	if ok && r.phase != phaseSealed {
-		return []LedgerEffect{r.answerStarted(g)}
+		return []LedgerEffect{r.replyStarted(g)}
 	}
 	if reason := l.unprovableReason(g); reason != "" {
 		return []LedgerEffect{refusal(g, reason)}
@@ -252,8 +252,8 @@
 	return []LedgerEffect{l.record(g, r, refuse)}
 }
 
-// answerStarted answers for a claim that this incarnation has started.
-func (r *runRecord) answerStarted(g Grant) LedgerEffect {
+// replyStarted answers for a claim that this incarnation has started.
+func (r *runRecord) replyStarted(g Grant) LedgerEffect {
 	if r.grant.Content != g.Content {
 		return refusal(g, KeyReused)
 	}
@@ -268,23 +268,23 @@
 	return refusal(g, AnswerLost)
 }
 
-// unprovableReason returns why this incarnation can't tell whether the grant ran, or
-// "".
+// unprovableReason returns why this incarnation can't determine whether the grant ran,
+// or "".
 func (l *Ledger) unprovableReason(g Grant) btrequest.Reason {
 	switch {
-	case g.Executor.Incarnation != l.settings.Self.Incarnation && !l.endedBeforeGrant(g):
+	case g.Executor.Incarnation != l.settings.Self.Incarnation && !l.exitedBeforeGrant(g):
 		return WrongIncarnation
 	case g.IssuedAt.Sub(l.clock.wall) > l.settings.ClockError:
 		return GrantInFuture
-	case l.clock.wall.Sub(g.IssuedAt) > l.settings.Retention, g.IssuedAt.Before(l.forgottenBefore):
+	case l.clock.wall.Sub(g.IssuedAt) > l.settings.Retention, g.IssuedAt.Before(l.expiredBefore):
 		return GrantForgotten
 	}
 	return ""
 }
 
-// endedBeforeGrant reports whether the incarnation that the grant names had ended
+// exitedBeforeGrant reports whether the incarnation that the grant names had exited
 // before the grant was issued, so that it can't have run it.
-func (l *Ledger) endedBeforeGrant(g Grant) bool {
+func (l *Ledger) exitedBeforeGrant(g Grant) bool {
 	earlier := g.Executor.Incarnation < l.settings.Self.Incarnation
 	return earlier && g.IssuedAt.Sub(l.start) > l.settings.ClockError
 }
--- a/core/btclaim/ledger_finish.go
+++ b/core/btclaim/ledger_finish.go
@@ -45,16 +45,16 @@
 }
 
 // handleNotSent seals a started run of which nothing reached the target, so that its
-// home may grant the claim to another executor. A run whose end was already reported
-// may have run and isn't sealed.
+// home may grant the claim to another executor. A run that was already reported as
+// finished or lost may have run and isn't sealed.
 func (l *Ledger) handleNotSent(e RunNotSent) []LedgerEffect {
 	r, ok := l.runs.get(e.Grant.Claim)
 	if !ok {
 		return []LedgerEffect{refusal(e.Grant, GrantForgotten)}
 	}
 	same := r.grant.Attempt == e.Grant.Attempt && r.grant.Executor == e.Grant.Executor
-	running := l.assert.That(r.phase == phaseRunning && same, SealsNoEndedRun,
-		"ledger %s: attempt %d of %s isn't the one that runs", l.settings.Self, e.Grant.Attempt, e.Grant.Claim.Key)
+	running := l.assert.That(r.phase == phaseRunning && same, SealsOnlyRunInProgress,
+		"ledger %s: attempt %d of %s isn't the running one", l.settings.Self, e.Grant.Attempt, e.Grant.Claim.Key)
 	if !running {
 		return []LedgerEffect{refusal(e.Grant, AnswerLost)}
 	}
--- a/core/btclaim/ledger_test.go
+++ b/core/btclaim/ledger_test.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// TestLedgerRefusals lists which refusals are sealed, that is, prove that the grant
+// TestLedgerSealsOnlyGrantsThatNeverRun lists which refusals are sealed, that is, prove that the grant
 // never runs.
-func TestLedgerRefusals(t *testing.T) {
+func TestLedgerSealsOnlyGrantsThatNeverRun(t *testing.T) {
 	now := startTime.Add(time.Minute)
 	cases := map[string]struct {
 		change func(*btclaim.Grant)
@@ -49,13 +49,13 @@
 		reason btrequest.Reason
 		sealed bool
 	}{
-		"another target":      {func(g *btclaim.Grant) { g.Executor.Target = "t2" }, now, btclaim.WrongExecutor, false},
-		"earlier life, dead":  {func(g *btclaim.Grant) { g.Executor.Incarnation = 99 }, now, btclaim.WrongIncarnation, true},
-		"later life":          {func(g *btclaim.Grant) { g.Executor.Incarnation = 101 }, now, btclaim.WrongIncarnation, false},
-		"late":                {func(*btclaim.Grant) {}, now.Add(31 * time.Second), btclaim.GrantExpired, true},
-		"beyond the memory":   {func(*btclaim.Grant) {}, now.Add(2 * time.Hour), btclaim.GrantForgotten, false},
-		"from the future":     {func(*btclaim.Grant) {}, now.Add(-time.Second), btclaim.GrantInFuture, false},
-		"earlier life, alive": {func(g *btclaim.Grant) { g.Executor.Incarnation, g.IssuedAt = 99, startTime }, now, btclaim.WrongIncarnation, false},
+		"another target": {func(g *btclaim.Grant) { g.Executor.Target = "t2" }, now, btclaim.WrongExecutor, false},
+		"earlier incarnation, exited before grant": {func(g *btclaim.Grant) { g.Executor.Incarnation = 99 }, now, btclaim.WrongIncarnation, true},
+		"later life":                          {func(g *btclaim.Grant) { g.Executor.Incarnation = 101 }, now, btclaim.WrongIncarnation, false},
+		"late":                                {func(*btclaim.Grant) {}, now.Add(31 * time.Second), btclaim.GrantExpired, true},
+		"older than the retention":            {func(*btclaim.Grant) {}, now.Add(2 * time.Hour), btclaim.GrantForgotten, false},
+		"issued in the future":                {func(*btclaim.Grant) {}, now.Add(-time.Second), btclaim.GrantInFuture, false},
+		"earlier incarnation, alive at grant": {func(g *btclaim.Grant) { g.Executor.Incarnation, g.IssuedAt = 99, startTime }, now, btclaim.WrongIncarnation, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -95,7 +95,7 @@
 
 // TestLedgerNeverRunsSealedGrant: a sealed grant never runs, also if it was sealed
 // for lack of memory or because nothing of it reached the target. The next attempt of
-// its claim does run, and can't be sealed after its end.
+// its claim does run, and can't be sealed once it has finished.
 func TestLedgerNeverRunsSealedGrant(t *testing.T) {
 	l := newLedger(func(s *btclaim.LedgerSettings) { s.MaxRecords = 1 })
 	first, second := grantAt("k", startTime), grantAt("k2", startTime.Add(time.Millisecond))
@@ -119,7 +119,7 @@
 	l.Step(expired, btclaim.RunLost{Claim: next.Claim})
 	defer func() {
 		violation, _ := recover().(btassert.Violation)
-		assert.Equal(t, violation.Name, btclaim.SealsNoEndedRun)
+		assert.Equal(t, violation.Name, btclaim.SealsOnlyRunInProgress)
 	}()
 	l.Step(expired, btclaim.RunNotSent{Grant: next})
 }
--- a/core/btclaim/lookup.go
+++ b/core/btclaim/lookup.go
@@ -84,9 +84,9 @@
 	return effects
 }
 
-// answerLookup tells the claim's next home what this incarnation knows. A home that
+// answerLookup sends the claim's next home the record of this incarnation. A home that
 // holds the lease for the claim ignores the lookup: the sender's own lease must have
-// ended.
+// expired.
 func (h *Home) answerLookup(l Lookup) []HomeEffect {
 	if l.To != h.settings.Self || l.Claim.Service != h.settings.Service {
 		return nil
@@ -103,12 +103,12 @@
 		Since:       h.since,
 		Retention:   h.rules.Retention,
 	}
-	if h.forgottenBefore.After(h.since) {
-		reply.Since = h.forgottenBefore
+	if h.expiredBefore.After(h.since) {
+		reply.Since = h.expiredBefore
 	}
 	r, ok := h.records.get(l.Claim)
 	if !ok {
-		reply.Hold = h.remainingHold(h.closedToNewUntil)
+		reply.Hold = h.remainingHold(h.newClaimsRefusedUntil)
 		return []HomeEffect{reply}
 	}
 	r.transferred = true
@@ -155,7 +155,7 @@
 	reason := h.checkReplies(c, p)
 	var effects []HomeEffect
 	for _, q := range p.waiting {
-		effects = append(effects, h.answerWaiting(q, reason)...)
+		effects = append(effects, h.replyWaiting(q, reason)...)
 	}
 	return effects
 }
@@ -240,14 +240,14 @@
 	return r.Grant.Attempt
 }
 
-// answerWaiting answers a query after its lookup, from the record if there is one by
+// replyWaiting answers a query after its lookup, from the record if there is one by
 // now.
-func (h *Home) answerWaiting(q query, reason btrequest.Reason) []HomeEffect {
+func (h *Home) replyWaiting(q query, reason btrequest.Reason) []HomeEffect {
 	if reason != "" {
 		return []HomeEffect{q.unknownReply(reason, h.rules.Lease)}
 	}
 	if r, ok := h.records.get(q.claim); ok {
-		return h.answerKnown(q, r)
+		return h.replyKnown(q, r)
 	}
 	if reply, refused := h.precheck(q); refused {
 		return []HomeEffect{reply}
@@ -263,7 +263,7 @@
 			late = append(late, c)
 		}
 	}
-	return h.refuseLookups(late, EarlierHomeSilent)
+	return h.refuseLookups(late, EarlierHomeUnresponsive)
 }
 
 // cancelLookups refuses all waiting queries: replies requested under other rules
--- a/core/btclaim/message.go
+++ b/core/btclaim/message.go
@@ -121,7 +121,7 @@
 	return nil
 }
 
-// Lookup asks an earlier home of a claim what it knows of the claim.
+// Lookup asks an earlier home of a claim for its record of the claim.
 type Lookup struct {
 	From  btid.Target `cbor:"from" json:"from"`
 	To    btid.Target `cbor:"to" json:"to"`
@@ -238,7 +238,7 @@
 		return err
 	}
 	if len(a.Listed) == 0 || len(a.Listed) > maxListedEpochs || a.Listed[len(a.Listed)-1] != a.Epoch {
-		return fmt.Errorf("%w: epochs listed don't end with the one in force", ErrMessage)
+		return fmt.Errorf("%w: the current epoch is not the last one listed", ErrMessage)
 	}
 	if a.Round == 0 || a.Lease <= 0 {
 		return fmt.Errorf("%w: round %d, lease %s", ErrMessage, a.Round, a.Lease)
--- a/core/btclaim/message_test.go
+++ b/core/btclaim/message_test.go
@@ -89,10 +89,10 @@
 	return nil
 }
 
-// TestSamplesAreValidAndKeepNanoseconds: the fuzz seeds are valid, and times keep
+// TestMessagesKeepNanoseconds: the fuzz seeds are valid, and times keep
 // their nanoseconds on the wire. Since decides whether a key is newer than a lease,
 // so that a rounded time could let a key run twice.
-func TestSamplesAreValidAndKeepNanoseconds(t *testing.T) {
+func TestMessagesKeepNanoseconds(t *testing.T) {
 	for _, m := range sampleMessages() {
 		assert.NilError(t, m.Validate())
 	}
--- a/core/btclaim/naive_test.go
+++ b/core/btclaim/naive_test.go
@@ -9,8 +9,7 @@
 )
 
 // naiveHome decides by its hash alone: it grants any key without a record. With
-// replies it caches the replies of earlier homes, "I grant nothing in the range any
-// more", and grants only keys newer than its start and than these replies.
+// replies it caches the replies of earlier homes, "I no longer grant in this range", and grants only keys newer than its start and than these replies.
 type naiveHome struct {
 	self    btid.Target
 	rules   btclaim.Rules
--- a/core/btclaim/partition_test.go
+++ b/core/btclaim/partition_test.go
@@ -25,13 +25,13 @@
 
 // sendAndWait submits a claim at an entry and waits for the result.
 func (cl *cluster) sendAndWait(e *entry, c btclaim.Claim) btclaim.Result {
-	var ended btclaim.Result
+	var result btclaim.Result
 	e.submit(c, func(m btclaim.Result) {
 		cl.checkResult(c, m)
-		ended = m
+		result = m
 	})
 	cl.advance(8 * time.Second)
-	return ended
+	return result
 }
 
 // newFaultFree returns a cluster without faults at version 1 whose homes hold their
@@ -76,10 +76,10 @@
 	return cl.now.Sub(start)
 }
 
-// TestPartitionedHomeOfMovedRange: version 2 moves a key range from t0 to t3 while t0
+// TestPartitionedOldHomeRefusesMovedKeys: version 2 moves a key range from t0 to t3 while t0
 // is partitioned at version 1 together with some callers. Both homes could grant the
 // same key. The new home must grant within seconds, and the old one must refuse.
-func TestPartitionedHomeOfMovedRange(t *testing.T) {
+func TestPartitionedOldHomeRefusesMovedKeys(t *testing.T) {
 	cl := newFaultFree(variant{home: realHome})
 	isolated, connected := cl.entries[0], cl.entries[1]
 	old := cl.movedKey()
@@ -98,7 +98,7 @@
 	assert.Equal(t, cl.sendAndWait(isolated, fresh).Outcome, btrequest.Unknown)
 	silent := cl.sendAndWait(connected, old)
 	assert.Equal(t, silent.Outcome, btrequest.Unknown)
-	assert.Equal(t, silent.Reason, btclaim.EarlierHomeSilent)
+	assert.Equal(t, silent.Reason, btclaim.EarlierHomeUnresponsive)
 
 	cl.heal()
 	assert.Equal(t, cl.sendAndWait(connected, old).Outcome, btrequest.Done, "replayed from the old home's record")
@@ -108,9 +108,9 @@
 	assert.Equal(t, cl.violation, "")
 }
 
-// TestPartitionedMajorityKeepsRange: with most of the old homes on the other side of
+// TestPartitionedMajorityOfOldHomesKeepsGranting: with most of the old homes on the other side of
 // the partition, these continue to grant and the new home refuses.
-func TestPartitionedMajorityKeepsRange(t *testing.T) {
+func TestPartitionedMajorityOfOldHomesKeepsGranting(t *testing.T) {
 	cl := newFaultFree(variant{home: realHome})
 	cl.partition("t0", "t1", "t4", "t5")
 	cl.advance(time.Minute)
@@ -133,8 +133,8 @@
 	assert.Assert(t, cl.runs[key] == 2 && cl.violation != "")
 }
 
-// TestCachedReplyWithoutLeaseRunsTwice: the old home replies that it grants nothing
-// in the moved range any more, then restarts on the stale bundle and grants there
+// TestCachedReplyWithoutLeaseRunsTwice: the old home replies that it no longer grants
+// in the moved range, then restarts on the stale bundle and grants there
 // again. Homes that cache such replies run a key twice; homes with leases don't.
 func TestCachedReplyWithoutLeaseRunsTwice(t *testing.T) {
 	for name, want := range map[string]int{"word": 2, "lease": 1} {
@@ -162,9 +162,9 @@
 	}
 }
 
-// TestGrantToEarlierIncarnation: an executor that restarts during a run has no record
+// TestGrantToEarlierIncarnationDoesNotRunAgain: an executor that restarts during a run has no record
 // of it and must not run the grant again. Executors that ignore the incarnation do.
-func TestGrantToEarlierIncarnation(t *testing.T) {
+func TestGrantToEarlierIncarnationDoesNotRunAgain(t *testing.T) {
 	for _, naive := range []bool{false, true} {
 		cl := newFaultFree(variant{home: realHome, ignoreIncarnation: naive})
 		key := cl.movedKey()
@@ -178,22 +178,22 @@
 			}
 		}
 		cl.advance(10 * time.Second)
-		ended := cl.sendAndWait(cl.entries[2], key)
+		result := cl.sendAndWait(cl.entries[2], key)
 		if naive {
 			assert.Equal(t, cl.runs[key], 2)
 			continue
 		}
-		assert.Equal(t, ended.Outcome, btrequest.Unknown)
-		assert.Equal(t, ended.Reason, btclaim.WrongIncarnation)
+		assert.Equal(t, result.Outcome, btrequest.Unknown)
+		assert.Equal(t, result.Reason, btclaim.WrongIncarnation)
 		assert.Equal(t, cl.runs[key], 1)
 	}
 }
 
-// TestHomeRegainingLeaseOnStaleBundle: the new home took over a record and ran its
+// TestHomeWithStaleBundleDoesNotGrantAgain: the new home took over a record and ran its
 // next attempt, and ran another key that the old home never saw. Then the old home's
 // voters restart on the stale bundle, so that it regains its lease with an outdated
 // record. It must not grant either key again.
-func TestHomeRegainingLeaseOnStaleBundle(t *testing.T) {
+func TestHomeWithStaleBundleDoesNotGrantAgain(t *testing.T) {
 	cl := newFaultFree(variant{home: realHome})
 	isolated, connected, old, key := cl.entries[0], cl.entries[1], cl.agent("t0"), cl.movedKey()
 	executor := cl.agent("t5")
@@ -228,24 +228,24 @@
 	cl.advance(10 * time.Second)
 	assert.Equal(t, cl.sendAndWait(isolated, cl.movedKey()).Outcome, btrequest.Done, "the old home holds the lease")
 	for _, claim := range []btclaim.Claim{key, unseen} {
-		ended := cl.sendAndWait(isolated, claim)
-		assert.Equal(t, ended.Outcome, btrequest.Unknown)
-		assert.Equal(t, ended.Reason, btclaim.HistoryLost)
+		result := cl.sendAndWait(isolated, claim)
+		assert.Equal(t, result.Outcome, btrequest.Unknown)
+		assert.Equal(t, result.Reason, btclaim.HistoryLost)
 	}
 	assert.Equal(t, cl.violation, "")
 }
 
-// TestRestartedEarlierHomeIsNoEvidence: "never granted" from a home that restarted
+// TestReplyOfRestartedHomeDoesNotCoverEarlierIncarnation: "never granted" from a home that restarted
 // after the key was made doesn't cover its previous incarnation, which did grant the
 // key.
-func TestRestartedEarlierHomeIsNoEvidence(t *testing.T) {
+func TestReplyOfRestartedHomeDoesNotCoverEarlierIncarnation(t *testing.T) {
 	cl := newFaultFree(variant{home: realHome})
 	key := cl.movedKey()
 	assert.Equal(t, cl.sendAndWait(cl.entries[1], key).Outcome, btrequest.Done)
 	cl.agent("t0").start()
 	cl.partition()
 	cl.advance(10 * time.Second)
-	ended := cl.sendAndWait(cl.entries[1], key)
-	assert.Equal(t, ended.Outcome, btrequest.Unknown)
-	assert.Equal(t, ended.Reason, btclaim.HistoryLost)
+	result := cl.sendAndWait(cl.entries[1], key)
+	assert.Equal(t, result.Outcome, btrequest.Unknown)
+	assert.Equal(t, result.Reason, btclaim.HistoryLost)
 }
--- a/core/btclaim/random_test.go
+++ b/core/btclaim/random_test.go
@@ -13,7 +13,7 @@
 )
 
 var (
-	seeds     = flag.Uint64("claim.seeds", 6, "random runs of the at-most-once world")
+	seeds     = flag.Uint64("claim.seeds", 6, "random runs of the at-most-once simulation")
 	firstSeed = flag.Uint64("claim.first", 0, "seed of the first run")
 )
 
@@ -221,10 +221,10 @@
 // variant fails in one of them.
 func TestRandomFaultsExposeNaiveVariants(t *testing.T) {
 	naive := map[string]variant{
-		"home by hash alone":    {home: naiveHashHome},
-		"cached word, no lease": {home: naiveReplyHome},
-		"no incarnation":        {home: realHome, ignoreIncarnation: true},
-		"lost as not sent":      {home: realHome, lostAsNotSent: true},
+		"home by hash only":           {home: naiveHashHome},
+		"cached reply, no lease":      {home: naiveReplyHome},
+		"incarnation ignored":         {home: realHome, ignoreIncarnation: true},
+		"lost run sealed as not sent": {home: realHome, lostAsNotSent: true},
 	}
 	for name, v := range naive {
 		t.Run(name, func(t *testing.T) {
--- a/core/btclaim/reason.go
+++ b/core/btclaim/reason.go
@@ -8,11 +8,11 @@
 	NotHome btrequest.Reason = "not_home"
 	// LeaseMissing: the home doesn't hold its lease now.
 	LeaseMissing btrequest.Reason = "lease_missing"
-	// HistoryLost: an earlier lease holder that can't be asked any more may have
+	// HistoryLost: an earlier lease holder that can no longer be queried may have
 	// granted the key.
 	HistoryLost btrequest.Reason = "history_lost"
-	// EarlierHomeSilent: an earlier home of the key didn't answer in time.
-	EarlierHomeSilent btrequest.Reason = "earlier_home_silent"
+	// EarlierHomeUnresponsive: an earlier home of the key didn't reply in time.
+	EarlierHomeUnresponsive btrequest.Reason = "earlier_home_silent"
 	// KeyExpired: the key is older than the retention.
 	KeyExpired btrequest.Reason = "key_expired"
 	// KeyInFuture: the key's time is further ahead than the clock error.
--- a/core/btclaim/voter.go
+++ b/core/btclaim/voter.go
@@ -8,14 +8,14 @@
 	"bilberrytide/core/btrequest"
 )
 
-// maxRememberedVotes limits the homes and the epochs that a voter stores.
-const maxRememberedVotes = 64
+// maxStoredVotes limits the homes and the epochs that a voter stores.
+const maxStoredVotes = 64
 
-// voter is the part of a home that confirms leases. It loses its votes on a restart,
+// voter confirms leases on behalf of a home. It loses its votes on a restart,
 // so it doesn't vote until the longest lease has passed since its start.
 type voter struct {
-	// silentUntil is when the voter may first vote; since is the same in wall time.
-	silentUntil  time.Time
+	// mayVoteFrom is when the voter may first vote; since is the same in wall time.
+	mayVoteFrom  time.Time
 	since        time.Time
 	maxLease     time.Duration
 	highestEpoch uint64
@@ -38,7 +38,7 @@
 
 func newVoter(start time.Time, maxLease time.Duration) *voter {
 	return &voter{
-		silentUntil: start.Add(maxLease),
+		mayVoteFrom: start.Add(maxLease),
 		since:       start.Round(0).Add(maxLease),
 		maxLease:    maxLease,
 		activeVotes: make(map[btid.Target]activeVote),
@@ -72,7 +72,7 @@
 
 func (v *voter) refusalReason(c clock, own EpochID, a LeaseAsk) btrequest.Reason {
 	switch {
-	case c.now.Before(v.silentUntil):
+	case c.now.Before(v.mayVoteFrom):
 		return VoterStarting
 	case a.Lease > v.maxLease:
 		return LeaseTooLong
@@ -99,7 +99,7 @@
 		}
 	}
 	_, known := v.activeVotes[a.From]
-	return !known && len(v.activeVotes) >= maxRememberedVotes
+	return !known && len(v.activeVotes) >= maxStoredVotes
 }
 
 // removeExpired removes votes that have expired.
@@ -138,13 +138,13 @@
 		}
 	}
 	v.epochs = append(v.epochs, epochVote{epoch: a.Epoch, until: until})
-	if len(v.epochs) > maxRememberedVotes {
+	if len(v.epochs) > maxStoredVotes {
 		v.removeOldestEpoch()
 	}
 }
 
-// removeOldestEpoch removes the oldest epoch and moves since to its end, so that the
-// voter makes no statement about the time before.
+// removeOldestEpoch removes the oldest epoch and moves since to its expiry, as the
+// voter can make no statement about the time before.
 func (v *voter) removeOldestEpoch() {
 	if v.epochs[0].until.After(v.since) {
 		v.since = v.epochs[0].until
--- a/core/btclaim/voter_test.go
+++ b/core/btclaim/voter_test.go
@@ -11,10 +11,10 @@
 	"bilberrytide/core/btrequest"
 )
 
-// TestVotes checks one voter at epoch 1 with a lease of a second. A voter that confirmed
+// TestVoterRefusesConflictingLeases checks one voter at epoch 1 with a lease of a second. A voter that confirmed
 // two epochs, or two incarnations of one home, at the same time would let two homes
 // grant the same key.
-func TestVotes(t *testing.T) {
+func TestVoterRefusesConflictingLeases(t *testing.T) {
 	home := newUnleasedHome(t)
 	conflicting := epochs[0]
 	conflicting.Homes = []btid.Target{"t0", "t8", "t9"}
@@ -50,10 +50,10 @@
 	assert.Equal(t, ask(9*s, "t1", 1, 1), btclaim.EpochOld)
 }
 
-// TestDestroyedHomesCountInNoMajority: with two of three homes lost, the third gains
+// TestDestroyedHomesAreExcludedFromMajorities: with two of three homes lost, the third gains
 // the lease only after a bundle declares them destroyed and their last votes have
 // expired.
-func TestDestroyedHomesCountInNoMajority(t *testing.T) {
+func TestDestroyedHomesAreExcludedFromMajorities(t *testing.T) {
 	home := newUnleasedHome(t)
 	later := startTime.Add(3 * time.Second)
 	home.Step(later, btclaim.Tick{})
