btbundle: state errors and diffs in the usual terms

Errors and texts of a diff said that a host stands in a list, that keys are remembered and that a target is gone for good. They now say listed, stored and permanently lost. The tests that match these texts change with them and match as much as before. Comments say queried and announced for what peers are asked and told.

No change in behaviour.

--- a/core/btbundle/approve.go
+++ b/core/btbundle/approve.go
@@ -160,7 +160,7 @@
 				continue
 			}
 			if !ed25519.Verify(k.Key[:], signed.Document, s.Bytes[:]) {
-				return nil, fmt.Errorf("%w: that of %q doesn't fit the document: either was changed", ErrSignature, k.Name)
+				return nil, fmt.Errorf("%w: that of %q doesn't match the document: either was changed", ErrSignature, k.Name)
 			}
 			hasSigned = true
 		}
--- a/core/btbundle/btbundle.go
+++ b/core/btbundle/btbundle.go
@@ -20,7 +20,7 @@
 const MaxLease = 5 * time.Second
 
 // MaxHeartbeat is the longest interval between heartbeats. Entries that
-// exchange summaries of targets consider a target silent after 2.5 times this
+// exchange summaries of targets consider a target unresponsive after 2.5 times this
 // interval.
 const MaxHeartbeat = time.Second
 
@@ -50,8 +50,8 @@
 	// which a host list that lags can't prove.
 	DestroyedHosts []btid.Host `toml:"destroyed_hosts,omitempty" json:"destroyed_hosts"`
 	// DestroyedTargets lists key homes that an operator declares permanently
-	// gone along with the keys that they remembered. They count in no majority,
-	// and their names aren't used again while a listed epoch names them.
+	// lost along with their records of keys. They are excluded from majorities,
+	// and their names must not be reused while a listed epoch names them.
 	DestroyedTargets []btid.Target `toml:"destroyed_targets,omitempty" json:"destroyed_targets"`
 }
 
@@ -69,10 +69,10 @@
 	TargetLease Duration `toml:"target_lease" json:"target_lease"`
 }
 
-// Idempotency states how long idempotency keys are remembered and how long key
+// Idempotency configures how long idempotency keys are stored and how long key
 // homes may grant them.
 type Idempotency struct {
-	// Retention is how long a key is remembered; an older one is refused.
+	// Retention is how long a key is stored; an older one is refused.
 	Retention Duration `toml:"retention" json:"retention"`
 	// ClockError is the largest difference between any two clocks, callers'
 	// included, for which the checks of key times hold.
@@ -93,7 +93,7 @@
 	Backoff Duration `toml:"backoff" json:"backoff"`
 }
 
-// Ejection configures how failing and slow targets are taken out of rotation.
+// Ejection configures how failing and slow targets are removed from selection.
 type Ejection struct {
 	// MaxShare is the largest share of a service's targets that may be ejected
 	// at the same time, 0 to 1.
@@ -153,7 +153,7 @@
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64 `toml:"max_body" json:"max_body"`
 	// FirstToken is the goal for the time to the first token or byte: a request
-	// that would wait longer for a slot is refused at once. Zero for no goal.
+	// that would wait longer for a slot is refused immediately. Zero for no goal.
 	FirstToken Duration `toml:"first_token,omitempty" json:"first_token"`
 	// KeyRequired has POST, PUT, PATCH and DELETE without Idempotency-Key
 	// refused.
@@ -186,11 +186,11 @@
 	// Queue is how many more requests the agent queues.
 	Queue int `toml:"queue" json:"queue"`
 	// ChecksFencing states that the target refuses an order with an old fencing
-	// number. Nothing relies on it for safety.
+	// number. Safety doesn't depend on it.
 	ChecksFencing bool `toml:"checks_fencing,omitempty" json:"checks_fencing"`
 }
 
-// Group is a set of ranks that step together on one expert map.
+// Group is a set of ranks that run each step together with one expert map.
 type Group struct {
 	Name    btid.Group   `toml:"name" json:"name"`
 	Service btid.Service `toml:"service" json:"service"`
@@ -202,7 +202,7 @@
 	SlotsPerRank int `toml:"slots_per_rank" json:"slots_per_rank"`
 	// ExpertBytes is the size of one expert's weights in one layer.
 	ExpertBytes int64 `toml:"expert_bytes" json:"expert_bytes"`
-	// Barrier states that the engines can hold at a step boundary when armed.
+	// Barrier states that the engines can pause at a step boundary when armed.
 	Barrier bool `toml:"barrier,omitempty" json:"barrier"`
 }
 
--- a/core/btbundle/check.go
+++ b/core/btbundle/check.go
@@ -59,7 +59,7 @@
 	c.requirePositive(t.Request, "timeouts.request")
 	c.requirePositive(t.RequestMax, "timeouts.request_max")
 	c.requirePositive(t.Heartbeat, "timeouts.heartbeat")
-	c.Require(t.Heartbeat.Duration <= MaxHeartbeat, "timeouts.heartbeat", "%s must be at most %s, or summaries would call targets silent", t.Heartbeat, MaxHeartbeat)
+	c.Require(t.Heartbeat.Duration <= MaxHeartbeat, "timeouts.heartbeat", "%s must be at most %s, or summaries would report targets as unresponsive", t.Heartbeat, MaxHeartbeat)
 	c.requirePositive(t.TargetLease, "timeouts.target_lease")
 	c.requireRelation(t.Request, t.RequestMax, t.Request.Duration <= t.RequestMax.Duration, "timeouts.request",
 		"%s is over request_max, which is %s", t.Request, t.RequestMax)
--- a/core/btbundle/check_fleet.go
+++ b/core/btbundle/check_fleet.go
@@ -42,9 +42,9 @@
 	if !c.Require(host != "", hostKey, "is missing") {
 		return
 	}
-	c.Require(!c.destroyedHosts[host], hostKey, "%q stands in destroyed_hosts: move what runs there, or take the host off that list", host)
+	c.Require(!c.destroyedHosts[host], hostKey, "%q is listed in destroyed_hosts: move what runs there, or remove the host from that list", host)
 	other, seen := c.hostCentres[host]
-	c.Require(!seen || other == centre, centreKey, "host %q stands in %q elsewhere", host, other)
+	c.Require(!seen || other == centre, centreKey, "host %q is in %q elsewhere", host, other)
 	c.hostCentres[host] = centre
 }
 
--- a/core/btbundle/check_homes.go
+++ b/core/btbundle/check_homes.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		c.Require(len(s.Epochs) <= MaxEpochs, list,
-			"lists %d epochs, at most %d: change homes again once the oldest is past its memory", len(s.Epochs), MaxEpochs)
+			"lists %d epochs, at most %d: change homes again once the oldest is past its retention", len(s.Epochs), MaxEpochs)
 		for j := range s.Epochs {
 			c.checkEpoch(list, j, s.Epochs)
 		}
@@ -81,7 +81,7 @@
 	need := count/2 + 1
 	c.Require(count == 0 || count-len(missing) >= need, key,
 		"%d of these homes must stay targets of service %q until %s, or none of its homes gets a lease, but %v are not: "+
-			"list some of them again and replace homes in steps, or name in destroyed_targets those that are gone for good with what they remembered",
+			"list some of them again and replace homes in steps, or list in destroyed_targets those that are permanently lost with their records",
 		need, service, dropTime.UTC().Format(time.RFC3339), missing)
 }
 
@@ -92,7 +92,7 @@
 	for i, t := range c.bundle.DestroyedTargets {
 		key := bttoml.Path("destroyed_targets", i, "")
 		c.Require(!c.destroyedTargets[t], key, "%q is listed twice", t)
-		c.Require(c.targets[t] == nil, key, "%q stands under targets too: what is gone for good never comes back under its name", t)
+		c.Require(c.targets[t] == nil, key, "%q is listed under targets too: a permanently lost target must not return under its name", t)
 		_, isHome := homes[t]
 		c.advice.Require(isHome, key, "%q is no key home of a listed epoch: leave it out", t)
 		c.destroyedTargets[t] = true
--- a/core/btbundle/check_successor.go
+++ b/core/btbundle/check_successor.go
@@ -49,14 +49,14 @@
 
 // checkClockError refuses a smaller clock error, however late: a running home
 // keeps the largest clock error with which it ever accepted keys, and a home
-// that starts with a smaller one could take such a key to be newer than its own
+// that starts with a smaller one could treat such a key as newer than its own
 // lease.
 func (s *successorChecker) checkClockError() {
 	before := s.parent.Idempotency.ClockError
 	after := s.next.Idempotency.ClockError
 	if after.Duration < before.Duration {
-		s.add("idempotency.clock_error", "%s is under the parent's, which is %s: agents that run accept keys made so far ahead, "+
-			"which others would then take for new", after, before)
+		s.add("idempotency.clock_error", "%s is under the parent's, which is %s: running agents accept keys made so far ahead, "+
+			"which others would then treat as new", after, before)
 	}
 }
 
@@ -82,7 +82,7 @@
 		host := slices.Index(s.next.DestroyedHosts, t.Host)
 		epoch, isHome := homes[t.Name]
 		if host >= 0 && isHome && !slices.Contains(s.next.DestroyedTargets, t.Name) {
-			s.add(bttoml.Path("destroyed_hosts", host, ""), "target %q stood on host %q and is a key home of epoch %s: "+
+			s.add(bttoml.Path("destroyed_hosts", host, ""), "target %q was on host %q and is a key home of epoch %s: "+
 				"add it to destroyed_targets; what replaces it needs a new name", t.Name, t.Host, epoch)
 		}
 	}
@@ -107,7 +107,7 @@
 		old := targetsBefore[t.Name]
 		if old == nil {
 			s.add(bttoml.Path("targets", i, "name"), "%q is a key home of epoch %s that the parent doesn't list as a target: "+
-				"nothing tells where it ran, give the target a new name", t.Name, epoch)
+				"it is unknown where it ran, so give the target a new name", t.Name, epoch)
 			continue
 		}
 		requireUnchanged(s, i, "host", epoch, old.Host, t.Host)
@@ -120,7 +120,7 @@
 func requireUnchanged[V comparable](s *successorChecker, i int, field string, epoch homeEpoch, before, after V) {
 	if before != after {
 		s.add(bttoml.Path("targets", i, field), "becomes %v, was %v, but target %q is a key home of epoch %s: "+
-			"give what runs there a new name, and if the old one is gone for good, name it in destroyed_targets", after, before, s.next.Targets[i].Name, epoch)
+			"give what runs there a new name, and if the old one is permanently lost, list it in destroyed_targets", after, before, s.next.Targets[i].Name, epoch)
 	}
 }
 
@@ -163,7 +163,7 @@
 		}
 		ended := e.Number < last && next.Created.Sub(before.Epochs[j+1].Since) > next.Idempotency.EpochRetention()
 		if !ended {
-			texts = append(texts, fmt.Sprintf("epoch %d is left out, but its homes may still be asked about keys", e.Number))
+			texts = append(texts, fmt.Sprintf("epoch %d is left out, but its homes may still be queried about keys", e.Number))
 		}
 	}
 	for _, e := range after.Epochs {
--- a/core/btbundle/diff_fleet.go
+++ b/core/btbundle/diff_fleet.go
@@ -16,7 +16,7 @@
 			return fmt.Sprintf("takes work of service %s in data centre %s, %d requests at a time", t.Service, t.DataCentre, t.Slots)
 		},
 		removed: func(t *Target) string {
-			return fmt.Sprintf("gets no new work of service %s; what is in flight ends", t.Service)
+			return fmt.Sprintf("gets no new work of service %s; requests in flight finish", t.Service)
 		},
 		changed: diffTarget,
 	}, old.Targets, new.Targets)
@@ -37,8 +37,8 @@
 	diffList(d, listDiff[btid.Service, Service]{
 		kind:    "service",
 		name:    func(s *Service) btid.Service { return s.Name },
-		added:   func(s *Service) string { return fmt.Sprintf("callers may ask for it; it is %s", s.Kind) },
-		removed: func(*Service) string { return "callers are refused" },
+		added:   func(s *Service) string { return fmt.Sprintf("clients may request it; its kind is %s", s.Kind) },
+		removed: func(*Service) string { return "requests for it are refused" },
 		changed: diffService,
 	}, old.Services, new.Services)
 }
@@ -65,7 +65,7 @@
 
 func diffGroup(d *diffBuilder, subject string, before, after *Group) {
 	if !slices.Equal(before.Ranks, after.Ranks) {
-		d.add(Changed, subject, "its ranks change from %d to %d: the group agrees on its map anew", len(before.Ranks), len(after.Ranks))
+		d.add(Changed, subject, "its ranks change from %d to %d: the group agrees on a new map", len(before.Ranks), len(after.Ranks))
 	}
 	diffField(d, subject, "service", before.Service, after.Service)
 	diffField(d, subject, "layers", before.Layers, after.Layers)
@@ -80,7 +80,7 @@
 		kind: "client account",
 		name: func(a *Account) btid.Account { return a.Name },
 		added: func(a *Account) string {
-			return fmt.Sprintf("may ask: %v requests a second, %d at once", a.Rate, a.Concurrency)
+			return fmt.Sprintf("may send %v requests a second, %d at once", a.Rate, a.Concurrency)
 		},
 		removed: func(*Account) string { return "its keys are refused" },
 		changed: diffAccount,
@@ -121,7 +121,7 @@
 		kind:    "data centre",
 		name:    func(c *DataCentre) btid.DataCentre { return c.Name },
 		added:   func(c *DataCentre) string { return fmt.Sprintf("in region %s", c.Region) },
-		removed: func(*DataCentre) string { return "nothing of the fleet stands there" },
+		removed: func(*DataCentre) string { return "no part of the fleet is there any more" },
 		changed: func(d *diffBuilder, subject string, before, after *DataCentre) {
 			diffField(d, subject, "region", before.Region, after.Region)
 		},
@@ -148,14 +148,14 @@
 
 func diffDestroyedLists(d *diffBuilder, old, new *Bundle) {
 	for _, host := range difference(new.DestroyedHosts, old.DestroyedHosts) {
-		d.add(Added, "destroyed host "+string(host), "what only it could tell is taken as lost for good: approve only if it can't come back")
+		d.add(Added, "destroyed host "+string(host), "what only it stored counts as permanently lost: approve only if it can't come back")
 	}
 	for _, host := range difference(old.DestroyedHosts, new.DestroyedHosts) {
 		d.add(Removed, "destroyed host "+string(host), "may hold targets and entries again")
 	}
 	for _, target := range difference(new.DestroyedTargets, old.DestroyedTargets) {
 		d.add(Added, "destroyed target "+string(target),
-			"counts in no majority of key homes any more: approve only if its process has ended and nothing of its memory can come back")
+			"is excluded from all majorities of key homes: approve only if its process has exited and its records can't come back")
 	}
 	for _, target := range difference(old.DestroyedTargets, new.DestroyedTargets) {
 		d.add(Removed, "destroyed target "+string(target), "its name may be used again")
--- a/core/btbundle/reader.go
+++ b/core/btbundle/reader.go
@@ -12,7 +12,7 @@
 
 // ReaderPolicy selects which processes of a data centre read the configuration
 // service, so that the number of its calls doesn't grow with the fleet. The
-// other processes learn of a new bundle from peers.
+// other processes receive a new bundle from peers.
 type ReaderPolicy struct {
 	// Count is how many processes read while all of them succeed.
 	Count int
--- a/core/btbundle/register.go
+++ b/core/btbundle/register.go
@@ -68,7 +68,7 @@
 // RegisterEffect is an action that a Register asks its caller to carry out.
 type RegisterEffect interface{ registerEffect() }
 
-// Started reports that the process started and which peers it has asked for
+// Started reports that the process started and which peers it has queried for
 // their revision in force. Each peer answers with Announced.
 type Started struct{ Peers []Peer }
 
@@ -164,11 +164,11 @@
 	FetchTimeout time.Duration
 	// FetchLimit is how many fetches may be in flight at once.
 	FetchLimit int
-	// Backoff is the mean time for which a peer is not asked after its first
+	// Backoff is the mean time for which a peer is not queried after its first
 	// failure; it doubles with each failure in a row, up to BackoffMax.
 	Backoff    time.Duration
 	BackoffMax time.Duration
-	// AnnouncementTTL is how long a peer's announcement is remembered.
+	// AnnouncementTTL is how long a peer's announcement is stored.
 	AnnouncementTTL time.Duration
 }
 
@@ -197,7 +197,7 @@
 // none of which is higher, all peers have answered that they have none, or
 // RegisterConfig.MaxDeferral has passed. This doesn't guarantee the newest
 // bundle: a process that reaches no peer with a newer one runs the service's
-// stale bundle until it hears of a newer one.
+// stale bundle until a newer one is announced to it.
 type Register struct {
 	config  RegisterConfig
 	assert  *btassert.Asserter
--- a/core/btbundle/register_bench_test.go
+++ b/core/btbundle/register_bench_test.go
@@ -136,7 +136,7 @@
 	for _, size := range []int{10, 100, 400} {
 		for _, fanOut := range []int{2, 4, 8} {
 			for _, push := range []bool{false, true} {
-				b.Run(fmt.Sprintf("processes=%d/hears=%d/push=%t", size, fanOut, push), func(b *testing.B) {
+				b.Run(fmt.Sprintf("processes=%d/fan_out=%d/push=%t", size, fanOut, push), func(b *testing.B) {
 					benchmarkRollout(b, size, fanOut, push)
 				})
 			}
--- a/core/btbundle/register_fetch.go
+++ b/core/btbundle/register_fetch.go
@@ -11,7 +11,7 @@
 type peerState struct {
 	announced   Revision
 	announcedAt time.Time
-	// failures counts failures in a row; the peer is not asked before retryAt.
+	// failures counts failures in a row; the peer is not queried before retryAt.
 	failures int
 	retryAt  time.Time
 	// requested is the revision of the fetch in flight; zero for none.
@@ -86,7 +86,7 @@
 }
 
 // highestAnnounced returns the highest revision announced by a peer that may be
-// asked now.
+// queried now.
 func (r *Register) highestAnnounced() Revision {
 	var best Revision
 	for _, p := range r.peers {
@@ -124,7 +124,7 @@
 	}
 }
 
-// candidates returns the peers that may be asked: those with the highest
+// candidates returns the peers that may be queried: those with the highest
 // revision first, then those with the fewest failures, then in random order.
 func (r *Register) candidates() []Peer {
 	var names []Peer
--- a/core/btbundle/register_random_test.go
+++ b/core/btbundle/register_random_test.go
@@ -78,7 +78,7 @@
 		f.processes = append(f.processes, nil)
 		f.partitions = append(f.partitions, 0)
 	}
-	f.unknownSigner = signed(version(faultSteps, "stranger"), keyPair(1))
+	f.unknownSigner = signed(version(faultSteps, "unknown"), keyPair(1))
 	f.publish()
 	for i := range f.processes {
 		f.restart(i)
--- a/core/btbundle/register_step.go
+++ b/core/btbundle/register_step.go
@@ -136,7 +136,7 @@
 	r.emit(Deferred{Revision: approved.Revision()})
 }
 
-// resolveDeferred hands the deferred value to installIfHigher once it no longer
+// resolveDeferred passes the deferred value to installIfHigher once it no longer
 // has to wait.
 func (r *Register) resolveDeferred() {
 	deferred := r.startup.deferred
--- a/core/btbundle/register_test.go
+++ b/core/btbundle/register_test.go
@@ -152,7 +152,7 @@
 }
 
 // TestRegisterBacksOffFromFailingPeers guards against a failing or false peer
-// that blocks fetches from others or is asked without a pause.
+// that blocks fetches from others or is queried without a pause.
 func TestRegisterBacksOffFromFailingPeers(t *testing.T) {
 	falseAnnouncement := btbundle.Announced{Version: 99, Digest: btbundle.DigestOf([]byte("lie")), From: "agent/bad"}
 	requested := btbundle.Revision{Version: falseAnnouncement.Version, Digest: falseAnnouncement.Digest}
@@ -165,7 +165,7 @@
 		{name: "short", event: receivedFrom("agent/bad", 4, requested), want: btbundle.ReasonPeerShort},
 		{name: "forged", event: btbundle.Received{Raw: version(99, "x"), Source: btbundle.Source{Peer: "agent/bad"}, Requested: requested}, want: btbundle.ReasonSignature},
 		{name: "failed", event: btbundle.FetchFailed{From: "agent/bad", Requested: requested, Err: errors.New("refused")}, want: btbundle.ReasonFetchFailed},
-		{name: "silent", event: btbundle.Tick{}, after: time.Second, want: btbundle.ReasonFetchTimeout},
+		{name: "no reply", event: btbundle.Tick{}, after: time.Second, want: btbundle.ReasonFetchTimeout},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -177,12 +177,12 @@
 			refused := effectsOf[btbundle.Refused](r.Step(now, test.event))
 			assert.Equal(t, len(refused), 1)
 			assert.Equal(t, refused[0].Reason, test.want)
-			assert.Equal(t, len(effectsOf[btbundle.Fetch](r.Step(now, falseAnnouncement))), 0, "a failing peer must not be asked again at once")
+			assert.Equal(t, len(effectsOf[btbundle.Fetch](r.Step(now, falseAnnouncement))), 0, "a failing peer must not be queried again immediately")
 			good := effectsOf[btbundle.Fetch](r.Step(now, announcedBy("agent/good", 5)))
 			assert.Equal(t, len(good), 1)
 			assert.Equal(t, good[0].From, btbundle.Peer("agent/good"))
 			later := now.Add(time.Second)
-			assert.Equal(t, len(effectsOf[btbundle.Fetch](r.Step(later, falseAnnouncement))), 1, "a failing peer must be asked again after its backoff")
+			assert.Equal(t, len(effectsOf[btbundle.Fetch](r.Step(later, falseAnnouncement))), 1, "a failing peer must be queried again after its backoff")
 		})
 	}
 }
--- a/core/btbundle/signed.go
+++ b/core/btbundle/signed.go
@@ -62,7 +62,7 @@
 	for len(data) > start {
 		line, rest, terminated := bytes.Cut(data[start:], []byte("\n"))
 		if !terminated {
-			return Signed{}, fmt.Errorf("%w: the last line is cut", ErrSignature)
+			return Signed{}, fmt.Errorf("%w: the last line is incomplete", ErrSignature)
 		}
 		signature, err := parseTrailer(line)
 		if err != nil {
--- a/core/btbundle/successor.go
+++ b/core/btbundle/successor.go
@@ -10,12 +10,12 @@
 
 // ApprovalWindow is the longest time that may pass between the creation of a
 // version and its approval. Epochs of key homes stay listed for at least this
-// long, as the bundle that ended one came into force at an unknown time within
+// long, as the bundle that superseded one came into force at an unknown time within
 // it.
 const ApprovalWindow = 24 * time.Hour
 
 // EpochRetention is how long an epoch must stay listed after the next one was
-// created: until then its homes may still be asked about keys and may still
+// created: until then its homes may still be queried about keys and may still
 // grant them.
 func (i Idempotency) EpochRetention() time.Duration {
 	return ApprovalWindow + i.Retention.Duration + i.Lease.Duration + 2*i.ClockError.Duration
--- a/core/btbundle/successor_test.go
+++ b/core/btbundle/successor_test.go
@@ -58,16 +58,16 @@
 	assert.DeepEqual(t, next.Services[0].CurrentEpoch().Homes, []btid.Target{"t1", "t3", "t4"})
 	assert.Equal(t, len(btbundle.CheckSuccessor(old, next.Parent, next)), 0)
 
-	memory := next.Idempotency.EpochRetention()
-	third, err := btdraft.Next(second, second, now.Add(memory))
+	retention := next.Idempotency.EpochRetention()
+	third, err := btdraft.Next(second, second, now.Add(retention))
 	assert.NilError(t, err)
 	assert.Equal(t, len(decode(t, third).Services[0].Epochs), 2, "still within the retention")
-	third, err = btdraft.Next(second, second, now.Add(memory+time.Second))
+	third, err = btdraft.Next(second, second, now.Add(retention+time.Second))
 	assert.NilError(t, err)
 	assert.Equal(t, len(decode(t, third).Services[0].Epochs), 1)
 	assert.Equal(t, len(btbundle.CheckSuccessor(next, btbundle.DigestOf(second), decode(t, third))), 0)
 
-	tooEarly := strings.Replace(string(third), now.Add(memory+time.Second).Format(time.RFC3339), now.Format(time.RFC3339), 1)
+	tooEarly := strings.Replace(string(third), now.Add(retention+time.Second).Format(time.RFC3339), now.Format(time.RFC3339), 1)
 	problems := btbundle.CheckSuccessor(next, btbundle.DigestOf(second), decode(t, []byte(tooEarly)))
 	assert.Assert(t, cmp.Contains(problems.Error(), "epoch 1 is left out"))
 	edited := strings.Replace(string(second), `homes = ["t1", "t2", "t3"]`, `homes = ["t1"]`, 1)
@@ -95,7 +95,7 @@
 	tests := []struct{ parent, text, old, replacement, want string }{
 		{minimalBundle, lost, "", "", ""},
 		{minimalBundle, next(minimalBundle, minimalBundle), "", "", ""},
-		{minimalBundle, lost, `destroyed_targets = ["t2"]`, ``, `line 1: destroyed_hosts[0]: target "t2" stood on host "h2" and is a key home of epoch 1 of service lookup: add it to destroyed_targets`},
+		{minimalBundle, lost, `destroyed_targets = ["t2"]`, ``, `line 1: destroyed_hosts[0]: target "t2" was on host "h2" and is a key home of epoch 1 of service lookup: add it to destroyed_targets`},
 		{lost, next(lost, lost), `destroyed_targets = ["t2"]`, ``, `destroyed_targets: "t2" must stay until epoch 1 of service lookup`},
 		{removed, next(removed, readded), "", "", `targets[3].name: "t2" is a key home of epoch 1 of service lookup that the parent doesn't list`},
 		{minimalBundle, next(minimalBundle, minimalBundle), `host = "h2"`, `host = "h9"`, `line 67: targets[1].host: becomes h9, was h2, but target "t2" is a key home of epoch 1 of service lookup: give what runs there a new name`},
@@ -163,11 +163,11 @@
 	assert.Assert(t, share > 0.3 && share < 0.6, "%v", share)
 	assert.DeepEqual(t, lines, []string{
 		"added target t4: takes work of service lookup in data centre aarhus, 4 requests at a time",
-		"removed target t2: gets no new work of service lookup; what is in flight ends",
+		"removed target t2: gets no new work of service lookup; requests in flight finish",
 		fmt.Sprintf("keys_move service lookup: about %.0f%% of idempotency keys move to another home (epoch 2: [t1 t3 t4], was [t1 t2 t3])", 100*share),
 		"changed client account desk: requests a second becomes 20, was 10",
-		"added destroyed host h2: what only it could tell is taken as lost for good: approve only if it can't come back",
-		"added destroyed target t2: counts in no majority of key homes any more: approve only if its process has ended and nothing of its memory can come back",
+		"added destroyed host h2: what only it stored counts as permanently lost: approve only if it can't come back",
+		"added destroyed target t2: is excluded from all majorities of key homes: approve only if its process has exited and its records can't come back",
 		"changed retry: budget_share becomes 0.1, was 0.2",
 	})
 	assert.Equal(t, len(btbundle.Diff(old, old)), 1, "the version must grow")
@@ -197,5 +197,5 @@
 	assert.Equal(t, readers(policy.FailoverTimeout, never), policy.Count+1, "one standby takes over")
 	assert.Equal(t, readers(time.Hour, never), policy.MaxCount, "bounded however long reads fail")
 	assert.Equal(t, readers(time.Hour, recent), policy.Count)
-	assert.Assert(t, !policy.ShouldRead(start, start, "agent/stranger", nil))
+	assert.Assert(t, !policy.ShouldRead(start, start, "agent/unlisted", nil))
 }
