--- a/core/btround/acceptor.go
+++ b/core/btround/acceptor.go
@@ -15,8 +15,8 @@
 	Committed bool    `cbor:"committed"`
 }
 
-// Acceptor is an agent's part in the agreement on which lead is obeyed. It promises to
-// reject every ballot lower than the highest that it has seen. It is not safe for
+// Acceptor is an agent's part in the agreement on whose commands are executed. It promises
+// to reject every ballot lower than the highest that it has seen. It is not safe for
 // concurrent use.
 type Acceptor struct {
 	promised Ballot
@@ -31,7 +31,7 @@
 //
 // The record survives one claim of the held rank under a higher ballot, since the
 // claiming lead needs it to end the round. Any other command with a higher ballot drops
-// it, as that lead may have armed ranks of which the record says nothing.
+// it, as that lead may have armed ranks that the record doesn't cover.
 func (a *Acceptor) Accept(c Command) bool {
 	if c.Ballot < a.promised {
 		return false
@@ -44,7 +44,7 @@
 	return true
 }
 
-// RaisePromise raises the promised ballot to one learned other than from a command, and
+// RaisePromise raises the promised ballot to one received other than in a command, and
 // drops the record if the ballot is higher.
 func (a *Acceptor) RaisePromise(b Ballot) {
 	if b > a.promised {
--- a/core/btround/backoff.go
+++ b/core/btround/backoff.go
@@ -2,29 +2,29 @@
 
 import "time"
 
-// handleOutranked ends the round after another lead used a higher ballot; that lead
-// brings the round to its end.
-func (l *Lead) handleOutranked(now time.Time, higher Ballot) {
+// handlePreempted ends the round after another lead used a higher ballot; that lead
+// completes the round.
+func (l *Lead) handlePreempted(now time.Time, higher Ballot) {
 	l.endRound(now, false, "outranked")
 	first := l.ballot == 0
 	l.ballot = higher.Next(l.self, l.instance)
 	if first {
-		// This lead has only just begun to lead, so the ballot is its predecessor's,
-		// which the agents no longer follow. No backoff is needed.
+		// This lead has just started, so the ballot is its predecessor's, from which
+		// the agents have switched. No backoff is needed.
 		return
 	}
 	l.backoffUntil = now.Add(l.nextBackoff() + time.Duration(l.self)*l.settings.BackoffPerRank)
 }
 
-// nextBackoff returns how long the outranked lead leaves the group alone. The time
-// doubles with each call while the group hasn't begun another step.
+// nextBackoff returns how long the preempted lead starts no round. The time doubles with
+// each call while the group hasn't begun another step.
 func (l *Lead) nextBackoff() time.Duration {
-	if step := l.lastStep(); step != l.outrankedAtStep {
-		l.outrankedCount = 0
-		l.outrankedAtStep = step
+	if step := l.lastStep(); step != l.preemptedAtStep {
+		l.preemptions = 0
+		l.preemptedAtStep = step
 	}
-	l.outrankedCount++
-	return min(l.settings.Backoff<<min(l.outrankedCount-1, maxBackoffDoublings), l.settings.MaxBackoff)
+	l.preemptions++
+	return min(l.settings.Backoff<<min(l.preemptions-1, maxBackoffDoublings), l.settings.MaxBackoff)
 }
 
 // SetDeferred sets whether the lead's agent reports to another lead. A deferred lead
@@ -46,7 +46,7 @@
 	case l.deferred:
 		wait = l.settings.DeferredTakeoverDelay
 	case l.foreignSince.Sub(l.reportsSince) <= l.settings.MaxStateAge:
-		// The previous lead is gone or will learn that it is outranked.
+		// The previous lead is gone or will be preempted.
 		wait = l.settings.NewLeadTakeoverDelay
 	}
 	return now.Sub(l.foreignSince) >= wait && !now.Before(l.backoffUntil)
--- a/core/btround/backoff_test.go
+++ b/core/btround/backoff_test.go
@@ -75,9 +75,9 @@
 	assert.Assert(t, took >= s.NewLeadTakeoverDelay && took <= s.NewLeadTakeoverDelay+late, "%s", took)
 }
 
-// TestDeferredLeadBeginsNoRound guards against a lead that stays active although its
+// TestDeferredLeadStartsNoRound guards against a lead that stays active although its
 // own agent reports to another. It still takes a round over if no other lead does.
-func TestDeferredLeadBeginsNoRound(t *testing.T) {
+func TestDeferredLeadStartsNoRound(t *testing.T) {
 	s := btround.Defaults()
 	w := newTakeoverGroup()
 	w.lead.SetDeferred(true)
@@ -88,7 +88,7 @@
 	assert.Assert(t, took >= s.DeferredTakeoverDelay && took < s.DeferredTakeoverDelay+100*time.Millisecond, "%s", took)
 }
 
-// TestOutrankedLeadBacksOffExponentially guards against two leads that outrank each
+// TestOutrankedLeadBacksOffExponentially guards against two leads that preempt each
 // other in turn, each before the other's takeover is complete.
 func TestOutrankedLeadBacksOffExponentially(t *testing.T) {
 	w := newTakeoverGroup()
@@ -110,9 +110,9 @@
 // TestAGroupIsNotHeldForLongByALateHold guards against a lead's own claim that is
 // carried out after its release, under the same ballot, and holds an idle group again.
 func TestAGroupIsNotHeldForLongByALateHold(t *testing.T) {
-	w := newWorld(90087, 8, 0.35, 0.05)
-	disturb(w)
+	w := newSimulation(90087, 8, 0.35, 0.05)
+	injectLeadFaults(w)
 	w.run(60 * time.Second)
-	assert.Equal(t, w.split, int64(0))
+	assert.Equal(t, w.splitSteps, int64(0))
 	assert.Assert(t, w.longestHold < maxHold, "held for %s", w.longestHold)
 }
--- a/core/btround/btround_test.go
+++ b/core/btround/btround_test.go
@@ -33,26 +33,26 @@
 	return list
 }
 
-func TestConsecutiveRounds(t *testing.T) {
-	w := newWorld(1, 16, 0, 0)
+func TestConsecutiveRoundsHoldBriefly(t *testing.T) {
+	w := newSimulation(1, 16, 0, 0)
 	w.startLead(0)
 	w.run(20 * time.Second)
-	assert.Equal(t, w.split, int64(0))
+	assert.Equal(t, w.splitSteps, int64(0))
 	assert.Assert(t, w.switches >= 15, "%d switches", w.switches)
 	assert.Assert(t, w.longestHold <= 100*time.Millisecond, "held for %s", w.longestHold)
 }
 
 // TestNoStepOnTwoMaps runs with lost and late orders, with leads that are frozen,
-// killed and replaced or compete in pairs, and with idle groups.
+// killed, replaced or duelling, and with idle groups.
 //
-// In seed 51408 two instances of one rank's lead used the same ballot and were both
-// obeyed.
+// In seed 51408 two instances of one rank's lead used the same ballot, and engines
+// executed the orders of both.
 func TestNoStepOnTwoMaps(t *testing.T) {
 	for _, seed := range append([]uint64{51408}, seedRange()...) {
-		w := newWorld(seed, 8, 0.35, 0.05)
-		disturb(w)
+		w := newSimulation(seed, 8, 0.35, 0.05)
+		injectLeadFaults(w)
 		w.run(60 * time.Second)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 		assert.Assert(t, w.switches > 0, "seed %d: no map switch completed", seed)
 		assert.Assert(t, w.longestHold < maxHold, "seed %d: held for %s", seed, w.longestHold)
 	}
@@ -60,18 +60,18 @@
 
 // maxHold bounds how long a group may be held while leads are replaced every few
 // seconds and a third of the orders are carried out late. Two leads that keep
-// outranking each other would hold it for the whole run.
+// preempting each other would hold it for the whole run.
 const maxHold = 15 * time.Second
 
 // TestNoStepOnTwoMapsWithUnreachableHosts adds hosts that can't be reached while their
 // engines continue to step with the group, and agents that restart without state.
 func TestNoStepOnTwoMapsWithUnreachableHosts(t *testing.T) {
 	for _, seed := range append(regressions, seedRange()...) {
-		w := newWorld(seed, 8, 0.35, 0.05)
-		disturb(w)
-		isolate(w)
+		w := newSimulation(seed, 8, 0.35, 0.05)
+		injectLeadFaults(w)
+		injectHostFaults(w)
 		w.run(60 * time.Second)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 		assert.Assert(t, w.switches > 0, "seed %d: no map switch completed", seed)
 	}
 }
@@ -85,12 +85,12 @@
 // order to arm one rank was carried out late.
 func TestNoStepOnTwoMapsThroughRelays(t *testing.T) {
 	for _, seed := range append([]uint64{9098, 21323}, seedRange()...) {
-		w := newWorld(seed, 8, 0.35, 0.05)
+		w := newSimulation(seed, 8, 0.35, 0.05)
 		w.relayed = true
-		disturb(w)
-		isolate(w)
+		injectLeadFaults(w)
+		injectHostFaults(w)
 		w.run(60 * time.Second)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 		assert.Assert(t, w.switches > 0, "seed %d: no map switch completed", seed)
 	}
 }
@@ -99,23 +99,23 @@
 // were suspended and that arrive after newer states read by the leads themselves.
 func TestNoStepOnTwoMapsWithSuspendedHosts(t *testing.T) {
 	for _, seed := range seedRange() {
-		w := newWorld(seed, 8, 0.35, 0.05)
+		w := newSimulation(seed, 8, 0.35, 0.05)
 		w.suspended = true
-		disturb(w)
-		isolate(w)
+		injectLeadFaults(w)
+		injectHostFaults(w)
 		w.run(60 * time.Second)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 		assert.Equal(t, len(w.violations), 0, "seed %d: %v", seed, w.violations)
 		assert.Assert(t, w.switches > 0, "seed %d: no map switch completed", seed)
 	}
 }
 
-// disturb changes the lead, or makes the group idle or busy, every few seconds.
-func disturb(w *world) {
+// injectLeadFaults replaces the lead, or makes the group idle or busy, every few seconds.
+func injectLeadFaults(w *simulation) {
 	w.startLead(0)
 	var again func()
 	again = func() {
-		if w.undisturbed {
+		if w.faultsEnded {
 			return
 		}
 		w.schedule(w.millis(500, 4000), again)
@@ -141,11 +141,11 @@
 	w.schedule(time.Second, again)
 }
 
-// isolate makes hosts unreachable, mostly those of leads, and restarts agents.
-func isolate(w *world) {
+// injectHostFaults makes hosts unreachable, mostly those of leads, and restarts agents.
+func injectHostFaults(w *simulation) {
 	var again func()
 	again = func() {
-		if w.undisturbed {
+		if w.faultsEnded {
 			return
 		}
 		w.schedule(w.millis(500, 6000), again)
@@ -168,11 +168,11 @@
 // all ranks for a step without holding the group.
 func TestSwitchWithoutHoldSplitsMaps(t *testing.T) {
 	for seed := range uint64(200) {
-		w := newWorld(seed, 8, 0.35, 0.05)
+		w := newSimulation(seed, 8, 0.35, 0.05)
 		w.naive = true
-		disturb(w)
+		injectLeadFaults(w)
 		w.run(30 * time.Second)
-		if w.split > 0 {
+		if w.splitSteps > 0 {
 			return
 		}
 	}
@@ -184,7 +184,7 @@
 func TestHoldOfDeadLeadIsTakenOver(t *testing.T) {
 	found := 0
 	for seed := range uint64(60) {
-		w := newWorld(seed, 8, 0, 0)
+		w := newSimulation(seed, 8, 0, 0)
 		l := w.startLead(0)
 		for l.lead.Phase() != btround.Arming && w.now.Sub(w.start) < 20*time.Second {
 			w.run(5 * time.Millisecond)
@@ -196,7 +196,7 @@
 			found++
 		}
 		assert.Assert(t, w.longestHold < 1500*time.Millisecond, "seed %d: held for %s", seed, w.longestHold)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 	}
 	assert.Assert(t, found > 0, "no lead died while the group was held")
 }
@@ -205,7 +205,7 @@
 // phase, and returns how long the group was held.
 func freezeWhileHeld(t *testing.T, seed uint64, own bool, phase btround.Phase) time.Duration {
 	t.Helper()
-	w := newWorld(seed, 8, 0, 0)
+	w := newSimulation(seed, 8, 0, 0)
 	w.ownHolder, w.otherHolder = own, !own
 	l := w.startLead(0)
 	for l.lead.Phase() != phase && w.now.Sub(w.start) < 20*time.Second {
@@ -214,7 +214,7 @@
 	w.engines[0].frozen = w.now.Add(4 * time.Second)
 	w.startLead(3)
 	w.run(8 * time.Second)
-	assert.Equal(t, w.split, int64(0), "seed %d", seed)
+	assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 	assert.Assert(t, w.switches > 0, "seed %d: no map switch completed", seed)
 	return w.longestHold
 }
@@ -236,10 +236,10 @@
 	assert.Assert(t, waited > 0, "no seed left the holding rank unreachable")
 }
 
-// TestCommittedRoundWaitsForItsLead guards against ending a round without its lead's
+// TestCommittedRoundWaitsForUnreachableLead guards against ending a round without its lead's
 // rank after the record was committed: that rank may be armed, so the round waits while
 // its host is unreachable.
-func TestCommittedRoundWaitsForItsLead(t *testing.T) {
+func TestCommittedRoundWaitsForUnreachableLead(t *testing.T) {
 	committed := 0
 	for seed := range uint64(60) {
 		if freezeWhileHeld(t, seed, false, btround.ArmingLast) > 3*time.Second {
@@ -249,7 +249,7 @@
 	assert.Assert(t, committed > 0, "no lead became unreachable after its record was committed")
 }
 
-func TestAcceptorRecord(t *testing.T) {
+func TestAcceptorKeepsRecordForOneClaim(t *testing.T) {
 	store := btround.Command{Kind: btround.StoreRecord, Ballot: 5, Lead: 2, Epoch: 1, Version: 9}
 	commit := btround.Command{Kind: btround.Commit, Ballot: 5, Version: 9}
 	claim := btround.Command{Kind: btround.Hold, Force: true, Ballot: 6}
@@ -273,7 +273,7 @@
 	assert.Assert(t, recorded(store, other, second) == nil, "another lead may have armed ranks")
 }
 
-func TestVersionsOfTwoLeadsDiffer(t *testing.T) {
+func TestVersionsOfDuellingLeadsDiffer(t *testing.T) {
 	v := btround.Version(0).Next(5)
 	assert.Assert(t, v.Next(0) > v)
 	assert.Assert(t, btround.Version(0).Next(6) != v)
--- a/core/btround/compete_test.go
+++ b/core/btround/duelling_test.go
@@ -9,18 +9,18 @@
 	"bilberrytide/core/btexpert"
 )
 
-// compete runs two leads of a group that both receive all reports, and freezes the host
+// startDuellingLeads runs two leads of a group that both receive all reports, and freezes the host
 // of one or the other.
-func compete(w *world) {
+func startDuellingLeads(w *simulation) {
 	for r := range btexpert.Rank(2) {
 		w.startLead(r)
 	}
 	for _, l := range w.leads {
-		l.keepsReports = true
+		l.keepsReceivingReports = true
 	}
 	var again func()
 	again = func() {
-		if w.undisturbed {
+		if w.faultsEnded {
 			return
 		}
 		w.schedule(w.millis(300, 3000), again)
@@ -29,16 +29,16 @@
 	w.schedule(time.Second, again)
 }
 
-// TestNoStepOnTwoMapsWithCompetingLeads guards against a lead that learns of another
-// lead's hold only from the engines' answers and disarms ranks without having claimed
+// TestNoStepOnTwoMapsWithDuellingLeads guards against a lead that detects another
+// lead's hold only by the engines' responses and disarms ranks without having claimed
 // the held rank.
-func TestNoStepOnTwoMapsWithCompetingLeads(t *testing.T) {
+func TestNoStepOnTwoMapsWithDuellingLeads(t *testing.T) {
 	switches := 0
 	for _, seed := range append([]uint64{60}, seedRange()...) {
-		w := newWorld(seed, 3, 0.35, 0.05)
-		compete(w)
+		w := newSimulation(seed, 3, 0.35, 0.05)
+		startDuellingLeads(w)
 		w.run(60 * time.Second)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 		switches += w.switches
 	}
 	assert.Assert(t, switches > 0, "no map switch completed")
--- a/core/btround/hold_test.go
+++ b/core/btround/hold_test.go
@@ -10,19 +10,19 @@
 	"bilberrytide/core/btround"
 )
 
-// TestHoldForAnotherStepEndsRound guards against a lead that asks a rank to hold one
-// step after another while that rank holds the group for another round and refuses
-// each. The group then stayed paused without any log message.
+// TestHoldForAnotherStepEndsRound guards against a lead that keeps retrying the hold of
+// later steps at a rank that holds the group for another round and refuses each. The
+// group would stay paused without any log message.
 func TestHoldForAnotherStepEndsRound(t *testing.T) {
 	for seen, most := range map[btround.Kind]int{btround.Prepare: 0, btround.Hold: 2} {
-		t.Run(string(seen), func(t *testing.T) { holdsAnotherStep(t, seen, most) })
+		t.Run(string(seen), func(t *testing.T) { testHoldForAnotherStep(t, seen, most) })
 	}
 }
 
-// holdsAnotherStep lets another lead's claim hold the group from the first command of
+// testHoldForAnotherStep lets another lead's claim hold the group from the first command of
 // kind seen on, and checks that the lead releases that hold after at most the given
 // number of refused ones.
-func holdsAnotherStep(t *testing.T, seen btround.Kind, most int) {
+func testHoldForAnotherStep(t *testing.T, seen btround.Kind, most int) {
 	s := newScriptedGroup(t)
 	for r := range btexpert.Rank(3) {
 		s.report(s.state(r))
@@ -36,7 +36,7 @@
 		for _, c := range s.lead.Poll(s.now) {
 			held = held || c.Kind == seen
 			ended = ended || c.Kind == btround.Release
-			state := s.obeyed(c)
+			state := s.applied(c)
 			verdict := btround.Reached
 			if c.Rank == 1 && held && !ended {
 				state.Held, state.HeldStep = true, lastStep+1
@@ -49,12 +49,12 @@
 		}
 	}
 	assert.Assert(t, refused <= most, "%d holds refused", refused)
-	assert.Assert(t, ended, "the other round's hold was never ended")
+	assert.Assert(t, ended, "the other round's hold was never released")
 }
 
-// claims checks that ranks are disarmed only by a lead whose ballot the holder
+// claimChecker checks that ranks are disarmed only by a lead whose ballot the holder
 // accepted.
-type claims struct {
+type claimChecker struct {
 	t *testing.T
 	// accepted is the ballot of the last claim, armed the highest ballot of an order to
 	// arm.
@@ -62,8 +62,8 @@
 	disarmed        int
 }
 
-// given checks one command, in the order in which commands are sent.
-func (c *claims) given(command btround.Command) {
+// observe checks one command, in the order in which commands are sent.
+func (c *claimChecker) observe(command btround.Command) {
 	c.t.Helper()
 	switch {
 	case command.Kind == btround.Hold && command.Force:
@@ -86,12 +86,12 @@
 	}
 	_, begun := s.lead.Begin(s.now, btround.Proposal{Holder: 1})
 	assert.Assert(t, begun)
-	seen := claims{t: t}
+	seen := claimChecker{t: t}
 	for range 20 {
 		s.now = s.now.Add(20 * time.Millisecond)
 		for _, c := range s.lead.Poll(s.now) {
-			seen.given(c)
-			verdict, state := btround.Reached, s.obeyed(c)
+			seen.observe(c)
+			verdict, state := btround.Reached, s.applied(c)
 			if c.Kind == btround.Arm && c.Rank == 2 {
 				verdict, state = btround.Refused, s.state(2)
 			}
@@ -117,14 +117,14 @@
 		}
 		return state
 	}
-	seen := claims{t: t}
+	seen := claimChecker{t: t}
 	for range 30 {
 		s.now = s.now.Add(20 * time.Millisecond)
 		for r := range btexpert.Rank(3) {
 			s.report(state(r, false))
 		}
 		for _, c := range s.lead.Poll(s.now) {
-			seen.given(c)
+			seen.observe(c)
 			s.lead.HandleResult(s.now, btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Reached, Ballot: c.Ballot, State: state(c.Rank, true)})
 		}
 		if seen.disarmed > 0 {
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -59,16 +59,16 @@
 	// ranks takes longer.
 	HoldAhead         int64
 	RanksPerExtraStep int
-	// Backoff is how long an outranked lead leaves the group to the other lead.
-	// BackoffPerRank is added once per rank number, so that two leads don't keep
-	// outranking each other.
+	// Backoff is how long a preempted lead leaves the group to the other lead.
+	// BackoffPerRank is added once per rank number, so that duelling leads don't keep
+	// preempting each other.
 	Backoff        time.Duration
 	BackoffPerRank time.Duration
-	// MaxBackoff bounds the doubling of Backoff while leads outrank each other.
+	// MaxBackoff bounds the doubling of Backoff while leads preempt each other.
 	MaxBackoff time.Duration
 	// TakeoverDelay is how long another lead's round is left to that lead; an
 	// undisturbed round takes tens of milliseconds. NewLeadTakeoverDelay applies
-	// instead to a lead that has only just begun to receive reports, since its
+	// instead to a lead that has just begun to receive reports, since its
 	// predecessor is most likely gone.
 	TakeoverDelay        time.Duration
 	NewLeadTakeoverDelay time.Duration
@@ -90,8 +90,8 @@
 
 // Defaults returns the settings in use. A group's step takes about 60 to 100 ms and an
 // order within the host about 1 ms, so a hold two steps ahead is placed in time without
-// a needless wait. Copying two experts takes about half a second. An agent works on a
-// command for up to 400 ms.
+// a needless wait. Copying two experts takes about half a second. An agent takes
+// up to 400 ms for a command.
 func Defaults() Settings {
 	return Settings{
 		PrepareTimeout:        3 * time.Second,
@@ -148,11 +148,11 @@
 	record      *Record
 	startedAt   time.Time
 	// backoffUntil is the time until which the group is left to another lead.
-	// outrankedCount counts how often in a row this lead was outranked while the group
-	// was at step outrankedAtStep.
+	// preemptions counts how often in a row this lead was preempted while the group
+	// was at step preemptedAtStep.
 	backoffUntil    time.Time
-	outrankedCount  int
-	outrankedAtStep int64
+	preemptions     int
+	preemptedAtStep int64
 	// deferred is set when the agent reports to another lead. foreignSince is when this
 	// lead first saw a hold or armed ranks of another lead's round.
 	deferred     bool
@@ -165,18 +165,18 @@
 	outcome *Outcome
 }
 
-// member is what the lead knows about one rank.
+// member is the lead's view of one rank.
 type member struct {
 	state State
 	at    time.Time
 	// The fields below belong to the current round.
-	reached bool
-	refused bool
-	askedAt time.Time
+	acknowledged bool
+	refused      bool
+	sentAt       time.Time
 	// confirmed is the state in the rank's latest answer to an order to arm or disarm
-	// or to a state read. It was read after the command, unlike a report: one that was
-	// read before an order, on a host that was frozen meanwhile, made a lead release
-	// the group with one rank armed.
+	// or to a state read. It was read after the command, unlike a report: a
+	// report that was read before an order, on a host that was then frozen, would make
+	// the lead release the group with one rank armed.
 	confirmed *State
 }
 
@@ -233,11 +233,11 @@
 	if restarted || s.notOlderThan(m.state) {
 		m.state = s
 		m.at = now
-		// A report shows what the rank would answer, so the command isn't repeated.
-		m.reached = m.reached || l.phase == Preparing && l.version != 0 && s.Prepared == l.version
+		// The report implies the acknowledgement, so the command isn't repeated.
+		m.acknowledged = m.acknowledged || l.phase == Preparing && l.version != 0 && s.Prepared == l.version
 	}
 	if promised > l.ballot {
-		l.handleOutranked(now, promised)
+		l.handlePreempted(now, promised)
 	}
 }
 
@@ -346,7 +346,7 @@
 }
 
 // hasForeignRound reports whether a rank holds the group, or some ranks but not all are
-// armed. It is asked while this lead has no round.
+// armed. It is called while this lead has no round.
 func (l *Lead) hasForeignRound() bool {
 	if l.epochEnded {
 		return false
@@ -361,7 +361,7 @@
 	return armed != 0 && !allArmedOrActive(l.knownStates(), armed)
 }
 
-// enterPhase enters a phase and resets what each rank has answered.
+// enterPhase enters a phase and resets the ranks' acknowledgements.
 func (l *Lead) enterPhase(p Phase) {
 	if l.ballot == 0 {
 		l.ballot = Ballot(0).Next(l.self, l.instance)
@@ -369,9 +369,9 @@
 	l.phase = p
 	l.round++
 	for _, m := range l.members {
-		m.reached = false
+		m.acknowledged = false
 		m.refused = false
-		m.askedAt = time.Time{}
+		m.sentAt = time.Time{}
 	}
 }
 
--- a/core/btround/leader_test.go
+++ b/core/btround/leader_test.go
@@ -10,28 +10,28 @@
 
 // leader is the lead at one agent.
 type leader struct {
-	world  *world
-	lead   *btround.Lead
-	self   btexpert.Rank
-	frozen time.Time
-	dead   bool
+	simulation *simulation
+	lead       *btround.Lead
+	self       btexpert.Rank
+	frozen     time.Time
+	dead       bool
 	// receivesReports is set while the agents report to it.
 	receivesReports bool
-	// keepsReports has the agents continue to report to it after another lead has
+	// keepsReceivingReports has the agents continue to report to it after another lead has
 	// started.
-	keepsReports bool
+	keepsReceivingReports bool
 	// outcomes counts rounds by the reason they ended.
 	outcomes map[string]int
 }
 
 // startLead starts a lead at a rank's agent.
-func (w *world) startLead(r btexpert.Rank) *leader {
+func (w *simulation) startLead(r btexpert.Rank) *leader {
 	assert := btassert.New(btassert.SinkFunc(func(v btassert.Violation) { w.violations = append(w.violations, v.Name) }))
 	for _, other := range w.leads {
 		// Agents report to one lead and switch to a new one at different times.
-		w.schedule(w.millis(0, 1500), func() { other.receivesReports = other.keepsReports })
+		w.schedule(w.millis(0, 1500), func() { other.receivesReports = other.keepsReceivingReports })
 	}
-	l := &leader{world: w, self: r, lead: btround.NewLead(btround.Defaults(), "g", r, btround.Instance(len(w.leads)), assert), receivesReports: true, outcomes: make(map[string]int)}
+	l := &leader{simulation: w, self: r, lead: btround.NewLead(btround.Defaults(), "g", r, btround.Instance(len(w.leads)), assert), receivesReports: true, outcomes: make(map[string]int)}
 	w.leads = append(w.leads, l)
 	w.schedule(0, l.tick)
 	for _, e := range w.engines {
@@ -40,18 +40,18 @@
 	return l
 }
 
-// away reports whether the lead is dead or frozen, or its host unreachable.
-func (l *leader) away() bool {
-	return l.dead || l.world.now.Before(l.frozen) || l.world.engines[l.self].unreachable()
+// unavailable reports whether the lead is dead or frozen, or its host unreachable.
+func (l *leader) unavailable() bool {
+	return l.dead || l.simulation.now.Before(l.frozen) || l.simulation.engines[l.self].unreachable()
 }
 
 // unreachable reports whether the engine's host is unreachable. The engine still takes
 // part in the group's steps.
-func (e *engine) unreachable() bool { return e.world.now.Before(e.frozen) }
+func (e *engine) unreachable() bool { return e.simulation.now.Before(e.frozen) }
 
 // scheduleReport sends a report of a rank's agent at a fixed interval.
 func (l *leader) scheduleReport(e *engine) {
-	w := l.world
+	w := l.simulation
 	if l.dead {
 		return
 	}
@@ -62,7 +62,7 @@
 	s, promised := e.state(), e.agent.Promised()
 	read := w.now
 	arrives := func() {
-		if !l.away() {
+		if !l.unavailable() {
 			l.lead.HandleReport(read, s, promised)
 		}
 	}
@@ -77,12 +77,12 @@
 
 // tick runs the lead at a fixed interval and begins rounds at random.
 func (l *leader) tick() {
-	w := l.world
+	w := l.simulation
 	if l.dead {
 		return
 	}
 	w.schedule(20*time.Millisecond, l.tick)
-	if l.away() {
+	if l.unavailable() {
 		return
 	}
 	l.lead.SetDeferred(!l.receivesReports)
@@ -99,7 +99,7 @@
 // step polls the lead and sends its commands.
 func (l *leader) step() {
 	l.lead.SetDeferred(!l.receivesReports)
-	for _, c := range l.lead.Poll(l.world.now) {
+	for _, c := range l.lead.Poll(l.simulation.now) {
 		l.send(c)
 	}
 	if o := l.lead.Outcome(); o != nil {
@@ -109,7 +109,7 @@
 
 // holder chooses the rank that is to hold the group, usually another than the lead's.
 func (l *leader) holder() btexpert.Rank {
-	w := l.world
+	w := l.simulation
 	if w.ownHolder || !w.otherHolder && w.random.IntN(4) == 0 {
 		return l.self
 	}
@@ -118,7 +118,7 @@
 
 // send sends a command, which a relay may duplicate.
 func (l *leader) send(c btround.Command) {
-	w := l.world
+	w := l.simulation
 	if w.naive && c.Kind == btround.Hold {
 		// Without holds, the lead assumes that the group is held.
 		e := w.engines[c.Rank]
@@ -149,7 +149,7 @@
 // deliver delivers a command to its rank and the result to the lead. Either may be
 // lost.
 func (l *leader) deliver(c btround.Command) {
-	w := l.world
+	w := l.simulation
 	if w.random.Float64() < w.lostShare {
 		return
 	}
@@ -160,7 +160,7 @@
 		most = 2
 	}
 	w.schedule(w.millis(1, most), func() {
-		if l.away() || e.unreachable() {
+		if l.unavailable() || e.unreachable() {
 			return
 		}
 		result := e.handle(c)
@@ -171,7 +171,7 @@
 			return
 		}
 		w.schedule(w.millis(1, most), func() {
-			if !l.away() {
+			if !l.unavailable() {
 				l.lead.HandleResult(w.now, result)
 				// A result is followed by a poll before those of other ranks arrive.
 				l.step()
--- a/core/btround/map_cache.go
+++ b/core/btround/map_cache.go
@@ -21,11 +21,10 @@
 	return layers, found
 }
 
-// Put stores a map and evicts the oldest ones, but never the active map, since the next
-// round's changes refer to it. When the active map was evicted like the others, four
-// failed rounds made the lead send 192 whole maps, 2.9 MB; this filled its link, so that
-// the next rounds failed too, and a group whose lead had frozen once got no new map for
-// 20 s.
+// Put stores a map and evicts the oldest ones, but never the active map: the next round's
+// changes refer to it, and without it the lead sends the whole map to every rank. After
+// four failed rounds this was 192 maps or 2.9 MB, which saturated the lead's link, so that
+// further rounds failed and the group got no new map for 20 s.
 func (m *MapCache) Put(v Version, layers []btexpert.Layer, active Version) {
 	m.maps[v] = layers
 	for len(m.maps) > maxCachedMaps {
--- a/core/btround/map_cache_test.go
+++ b/core/btround/map_cache_test.go
@@ -11,10 +11,10 @@
 	"bilberrytide/core/btround"
 )
 
-// TestActiveMapStaysCached guards against evicting the active map during a series of
-// failed rounds, as when two leads outrank each other. The next round's changes still
+// TestMapCacheKeepsActiveMap guards against evicting the active map during a series of
+// failed rounds, as with duelling leads. The next round's changes still
 // refer to that map.
-func TestActiveMapStaysCached(t *testing.T) {
+func TestMapCacheKeepsActiveMap(t *testing.T) {
 	const inForce = 7
 	m := btround.NewMapCache()
 	layers := []btexpert.Layer{{Ranks: [][]btexpert.Expert{{3}}}}
--- a/core/btround/message.go
+++ b/core/btround/message.go
@@ -1,13 +1,13 @@
 // Package btround decides how the lead of an engine group switches all ranks to a new
-// expert map. Engines take orders one at a time and may carry an order out late.
+// expert map. Engines execute orders one at a time, and possibly late.
 //
 // A round prepares the map at every rank, holds the group before a step, arms every
 // rank for that step, and releases the group. Once the group is held, either all ranks
 // are armed or none stays armed before it is released, so that no step runs on two
-// maps. Engines may carry out an order seconds after it was sent, without an answer.
+// maps. Engines may execute an order seconds after it was sent, without a response.
 // Versions and steps are therefore never reused: a late order finds that its step has
 // begun or its version is superseded. Orders also carry a fencing token, the ballot,
-// which keeps an older lead from interfering with a newer one.
+// which prevents an older lead from interfering with a newer one.
 //
 // A lead that finds a hold or an armed rank of another lead's round takes the round
 // over under a higher ballot and ends it. To do so it must know whether each rank is
@@ -52,8 +52,8 @@
 )
 
 // Instance distinguishes successive leads at the same rank; each draws a random number
-// when it starts. A restarted lead doesn't know what its predecessor sent, and engines
-// would obey orders of both if they shared a ballot.
+// when it starts. A restarted lead doesn't know which orders its predecessor sent, and engines
+// would execute orders of both if they shared a ballot.
 type Instance uint16
 
 // Next returns a ballot above b for the lead instance at rank r.
@@ -90,7 +90,7 @@
 	Held     bool  `cbor:"held"`
 	HeldStep int64 `cbor:"held_step"`
 	// Reader identifies the process that read the state. ReadCount counts its reads, so
-	// that a late state can be told from a newer one.
+	// that a delayed state can be distinguished from a newer one.
 	Reader    uint64 `cbor:"reader"`
 	ReadCount uint64 `cbor:"reading"`
 	// Running and Waiting are numbers of requests. Pace is above 1 if the engine is
@@ -115,11 +115,11 @@
 type Kind string
 
 const (
-	// Prepare has the rank load the experts of a map.
+	// Prepare makes the rank load the experts of a map.
 	Prepare Kind = "prepare"
 	// Hold keeps the group from beginning a step.
 	Hold Kind = "hold"
-	// Arm has the rank switch to a prepared map when a step begins.
+	// Arm makes the rank switch to a prepared map when a step begins.
 	Arm Kind = "arm"
 	// Disarm cancels an Arm.
 	Disarm Kind = "disarm"
@@ -127,9 +127,9 @@
 	Release Kind = "go"
 	// ReadState only reads the engine's state.
 	ReadState Kind = "look"
-	// StoreRecord has the agent store a record of the round.
+	// StoreRecord makes the agent store a record of the round.
 	StoreRecord Kind = "witness"
-	// Commit has the agent commit its record of the round.
+	// Commit makes the agent commit its record of the round.
 	Commit Kind = "commit"
 )
 
@@ -143,12 +143,12 @@
 	Kind    Kind          `cbor:"kind"`
 	Version Version       `cbor:"version,omitempty"`
 	Step    int64         `cbor:"step,omitempty"`
-	// Force has the order sent even if the state is already reached, so that the engine
+	// Force sends the order even if the state is already reached, so that the engine
 	// records the ballot.
 	Force bool `cbor:"force,omitempty"`
 	// Lead is the lead's rank, for StoreRecord.
 	Lead btexpert.Rank `cbor:"lead,omitempty"`
-	// Direct has the lead order the engine itself instead of its agent.
+	// Direct makes the lead send the order to the engine itself instead of its agent.
 	Direct bool `cbor:"-"`
 	// Layers is the whole map, for Prepare.
 	Layers []btexpert.Layer `cbor:"layers,omitempty"`
--- a/core/btround/pause_test.go
+++ b/core/btround/pause_test.go
@@ -9,8 +9,8 @@
 	"bilberrytide/core/btround"
 )
 
-// TestPauseIsReportedFromFirstState guards against a paused group that operators aren't
-// told of, and against reporting a group as paused while it steps.
+// TestPauseIsReportedFromFirstState guards against a paused group that isn't reported to
+// operators, and against reporting a group as paused while it steps.
 func TestPauseIsReportedFromFirstState(t *testing.T) {
 	var w btround.PauseWatch
 	began := time.Unix(1000, 0)
--- a/core/btround/reason.go
+++ b/core/btround/reason.go
@@ -24,7 +24,7 @@
 	NotSecured = "step not secured"
 )
 
-// abortWithBackoff ends the round and leaves the group alone for Settings.Backoff.
+// abortWithBackoff ends the round and starts no other for Settings.Backoff.
 func (l *Lead) abortWithBackoff(now time.Time, reason string) {
 	l.endRound(now, false, reason)
 	l.backoffUntil = now.Add(l.settings.Backoff)
--- a/core/btround/restart_test.go
+++ b/core/btround/restart_test.go
@@ -36,7 +36,7 @@
 	r.lead.HandleReport(r.now, btround.State{Rank: rank, Size: 2, Group: "g", Epoch: epoch, Start: start, Open: true, Reader: 1, ReadCount: r.reading}, 0)
 }
 
-func (r *restartGroup) begins() bool {
+func (r *restartGroup) begin() bool {
 	_, begun := r.lead.Begin(r.now, btround.Proposal{Holder: 1})
 	return begun
 }
@@ -46,13 +46,13 @@
 // or armed.
 func TestRestartedRankEndsRound(t *testing.T) {
 	r := newRestartGroup(t)
-	assert.Assert(t, r.begins())
+	assert.Assert(t, r.begin())
 	r.report(1, 1, 21)
 	outcome := r.lead.Outcome()
 	assert.Assert(t, outcome != nil)
 	assert.Equal(t, outcome.Reason, btround.RankRestarted)
 	assert.Equal(t, len(r.lead.Poll(r.now)), 0, "commands sent in an ended epoch")
-	assert.Assert(t, !r.begins())
+	assert.Assert(t, !r.begin())
 }
 
 // TestStaleReportDoesNotReviveEndedEpoch guards against a report sent before an engine
@@ -63,28 +63,28 @@
 	r.report(1, 1, 21)
 	r.report(1, 1, 20)
 	r.report(0, 1, 10)
-	assert.Assert(t, !r.begins())
+	assert.Assert(t, !r.begin())
 	r.report(0, 2, 10)
 	r.report(1, 1, 20)
-	assert.Assert(t, !r.begins(), "a round began before every rank reported in the new epoch")
+	assert.Assert(t, !r.begin(), "a round began before every rank reported in the new epoch")
 	r.report(1, 2, 21)
-	assert.Assert(t, r.begins())
+	assert.Assert(t, r.begin())
 }
 
-// TestUnknownStartEndsNoRound covers engines that don't report their start; only the
+// TestUnknownStartDoesNotEndRound covers engines that don't report their start; only the
 // epoch shows their restarts.
-func TestUnknownStartEndsNoRound(t *testing.T) {
+func TestUnknownStartDoesNotEndRound(t *testing.T) {
 	r := newRestartGroup(t)
 	r.report(1, 1, 0)
 	r.report(1, 1, 20)
-	assert.Assert(t, r.begins())
+	assert.Assert(t, r.begin())
 }
 
 // restart restarts an engine under the same ID, without its state. The group begins no
 // step until it forms again in the next epoch; until then the engine reports the old
 // one.
-func (w *world) restart(e *engine) {
-	*e = engine{world: w, rank: e.rank, started: e.started + 1, reads: e.reads, agent: e.agent, frozen: e.frozen}
+func (w *simulation) restart(e *engine) {
+	*e = engine{simulation: w, rank: e.rank, started: e.started + 1, reads: e.reads, agent: e.agent, frozen: e.frozen}
 	if w.forming {
 		return
 	}
@@ -95,7 +95,7 @@
 
 // form forms the group again with the initial map and nothing prepared, armed or held.
 // Only restarted engines lose their fences.
-func (w *world) form() {
+func (w *simulation) form() {
 	w.epoch++
 	w.forming = false
 	for _, e := range w.engines {
@@ -108,8 +108,8 @@
 // of a round, while leads are replaced and orders are lost or carried out late.
 func TestNoStepOnTwoMapsWithEngineRestarts(t *testing.T) {
 	for _, seed := range seedRange() {
-		w := newWorld(seed, 8, 0.35, 0.05)
-		disturb(w)
+		w := newSimulation(seed, 8, 0.35, 0.05)
+		injectLeadFaults(w)
 		var again func()
 		again = func() {
 			w.schedule(w.millis(2000, 12000), again)
@@ -117,7 +117,7 @@
 		}
 		w.schedule(3*time.Second, again)
 		w.run(60 * time.Second)
-		assert.Equal(t, w.split, int64(0), "seed %d", seed)
+		assert.Equal(t, w.splitSteps, int64(0), "seed %d", seed)
 		assert.Assert(t, w.epoch > 3, "seed %d: %d epochs", seed, w.epoch)
 		assert.Assert(t, w.switches > 0, "seed %d: no map switch completed", seed)
 		assert.Assert(t, w.longestHold < maxHold, "seed %d: held for %s", seed, w.longestHold)
--- a/core/btround/world_test.go
+++ b/core/btround/simulation_test.go
@@ -14,7 +14,7 @@
 // engine simulates one rank's engine and agent. Orders may be lost, or carried out
 // seconds later without an answer.
 type engine struct {
-	world      *world
+	simulation *simulation
 	rank       btexpert.Rank
 	mapVersion btround.Version
 	prepared   btround.Version
@@ -34,8 +34,8 @@
 	frozen time.Time
 }
 
-// world simulates a group with its agents and leads on a virtual clock.
-type world struct {
+// simulation simulates a group with its agents and leads on a virtual clock.
+type simulation struct {
 	random  *rand.Rand
 	now     time.Time
 	start   time.Time
@@ -48,15 +48,15 @@
 	// delayedShare is the share of orders that are carried out late, lostShare that of
 	// messages that are lost.
 	delayedShare, lostShare float64
-	split                   int64
+	splitSteps              int64
 	switches                int
 	heldSince               time.Time
 	longestHold             time.Duration
 	epoch                   uint64
 	// forming is set from the restart of an engine until the group has formed again.
 	forming bool
-	// undisturbed stops further disturbances.
-	undisturbed bool
+	// faultsEnded stops further faults.
+	faultsEnded bool
 	// naive skips holds. ownHolder has each lead hold the group at its own rank,
 	// otherHolder at another rank.
 	naive, ownHolder, otherHolder bool
@@ -95,8 +95,8 @@
 	return last
 }
 
-func newWorld(seed uint64, ranks int, delayedShare, lostShare float64) *world {
-	w := &world{
+func newSimulation(seed uint64, ranks int, delayedShare, lostShare float64) *simulation {
+	w := &simulation{
 		random:       rand.New(rand.NewPCG(seed, 1)),
 		now:          time.Unix(1000, 0),
 		delayedShare: delayedShare,
@@ -106,22 +106,22 @@
 	}
 	w.start = w.now
 	for r := range ranks {
-		w.engines = append(w.engines, &engine{world: w, rank: btexpert.Rank(r), started: 1})
+		w.engines = append(w.engines, &engine{simulation: w, rank: btexpert.Rank(r), started: 1})
 	}
 	w.nextAt = w.now
 	return w
 }
 
-func (w *world) schedule(d time.Duration, do func()) {
+func (w *simulation) schedule(d time.Duration, do func()) {
 	heap.Push(&w.events, event{at: w.now.Add(d), do: do, seq: int(w.random.Int64N(1 << 40))})
 }
 
-func (w *world) millis(least, most int) time.Duration {
+func (w *simulation) millis(least, most int) time.Duration {
 	return time.Duration(least+w.random.IntN(most-least+1)) * time.Millisecond
 }
 
 // run advances the simulation by a duration.
-func (w *world) run(d time.Duration) {
+func (w *simulation) run(d time.Duration) {
 	const tick = 5 * time.Millisecond
 	end := w.now.Add(d)
 	for w.now.Before(end) {
@@ -134,7 +134,7 @@
 }
 
 // advanceStep begins the next step if it is due and no rank holds it.
-func (w *world) advanceStep() {
+func (w *simulation) advanceStep() {
 	if !w.busy || w.forming || w.now.Before(w.nextAt) {
 		return
 	}
@@ -163,7 +163,7 @@
 	}
 	for _, e := range w.engines {
 		if e.mapVersion != w.engines[0].mapVersion {
-			w.split++
+			w.splitSteps++
 			return
 		}
 	}
@@ -172,8 +172,8 @@
 func (e *engine) state() btround.State {
 	e.reads++
 	return btround.State{
-		Rank: e.rank, Size: len(e.world.engines), Group: "g", Epoch: e.world.epoch, Start: e.started, Open: !e.world.forming,
-		Step: e.world.step, Map: e.mapVersion, Prepared: e.prepared, Armed: e.armed, ArmedStep: e.armedStep,
+		Rank: e.rank, Size: len(e.simulation.engines), Group: "g", Epoch: e.simulation.epoch, Start: e.started, Open: !e.simulation.forming,
+		Step: e.simulation.step, Map: e.mapVersion, Prepared: e.prepared, Armed: e.armed, ArmedStep: e.armedStep,
 		Held: e.held, HeldStep: e.heldStep, Reader: uint64(e.rank) + 1, ReadCount: e.reads, Pace: 1,
 	}
 }
@@ -184,7 +184,7 @@
 	if c.Ballot < e.fence {
 		return false, true
 	}
-	if c.Epoch != e.world.epoch || !e.apply(c) {
+	if c.Epoch != e.simulation.epoch || !e.apply(c) {
 		return false, false
 	}
 	e.fence = c.Ballot
@@ -201,7 +201,7 @@
 		if e.armed == c.Version && e.armedStep == c.Step {
 			return true
 		}
-		if e.prepared != c.Version || c.Step <= e.world.step {
+		if e.prepared != c.Version || c.Step <= e.simulation.step {
 			return false
 		}
 		e.armed, e.armedStep = c.Version, c.Step
@@ -216,7 +216,7 @@
 		if e.held && e.heldStep == c.Step {
 			return true
 		}
-		if e.held || c.Step <= e.world.step {
+		if e.held || c.Step <= e.simulation.step {
 			return false
 		}
 		e.held, e.heldStep = true, c.Step
@@ -238,7 +238,7 @@
 	e.highest = v
 	e.preparing = v
 	e.prepared = 0
-	e.world.schedule(e.world.millis(50, 300), func() {
+	e.simulation.schedule(e.simulation.millis(50, 300), func() {
 		if e.preparing == v {
 			e.prepared = v
 		}
@@ -277,8 +277,8 @@
 		result.State = e.state()
 		return result
 	}
-	if e.world.random.Float64() < e.world.delayedShare {
-		e.world.schedule(e.world.millis(2000, 12000), func() { e.order(c) })
+	if e.simulation.random.Float64() < e.simulation.delayedShare {
+		e.simulation.schedule(e.simulation.millis(2000, 12000), func() { e.order(c) })
 		result.State = e.state()
 		return result
 	}
--- a/core/btround/stale_test.go
+++ b/core/btround/stale_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// obeyed returns the state of a rank that has carried out the command.
-func (s *scriptedGroup) obeyed(c btround.Command) btround.State {
+// applied returns the state of a rank that has carried out the command.
+func (s *scriptedGroup) applied(c btround.Command) btround.State {
 	state := s.state(c.Rank)
 	state.Prepared = c.Version
 	switch c.Kind {
@@ -90,7 +90,7 @@
 			read = s.state(2)
 			read.Prepared = version
 		}
-		s.answer(s.obeyed, func(btround.Command) {
+		s.answer(s.applied, func(btround.Command) {
 			if read.Prepared != 0 {
 				s.report(read)
 			}
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -35,8 +35,8 @@
 	return false
 }
 
-// participates reports whether a rank is asked in a phase that asks all ranks. An
-// unreachable rank isn't, and the lead's own rank isn't armed with the others if a
+// participates reports whether a rank participates in a phase of all ranks. An
+// unreachable rank doesn't, and the lead's own rank isn't armed with the others if a
 // record is stored.
 func (l *Lead) participates(r btexpert.Rank) bool {
 	if l.unreachable != nil && *l.unreachable == r {
@@ -45,11 +45,11 @@
 	return l.phase != Arming || !l.recordStored || r != l.self
 }
 
-// allReached reports whether every participating rank is in the requested state.
-func (l *Lead) allReached() bool { return l.count(reached) == l.countAsked() }
+// allAcknowledged reports whether every participating rank is in the requested state.
+func (l *Lead) allAcknowledged() bool { return l.count(acknowledged) == l.countParticipants() }
 
-// countAsked returns the number of participating ranks.
-func (l *Lead) countAsked() int {
+// countParticipants returns the number of participating ranks.
+func (l *Lead) countParticipants() int {
 	n := 0
 	for r := range l.size {
 		if l.participates(btexpert.Rank(r)) {
@@ -60,13 +60,13 @@
 }
 
 // appendCommand appends the phase's command for a rank, unless the rank has answered or
-// was asked within the retry interval.
+// was sent the command within the retry interval.
 func (l *Lead) appendCommand(now time.Time, commands []Command, r btexpert.Rank) []Command {
 	m := l.member(r)
-	if m.reached || m.refused || !m.askedAt.IsZero() && now.Sub(m.askedAt) < l.settings.RetryInterval {
+	if m.acknowledged || m.refused || !m.sentAt.IsZero() && now.Sub(m.sentAt) < l.settings.RetryInterval {
 		return commands
 	}
-	m.askedAt = now
+	m.sentAt = now
 	return append(commands, l.commandFor(r))
 }
 
@@ -92,7 +92,7 @@
 	case Arming, ArmingLast:
 		c.Kind = Arm
 		// In another lead's round the order is sent even to an armed rank: its ballot
-		// keeps an earlier order to disarm from taking effect if it is carried out
+		// prevents an earlier order to disarm from taking effect if it is executed
 		// late.
 		c.Force = l.layers == nil
 	case Disarming:
@@ -107,11 +107,11 @@
 	return c
 }
 
-// RetryNow has a rank asked again at the next Poll, because it couldn't apply what it
-// was sent. It ignores another round than the current one.
+// RetryNow makes the next Poll resend the command to a rank that couldn't apply it. It
+// does nothing if the round isn't the current one.
 func (l *Lead) RetryNow(round uint64, r btexpert.Rank) {
 	if round == l.round {
-		l.member(r).askedAt = time.Time{}
+		l.member(r).sentAt = time.Time{}
 	}
 }
 
@@ -127,15 +127,15 @@
 	m := l.member(r.State.Rank)
 	switch r.Verdict {
 	case Reached:
-		m.reached = true
+		m.acknowledged = true
 		l.storeConfirmed(m, r)
 	case Refused:
 		m.refused = true
 	case Outranked:
-		l.handleOutranked(now, r.Ballot)
+		l.handlePreempted(now, r.Ballot)
 		return
 	case Pending:
-		m.askedAt = now.Add(pendingRetryDelay - l.settings.RetryInterval)
+		m.sentAt = now.Add(pendingRetryDelay - l.settings.RetryInterval)
 	}
 	l.advance(now)
 }
@@ -174,11 +174,11 @@
 	}
 }
 
-// advanceSingle enters the next phase once the one rank that is asked has reached its
+// advanceSingle enters the next phase once the one participating rank has reached its
 // state. If that rank refuses, all ranks are disarmed.
 func (l *Lead) advanceSingle(now time.Time, r btexpert.Rank, next Phase) {
 	switch m := l.member(r); {
-	case m.reached:
+	case m.acknowledged:
 		l.enterPhase(next)
 	case m.refused:
 		l.startDisarm(now)
@@ -190,7 +190,7 @@
 	switch {
 	case l.count(refused) > 0:
 		l.abortWithBackoff(now, ReadRefused)
-	case l.allReached():
+	case l.allAcknowledged():
 		l.resolveTakeover(now)
 	}
 }
@@ -198,14 +198,14 @@
 // advanceReleasing ends the round once the holder has released the group.
 func (l *Lead) advanceReleasing(now time.Time) {
 	switch m := l.member(l.holder); {
-	case m.reached:
+	case m.acknowledged:
 		l.finishRound(now)
 	case m.refused:
 		l.abortWithBackoff(now, ReleaseRefused)
 	}
 }
 
-func reached(m *member) bool { return m.reached }
+func acknowledged(m *member) bool { return m.acknowledged }
 
 func refused(m *member) bool { return m.refused }
 
@@ -234,7 +234,7 @@
 		l.endRound(now, false, HeldByAnother)
 		return
 	}
-	if l.count(reached) < l.size {
+	if l.count(acknowledged) < l.size {
 		return
 	}
 	if l.holder == l.self {
@@ -250,10 +250,10 @@
 func (l *Lead) advanceStoringRecord(now time.Time) {
 	m := l.member(l.holder)
 	switch {
-	case m.reached:
+	case m.acknowledged:
 		l.recordStored = true
 		l.startHold(l.holder)
-	case m.refused, !m.askedAt.IsZero() && now.Sub(m.askedAt) > l.settings.RecordTimeout:
+	case m.refused, !m.sentAt.IsZero() && now.Sub(m.sentAt) > l.settings.RecordTimeout:
 		l.endRound(now, false, NoRecord)
 	}
 }
@@ -288,7 +288,7 @@
 func (l *Lead) advanceHolding(now time.Time) {
 	m := l.member(l.holder)
 	switch {
-	case m.reached:
+	case m.acknowledged:
 		l.heldAt = now
 		l.claimed = true
 		l.secured = true
@@ -309,8 +309,8 @@
 // advanceArming continues once all ranks have answered the order to arm. If any
 // refused, the others are disarmed before the group is released.
 func (l *Lead) advanceArming(now time.Time) {
-	answered := l.count(reached) + l.count(refused)
-	if answered < l.countAsked() {
+	answered := l.count(acknowledged) + l.count(refused)
+	if answered < l.countParticipants() {
 		return
 	}
 	switch {
@@ -339,7 +339,7 @@
 		l.abortWithBackoff(now, DisarmRefused)
 		return
 	}
-	if !l.allReached() {
+	if !l.allAcknowledged() {
 		return
 	}
 	for _, s := range l.confirmedStates() {
--- a/core/btround/takeover.go
+++ b/core/btround/takeover.go
@@ -35,7 +35,7 @@
 		return
 	}
 	// Ranks are armed and none holds the group, so the step may begin at any moment.
-	// All that can be done is to arm the other ranks too.
+	// The only way to keep one map is to arm the other ranks too.
 	l.holder = l.self
 	l.step = 0
 	l.enterPhase(ReadingStates)
@@ -60,7 +60,7 @@
 		l.endRound(now, false, "hold was ended")
 		return
 	}
-	if !m.reached {
+	if !m.acknowledged {
 		return
 	}
 	l.claimed = true
@@ -84,15 +84,15 @@
 	return l.record != nil && !l.record.Committed && l.record.Lead == *l.unreachable && l.record.Epoch == l.epoch
 }
 
-// postponeTakeover leaves a round that can't be ended while a rank is unreachable.
+// postponeTakeover stops a takeover that can't be completed while a rank is unreachable.
 func (l *Lead) postponeTakeover(now time.Time) {
 	l.endRound(now, false, "rank out of reach")
 	l.backoffUntil = now.Add(l.settings.Backoff)
 }
 
-// endWithoutUnreachable ends the round of an unreachable lead, whose rank isn't armed,
+// finishWithoutUnreachable ends the round of an unreachable lead, whose rank isn't armed,
 // by disarming the other ranks.
-func (l *Lead) endWithoutUnreachable(now time.Time) {
+func (l *Lead) finishWithoutUnreachable(now time.Time) {
 	if !l.holdConfirmed() || !l.noneSwitched() {
 		l.postponeTakeover(now)
 		return
@@ -120,8 +120,8 @@
 	return l.claimed && m.confirmed != nil && m.confirmed.Held && m.confirmed.HeldStep == l.step
 }
 
-// unclaimedHold returns the state of a rank that holds the group if the lead didn't
-// know of the hold when it took the round over.
+// unclaimedHold returns the state of a rank that holds the group if that hold wasn't
+// reported yet when the lead took the round over.
 func (l *Lead) unclaimedHold() (State, bool) {
 	if l.claimed {
 		return State{}, false
@@ -153,7 +153,7 @@
 		}
 	}
 	if l.unreachable != nil {
-		l.endWithoutUnreachable(now)
+		l.finishWithoutUnreachable(now)
 		return
 	}
 	if !l.holdConfirmed() || step < l.step {
@@ -205,8 +205,8 @@
 }
 
 // resolveWithoutHold ends a round whose step isn't held because another lead has
-// released the group. If only some ranks are armed, the others are armed at once, as
-// the step may begin at any moment. Otherwise only the hold of a later step, if any, is
+// released the group. If only some ranks are armed, the others are armed immediately,
+// as the step may begin at any moment. Otherwise only the hold of a later step, if any, is
 // released.
 func (l *Lead) resolveWithoutHold(now time.Time, step int64) {
 	states := l.confirmedStates()
--- a/core/btround/view.go
+++ b/core/btround/view.go
@@ -12,13 +12,13 @@
 // Holder returns the rank that is to hold the group in the round.
 func (l *Lead) Holder() btexpert.Rank { return l.holder }
 
-// UnansweredRanks lists the ranks that the phase asks and that haven't answered.
+// UnansweredRanks lists the ranks that the phase has a command for and that haven't answered.
 func (l *Lead) UnansweredRanks() []btexpert.Rank {
 	var ranks []btexpert.Rank
 	for r := range l.size {
 		rank := btexpert.Rank(r)
 		m, found := l.members[rank]
-		if l.hasCommand(rank) && !(found && (m.reached || m.refused)) {
+		if l.hasCommand(rank) && !(found && (m.acknowledged || m.refused)) {
 			ranks = append(ranks, rank)
 		}
 	}
