btswitch: say report, send and execute for what members and leads do

Events and messages told of orders, and orders were given and carried out. Events report, messages notify, orders are sent and executed. The variant that accepts a message by its ballot only is named so, and two tests are named after the invariant that they guard.

No change in behaviour.

--- a/core/btswitch/doc.go
+++ b/core/btswitch/doc.go
@@ -6,8 +6,8 @@
 // the same map in force. A step needs every rank, and a held engine doesn't
 // step, so each step runs on one map.
 //
-// A round brings all ranks to one map. Lead coordinates it, and a Member carries
-// it out at each engine:
+// A round switches all ranks to one map. Lead coordinates it, and a Member
+// executes it at each engine:
 //
 //	prepare   every agent promises the ballot and reports its engine's state
 //	stage     every engine loads the map under the round's version
@@ -18,7 +18,7 @@
 // engines without a barrier, pause, switch and resume replace arm and commit. A
 // round that fails before its commit point releases the ranks on the map they
 // had. A rank that stays held is reported to the lead, whose next round, with a
-// higher ballot, brings the whole group to one map again.
+// higher ballot, switches the whole group to one map again.
 //
 // docs/design/map-agreement.md has the proof, the assumptions about engines and
 // the alternatives that were considered.
@@ -31,18 +31,18 @@
 
 // The invariants asserted by Member and Lead.
 const (
-	// CommitAfterAllArmed: an order that makes a map take effect is given only with
+	// CommitAfterAllArmed: an order that makes a map take effect is sent only with
 	// proof that every rank of the round is held.
 	CommitAfterAllArmed btassert.Name = "switch_commit_after_all_armed"
 	// OneOrderInFlight: a member has at most one open call to its engine.
 	OneOrderInFlight btassert.Name = "switch_one_order_in_flight"
-	// BallotMonotonic: a member's promised ballot never falls, and the member gives
-	// its engine orders of that ballot only.
+	// BallotMonotonic: a member's promised ballot never decreases, and the member
+	// sends its engine orders of that ballot only.
 	BallotMonotonic btassert.Name = "switch_ballot_monotonic"
-	// NoStaleIncarnation: a round is carried out only by the incarnations that
+	// NoStaleIncarnation: a round is executed only by the incarnations that
 	// promised it.
 	NoStaleIncarnation btassert.Name = "switch_no_stale_incarnation"
-	// HoldOnce: a member gives the orders to stage and to hold at most once in a
+	// HoldOnce: a member sends the orders to stage and to hold at most once in a
 	// round.
 	HoldOnce btassert.Name = "switch_hold_order_once"
 	// UnheldSingleMap: all ranks whose promises show them not held have the same
--- a/core/btswitch/events.go
+++ b/core/btswitch/events.go
@@ -24,7 +24,7 @@
 // longer gap shows that the process was paused.
 type Tick struct{}
 
-// Received carries a decoded message; Message.ForLead tells which machine handles
+// Received carries a decoded message; Message.ForLead reports which machine handles
 // it.
 type Received struct{ Message Message }
 
@@ -35,7 +35,7 @@
 // that are wrong or differ between agents cost time, never safety.
 type Elected struct{ Lead btid.Target }
 
-// OrderDone tells that the engine carried out the order. State is the engine's
+// OrderDone reports that the engine executed the order. State is the engine's
 // state after it, if the engine's answer has it. If nil, the member reads the
 // state, which lengthens the hold.
 type OrderDone struct {
@@ -43,11 +43,11 @@
 	State   *EngineState
 }
 
-// OrderFailed tells that the order's outcome is unknown: it may still be carried
-// out at any later time.
+// OrderFailed reports that the order's outcome is unknown: it may still be executed
+// at any later time.
 type OrderFailed struct{ Fencing uint64 }
 
-// OrderRefused tells that the engine did not and will not carry out the order.
+// OrderRefused reports that the engine did not and will not execute the order.
 // LastFencing is the engine's last fencing number if it refused the order's as
 // old, else zero.
 type OrderRefused struct {
@@ -63,10 +63,10 @@
 	Map    []byte
 }
 
-// ReadFailed tells that the engine couldn't be read.
+// ReadFailed reports that the engine couldn't be read.
 type ReadFailed struct{ Number uint64 }
 
-// Propose gives a lead the map to bring the group to. It replaces a pending
+// Propose passes a lead the map that the group is to switch to. It replaces a pending
 // proposal.
 type Propose struct {
 	Map   []byte
@@ -80,7 +80,7 @@
 	Message Message
 }
 
-// Order asks to give the engine an order, once: the transport must not repeat it.
+// Order asks to send the engine an order, once: the transport must not repeat it.
 // The answer is OrderDone, OrderFailed or OrderRefused.
 type Order struct {
 	Fencing uint64
@@ -121,7 +121,7 @@
 	Unneeded Outcome = "unneeded"
 )
 
-// RoundResult tells how a round ended, for the operator.
+// RoundResult reports how a round ended, for the operator.
 type RoundResult struct {
 	Group   btid.Group      `json:"group"`
 	Ballot  Ballot          `json:"ballot"`
@@ -142,7 +142,7 @@
 	StepsStalled int `json:"steps_stalled"`
 }
 
-// MapNeeded asks for a Propose: the group is held and no usable map is known.
+// MapNeeded requests a Propose: the group is held and no usable map is known.
 type MapNeeded struct{ Group btid.Group }
 
 func (Tick) memberEvent()         {}
--- a/core/btswitch/export_test.go
+++ b/core/btswitch/export_test.go
@@ -1,8 +1,8 @@
 package btswitch
 
-// AcceptByBallotAlone disables a member's checks of incarnations and promises, to
+// AcceptByBallotOnly disables a member's checks of incarnations and promises, to
 // show that they are needed.
-func AcceptByBallotAlone(m *Member) { m.variant.ballotAlone = true }
+func AcceptByBallotOnly(m *Member) { m.variant.ballotOnly = true }
 
 // ReleaseOnPromise makes a lead and a member end a hold as soon as no promise shows
 // a commit, to show that one may still be in flight.
--- a/core/btswitch/kill_test.go
+++ b/core/btswitch/kill_test.go
@@ -13,11 +13,11 @@
 
 // killActions are the kills and pauses to apply at a message of a round.
 var killActions = map[string]func(s *sim, from *agent, to btid.Target){
-	"sender":            func(s *sim, from *agent, _ btid.Target) { s.killAgent(from.host, time.Second) },
-	"sender, for long":  func(s *sim, from *agent, _ btid.Target) { s.killAgent(from.host, 6*time.Second) },
-	"receiver":          func(s *sim, _ *agent, to btid.Target) { s.killAgent(s.hosts[to], time.Second) },
-	"receiver's engine": func(s *sim, _ *agent, to btid.Target) { s.killEngine(s.hosts[to], time.Second) },
-	"sender paused":     func(s *sim, from *agent, _ btid.Target) { s.pauseAgent(from.host, 4*time.Second) },
+	"sender":                func(s *sim, from *agent, _ btid.Target) { s.killAgent(from.host, time.Second) },
+	"sender, long downtime": func(s *sim, from *agent, _ btid.Target) { s.killAgent(from.host, 6*time.Second) },
+	"receiver":              func(s *sim, _ *agent, to btid.Target) { s.killAgent(s.hosts[to], time.Second) },
+	"receiver's engine":     func(s *sim, _ *agent, to btid.Target) { s.killEngine(s.hosts[to], time.Second) },
+	"sender paused":         func(s *sim, from *agent, _ btid.Target) { s.pauseAgent(from.host, 4*time.Second) },
 	"both": func(s *sim, from *agent, to btid.Target) {
 		s.killAgent(from.host, time.Second)
 		s.killAgent(s.hosts[to], time.Second)
@@ -27,10 +27,10 @@
 // runKillAt runs one round on a network without faults and applies the kill at the
 // message of the given number. It returns whether the round got that far, and the
 // longest time between two steps.
-func runKillAt(t *testing.T, kind engineKind, kill string, number int, orphan time.Duration) (reached bool, longest time.Duration) {
+func runKillAt(t *testing.T, kind engineKind, kill string, number int, ordersLate time.Duration) (reached bool, longest time.Duration) {
 	t.Helper()
 	count := -1
-	o := simOptions{seed: uint64(number), ranks: 3, kind: kind, orphanDelay: orphan, stateInAnswer: number%2 == 0}
+	o := simOptions{seed: uint64(number), ranks: 3, kind: kind, orphanDelay: ordersLate, stateInAnswer: number%2 == 0}
 	if number%3 == 0 {
 		o.maxLoadTime = 20 * time.Millisecond
 	}
@@ -45,7 +45,7 @@
 	}
 	s := newSim(o)
 	s.run(2 * time.Second)
-	name := fmt.Sprintf("%+v, %s killed at message %d, orders %v late", kind, kill, number, orphan)
+	name := fmt.Sprintf("%+v, %s killed at message %d, orders %v late", kind, kill, number, ordersLate)
 	assert.Assert(t, s.steps > 0, name)
 	count = 0
 	s.propose(s.lowestLive())
@@ -59,7 +59,7 @@
 
 // A kill at any message of a round must neither let a step run on two maps nor
 // leave the group held.
-func TestKillAtEachMessageOfRound(t *testing.T) {
+func TestKillAtAnyMessageKeepsSingleMap(t *testing.T) {
 	for name, kind := range engineKinds {
 		if kind.fencing && *runs < 100 {
 			continue // Fencing only adds refusals, so it is covered in long runs only.
@@ -67,10 +67,10 @@
 		total := 0
 		var longest time.Duration
 		for kill := range killActions {
-			for _, orphan := range []time.Duration{0, 2500 * time.Millisecond} {
+			for _, ordersLate := range []time.Duration{0, 2500 * time.Millisecond} {
 				number := 0
 				for ; ; number++ {
-					reached, stall := runKillAt(t, kind, kill, number, orphan)
+					reached, stall := runKillAt(t, kind, kill, number, ordersLate)
 					if !reached {
 						break
 					}
--- a/core/btswitch/lead.go
+++ b/core/btswitch/lead.go
@@ -121,7 +121,7 @@
 }
 
 // endsStaging reports whether a report of an idle rank must end the current round.
-// Staging may take minutes, and a running group must not stand still that long
+// Staging may take minutes, and a running group must not stall that long
 // after one of its ranks has stopped stepping.
 func (l *Lead) endsStaging(report Report) bool {
 	r := l.round
@@ -200,9 +200,9 @@
 // Settings.RetryInterval.
 const maxRetryFactor = 16
 
-// failRound gives up the round. If that holds the ranks, it aborts, which releases
+// failRound abandons the round. If that holds the ranks, it aborts, which releases
 // them on the map they have, provided that this is the same map on all of them.
-// Past the commit point, another round has to bring all ranks to one map.
+// Past the commit point, another round has to switch all ranks to one map.
 func (l *Lead) failRound(reason btrequest.Reason, rank btid.Target) {
 	r := l.round
 	if r.reason == "" {
--- a/core/btswitch/lead_test.go
+++ b/core/btswitch/lead_test.go
@@ -14,7 +14,7 @@
 )
 
 // runLead proposes a map to the lead of two ranks, answers each message that it
-// sends, and returns the orders that it asked for.
+// sends, and returns the orders that it requested.
 func runLead(t *testing.T, answer func(to btid.Target, i *btswitch.Instruct) btswitch.Message) []btswitch.Op {
 	t.Helper()
 	self := btid.Executor{Target: "t00", Incarnation: 5_000}
@@ -53,7 +53,7 @@
 		return btswitch.Version{Map: btbundle.DigestOf([]byte(name)), Members: members.Digest, Ballot: header(members, number).Ballot}
 	}
 	for _, late := range []bool{false, true} {
-		asked := runLead(t, func(to btid.Target, i *btswitch.Instruct) btswitch.Message {
+		requested := runLead(t, func(to btid.Target, i *btswitch.Instruct) btswitch.Message {
 			h := header(members, 1)
 			h.From.Target = to
 			state := btswitch.EngineState{InForce: version("old", 1)}
@@ -71,6 +71,6 @@
 		if !late {
 			want = append(want, btswitch.Abort, btswitch.Abort)
 		}
-		assert.DeepEqual(t, asked, want)
+		assert.DeepEqual(t, requested, want)
 	}
 }
--- a/core/btswitch/member.go
+++ b/core/btswitch/member.go
@@ -14,7 +14,7 @@
 // membership. It must be a pure function.
 type MapCheck func(members Members, encoded []byte) error
 
-// Member carries out rounds at one engine. All orders to that engine come from
+// Member executes rounds at one engine. All orders to that engine come from
 // it, one at a time. It keeps no state across restarts: it reads what it needs
 // from the engine.
 type Member struct {
@@ -49,9 +49,9 @@
 // variant disables parts of the protocol in the tests that show why they are
 // needed. It is zero in production.
 type variant struct {
-	// ballotAlone accepts messages by their ballot, without checking for a promise
+	// ballotOnly accepts messages by their ballot, without checking for a promise
 	// or the incarnation.
-	ballotAlone bool
+	ballotOnly bool
 	// releaseOnPromise ends a hold as soon as no promise shows a commit.
 	releaseOnPromise bool
 }
@@ -228,13 +228,13 @@
 	m.call = c
 }
 
-// reportIdle tells the lead of an engine that can't step and isn't in a round: it
-// is held, or its map is for other members than the group's present ones.
+// reportIdle reports to the lead an engine that can't step and isn't in a round: it
+// is held, or its map is for other members than the group's current ones.
 func (m *Member) reportIdle() {
 	limit := m.settings.IdleTimeout
-	quiet := m.now.Sub(m.lastMessageAt) >= limit && m.now.Sub(m.lastReportAt) >= limit
+	noRecentMessage := m.now.Sub(m.lastMessageAt) >= limit && m.now.Sub(m.lastReportAt) >= limit
 	idle := !m.idleSince.IsZero() && m.now.Sub(m.idleSince) >= limit
-	if !idle || !quiet || m.lead == "" || m.members.rank(m.self.Target) < 0 {
+	if !idle || !noRecentMessage || m.lead == "" || m.members.rank(m.self.Target) < 0 {
 		return
 	}
 	m.lastReportAt = m.now
@@ -261,7 +261,7 @@
 	m.engineFresh = true
 	m.lastReadAt = m.now
 	m.lastFencing = max(m.lastFencing, state.Fencing)
-	if m.variant.ballotAlone {
+	if m.variant.ballotOnly {
 		return
 	}
 	for _, v := range []Version{state.InForce, state.Staged, state.Loading} {
--- a/core/btswitch/member_engine.go
+++ b/core/btswitch/member_engine.go
@@ -46,7 +46,7 @@
 
 // handleOrderFailed fails the round at this member if the order must not be
 // repeated: at most one Stage of a version may be in flight. The effect of other
-// orders is read back, and they may be given again.
+// orders is read back, and they may be sent again.
 func (m *Member) handleOrderFailed(fencing uint64) {
 	c := m.closeOrder(fencing)
 	if c == nil {
@@ -74,7 +74,7 @@
 	if c.round != m.round {
 		return
 	}
-	if givenOnce(c.op) {
+	if sentOnce(c.op) {
 		m.failTask(c.round, c.op, reason)
 		return
 	}
@@ -95,7 +95,7 @@
 	}
 }
 
-// expireCall gives up a call that wasn't answered within its timeout.
+// expireCall cancels a call that wasn't answered within its timeout.
 func (m *Member) expireCall() {
 	if m.call == nil {
 		return
@@ -163,10 +163,10 @@
 	case op == Stage && m.engine.Loading == r.version:
 		r.unverified = op
 		m.nextCallAt = m.now.Add(m.settings.RetryInterval)
-	case givenOnce(op) || !r.achievable(op, m.engine):
+	case sentOnce(op) || !r.achievable(op, m.engine):
 		m.failTask(r, op, ReasonEngineDiffers)
 	default:
-		// The lead resends the phase, which gives the order again.
+		// The lead resends the phase, which sends the order again.
 		r.dropTask(op)
 	}
 }
@@ -185,7 +185,7 @@
 	m.ack(r, op)
 }
 
-// dropTask clears the task if it is the given phase.
+// dropTask clears the task if it is of the given phase.
 func (r *memberRound) dropTask(op Op) {
 	if r.task != nil && r.task.Op == op {
 		r.task = nil
--- a/core/btswitch/member_round.go
+++ b/core/btswitch/member_round.go
@@ -21,8 +21,8 @@
 	promiseDue bool
 	// phasesDone counts the completed entries of phases.
 	phasesDone int
-	// ordersGiven lists the orders given so far that must not be repeated.
-	ordersGiven []Op
+	// ordersSent lists the orders sent so far that must not be repeated.
+	ordersSent []Op
 	// failure is the reason why further phases are refused; empty if none failed.
 	failure btrequest.Reason
 	// task is the requested phase that isn't completed yet.
@@ -45,7 +45,7 @@
 	if h.Group != m.members.Group || h.To.Target != m.self.Target {
 		return
 	}
-	if m.variant.ballotAlone {
+	if m.variant.ballotOnly {
 		m.joinByBallot(h)
 	} else if h.To.Incarnation != m.self.Incarnation {
 		m.refuse(h, i.Op, ReasonIncarnation, h.To.String())
@@ -66,7 +66,7 @@
 }
 
 // joinByBallot joins any round that isn't older than the promise, in the
-// ballotAlone variant.
+// ballotOnly variant.
 func (m *Member) joinByBallot(h Header) {
 	if h.Ballot.Compare(m.promised) < 0 || m.round != nil && m.round.ballot == h.Ballot {
 		return
@@ -76,7 +76,7 @@
 
 func (m *Member) handlePhase(r *memberRound, i Instruct) {
 	phase := slices.Index(r.phases, i.Op)
-	if m.variant.ballotAlone && phase > r.phasesDone {
+	if m.variant.ballotOnly && phase > r.phasesDone {
 		r.joinAtPhase(phase, i.Digest)
 	}
 	switch {
@@ -91,7 +91,7 @@
 	}
 }
 
-// joinAtPhase joins the round midway, in the ballotAlone variant.
+// joinAtPhase joins the round midway, in the ballotOnly variant.
 func (r *memberRound) joinAtPhase(phase int, digest btbundle.Digest) {
 	r.phasesDone = phase
 	r.version = Version{Map: digest, Members: r.members.Digest, Ballot: r.ballot}
@@ -143,12 +143,12 @@
 // proofValid reports whether the proof names an incarnation for every rank, and
 // this one for the member's own rank.
 func (m *Member) proofValid(r *memberRound, proof []btid.Incarnation) bool {
-	if m.variant.ballotAlone {
+	if m.variant.ballotOnly {
 		return true
 	}
 	rank := r.members.rank(m.self.Target)
-	whole := rank >= 0 && len(proof) == len(r.members.Ranks) && !slices.Contains(proof, 0)
-	if !m.assert.That(whole, CommitAfterAllArmed, "%v: proof of %d ranks", r.ballot, len(proof)) {
+	complete := rank >= 0 && len(proof) == len(r.members.Ranks) && !slices.Contains(proof, 0)
+	if !m.assert.That(complete, CommitAfterAllArmed, "%v: proof of %d ranks", r.ballot, len(proof)) {
 		return false
 	}
 	return m.assert.That(proof[rank] == m.self.Incarnation, NoStaleIncarnation,
@@ -172,7 +172,7 @@
 	}
 }
 
-// orderEngine gives the task's order to the engine.
+// orderEngine sends the task's order to the engine.
 func (m *Member) orderEngine(r *memberRound) {
 	op, version := m.orderFor(r)
 	holds := m.assert.That(r.ballot == m.promised, BallotMonotonic, "order of ballot %v while %v is promised", r.ballot, m.promised)
@@ -187,9 +187,9 @@
 		order.Map = r.task.Map
 		order.Ranks = r.members.Ranks
 	}
-	if givenOnce(op) {
-		m.assert.That(!slices.Contains(r.ordersGiven, op), HoldOnce, "%v: %s given twice", r.ballot, op)
-		r.ordersGiven = append(r.ordersGiven, op)
+	if sentOnce(op) {
+		m.assert.That(!slices.Contains(r.ordersSent, op), HoldOnce, "%v: %s sent twice", r.ballot, op)
+		r.ordersSent = append(r.ordersSent, op)
 	}
 	m.effects = append(m.effects, order)
 }
@@ -212,9 +212,9 @@
 // effect, with and without a barrier.
 const commitPhaseIndex = 2
 
-// givenOnce reports whether an order is given at most once in a round. A second
+// sentOnce reports whether an order is sent at most once in a round. A second
 // Stage in flight could restore a version that a later round has replaced.
-func givenOnce(op Op) bool { return op == Stage || op == Arm || op == Pause }
+func sentOnce(op Op) bool { return op == Stage || op == Arm || op == Pause }
 
 // repeatAck answers a resent phase that is completed: it acknowledges it if the
 // engine still shows its effect, and else refuses the latest phase.
--- a/core/btswitch/message.go
+++ b/core/btswitch/message.go
@@ -25,8 +25,8 @@
 // The orders that engines know. Each names a Version.
 const (
 	// Stage loads the map and replaces any version that is staged or loading. The
-	// engine continues to step. It answers at once and shows in its state when the
-	// map is loaded.
+	// engine continues to step. It answers immediately and shows in its state when
+	// the map is loaded.
 	Stage Op = "stage"
 	// Arm holds the engine at its next step boundary.
 	Arm Op = "arm"
@@ -56,7 +56,7 @@
 }
 
 // takesEffect reports whether the order makes the round's map take effect, so that
-// every rank must be known to be held before it is given.
+// every rank must be known to be held before it is sent.
 func (o Op) takesEffect() bool { return o == Commit || o == Switch || o == Resume }
 
 // EngineState is the state that an engine reports.
@@ -101,7 +101,7 @@
 	Bundle  btid.BundleVersion `cbor:"bundle" json:"bundle"`
 	Members btbundle.Digest    `cbor:"members" json:"members"`
 	From    btid.Executor      `cbor:"from" json:"from"`
-	// To is the receiver's incarnation as learned from its promise; the
+	// To is the receiver's incarnation as stated in its promise; the
 	// incarnation is zero only in a Prepare.
 	To btid.Executor `cbor:"to" json:"to"`
 }
@@ -163,7 +163,7 @@
 	return firstError("promise", p.Header.validateBound(p.Header.To), p.State.Validate(), checkMap(p.Map, p.State.InForce.Map))
 }
 
-// Instruct tells a member to carry out a phase or to abort the round.
+// Instruct makes a member execute a phase or abort the round.
 type Instruct struct {
 	Header Header          `cbor:"header" json:"header"`
 	Op     Op              `cbor:"op" json:"op"`
@@ -189,7 +189,7 @@
 	return firstError("instruct", i.Header.validateBound(i.Header.From), checkMap(i.Map, i.Digest))
 }
 
-// Ack tells the lead that the engine has carried out a phase.
+// Ack reports to the lead that the engine has executed a phase.
 type Ack struct {
 	Header Header      `cbor:"header" json:"header"`
 	Op     Op          `cbor:"op" json:"op"`
@@ -204,7 +204,7 @@
 	return firstError("ack", a.Header.validateBound(a.Header.To), a.State.Validate())
 }
 
-// Refusal tells the lead that the member doesn't carry out a phase or, with an
+// Refusal reports to the lead that the member doesn't execute a phase or, with an
 // empty Op, doesn't promise.
 type Refusal struct {
 	Header Header           `cbor:"header" json:"header"`
@@ -225,7 +225,7 @@
 	return firstError("refusal", r.Header.validateBound(r.Header.To), validateOptional(r.Promised))
 }
 
-// Report tells the lead that the member's engine has been unable to step for
+// Report notifies the lead that the member's engine has been unable to step for
 // Settings.IdleTimeout without a round, so that the group needs one.
 type Report struct {
 	Group    btid.Group      `cbor:"group" json:"group"`
--- a/core/btswitch/naive_test.go
+++ b/core/btswitch/naive_test.go
@@ -29,7 +29,7 @@
 	return nil
 }
 
-func acceptByBallotAlone(_ *btswitch.Lead, m *btswitch.Member) { btswitch.AcceptByBallotAlone(m) }
+func acceptByBallotOnly(_ *btswitch.Lead, m *btswitch.Member) { btswitch.AcceptByBallotOnly(m) }
 
 // delayedCommits sets faults that delay orders while a map takes effect, with agents
 // killed meanwhile.
@@ -70,7 +70,7 @@
 		faults  func(*simOptions)
 		variant func(*btswitch.Lead, *btswitch.Member)
 	}{
-		{"messages accepted by ballot alone", barrier, delayedMessages, acceptByBallotAlone},
+		{"messages accepted by ballot only", barrier, delayedMessages, acceptByBallotOnly},
 		{"recovery that ignores a commit in flight", barrier, delayedCommits, btswitch.ReleaseOnPromise},
 		{"engine that checks nothing", engineKind{barrier: true}, delayedCommits, nil},
 		{"engine without barrier that checks nothing", engineKind{}, delayedCommits, nil},
@@ -90,8 +90,8 @@
 	}
 }
 
-// switchAtStep simulates the naive protocol: each engine is told, three times, to
-// switch at a step one second ahead. The network has the faults of the run, and
+// switchAtStep simulates the naive protocol: each engine is sent, three times, the order
+// to switch at a step one second ahead. The network has the faults of the run, and
 // nothing is killed. It returns the first step on two maps, or "" for none.
 func switchAtStep(seed uint64) string {
 	s := newSim(baseFaults(seed, engineKinds["barrier"]))
@@ -139,7 +139,7 @@
 // Engines that check nothing follow orders of earlier rounds, so a member must wait
 // until no such order can be in flight. The orders are delayed by a bounded time;
 // without the wait some run must take a step on two maps.
-func TestSettleDelayOutlastsOrdersInFlight(t *testing.T) {
+func TestSettleDelayExceedsOrdersInFlight(t *testing.T) {
 	boundDelays := func(o *simOptions) {
 		o.maxDelay = 2 * time.Second
 		o.noOverlap = true
--- a/core/btswitch/scenario_test.go
+++ b/core/btswitch/scenario_test.go
@@ -13,7 +13,7 @@
 	"bilberrytide/core/btswitch"
 )
 
-// An agent is gone for long while the ranks are being held, but its engine runs. The
+// An agent is down for a long time while the ranks are being held, but its engine runs. The
 // round must abort, which releases the group.
 func TestAbortReleasesGroupWhenAgentMissing(t *testing.T) {
 	for name, kind := range engineKinds {
@@ -188,7 +188,7 @@
 	assert.Assert(t, cmp.Panics(func() { step(0, btswitch.Received{Message: btswitch.Message{Instruct: &instruct}}) }))
 }
 
-func TestRefusalReasons(t *testing.T) {
+func TestMemberRefusesInvalidMessages(t *testing.T) {
 	members, step := newTestMember(t)
 	h := header(members, 3)
 	stale := h
--- a/core/btswitch/settings.go
+++ b/core/btswitch/settings.go
@@ -7,8 +7,8 @@
 type Settings struct {
 	// TickInterval is the longest time between two Tick events.
 	TickInterval time.Duration
-	// PauseThreshold is the gap between two events above which a member takes its
-	// process to have been paused; several times TickInterval.
+	// PauseThreshold is the gap between two events above which a member assumes that
+	// its process was paused; several times TickInterval.
 	PauseThreshold time.Duration
 	// RetryInterval is the time after which an unanswered message is resent.
 	RetryInterval time.Duration
--- a/core/btswitch/sim_test.go
+++ b/core/btswitch/sim_test.go
@@ -49,7 +49,7 @@
 	ignoreAssertions bool
 	// agentKillsOnly limits the faults of injectFault to kills of agents.
 	agentKillsOnly bool
-	// noOverlap: a replaced agent never runs on beside its successor.
+	// noOverlap: a replaced agent never continues beside its successor.
 	noOverlap bool
 	variant   func(*btswitch.Lead, *btswitch.Member)
 	// onSend is called with each message before it is sent.
@@ -329,7 +329,7 @@
 	s.lastStepAt = s.now
 }
 
-// propose gives a new map to the lead of the target's agent and returns its digest.
+// propose passes a new map to the lead of the target's agent and returns its digest.
 func (s *sim) propose(to btid.Target) btbundle.Digest {
 	s.proposals++
 	encoded := fmt.Appendf(nil, "map %d", s.proposals)
