btmember: call a target without fresh heartbeats unresponsive

The state Silent and the setting SilentAfter, used in this package only, become Unresponsive and UnresponsiveAfter; the state's text in logs and its number on the wire stay. Messages report and notify instead of tell, and tests are named after the fault they guard against.

No change in behaviour.

--- a/core/btmember/btmember.go
+++ b/core/btmember/btmember.go
@@ -16,7 +16,7 @@
 // heartbeat was sent.
 //
 // In a small fleet every entry receives the heartbeats of every agent. In a large
-// fleet a few entries receive them and pass them on in summaries: see Topology and
+// fleet a few entries receive them and forward them in summaries: see Topology and
 // Relay.
 package btmember
 
@@ -51,7 +51,7 @@
 	// ClockError is the largest difference between the clocks of two hosts.
 	ClockError time.Duration
 	// PauseLimit is the longest time between two steps of a running entry. After a
-	// longer gap the entry trusts none of its leases.
+	// longer gap the entry drops all of its leases.
 	PauseLimit time.Duration
 	// Level quantises a load report; nil means that every level is 0.
 	Level func(load cbor.RawMessage) uint8
@@ -233,7 +233,7 @@
 	return "", true
 }
 
-// markLeaving makes the record's incarnation ineligible for good.
+// markLeaving makes the record's incarnation ineligible permanently.
 func (m *Membership) markLeaving(r *record, state State) {
 	if r.leavingState == 0 || r.leavingState == Draining {
 		r.leavingState = state
--- a/core/btmember/btmember_test.go
+++ b/core/btmember/btmember_test.go
@@ -66,8 +66,8 @@
 	assert.Check(t, stale > 0, "the naive membership made no stale admission, so the run proves nothing")
 }
 
-// TestLeavingTargetGetsNoNewWorkThroughSummaries is the same for entries that hear
-// of targets through summaries. The naive relay, which gives each summary the
+// TestLeavingTargetGetsNoNewWorkThroughSummaries is the same for entries that
+// receive the states of targets through summaries. The naive relay, which gives each summary the
 // present time, must fail in the same run.
 func TestLeavingTargetGetsNoNewWorkThroughSummaries(t *testing.T) {
 	tree := btmember.FanOut{Watchers: 2, Branching: 2}
@@ -133,9 +133,9 @@
 	return m, btmember.Heartbeat{Target: "engine-1", Incarnation: 5, Sequence: 7, SentAt: start, State: btmember.Serving}
 }
 
-// TestHeartbeatRenewal checks which heartbeats renew a lease: late, repeated,
+// TestStaleHeartbeatDoesNotRenewLease checks which heartbeats renew a lease: late, repeated,
 // out-of-date and future ones don't.
-func TestHeartbeatRenewal(t *testing.T) {
+func TestStaleHeartbeatDoesNotRenewLease(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(h *btmember.Heartbeat)
 		at     time.Duration
@@ -147,7 +147,7 @@
 		"late":               {func(h *btmember.Heartbeat) { h.Sequence++ }, 4 * time.Second, false},
 		"older incarnation":  {func(h *btmember.Heartbeat) { h.Incarnation--; h.SentAt = start.Add(4 * time.Second) }, 4 * time.Second, false},
 		"newer incarnation":  {func(h *btmember.Heartbeat) { h.Incarnation++; h.Sequence = 1 }, time.Second, true},
-		"from the future":    {func(h *btmember.Heartbeat) { h.Sequence++; h.SentAt = start.Add(time.Hour) }, 4 * time.Second, false},
+		"sent in the future": {func(h *btmember.Heartbeat) { h.Sequence++; h.SentAt = start.Add(time.Hour) }, 4 * time.Second, false},
 		"leaving, reordered": {func(h *btmember.Heartbeat) { h.Sequence--; h.State = btmember.Draining }, time.Second, false},
 		"engine leaving":     {func(h *btmember.Heartbeat) { h.Sequence++; h.State = btmember.EngineLeaving }, time.Second, false},
 	} {
@@ -165,12 +165,12 @@
 	}
 }
 
-// TestLeavingIsFinalUntilLaterEvidence guards against a target that becomes
+// TestLeavingTargetNeedsLaterEvidenceOfSameKind guards against a target that becomes
 // eligible again by evidence of another kind than that by which it left, or by
 // older evidence of the same kind.
-func TestLeavingIsFinalUntilLaterEvidence(t *testing.T) {
+func TestLeavingTargetNeedsLaterEvidenceOfSameKind(t *testing.T) {
 	m, h := newSingleTarget()
-	heard := func(change func(h *btmember.Heartbeat)) {
+	receive := func(change func(h *btmember.Heartbeat)) {
 		h.Sequence++
 		change(&h)
 		m.Step(start, btmember.HeartbeatReceived{Heartbeat: h})
@@ -180,20 +180,20 @@
 		t.Helper()
 		assert.Equal(t, m.Eligible(start, "engine-1"), want)
 	}
-	heard(serve)
+	receive(serve)
 	eligible(true)
-	heard(func(h *btmember.Heartbeat) { h.State = btmember.Draining })
-	heard(serve)
+	receive(func(h *btmember.Heartbeat) { h.State = btmember.Draining })
+	receive(serve)
 	eligible(false)
-	heard(func(h *btmember.Heartbeat) { h.Incarnation++; h.State = btmember.Serving })
+	receive(func(h *btmember.Heartbeat) { h.Incarnation++; h.State = btmember.Serving })
 	eligible(true)
 	m.Step(start, btmember.HostList{Hosts: []btmember.HostStatus{{Host: "h1", Leaving: true}}})
-	heard(func(h *btmember.Heartbeat) { h.Incarnation++ })
+	receive(func(h *btmember.Heartbeat) { h.Incarnation++ })
 	eligible(false)
 	m.Step(start, btmember.HostList{Hosts: []btmember.HostStatus{{Host: "h1"}}})
 	eligible(true)
 	m.Step(start, btmember.Bundle{Version: 2})
-	heard(func(h *btmember.Heartbeat) { h.Incarnation++ })
+	receive(func(h *btmember.Heartbeat) { h.Incarnation++ })
 	m.Step(start, btmember.Bundle{Version: 1, Digest: btbundle.Digest{9}, Targets: []btmember.TargetLocation{{Target: "engine-1", Host: "h1"}}})
 	eligible(false)
 }
@@ -217,9 +217,9 @@
 
 // oldestRequest returns the oldest request in flight, or the zero value if there is
 // none.
-func oldestRequest(flight map[btid.Request]time.Time) btid.Request {
+func oldestRequest(inFlight map[btid.Request]time.Time) btid.Request {
 	var oldest btid.Request
-	for id := range flight {
+	for id := range inFlight {
 		if oldest.Number == 0 || id.Number < oldest.Number {
 			oldest = id
 		}
@@ -227,13 +227,13 @@
 	return oldest
 }
 
-// TestDrainWaitsForRequestsInFlight guards against a planned stop that cuts off
-// answers before their deadlines or takes its steps out of order.
+// TestDrainWaitsForRequestsInFlight guards against a planned stop that ends
+// before requests in flight are answered or takes its steps out of order.
 func TestDrainWaitsForRequestsInFlight(t *testing.T) {
 	for seed := uint64(1); seed <= 200; seed++ {
 		random := rand.New(rand.NewPCG(seed, 3))
 		d := btmember.NewDrain(btmember.DrainSettings{ReadinessLag: 2 * time.Second, DeadlineGrace: time.Second}, btassert.New(btassert.Panic()))
-		flight := map[btid.Request]time.Time{}
+		inFlight := map[btid.Request]time.Time{}
 		var steps []string
 		now := start
 		for n := uint64(1); len(steps) < 4 && n < 5000; n++ {
@@ -242,13 +242,13 @@
 			id := btid.Request{Entry: "e1", Incarnation: 1, Number: n}
 			switch p := random.IntN(10); {
 			case p < 3 && len(steps) < 2:
-				flight[id] = now.Add(time.Duration(random.IntN(20)) * time.Second)
-				event = btmember.RequestBegan{ID: id, Deadline: flight[id]}
+				inFlight[id] = now.Add(time.Duration(random.IntN(20)) * time.Second)
+				event = btmember.RequestBegan{ID: id, Deadline: inFlight[id]}
 			case p == 4 && n > 50:
 				event = btmember.Terminate{}
 			case p < 8:
-				if oldest := oldestRequest(flight); oldest.Number > 0 {
-					delete(flight, oldest)
+				if oldest := oldestRequest(inFlight); oldest.Number > 0 {
+					delete(inFlight, oldest)
 					event = btmember.RequestEnded{ID: oldest}
 				}
 			}
@@ -257,7 +257,7 @@
 			}
 		}
 		assert.DeepEqual(t, steps, []string{"btmember.Unready", "btmember.CloseListener", "btmember.Goodbye", "btmember.Exit"})
-		for id, deadline := range flight {
+		for id, deadline := range inFlight {
 			assert.Check(t, deadline.Before(now), "seed %d: %s cut off", seed, id)
 		}
 	}
--- a/core/btmember/capacity_test.go
+++ b/core/btmember/capacity_test.go
@@ -53,7 +53,7 @@
 	assert.NilError(t, h.Validate())
 	h.Load = []byte{0xff}
 	assert.ErrorIs(t, h.Validate(), btmember.ErrMessage)
-	h.Load, h.State = nil, btmember.Silent
+	h.Load, h.State = nil, btmember.Unresponsive
 	assert.ErrorIs(t, h.Validate(), btmember.ErrMessage)
 }
 
--- a/core/btmember/drain.go
+++ b/core/btmember/drain.go
@@ -8,9 +8,9 @@
 	"bilberrytide/core/btid"
 )
 
-// DrainCutsNothing is the invariant that a planned stop exits only when no request
+// DrainEndsNoPendingRequest is the invariant that a planned stop exits only when no request
 // in flight has its deadline in the future.
-const DrainCutsNothing btassert.Name = "drain_cuts_nothing"
+const DrainEndsNoPendingRequest btassert.Name = "drain_cuts_nothing"
 
 // DrainEvent is an input of Drain: Terminate, RequestBegan, RequestEnded or
 // DrainTick.
@@ -49,7 +49,7 @@
 // CloseListener stops accepting connections; open ones are still served.
 type CloseListener struct{}
 
-// Goodbye tells peers that no request is in flight any more.
+// Goodbye notifies peers that no request is in flight any more.
 type Goodbye struct{}
 
 // Exit ends the process with status 0.
@@ -75,8 +75,8 @@
 }
 
 // Drain is the state machine of a process's planned stop. The stop is bounded only
-// by the deadlines of the requests in flight: any shorter limit would cut off
-// answers. It is not safe for concurrent use.
+// by the deadlines of the requests in flight: any shorter limit would truncate
+// responses. It is not safe for concurrent use.
 type Drain struct {
 	settings      DrainSettings
 	asserter      *btassert.Asserter
@@ -134,7 +134,7 @@
 		return effects
 	}
 	for id, deadline := range d.inFlight {
-		d.asserter.That(!deadline.After(d.now), DrainCutsNothing, "request %s is due at %s, process exits at %s", id, deadline, d.now)
+		d.asserter.That(!deadline.After(d.now), DrainEndsNoPendingRequest, "request %s is due at %s, process exits at %s", id, deadline, d.now)
 	}
 	d.exited = true
 	return append(effects, Goodbye{}, Exit{Overdue: len(d.inFlight)})
--- a/core/btmember/message.go
+++ b/core/btmember/message.go
@@ -33,9 +33,9 @@
 	Stopped
 	// EngineLeaving: the engine reports that it is leaving or has stopped.
 	EngineLeaving
-	// Silent: the sender of a summary has no fresh heartbeat of the target. Agents
+	// Unresponsive: the sender of a summary has no fresh heartbeat of the target. Agents
 	// never report it.
-	Silent
+	Unresponsive
 )
 
 // String returns the state as it appears in logs.
@@ -49,17 +49,17 @@
 		return "stopped"
 	case EngineLeaving:
 		return "engine_leaving"
-	case Silent:
+	case Unresponsive:
 		return "silent"
 	}
 	return fmt.Sprintf("state(%d)", uint8(s))
 }
 
-// leaving reports whether the state makes an incarnation ineligible for good.
+// leaving reports whether the state makes an incarnation ineligible permanently.
 func (s State) leaving() bool { return s == Draining || s == Stopped || s == EngineLeaving }
 
 // Heartbeat renews a target's lease at the entries that watch its agent. A leaving
-// state is final for the incarnation: an agent whose engine comes back takes a new
+// state is final for the incarnation: an agent whose engine recovers takes a new
 // incarnation. It is encoded as an array to keep it small.
 type Heartbeat struct {
 	_           struct{}         `cbor:",toarray"`
@@ -122,7 +122,7 @@
 	Level  uint8  `json:"level"`
 }
 
-// Summary tells a peer which of the targets that the sender knows to be serving
+// Summary reports to a peer which of the targets that the sender knows to be serving
 // have changed, and renews the leases of all the others.
 type Summary struct {
 	From        btid.Entry       `cbor:"from" json:"from"`
@@ -173,10 +173,10 @@
 	if err := btid.CheckName(string(r.Target)); err != nil {
 		return err
 	}
-	if r.Incarnation == 0 && r.State != Silent {
+	if r.Incarnation == 0 && r.State != Unresponsive {
 		return errors.New("incarnation must not be zero")
 	}
-	if r.State < Serving || r.State > Silent {
+	if r.State < Serving || r.State > Unresponsive {
 		return fmt.Errorf("invalid state %s", r.State)
 	}
 	return nil
--- a/core/btmember/relay.go
+++ b/core/btmember/relay.go
@@ -48,11 +48,11 @@
 	// RowsPerSummary limits the rows of a summary, and its levels. The rest waits
 	// for the next summary; the largest changes of load go first.
 	RowsPerSummary int
-	// SilentAfter is the age of a target's last heartbeat beyond which a watcher
-	// reports the target as silent. Evidence from peers may be two intervals older.
-	// Both are well below the lease time, so that one silent target doesn't hold
-	// back the renewal of the others for long.
-	SilentAfter time.Duration
+	// UnresponsiveAfter is the age of a target's last heartbeat beyond which a watcher
+	// reports the target as unresponsive. Evidence from peers may be two intervals older.
+	// Both are well below the lease time, so that one unresponsive target
+	// doesn't delay the renewal of the others for long.
+	UnresponsiveAfter time.Duration
 	// MinLevelChange is the smallest change of load that is sent.
 	MinLevelChange uint8
 }
@@ -60,11 +60,11 @@
 // DefaultRelaySettings returns the settings that match DefaultSettings.
 func DefaultRelaySettings() RelaySettings {
 	return RelaySettings{
-		RenewalInterval: time.Second,
-		MinInterval:     100 * time.Millisecond,
-		RowsPerSummary:  24,
-		SilentAfter:     2500 * time.Millisecond,
-		MinLevelChange:  1,
+		RenewalInterval:   time.Second,
+		MinInterval:       100 * time.Millisecond,
+		RowsPerSummary:    24,
+		UnresponsiveAfter: 2500 * time.Millisecond,
+		MinLevelChange:    1,
 	}
 }
 
@@ -213,8 +213,8 @@
 }
 
 // asOf returns the oldest evidence among the targets that the peer believes to be
-// serving. A target that left or restarted without the peer having been told holds
-// the time back at the last one sent, so that nothing is renewed.
+// serving. While a target has left or restarted and this wasn't sent to the peer
+// yet, the time stays at the last one sent, so that nothing is renewed.
 func (y *Relay) asOf(now time.Time, o *outboundStream) time.Time {
 	oldest := now
 	for name, r := range o.sentRows {
@@ -238,7 +238,7 @@
 	for _, name := range o.link.Targets {
 		row := y.currentRow(now, name)
 		sent, known := o.sentRows[name]
-		if !known && row.State == Silent {
+		if !known && row.State == Unresponsive {
 			continue
 		}
 		if row.State != sent.State || row.Incarnation != sent.Incarnation {
@@ -261,21 +261,21 @@
 func (y *Relay) currentRow(now time.Time, name btid.Target) Row {
 	r := y.member.records[name]
 	if r == nil || r.incarnation == 0 {
-		return Row{Target: name, State: Silent}
+		return Row{Target: name, State: Unresponsive}
 	}
 	row := Row{Target: name, Incarnation: r.incarnation, State: Serving, Level: r.level}
 	switch {
 	case r.leavingState != 0:
 		row.State = r.leavingState
-	case y.isSilent(now, r):
-		row.State = Silent
+	case y.isUnresponsive(now, r):
+		row.State = Unresponsive
 	}
 	return row
 }
 
-func (y *Relay) isSilent(now time.Time, r *record) bool {
-	if now.Sub(r.heartbeatAt) <= y.settings.SilentAfter {
+func (y *Relay) isUnresponsive(now time.Time, r *record) bool {
+	if now.Sub(r.heartbeatAt) <= y.settings.UnresponsiveAfter {
 		return false
 	}
-	return now.Sub(r.summaryAt) > y.settings.SilentAfter+keepAliveIntervals*y.settings.RenewalInterval
+	return now.Sub(r.summaryAt) > y.settings.UnresponsiveAfter+keepAliveIntervals*y.settings.RenewalInterval
 }
--- a/core/btmember/stream.go
+++ b/core/btmember/stream.go
@@ -108,7 +108,7 @@
 	if r == nil || !r.listed || w.Incarnation < r.incarnation {
 		return
 	}
-	if w.State == Silent {
+	if w.State == Unresponsive {
 		m.recomputeLease(r)
 		return
 	}
@@ -139,7 +139,7 @@
 	}
 }
 
-// recomputeLease recomputes a lease after a peer reported the target as silent,
+// recomputeLease recomputes a lease after a peer reported the target as unresponsive,
 // from the heartbeats and the other peers' reports.
 func (m *Membership) recomputeLease(r *record) {
 	r.summaryAt = time.Time{}
--- a/core/btmember/topology.go
+++ b/core/btmember/topology.go
@@ -139,7 +139,7 @@
 		links = append(links, Link{To: tree[child], Origin: origin, Targets: all})
 	}
 	// If the origin has no entries, entries of other data centres receive its
-	// heartbeats. Only those in the origin's home data centre act for it; the others
+	// heartbeats. Only those in the origin's home data centre represent it; the others
 	// send summaries only down the tree of their own data centre.
 	if p.homeCentre(origin) != self.DataCentre {
 		return links
