btexpert: replace figurative words in comments and test names

Hosts that stand still freeze, a peak that is remembered is retained, and promises to callers are made to clients. Test names said strain where the code has a latency ratio; the others now state the outcome that they check.

No change in behaviour.

--- a/core/btexpert/activations_test.go
+++ b/core/btexpert/activations_test.go
@@ -27,7 +27,7 @@
 // which leaves steps at twice their length until new activations are reported. A
 // group of 72 ranks is down for four seconds, and Resume must keep the weight of
 // what was counted before.
-func TestActivationsKeepTheirWeightOverAnOutage(t *testing.T) {
+func TestActivationsKeepWeightAcrossOutage(t *testing.T) {
 	shape := btexpert.Shape{Ranks: 72, Layers: 12, Experts: 144, Slots: 3, ExpertBytes: 1}
 	load := skewedLoad(shape, rand.New(rand.NewPCG(3, 3)))
 	now := time.Unix(1000, 0)
@@ -60,5 +60,5 @@
 	assert.DeepEqual(t, load, btexpert.Load{{50, 20}})
 	assert.Equal(t, total, 70.0)
 	load, _ = c.Load(2, 2)
-	assert.Assert(t, load == nil, "choices of another shape tell nothing")
+	assert.Assert(t, load == nil, "activations of another shape must be ignored")
 }
--- a/core/btexpert/caution.go
+++ b/core/btexpert/caution.go
@@ -12,11 +12,11 @@
 	// minMiss is the difference in skew up to which a forecast never counts as
 	// missed, as measured steps vary by that much.
 	minMiss = 0.01
-	// easeHorizons is the number of horizons without a further miss after which the
+	// decayHorizons is the number of horizons without a further miss after which the
 	// factor halves, since a planner too cautious to act gets no evidence. The wait
-	// doubles with each further miss in a row, up to maxEaseDoublings times.
-	easeHorizons     = 4
-	maxEaseDoublings = 5
+	// doubles with each further miss in a row, up to maxDecayDoublings times.
+	decayHorizons     = 4
+	maxDecayDoublings = 5
 )
 
 // caution tracks how well forecasts match measurements. Its factor multiplies the
@@ -59,8 +59,8 @@
 	if !t.raised() {
 		return nil
 	}
-	doublings := min(t.misses-t.settings.Misses, maxEaseDoublings)
-	if now.Sub(t.changedAt) < horizon*easeHorizons<<max(doublings, 0) {
+	doublings := min(t.misses-t.settings.Misses, maxDecayDoublings)
+	if now.Sub(t.changedAt) < horizon*decayHorizons<<max(doublings, 0) {
 		return nil
 	}
 	return t.halve(now, "no further miss for a while")
--- a/core/btexpert/consider.go
+++ b/core/btexpert/consider.go
@@ -12,7 +12,7 @@
 // unanswered.
 const switchTimeoutHorizons = 2
 
-// tick considers the map if an interval has passed since it was last considered.
+// tick evaluates the map if an interval has passed since the last evaluation.
 func (d *Decider[P]) tick() []Effect {
 	if !d.configured {
 		return keep(KeepNoPolicy, "the bundle names no valid group and placement")
--- a/core/btexpert/counter.go
+++ b/core/btexpert/counter.go
@@ -35,7 +35,7 @@
 	// served in the last report, scaled to the same length of time.
 	clipFactor = 100
 	// minClipLimit is a count that is never clipped, so that a group that was idle
-	// can become busy at once.
+	// can become busy immediately.
 	minClipLimit = 1 << 16
 )
 
--- a/core/btexpert/decider.go
+++ b/core/btexpert/decider.go
@@ -164,7 +164,7 @@
 	return nil
 }
 
-// halfLivesInHorizon sets how fast counts decay: a map that is to be good for a
+// halfLivesInHorizon sets how fast counts decay: a map that is to be used for a
 // horizon is planned from about the last quarter of one.
 const halfLivesInHorizon = 4
 
--- a/core/btexpert/decider_test.go
+++ b/core/btexpert/decider_test.go
@@ -60,7 +60,7 @@
 	return f.step(e)
 }
 
-func TestDeciderProposesWhatPays(t *testing.T) {
+func TestDeciderProposesProfitableMap(t *testing.T) {
 	f := newFixture(himal)
 	p, proposed := f.tick().(btexpert.Propose)
 	assert.Assert(t, proposed)
@@ -139,7 +139,7 @@
 
 // No map may be proposed while a switch is pending, backed off or measured. A
 // proposal that is never answered must expire, or it would block changes forever.
-func TestDeciderWaitsForTheOutcomeOfASwitch(t *testing.T) {
+func TestDeciderProposesNothingDuringSwitch(t *testing.T) {
 	t.Parallel()
 	f := newFixture(himal)
 	p := f.tick().(btexpert.Propose)
@@ -151,7 +151,7 @@
 	assert.Equal(t, effects[0].(btexpert.Keep).Reason, btexpert.KeepBackoff)
 	p = f.tick().(btexpert.Propose)
 	effects = f.step(btexpert.SwitchFailed{Digest: f.m.Digest()})
-	assert.Equal(t, len(effects), 0, "an outcome of another map was taken")
+	assert.Equal(t, len(effects), 0, "the outcome of another map was accepted")
 	f.step(btexpert.MapInForce{Map: p.Map, Stall: time.Second})
 	assert.Equal(t, f.tick().(btexpert.Keep).Reason, btexpert.KeepMeasuring)
 	f = newFixture(himal)
@@ -162,7 +162,7 @@
 	}
 	f.count()
 	_, again := f.tick().(btexpert.Propose)
-	assert.Assert(t, again, "an unanswered proposal blocks for ever")
+	assert.Assert(t, again, "an unanswered proposal blocks forever")
 }
 
 // Steps here don't follow the model, so forecasts miss: the caution factor must
@@ -210,7 +210,7 @@
 
 // Guards against flapping: under constant popularity, sampling noise in the counts
 // must not lead to moves in the second half of a run.
-func TestSteadyTraceSettles(t *testing.T) {
+func TestSteadyTraceDoesNotFlap(t *testing.T) {
 	t.Parallel()
 	for _, p := range []btbundle.Placement{himal, faellesrum} {
 		for _, seed := range steadySeeds {
@@ -221,9 +221,9 @@
 	}
 }
 
-// Checks that the run of TestSteadyTraceSettles can fail: a planner without
+// Checks that the run of TestSteadyTraceDoesNotFlap can fail: a planner without
 // hysteresis, which takes any better map, must flap in it.
-func TestSteadyTraceFindsFlappingWithoutHysteresis(t *testing.T) {
+func TestSteadyTraceFlapsWithoutHysteresis(t *testing.T) {
 	t.Parallel()
 	// One seed is enough to show that the run detects flapping.
 	for _, seed := range steadySeeds[:1] {
@@ -241,7 +241,7 @@
 
 // Sends random events in any order. Assertions must hold (they panic here), and a
 // map may be proposed only while no rank is missing and the store is up.
-func TestDeciderUnderAnyEvents(t *testing.T) {
+func TestDeciderKeepsInvariantsUnderRandomEvents(t *testing.T) {
 	t.Parallel()
 	proposals := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/btexpert/event.go
+++ b/core/btexpert/event.go
@@ -177,7 +177,7 @@
 	ExplainForeignMap btrequest.Reason = "map_not_proposed"
 	// ExplainTimes reports step times that are missing or out of range.
 	ExplainTimes btrequest.Reason = "times_refused"
-	// ExplainJump reports an abrupt shift of the experts' popularity.
+	// ExplainShift reports an abrupt shift of the experts' popularity.
 	ExplainShift btrequest.Reason = "popularity_jumped"
 	// ExplainStore reports a store whose rate is below half the stated one.
 	ExplainStore btrequest.Reason = "store_slower_than_stated"
--- a/core/btexpert/fast_test.go
+++ b/core/btexpert/fast_test.go
@@ -11,7 +11,7 @@
 )
 
 // skewedLoad returns a load in which popularity falls as a power of an expert's
-// place in a random order, as it does for engines in use.
+// place in a random order, as in production engines.
 func skewedLoad(s btexpert.Shape, random *rand.Rand) btexpert.Load {
 	load := make(btexpert.Load, s.Layers)
 	for l := range load {
@@ -90,7 +90,7 @@
 
 // Guards against plans that ignore Slowness: the loads are even, so only the slow
 // rank makes the layers uneven.
-func TestFastRebalanceRelievesASlowRank(t *testing.T) {
+func TestFastRebalanceRelievesSlowRank(t *testing.T) {
 	s := fastShapes()["16 ranks"]
 	load := make(btexpert.Load, s.Layers)
 	for l := range load {
@@ -109,7 +109,7 @@
 	assert.Assert(t, second.PeakAfter < 1.5)
 }
 
-func TestFastRebalanceKeepsABalancedMap(t *testing.T) {
+func TestFastRebalanceKeepsBalancedMap(t *testing.T) {
 	s := fastShapes()["16 ranks"]
 	load := make(btexpert.Load, s.Layers)
 	for l := range load {
--- a/core/btexpert/map_test.go
+++ b/core/btexpert/map_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-func TestShapeOfRefusesExpertsThatDoNotFit(t *testing.T) {
+func TestShapeOfRejectsTooFewSlots(t *testing.T) {
 	g := group(shape16)
 	g.SlotsPerRank = 3
 	_, err := btexpert.ShapeOf(g)
--- a/core/btexpert/noise.go
+++ b/core/btexpert/noise.go
@@ -73,7 +73,7 @@
 )
 
 // minDetectableGain returns the share of the step time that a change may seem to
-// save by chance alone, if the decayed counts retain the given share of their
+// save by chance, if the decayed counts retain the given share of their
 // weight from one report to the next.
 func (n *noiseMeter) minDetectableGain(retained float64) float64 {
 	averaged := n.variance * (1 - retained) / (1 + retained)
--- a/core/btexpert/planner_test.go
+++ b/core/btexpert/planner_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-func TestStepTimeIgnoresTheOrderOfRanks(t *testing.T) {
+func TestStepTimeIsIndependentOfRankOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := drawProblem(t)
 		order := rapid.Permutation(ranksOf(q.Map.Shape)).Draw(t, "order")
@@ -133,7 +133,7 @@
 	return load
 }
 
-func TestPlannersRelieveAStraggler(t *testing.T) {
+func TestPlannersRelieveStraggler(t *testing.T) {
 	t.Parallel()
 	for _, p := range []btexpert.Planner{btexpert.Greedy{}, btexpert.Incremental{}, btexpert.Anytime{}} {
 		d := btexpert.Demand{Load: zipf(shape16), Speeds: btexpert.EvenSpeeds(shape16.Ranks)}
--- a/core/btexpert/price_factor.go
+++ b/core/btexpert/price_factor.go
@@ -18,7 +18,7 @@
 )
 
 // PeakLatencyRatio is a decaying maximum of the latency ratio: the time that answers take, as a
-// share of the time promised to callers. It remembers the latency ratio just after a
+// share of the time promised to clients. It retains the latency ratio just after a
 // change of demand, when steps are longer until the map follows. That is what a
 // balanced map is worth, as a group that was balanced before the change is less
 // uneven after it.
@@ -33,7 +33,7 @@
 
 // Observe adds a latency ratio and returns the decayed maximum. Latency ratios are capped at
 // highLatencyRatio, from which on maps follow as fast as they can, so that an outage
-// isn't remembered for longer than a change of demand. The first call returns
+// isn't retained for longer than a change of demand. The first call returns
 // highLatencyRatio, as a group without history may be near its limit.
 func (m *PeakLatencyRatio) Observe(now time.Time, latencyRatio float64) float64 {
 	if m.updatedAt.IsZero() {
@@ -46,9 +46,9 @@
 }
 
 // PriceFactor returns how many times its price, and how many times the least gain,
-// a change of the map must be worth at a latency ratio. A balanced map is of no use to
-// callers whose answers are early anyway, where changes only move weights, and of much
-// use where steps are as long as they may be.
+// a change of the map must be worth at a latency ratio. A balanced map gains nothing
+// for clients whose responses are early anyway, where changes only move weights, and gains
+// most where steps are as long as allowed.
 func PriceFactor(latencyRatio float64) float64 {
 	slack := (highLatencyRatio - latencyRatio) / (highLatencyRatio - lowLatencyRatio)
 	return math.Pow(maxPriceFactor, min(max(slack, 0), 1))
--- a/core/btexpert/price_factor_test.go
+++ b/core/btexpert/price_factor_test.go
@@ -71,7 +71,7 @@
 // Guards against moving several times the experts that callers benefit from: with a
 // price factor of 1, maps follow each shift of the load even where answers are
 // early on an unbalanced group.
-func TestPriceFactorAvoidsTransfersAtLowStrain(t *testing.T) {
+func TestPriceFactorAvoidsTransfersAtLowLatencyRatio(t *testing.T) {
 	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 8, Layers: 6, Experts: 64, Slots: 11, ExpertBytes: 1}, balancedLatencyRatio: 0.35, expertShare: 0.85}
 	for seed := range uint64(5) {
 		constant := d.simulate(seed, constantFactor)
@@ -84,7 +84,7 @@
 
 // Guards against a price factor that delays the maps where steps are as long as
 // promised to callers: no more intervals may be late than without it, within 5%.
-func TestPriceFactorAllowsTransfersAtHighStrain(t *testing.T) {
+func TestPriceFactorAllowsTransfersAtHighLatencyRatio(t *testing.T) {
 	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 16, Layers: 4, Experts: 64, Slots: 5, ExpertBytes: 1}, balancedLatencyRatio: 0.85, expertShare: 0.85}
 	for seed := range uint64(5) {
 		constant := d.simulate(seed, constantFactor)
@@ -94,7 +94,7 @@
 	}
 }
 
-func TestPriceFactorFallsWithStrain(t *testing.T) {
+func TestPriceFactorFallsWithLatencyRatio(t *testing.T) {
 	last := math.Inf(1)
 	for latencyRatio := 0.0; latencyRatio < 1.5; latencyRatio += 0.01 {
 		c := btexpert.PriceFactor(latencyRatio)
@@ -104,14 +104,14 @@
 	assert.Equal(t, btexpert.PriceFactor(1), 1.0)
 }
 
-// A peak must last over the next change of demand, 4 s later, and be forgotten
-// after a minute. An outage, with a latency ratio of 2, must not be remembered for longer
+// A peak must last over the next change of demand, 4 s later, and have decayed
+// after a minute. An outage, with a latency ratio of 2, must not be retained for longer
 // than that.
-func TestPeakStrainOutlastsOneChangeOfDemand(t *testing.T) {
+func TestPeakLatencyRatioOutlastsOneDemandChange(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	for _, worst := range []float64{0.9, 2} {
 		var m btexpert.PeakLatencyRatio
-		assert.Equal(t, m.Observe(begin, 0.3), 0.9, "nothing is known yet")
+		assert.Equal(t, m.Observe(begin, 0.3), 0.9, "no sample yet")
 		m.Observe(begin.Add(time.Minute), worst)
 		assert.Assert(t, m.Observe(begin.Add(time.Minute+4*time.Second), 0.3) > 0.6)
 		assert.Equal(t, m.Observe(begin.Add(2*time.Minute), 0.3), 0.3)
--- a/core/btexpert/route_test.go
+++ b/core/btexpert/route_test.go
@@ -174,7 +174,7 @@
 
 // Guards against scores that ignore the expert load or a straggler: the p95 skew
 // must stay below half of that of round robin.
-func TestRoutingByScoreKeepsTheSlowestRankLow(t *testing.T) {
+func TestRoutingByScoreLimitsSkew(t *testing.T) {
 	t.Parallel()
 	even := btexpert.EvenSpeeds(shape16.Ranks)
 	slow := btexpert.EvenSpeeds(shape16.Ranks)
--- a/core/btexpert/shift_test.go
+++ b/core/btexpert/shift_test.go
@@ -28,7 +28,7 @@
 // After a shift, the forecast of a change made for the earlier popularity can't be
 // measured. Guards against that measurement, or the rest of the interval, blocking
 // the next change.
-func TestShiftEndsMeasurementAndInterval(t *testing.T) {
+func TestShiftCancelsMeasurementAndInterval(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		events func(f *fixture, p btexpert.Map)
@@ -73,7 +73,7 @@
 
 // After a shift, steps must be even again within three reports: the shift is
 // recognised at the second one, and the transfer of the weights takes the rest.
-func TestStepsAreEvenSoonAfterShift(t *testing.T) {
+func TestSkewRecoversAfterShift(t *testing.T) {
 	t.Parallel()
 	for _, seed := range steadySeeds {
 		r := newTraceRun(24*time.Minute, quickShape, bttrace.Shift, seed, newDecider(btexpert.Incremental{}), himal).play()
--- a/core/btexpert/speed_test.go
+++ b/core/btexpert/speed_test.go
@@ -47,7 +47,7 @@
 
 // Guards against reporting a rank as a straggler that is late because of the
 // experts on it, or a lightly loaded one on which the base work weighs more.
-func TestSpeedMeterAllowsForLoad(t *testing.T) {
+func TestSpeedMeterIgnoresLoadedRanks(t *testing.T) {
 	m := btexpert.NewSpeedMeter(btexpert.Shape{Ranks: 6, Layers: 1, Experts: 6, Slots: 1, ExpertBytes: 1})
 	loads := []float64{0.1, 3, 1, 0.8, 0.9, 0.2}
 	for range 20 {
--- a/core/btexpert/stall_budget.go
+++ b/core/btexpert/stall_budget.go
@@ -4,14 +4,14 @@
 
 const (
 	// freeStall is the stall by a change of maps that isn't counted: two or three
-	// steps, which callers don't notice. If all commands are answered at once a
+	// steps, which clients don't notice. If all commands are answered immediately, a
 	// change stalls the group for 10 to 35 ms.
 	freeStall = 60 * time.Millisecond
 	// maxStallShare is the share of the time for which changes of maps may stall
 	// the group beyond that.
 	maxStallShare = 0.04
 	// maxCountedStall bounds the excess counted for one change, and stallWeight is
-	// its weight in the mean. One host that stands still during a change blocks
+	// its weight in the mean. One host that freezes during a change blocks
 	// further ones for two seconds; commands that stay unanswered over many changes
 	// block them for seconds after each.
 	maxCountedStall = 300 * time.Millisecond
@@ -20,8 +20,8 @@
 
 // StallBudget bounds the share of the time for which changes of maps stall their
 // group. No stream makes progress during a stall. While commands stay unanswered,
-// as on hosts that are busy or cut off, each change stalls the group for some
-// tenths of a second, which costs callers more than a balanced map gains them.
+// as on hosts that are overloaded or unreachable, each change stalls the group for some
+// tenths of a second, which costs clients more latency than a balanced map saves.
 type StallBudget struct {
 	meanExcess   time.Duration
 	blockedUntil time.Time
--- a/core/btexpert/stall_budget_test.go
+++ b/core/btexpert/stall_budget_test.go
@@ -50,7 +50,7 @@
 	assert.Equal(t, with, without)
 }
 
-// One stall of seconds, as by a host that stood still, must block changes for a
+// One stall of seconds, as by a frozen host, must block changes for a
 // short time only, and no longer once stalls have their usual length again.
 func TestStallBudgetRecoversFromOneLongStall(t *testing.T) {
 	begin := time.Unix(1000, 0)
