btgossip: say last seen and expire

Entries heard from each other, told each other and were forgotten. They are last seen, send sightings and expire; ForgetAfter, which only this package uses, becomes ExpireAfter. Entries whose calls the platform rejects were away in the tests. References in docs follow.

No change in behaviour.

--- a/core/btgossip/btgossip.go
+++ b/core/btgossip/btgossip.go
@@ -1,10 +1,10 @@
 // Package btgossip tracks the entries of a fleet by gossip: which ones exist, and when
-// any of them last heard from each.
+// each was last seen by any of them.
 //
-// Each entry tells others not only which entries it knows but how long ago anyone heard
-// from each. So a live entry is known everywhere although most pairs never communicate,
-// and a stopped one is forgotten everywhere at about the same time, because an age only
-// grows in transit. The size of a message is bounded, so an entry's traffic doesn't
+// Each entry sends others not only the entries that it knows but the time since each was
+// last seen by anyone. So a live entry is known everywhere although most pairs never
+// communicate, and a stopped one expires everywhere at about the same time, because an
+// age only grows in transit. The size of a message is bounded, so an entry's traffic doesn't
 // grow with the number of entries.
 package btgossip
 
@@ -18,10 +18,10 @@
 )
 
 const (
-	// ForgetAfter is the time after which an entry that no one has heard from is
-	// forgotten, if one message covers all entries. News is passed on twice a second,
-	// to three entries, and so reaches all within two seconds.
-	ForgetAfter = 4 * time.Second
+	// ExpireAfter is the time after which an entry that no one has seen expires, if one
+	// message covers all entries. Sightings are sent twice a second, to three entries,
+	// and so reach all within two seconds.
+	ExpireAfter = 4 * time.Second
 	// MaxSightings bounds the sightings in one message, about 11 B each: three
 	// messages, twice a second, stay below 8 KB/s.
 	MaxSightings = 96
@@ -29,7 +29,7 @@
 	MaxEntries = 1024
 )
 
-// Sighting reports how long ago some entry heard from an entry.
+// Sighting reports how long ago an entry was last seen by any entry.
 type Sighting struct {
 	_       struct{}       `cbor:",toarray"`
 	Address netip.AddrPort `cbor:"address"`
@@ -51,11 +51,11 @@
 	return nil
 }
 
-// Change is an entry that has become known or was forgotten.
+// Change is an entry that has become known or has expired.
 type Change struct {
 	Address netip.AddrPort
 	Known   bool
-	// Age is how long ago any entry heard from a forgotten entry.
+	// Age is how long ago an expired entry was last seen by any entry.
 	Age time.Duration
 }
 
@@ -78,7 +78,7 @@
 	return &Membership{self: self, lastSeen: make(map[netip.AddrPort]time.Time)}
 }
 
-// Observe records that an entry was heard from at the given time.
+// Observe records that a message of an entry was received at the given time.
 func (m *Membership) Observe(at time.Time, a netip.AddrPort) []Change {
 	known, found := m.lastSeen[a]
 	if a == m.self || !a.IsValid() || !found && len(m.lastSeen) >= MaxEntries {
@@ -98,13 +98,13 @@
 	return []Change{{Address: a, Known: true}}
 }
 
-// Merge adds the sightings that another entry sent. asked is when it was asked for
-// them, so that transit time counts towards the ages.
-func (m *Membership) Merge(now, asked time.Time, sightings []Sighting) []Change {
+// Merge adds the sightings that another entry sent. requestedAt is when they
+// were requested, so that transit time counts towards the ages.
+func (m *Membership) Merge(now, requestedAt time.Time, sightings []Sighting) []Change {
 	var changes []Change
-	limit := m.forgetAfter()
+	limit := m.expireAfter()
 	for _, s := range sightings {
-		at := asked.Add(-s.Age())
+		at := requestedAt.Add(-s.Age())
 		if now.Sub(at) <= limit {
 			changes = append(changes, m.Observe(at, s.Address)...)
 		}
@@ -112,10 +112,10 @@
 	return changes
 }
 
-// Expire forgets the entries that no one has heard from recently.
+// Expire removes the entries that no one has seen recently.
 func (m *Membership) Expire(now time.Time) []Change {
 	var changes []Change
-	limit := m.forgetAfter()
+	limit := m.expireAfter()
 	m.sorted = slices.DeleteFunc(m.sorted, func(a netip.AddrPort) bool {
 		age := now.Sub(m.lastSeen[a])
 		if age <= limit {
@@ -140,7 +140,7 @@
 // Sample returns the sightings for one message: at most MaxSightings, chosen at random
 // if there are more.
 func (m *Membership) Sample(now time.Time, random *rand.Rand) []Sighting {
-	limit := m.forgetAfter()
+	limit := m.expireAfter()
 	list := slices.DeleteFunc(m.List(), func(a netip.AddrPort) bool { return now.Sub(m.lastSeen[a]) > limit })
 	if len(list) > MaxSightings {
 		random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -157,12 +157,12 @@
 // maxAge is the largest age that a sighting can hold.
 const maxAge = math.MaxUint16 * time.Millisecond
 
-// forgetAfter returns the time after which an entry is forgotten. It is multiplied by
-// the number of messages needed to cover all entries, as news of each takes that much
-// longer.
-func (m *Membership) forgetAfter() time.Duration {
+// expireAfter returns the time after which an entry expires. It is multiplied by the
+// number of messages needed to cover all entries, as each sighting takes that much longer
+// to spread.
+func (m *Membership) expireAfter() time.Duration {
 	messages := (len(m.lastSeen) + MaxSightings) / MaxSightings
-	return min(time.Duration(messages)*ForgetAfter, maxAge)
+	return min(time.Duration(messages)*ExpireAfter, maxAge)
 }
 
 // Peers chooses the entries to contact: one seed, the one that supplies the platform's
--- a/core/btgossip/btgossip_test.go
+++ b/core/btgossip/btgossip_test.go
@@ -34,8 +34,8 @@
 	down    map[int]bool
 	// partitioned are the pairs that can't reach each other.
 	partitioned map[[2]int]bool
-	// falselyForgotten counts live entries that were forgotten.
-	falselyForgotten int
+	// falselyExpired counts live entries that expired.
+	falselyExpired int
 }
 
 func newFleet(seed uint64, size int) *fleet {
@@ -47,7 +47,7 @@
 	return f
 }
 
-// tick has each entry contact its peers once.
+// tick makes each entry contact its peers once.
 func (f *fleet) tick() {
 	f.now = f.now.Add(contactInterval)
 	for n, e := range f.entries {
@@ -56,7 +56,7 @@
 		}
 		for _, c := range e.Expire(f.now) {
 			if !f.down[index(c.Address)] {
-				f.falselyForgotten++
+				f.falselyExpired++
 			}
 		}
 		for _, to := range e.Peers(f.seeds, readers, f.random) {
@@ -74,13 +74,13 @@
 
 func size(t *testing.T, sightings []btgossip.Sighting) int {
 	t.Helper()
-	data, err := btwire.Encode(message{Told: sightings})
+	data, err := btwire.Encode(message{Sightings: sightings})
 	assert.NilError(t, err)
 	return len(data)
 }
 
 type message struct {
-	Told []btgossip.Sighting `cbor:"told"`
+	Sightings []btgossip.Sighting `cbor:"told"`
 }
 
 func (message) Validate() error { return nil }
@@ -107,11 +107,11 @@
 
 func sizes() []int { return []int{2, 4, 16, 35, 120, 380} }
 
-// TestLiveEntryIsNeverForgotten guards against forgetting live entries, and against
-// taking longer than two seconds to make all known after a simultaneous start. When
-// each entry relied on its own contacts alone, 35 entries forgot each other 5,889 times
-// in 30 s.
-func TestLiveEntryIsNeverForgotten(t *testing.T) {
+// TestLiveEntryNeverExpires guards against expiring live entries, and against
+// taking longer than two seconds to make all known after a simultaneous start. If each
+// entry relies on its own contacts only, 35 entries expire each other 5,889 times in
+// 30 s.
+func TestLiveEntryNeverExpires(t *testing.T) {
 	for _, size := range sizes() {
 		for seed := range uint64(3) {
 			f := newFleet(seed, size)
@@ -125,21 +125,21 @@
 			}
 			least, _ = f.knownRange()
 			assert.Equal(t, least, size-1, "seed %d", seed)
-			assert.Equal(t, f.falselyForgotten, 0, "size %d, seed %d", size, seed)
+			assert.Equal(t, f.falselyExpired, 0, "size %d, seed %d", size, seed)
 		}
 	}
 }
 
-// TestStoppedEntryIsForgotten guards against entries that keep a stopped one alive by
-// telling each other of it.
-func TestStoppedEntryIsForgotten(t *testing.T) {
+// TestStoppedEntryExpires guards against entries that keep a stopped one known by
+// exchanging old sightings of it.
+func TestStoppedEntryExpires(t *testing.T) {
 	for _, size := range sizes() {
 		f := newFleet(7, size)
 		for range 20 {
 			f.tick()
 		}
 		f.down[size/2] = true
-		for range messageCount(size)*int(btgossip.ForgetAfter/contactInterval) + 2 {
+		for range messageCount(size)*int(btgossip.ExpireAfter/contactInterval) + 2 {
 			f.tick()
 		}
 		_, largest := f.knownRange()
@@ -153,7 +153,7 @@
 	}
 }
 
-// TestPartitionedEntriesStayKnown guards against forgetting entries that can't reach
+// TestPartitionedEntriesStayKnown guards against expiring entries that can't reach
 // the seeds or each other, and are known only through others.
 func TestPartitionedEntriesStayKnown(t *testing.T) {
 	f := newFleet(5, 35)
--- a/core/btgossip/supplier.go
+++ b/core/btgossip/supplier.go
@@ -15,7 +15,7 @@
 // its calls grow with the fleet, so only the next few in the order substitute for the first.
 
 // CompareReaders compares two entries by the reading order. It is by a hash of their
-// addresses, as hosts with similar addresses are lost or cut off together.
+// addresses, as hosts with similar addresses often fail or are partitioned together.
 func CompareReaders(a, b netip.AddrPort) int {
 	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.String()), xxhash.Sum64String(b.String())), a.Compare(b))
 }
@@ -37,8 +37,8 @@
 	substituteDelay   = 250 * time.Millisecond
 	supplierExtraWait = 500 * time.Millisecond
 	// retryDelay is the time until a failed read is repeated. It doubles up to
-	// maxRetryDelay for all but the first few. It bounds how well an entry knows when an
-	// outage ended.
+	// maxRetryDelay for all but the first few. It bounds how precisely an entry detects the
+	// end of an outage.
 	retryDelay    = 400 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
 	// SearchInterval is the interval of contacts while an entry looks for a supplier, for
--- a/core/btgossip/supplier_test.go
+++ b/core/btgossip/supplier_test.go
@@ -17,7 +17,7 @@
 	listTTL      = 1300 * time.Millisecond
 	readInterval = 700 * time.Millisecond
 	substitution = 10 * time.Second
-	// maxJitter is how much later than due a read or contact may be: a slow answer of the
+	// maxJitter is how much later than due a read or contact may be: a slow response of the
 	// platform, or a busy host.
 	maxJitter = 200 * time.Millisecond
 )
@@ -25,16 +25,16 @@
 // listFleet simulates entries that receive the platform's list from those that read it.
 type listFleet struct {
 	*fleet
-	// away holds the entries whose calls the platform rejects.
-	away map[int]bool
+	// rejected holds the entries whose calls the platform rejects.
+	rejected map[int]bool
 	// readAt is when each entry last read the platform, listedAt when its list was read,
 	// readsUntil until when it reads in another entry's place.
 	readAt, listedAt, readsUntil []time.Time
 	// calls counts the calls of entries that aren't among the first ones by address, failed
-	// ones too. allAway is true during an outage of the platform.
-	calls    int
-	allAway  bool
-	failures []int
+	// ones too. platformDown is true during an outage of the platform.
+	calls        int
+	platformDown bool
+	failures     []int
 	// nextRead and nextContact are when each entry reads and contacts others next.
 	nextRead, nextContact []time.Time
 	// order holds the entries in the reading order, rank the place of each in it.
@@ -45,7 +45,7 @@
 
 func newListFleet(seed uint64, size int) *listFleet {
 	f := &listFleet{
-		fleet: newFleet(seed, size), away: make(map[int]bool),
+		fleet: newFleet(seed, size), rejected: make(map[int]bool),
 		readAt: make([]time.Time, size), listedAt: make([]time.Time, size), readsUntil: make([]time.Time, size),
 		failures: make([]int, size), nextRead: make([]time.Time, size), nextContact: make([]time.Time, size),
 	}
@@ -87,13 +87,13 @@
 				}
 			}
 		}
-		if !f.away[n] && !f.allAway {
+		if !f.rejected[n] && !f.platformDown {
 			f.oldest = max(f.oldest, f.now.Sub(f.listedAt[n]))
 		}
 	}
 }
 
-// read has an entry read the platform if it is due.
+// read makes an entry read the platform if that is due.
 func (f *listFleet) read(n int) {
 	e := f.entries[n]
 	rank := e.Rank()
@@ -104,7 +104,7 @@
 	if rank >= readers {
 		f.calls++
 	}
-	if f.away[n] || f.allAway {
+	if f.rejected[n] || f.platformDown {
 		f.failures[n]++
 		f.nextRead[n] = f.now.Add(btgossip.RetryDelay(rank, readers, f.failures[n]) + f.jitter())
 		return
@@ -134,7 +134,7 @@
 
 // Guards against entries that read the platform although the list reaches them, a little
 // later than usual.
-func TestOnlyTheReadersCallWhileAllIsWell(t *testing.T) {
+func TestOnlyReadersCallPlatformWithoutFaults(t *testing.T) {
 	const seconds = 30
 	for _, size := range []int{4, 13, 35, 208} {
 		f := newListFleet(1, size)
@@ -145,36 +145,36 @@
 	}
 }
 
-// Guards against calls of all entries while the platform rejects those of the readers: each
-// entry that missed the list read the platform itself.
-func TestFewEntriesCallWhileReadersAreRejected(t *testing.T) {
+// Guards against calls of all entries while the platform rejects those of the readers, as if
+// each entry that misses the list read the platform itself.
+func TestFewEntriesCallPlatformWhileReadersAreRejected(t *testing.T) {
 	const seconds, mostCalls, oldest = 10, 40, 3 * time.Second
-	for _, away := range []int{1, 2, 3, 5} {
+	for _, rejected := range []int{1, 2, 3, 5} {
 		for _, size := range []int{13, 35, 208} {
 			f := newListFleet(1, size)
 			f.settle()
-			for _, n := range f.order[:away] {
-				f.away[n] = true
+			for _, n := range f.order[:rejected] {
+				f.rejected[n] = true
 			}
 			f.run(seconds)
-			t.Logf("the first %d of %d entries away: %.1f calls a second, lists up to %s old", away, size, float64(f.calls)/seconds, f.oldest)
+			t.Logf("the first %d of %d entries rejected: %.1f calls a second, lists up to %s old", rejected, size, float64(f.calls)/seconds, f.oldest)
 			assert.Assert(t, f.calls <= mostCalls*seconds)
 			assert.Assert(t, f.oldest <= oldest)
 		}
 	}
 }
 
-// Guards against calls of all entries at once, and for long, after an outage of the
+// Guards against simultaneous and lasting calls of all entries after an outage of the
 // platform.
-func TestFewEntriesCallAfterAnOutage(t *testing.T) {
+func TestFewEntriesCallPlatformAfterOutage(t *testing.T) {
 	const seconds, outage = 10, 6
 	for _, size := range []int{13, 35, 208} {
 		f := newListFleet(1, size)
 		f.settle()
-		f.allAway = true
+		f.platformDown = true
 		f.run(outage)
 		failed := f.calls
-		f.allAway, f.calls = false, 0
+		f.platformDown, f.calls = false, 0
 		f.run(seconds)
 		t.Logf("%d entries: %d calls in an outage of %d s, %d in %d s after it", size, failed, outage, f.calls, seconds)
 		assert.Assert(t, failed <= 6*size)
