btrelay: call agents without answers unresponsive

Agents were silent and, in the simulation, hosts deaf. Both are named after the condition now, the simulation by what it is, and tests by the fault that they guard against. Numbers behind constants stay.

No change in behaviour.

--- a/core/btrelay/btrelay.go
+++ b/core/btrelay/btrelay.go
@@ -2,14 +2,14 @@
 // group reach its lead, so that no host communicates with every other one.
 //
 // The members are sorted by address and split into blocks of about the square root of
-// their number. A member reports to its block's relay, the first member of the block
-// that answers. A relay forwards the collected reports in one message to the lead, the
-// first of all members that answers, and forwards the lead's commands to its block. So
+// their number. A member reports to its block's relay, the first responsive member
+// of the block. A relay forwards the collected reports in one message to the lead, the
+// first responsive one of all members, and forwards the lead's commands to its block. So
 // the number of peers of each host is about the square root of the group size. A small
 // group is one block, whose relay is the lead.
 //
 // Relays are soft state: every member applies the same rule to the same list, and a
-// relay holds nothing that the next reports don't restore. Two members may briefly
+// relay holds no state that the next reports don't restore. Two members may briefly
 // choose different relays; both then forward what they receive.
 package btrelay
 
@@ -42,7 +42,7 @@
 	// fifth of a link of 6 Mbit/s.
 	maxReportsPerSecond = 250
 	maxStatesPerSecond  = 2000
-	// maxCountsPerSecond bounds the counts of experts' choices that one host receives
+	// maxCountsPerSecond bounds the counts of expert activations that one host receives
 	// from all senders, at a byte each: between a fourth and a fifth of a link of 6 or
 	// 8 Mbit/s.
 	maxCountsPerSecond = 200_000
@@ -108,8 +108,8 @@
 }
 
 // Lead returns the group's lead; false while no members are known. A member without a
-// list neither follows nor leads: after all processes had started at once, each of 16
-// agents led for a second, and they outranked each other's rounds.
+// list has no lead: after a simultaneous start, each of 16 agents would otherwise act as
+// the lead for a second, and they would preempt each other's rounds.
 func (t *Tree) Lead(now time.Time) (netip.AddrPort, bool) {
 	return t.firstAvailable(now, t.members)
 }
--- a/core/btrelay/btrelay_test.go
+++ b/core/btrelay/btrelay_test.go
@@ -28,9 +28,9 @@
 
 func sizes() []int { return []int{1, 2, 16, 32, 33, 64, 72, 192, 512} }
 
-// TestTreeAtAnySize guards against members that disagree on the lead, and against a
+// TestMembersAgreeOnLeadAtAnySize guards against members that disagree on the lead, and against a
 // host that receives from more than about the square root of the group.
-func TestTreeAtAnySize(t *testing.T) {
+func TestMembersAgreeOnLeadAtAnySize(t *testing.T) {
 	for _, n := range sizes() {
 		members := addresses(n)
 		senders := make(map[netip.AddrPort]int)
@@ -76,10 +76,10 @@
 	assert.Equal(t, relay, address(500))
 }
 
-// TestSilentRelayIsSkipped guards against replacing a relay after one late answer, and
+// TestUnresponsiveRelayIsSkipped guards against replacing a relay after one late answer, and
 // against reporting on to a relay that has missed two in a row. A skipped relay is used
 // again after SkipDuration.
-func TestSilentRelayIsSkipped(t *testing.T) {
+func TestUnresponsiveRelayIsSkipped(t *testing.T) {
 	tree := btrelay.New(address(20))
 	tree.SetMembers(addresses(192))
 	relay, _ := tree.Relay(start)
--- a/core/btrelay/direct_read.go
+++ b/core/btrelay/direct_read.go
@@ -8,10 +8,10 @@
 
 const (
 	// DirectReadDelay is how long reports must have arrived before a lead reads the
-	// engines of silent agents itself. An agent that has just begun to lead, or was
+	// engines of unresponsive agents itself. An agent that has just become the lead, or was
 	// suspended, receives reports from all within half a second. Without the delay, a
-	// lead whose host resumed read 190 engines at once; this delayed on its link the
-	// reports it was waiting for, and another agent became the lead.
+	// lead whose host has resumed reads 190 engines at once; this delays on its link the
+	// reports that it waits for, and another agent becomes the lead.
 	DirectReadDelay = 500 * time.Millisecond
 	// DirectReadInterval is the minimum interval between reads of one engine; a read
 	// costs the group a little.
@@ -22,7 +22,7 @@
 )
 
 // DirectReader chooses the engines that a lead reads itself because their agents are
-// silent. It is not safe for concurrent use.
+// unresponsive. It is not safe for concurrent use.
 type DirectReader struct {
 	reportsSince time.Time
 	readAt       map[netip.AddrPort]time.Time
@@ -36,8 +36,8 @@
 // ReportsResumed records that reports arrive again after an interruption.
 func (r *DirectReader) ReportsResumed(now time.Time) { r.reportsSince = now }
 
-// Due returns the engines of silent agents to read now, those read longest ago first.
-func (r *DirectReader) Due(now time.Time, silent []netip.AddrPort) []netip.AddrPort {
+// Due returns the engines of unresponsive agents to read now, those read longest ago first.
+func (r *DirectReader) Due(now time.Time, unresponsive []netip.AddrPort) []netip.AddrPort {
 	if now.Sub(r.reportsSince) < DirectReadDelay {
 		return nil
 	}
@@ -46,11 +46,11 @@
 		switch age := now.Sub(at); {
 		case age < DirectReadInterval:
 			recent++
-		case age > DirectReadInterval && !slices.Contains(silent, engine):
+		case age > DirectReadInterval && !slices.Contains(unresponsive, engine):
 			delete(r.readAt, engine)
 		}
 	}
-	due := slices.DeleteFunc(slices.Clone(silent), func(e netip.AddrPort) bool { return now.Sub(r.readAt[e]) < DirectReadInterval })
+	due := slices.DeleteFunc(slices.Clone(unresponsive), func(e netip.AddrPort) bool { return now.Sub(r.readAt[e]) < DirectReadInterval })
 	slices.SortStableFunc(due, func(a, b netip.AddrPort) int { return r.readAt[a].Compare(r.readAt[b]) })
 	due = due[:min(len(due), max(MaxDirectReads-recent, 0))]
 	for _, e := range due {
--- a/core/btrelay/direct_read_test.go
+++ b/core/btrelay/direct_read_test.go
@@ -12,28 +12,28 @@
 )
 
 // TestResumedLeadWaitsForReports guards against reading all engines when a lead's host
-// resumes: all agents seem to have been silent for seconds, but report again at once.
+// resumes: all agents seem to have been unresponsive for seconds, but report again immediately.
 func TestResumedLeadWaitsForReports(t *testing.T) {
 	l := btrelay.NewDirectReader()
-	silent := addresses(192)
+	unresponsive := addresses(192)
 	l.ReportsResumed(start)
 	for age := time.Duration(0); age < btrelay.DirectReadDelay; age += 100 * time.Millisecond {
-		assert.Equal(t, len(l.Due(start.Add(age), silent)), 0)
+		assert.Equal(t, len(l.Due(start.Add(age), unresponsive)), 0)
 	}
 }
 
-// TestSilentEnginesAreReadInTurn guards against reading too many engines at a time
-// while many agents are silent, and against reading some of them less often than
+// TestUnresponsiveEnginesAreReadEquallyOften guards against reading too many engines at a time
+// while many agents are unresponsive, and against reading some of them less often than
 // others.
-func TestSilentEnginesAreReadInTurn(t *testing.T) {
+func TestUnresponsiveEnginesAreReadEquallyOften(t *testing.T) {
 	l := btrelay.NewDirectReader()
-	silent := addresses(96)
+	unresponsive := addresses(96)
 	read := make(map[netip.AddrPort]int)
 	now := start.Add(btrelay.DirectReadDelay)
 	for range 60 {
 		inWindow := 0
 		for range 5 {
-			due := l.Due(now, silent)
+			due := l.Due(now, unresponsive)
 			inWindow += len(due)
 			for _, e := range due {
 				read[e]++
@@ -42,15 +42,15 @@
 		}
 		assert.Assert(t, inWindow <= btrelay.MaxDirectReads, "%d in half a second", inWindow)
 	}
-	assert.Equal(t, len(read), len(silent))
+	assert.Equal(t, len(read), len(unresponsive))
 	for e, n := range read {
 		assert.Assert(t, n >= 9 && n <= 11, "%v read %d times", e, n)
 	}
 }
 
-// TestOneSilentEngineIsReadAtOnce covers a single silent agent, whose engine is read
+// TestSingleUnresponsiveEngineIsReadImmediately covers a single unresponsive agent, whose engine is read
 // twice a second, as in a small group.
-func TestOneSilentEngineIsReadAtOnce(t *testing.T) {
+func TestSingleUnresponsiveEngineIsReadImmediately(t *testing.T) {
 	l := btrelay.NewDirectReader()
 	one := addresses(1)
 	now := start.Add(btrelay.DirectReadDelay)
--- a/core/btrelay/simulation_test.go
+++ b/core/btrelay/simulation_test.go
@@ -29,8 +29,8 @@
 	maxReportAge = 500 * time.Millisecond
 )
 
-// world simulates a group whose hosts have links of limited rate, on a virtual clock.
-type world struct {
+// simulation simulates a group whose hosts have links of limited rate, on a virtual clock.
+type simulation struct {
 	random *rand.Rand
 	now    time.Time
 	events events
@@ -44,11 +44,11 @@
 
 // host simulates one member's host.
 type host struct {
-	world   *world
-	number  int
-	address netip.AddrPort
-	tree    *btrelay.Tree
-	reports *btrelay.Collector[int, time.Time]
+	simulation *simulation
+	number     int
+	address    netip.AddrPort
+	tree       *btrelay.Tree
+	reports    *btrelay.Collector[int, time.Time]
 	// in and out are the times at which the link is free again.
 	in, out time.Time
 	// received is in bytes.
@@ -56,9 +56,9 @@
 	// countedAt is when counts were last sent, forwardedAt when they were last
 	// forwarded.
 	countedAt, forwardedAt time.Time
-	// frozen is the time until which the host is frozen. deaf is the time until which
-	// nothing sent to the host arrives, though it can send.
-	frozen, deaf time.Time
+	// frozen is the time until which the host is frozen. unreachable is the time until
+	// which messages to the host are lost, though it can send.
+	frozen, unreachable time.Time
 	// lastRead is, by member, the read time of the latest report that this host
 	// received as the lead.
 	lastRead map[int]time.Time
@@ -88,11 +88,11 @@
 	return last
 }
 
-func newWorld(seed uint64, size int, direct bool) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 2)), now: start, directReports: direct, leads: make(map[netip.AddrPort]bool)}
+func newSimulation(seed uint64, size int, direct bool) *simulation {
+	w := &simulation{random: rand.New(rand.NewPCG(seed, 2)), now: start, directReports: direct, leads: make(map[netip.AddrPort]bool)}
 	members := addresses(size)
 	for n, a := range members {
-		h := &host{world: w, number: n, address: a, tree: btrelay.New(a), reports: btrelay.NewCollector[int, time.Time](), lastRead: make(map[int]time.Time)}
+		h := &host{simulation: w, number: n, address: a, tree: btrelay.New(a), reports: btrelay.NewCollector[int, time.Time](), lastRead: make(map[int]time.Time)}
 		h.tree.SetMembers(members)
 		w.hosts = append(w.hosts, h)
 		w.schedule(time.Duration(w.random.Int64N(int64(btrelay.ReportInterval(1)))), h.report)
@@ -101,12 +101,12 @@
 	return w
 }
 
-func (w *world) schedule(d time.Duration, do func()) {
+func (w *simulation) schedule(d time.Duration, do func()) {
 	w.number++
 	heap.Push(&w.events, event{at: w.now.Add(d), number: w.number, do: do})
 }
 
-func (w *world) run(d time.Duration) {
+func (w *simulation) run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.events) > 0 && !w.events[0].at.After(end) {
 		e := heap.Pop(&w.events).(event)
@@ -116,7 +116,7 @@
 	w.now = end
 }
 
-func (w *world) host(a netip.AddrPort) *host {
+func (w *simulation) host(a netip.AddrPort) *host {
 	for _, h := range w.hosts {
 		if h.address == a {
 			return h
@@ -125,7 +125,7 @@
 	return nil
 }
 
-func (h *host) isFrozen() bool { return h.world.now.Before(h.frozen) }
+func (h *host) isFrozen() bool { return h.simulation.now.Before(h.frozen) }
 
 // transmit occupies a link for the given number of bytes, and returns when they have
 // passed.
@@ -140,14 +140,14 @@
 // call sends a message and passes to done whether it was answered in time. The receiver
 // runs deliver.
 func (h *host) call(to *host, bytes int, deliver func(), done func(ok bool)) {
-	w := h.world
+	w := h.simulation
 	if to == h {
 		deliver()
 		done(true)
 		return
 	}
 	answered := false
-	asked := w.now
+	sentAt := w.now
 	w.schedule(callTimeout, func() {
 		if !answered {
 			answered = true
@@ -156,7 +156,7 @@
 	})
 	sent := transmit(w.now, &h.out, bytes)
 	w.schedule(sent.Sub(w.now)+linkDelay, func() {
-		if to.isFrozen() || w.now.Before(to.deaf) {
+		if to.isFrozen() || w.now.Before(to.unreachable) {
 			return
 		}
 		through := transmit(w.now, &to.in, bytes)
@@ -168,7 +168,7 @@
 				arrived := transmit(w.now, &h.in, replyBytes)
 				h.received += replyBytes
 				w.schedule(arrived.Sub(w.now), func() {
-					if !answered && w.now.Sub(asked) <= callTimeout && !h.isFrozen() {
+					if !answered && w.now.Sub(sentAt) <= callTimeout && !h.isFrozen() {
 						answered = true
 						done(true)
 					}
@@ -184,12 +184,12 @@
 		h.tree.NoteAnswer(to)
 		return
 	}
-	h.tree.NoteMiss(h.world.now, to)
+	h.tree.NoteMiss(h.simulation.now, to)
 }
 
 // report reports the host's state at a fixed interval.
 func (h *host) report() {
-	w := h.world
+	w := h.simulation
 	w.schedule(btrelay.ReportInterval(h.tree.BlockSize()), h.report)
 	if h.isFrozen() {
 		return
@@ -214,8 +214,8 @@
 
 // receive processes a report.
 func (h *host) receive(from int, read time.Time) {
-	lead, _ := h.tree.Lead(h.world.now)
-	if lead == h.address || h.world.directReports {
+	lead, _ := h.tree.Lead(h.simulation.now)
+	if lead == h.address || h.simulation.directReports {
 		h.receiveAsLead(from, read)
 		return
 	}
@@ -224,7 +224,7 @@
 
 // receiveAsLead processes a report as the lead.
 func (h *host) receiveAsLead(from int, read time.Time) {
-	h.world.leads[h.address] = true
+	h.simulation.leads[h.address] = true
 	if read.After(h.lastRead[from]) {
 		h.lastRead[from] = read
 	}
@@ -232,7 +232,7 @@
 
 // forward forwards the collected reports at a fixed interval.
 func (h *host) forward() {
-	w := h.world
+	w := h.simulation
 	w.schedule(btrelay.ForwardInterval(len(w.hosts)), h.forward)
 	if h.isFrozen() {
 		return
@@ -261,10 +261,10 @@
 }
 
 // oldestReport returns the age of the lead's oldest state among reachable members.
-func (w *world) oldestReport(lead int) time.Duration {
+func (w *simulation) oldestReport(lead int) time.Duration {
 	var oldest time.Duration
 	for n, h := range w.hosts {
-		if !h.isFrozen() && !w.now.Before(h.deaf) {
+		if !h.isFrozen() && !w.now.Before(h.unreachable) {
 			oldest = max(oldest, w.now.Sub(w.hosts[lead].lastRead[n]))
 		}
 	}
@@ -276,7 +276,7 @@
 // link, and against a second lead.
 func TestLeadReceivesAllReports(t *testing.T) {
 	for _, n := range []int{2, 16, 64, 72, 192, 512} {
-		w := newWorld(1, n, false)
+		w := newSimulation(1, n, false)
 		w.run(2 * time.Second)
 		for range 200 {
 			w.run(20 * time.Millisecond)
@@ -293,15 +293,15 @@
 // relays prevent: if 192 members report to the lead directly, its link is saturated, it
 // is counted as unresponsive, and other members lead as well.
 func TestDirectReportsSaturateLeadLink(t *testing.T) {
-	w := newWorld(1, 192, true)
+	w := newSimulation(1, 192, true)
 	w.run(6 * time.Second)
 	assert.Assert(t, len(w.leads) > 1, "only one member led")
 }
 
-// TestBurstOnLeadLink guards against skipping a lead whose link is full for a quarter
+// TestLeadIsKeptDuringBurstOnItsLink guards against skipping a lead whose link is full for a quarter
 // of a second, as when it sends a map to all ranks.
-func TestBurstOnLeadLink(t *testing.T) {
-	w := newWorld(3, 192, false)
+func TestLeadIsKeptDuringBurstOnItsLink(t *testing.T) {
+	w := newSimulation(3, 192, false)
 	w.run(2 * time.Second)
 	for range 8 {
 		transmit(w.now, &w.hosts[0].out, linkRate/4)
@@ -311,22 +311,22 @@
 }
 
 // TestFailedRelayIsReplaced guards against losing the reports of a block for more than
-// a second when its relay is frozen or receives nothing.
+// a second when its relay is frozen or receives no messages.
 func TestFailedRelayIsReplaced(t *testing.T) {
 	for seed := range uint64(10) {
-		for _, deaf := range []bool{false, true} {
-			w := newWorld(seed, 192, false)
+		for _, unreachable := range []bool{false, true} {
+			w := newSimulation(seed, 192, false)
 			w.run(2 * time.Second)
 			relay := w.hosts[28]
-			if deaf {
-				relay.deaf = w.now.Add(2500 * time.Millisecond)
+			if unreachable {
+				relay.unreachable = w.now.Add(2500 * time.Millisecond)
 			} else {
 				relay.frozen = w.now.Add(2500 * time.Millisecond)
 			}
 			w.run(1500 * time.Millisecond)
-			assert.Assert(t, w.oldestReport(0) <= maxReportAge, "seed %d, deaf %t: %s", seed, deaf, w.oldestReport(0))
+			assert.Assert(t, w.oldestReport(0) <= maxReportAge, "seed %d, unreachable %t: %s", seed, unreachable, w.oldestReport(0))
 			w.run(4 * time.Second)
-			assert.Assert(t, w.oldestReport(0) <= maxReportAge, "seed %d, deaf %t, after: %s", seed, deaf, w.oldestReport(0))
+			assert.Assert(t, w.oldestReport(0) <= maxReportAge, "seed %d, unreachable %t, after: %s", seed, unreachable, w.oldestReport(0))
 			assert.Equal(t, len(w.leads), 1)
 		}
 	}
@@ -336,7 +336,7 @@
 // member, or that doesn't lead again afterwards.
 func TestFrozenLeadIsReplaced(t *testing.T) {
 	for seed := range uint64(10) {
-		w := newWorld(seed, 192, false)
+		w := newSimulation(seed, 192, false)
 		w.run(2 * time.Second)
 		w.hosts[0].frozen = w.now.Add(3 * time.Second)
 		w.run(1800 * time.Millisecond)
