btretry: say incarnation, partitioned and charged

A process that restarts had lives, entries were cut off, learned of each other and were forgotten, and requests paid for retries. They are incarnations, partitioned, discovered and expired, and retries are charged to requests or to the slack. The test model's variants and faults are named so.

No change in behaviour.

--- a/core/btretry/allotment.go
+++ b/core/btretry/allotment.go
@@ -11,10 +11,10 @@
 // the slack. It is not safe for concurrent use.
 type Allotment struct {
 	fleet WindowConfig
-	// entries is the largest number of entries known so far: one that has left may have
-	// used its part, and one that is out of reach still uses it.
+	// entries is the largest number of entries known so far: one that was removed may have
+	// used its part, and an unreachable one still uses it.
 	entries int
-	// settled reports that the entry has found the number of entries by itself, informed
+	// settled reports that the entry has discovered the number of entries itself, informed
 	// that it received the number from a settled one.
 	settled, informed bool
 	// accruesSince is when the entry started, or was last found not to be settled.
@@ -22,7 +22,7 @@
 }
 
 // NewAllotment returns the allotment of an entry that starts now, for the limits of the
-// whole fleet. On the first start of a fleet nobody has used any slack yet.
+// whole fleet. On the first start of a fleet no entry has used any slack yet.
 func NewAllotment(now time.Time, fleet WindowConfig, firstStart bool) *Allotment {
 	a := &Allotment{fleet: fleet, entries: 1, accruesSince: now}
 	if firstStart {
--- a/core/btretry/fleet_faults_test.go
+++ b/core/btretry/fleet_faults_test.go
@@ -1,14 +1,14 @@
 package btretry_test
 
-// disturb starts, ends, freezes and cuts off entries.
-func (f *modelFleet) disturb(l modelLoad) {
-	if f.random.Float64() < l.troubles/modelSteps {
+// injectFaults starts, stops, freezes and partitions entries.
+func (f *modelFleet) injectFaults(l modelLoad) {
+	if f.random.Float64() < l.faults/modelSteps {
 		share := f.random.Float64()
 		kind := f.random.IntN(4)
 		length := f.random.IntN(2 * settleSteps)
 		for _, e := range f.entries {
 			if f.random.Float64() < share {
-				f.disturbEntry(e, kind, length)
+				f.injectFault(e, kind, length)
 			}
 		}
 	}
@@ -17,22 +17,22 @@
 			e.weight = f.random.ExpFloat64()
 		}
 	}
-	if l.troubles > 0 && f.random.IntN(2*modelSteps) == 0 {
+	if l.faults > 0 && f.random.IntN(2*modelSteps) == 0 {
 		f.entries = append(f.entries, newModelEntry(f.step))
 	}
 }
 
-// disturbEntry ends an entry, which starts again at once or later, freezes it or cuts it off
-// from the others.
-func (f *modelFleet) disturbEntry(e *modelEntry, kind, length int) {
+// injectFault stops an entry, which restarts immediately or later, freezes it, or partitions
+// it from the others.
+func (f *modelFleet) injectFault(e *modelEntry, kind, length int) {
 	switch kind {
 	case 0, 1:
-		e.life = nil
+		e.budget = nil
 		e.startedAt = f.step + 1 + length*kind/2
 	case 2:
 		e.frozenUntil = f.step + length
 	case 3:
-		e.cutUntil = f.step + length
+		e.partitionedUntil = f.step + length
 	}
 }
 
@@ -40,17 +40,17 @@
 
 // reachable reports whether an entry exchanges messages with others.
 func (f *modelFleet) reachable(e *modelEntry) bool {
-	return f.running(e) && f.step >= e.frozenUntil && f.step >= e.cutUntil
+	return f.running(e) && f.step >= e.frozenUntil && f.step >= e.partitionedUntil
 }
 
-// updateViews starts lives and gives each entry its view of the fleet.
+// updateViews starts entries and updates each entry's view of the fleet.
 func (f *modelFleet) updateViews() {
 	known := 0
 	for _, e := range f.entries {
-		if f.reachable(e) && f.step-e.startedAt >= learnSteps {
+		if f.reachable(e) && f.step-e.startedAt >= discoverySteps {
 			e.lastSeen = f.step
 		}
-		if f.step-e.lastSeen <= forgetSteps {
+		if f.step-e.lastSeen <= expirySteps {
 			known++
 		}
 	}
@@ -58,54 +58,54 @@
 		if !f.running(e) || f.step < e.frozenUntil {
 			continue
 		}
-		if e.life == nil {
-			e.life = f.newLife(f.now(), f)
+		if e.budget == nil {
+			e.budget = f.newBudget(f.now(), f)
 			e.settledFrom = f.step + settleSteps
 		}
 		if e.frozenUntil == f.step && f.step > 0 {
 			e.settledFrom = max(e.settledFrom, f.step+settleSteps)
 		}
 		if !f.reachable(e) {
-			// An entry that is cut off learns nothing, and isn't settled if it knew nobody.
+			// A partitioned entry receives nothing, and isn't settled if it knew no other.
 			if f.step-e.startedAt < settleSteps || e.settledFrom > f.step {
-				e.settledFrom = max(e.settledFrom, e.cutUntil+settleSteps)
+				e.settledFrom = max(e.settledFrom, e.partitionedUntil+settleSteps)
 			}
-			e.life.update(f.now(), 1, f.step >= e.settledFrom)
+			e.budget.update(f.now(), 1, f.step >= e.settledFrom)
 			continue
 		}
-		e.life.update(f.now(), max(known, 1), f.step >= e.settledFrom)
+		e.budget.update(f.now(), max(known, 1), f.step >= e.settledFrom)
 		f.join(e)
 	}
 }
 
-// join lets a life that isn't settled ask up to three others.
+// join lets an entry that isn't settled contact up to three others.
 func (f *modelFleet) join(e *modelEntry) {
-	life, takesSlack := e.life.(*allotted)
-	if !takesSlack || life.allotment.Settled() || f.step < 0 {
+	budget, takesSlack := e.budget.(*allotted)
+	if !takesSlack || budget.allotment.Settled() || f.step < 0 {
 		return
 	}
 	for range 3 {
 		other := f.entries[f.random.IntN(len(f.entries))]
-		if sender, running := other.life.(*allotted); running && other != e && f.reachable(other) {
-			life.join(f.now(), sender)
+		if sender, running := other.budget.(*allotted); running && other != e && f.reachable(other) {
+			budget.join(f.now(), sender)
 		}
 	}
 }
 
-// callersAct sends the requests of a step, and retries those that fail as far as the
+// sendRequests sends the requests of a step, and retries those that fail as far as the
 // budgets allow.
-func (f *modelFleet) callersAct(l modelLoad) {
+func (f *modelFleet) sendRequests(l modelLoad) {
 	perStep, failing := l.perStep, l.failing
-	// In some seconds much fails, in others nothing.
+	// In some seconds many requests fail, in others none.
 	phase := f.step * 4 / stepsPerWindow % 16
 	failing *= []float64{0, 0, 0, 0, 1, 1, 1, 1, 1, 0, 0, 1, 0, 0, 1, 1}[phase]
 	if l.shifts {
-		// Callers come and go within seconds.
+		// Clients arrive and leave within seconds.
 		perStep *= []float64{1, 1, 1, 1, 1, 3, 0.1, 0, 1, 1, 0.3, 0.2, 1, 1, 0, 0.1}[phase]
 	}
 	total := 0.0
 	for _, e := range f.entries {
-		if e.life != nil && f.step >= e.frozenUntil {
+		if e.budget != nil && f.step >= e.frozenUntil {
 			total += e.weight
 		}
 	}
@@ -113,7 +113,7 @@
 		return
 	}
 	for _, e := range f.entries {
-		if e.life == nil || f.step < e.frozenUntil {
+		if e.budget == nil || f.step < e.frozenUntil {
 			continue
 		}
 		mean := perStep * e.weight / total
@@ -122,7 +122,7 @@
 			n++
 		}
 		for range n {
-			e.life.countRequest(f.now())
+			e.budget.countRequest(f.now())
 			f.requests[f.step]++
 		}
 		wanted := 0
@@ -141,7 +141,7 @@
 
 func (f *modelFleet) retry(e *modelEntry, wanted int) {
 	for range wanted {
-		if !e.life.take(f.now()) {
+		if !e.budget.take(f.now()) {
 			f.refused++
 			continue
 		}
--- a/core/btretry/fleet_model_test.go
+++ b/core/btretry/fleet_model_test.go
@@ -7,42 +7,42 @@
 	"bilberrytide/core/btretry"
 )
 
-// The model of a fleet whose entries share a limit on retries: they start, end, freeze, are
-// cut off from each other, added and taken away at random, callers move between them, and
-// requests fail at random, many at once now and then.
+// The model of a fleet whose entries share a limit on retries: they start, stop, freeze, are
+// partitioned, added and removed at random, clients move between them, and requests fail at
+// random, sometimes many at once.
 
 const (
 	modelStep = 50 * time.Millisecond
 	// modelSteps is the length of a run; stepsPerWindow that of a window.
 	modelSteps     = 1200
 	stepsPerWindow = int(10 * time.Second / modelStep)
-	// learnSteps is how long it takes until entries know each other; settleSteps until an
-	// entry that has started or was frozen for frozenSteps is settled; forgetSteps until an
-	// entry that is gone is forgotten.
-	learnSteps  = int(2 * time.Second / modelStep)
-	settleSteps = int(3 * time.Second / modelStep)
-	frozenSteps = int(2 * time.Second / modelStep)
-	forgetSteps = int(4 * time.Second / modelStep)
+	// discoverySteps is how long it takes until entries know each other; settleSteps until an
+	// entry that has started or was frozen for frozenSteps is settled; expirySteps until a
+	// removed entry expires.
+	discoverySteps = int(2 * time.Second / modelStep)
+	settleSteps    = int(3 * time.Second / modelStep)
+	frozenSteps    = int(2 * time.Second / modelStep)
+	expirySteps    = int(4 * time.Second / modelStep)
 )
 
 // fleetLimits are the limits of the modelled fleet.
 var fleetLimits = btretry.WindowConfig{Share: 0.2, Slack: 88, Window: 10 * time.Second}
 
-// lifeBudget is the budget of one life of an entry.
-type lifeBudget interface {
-	// update gives the entry's view of the fleet.
+// entryBudget is the budget of one incarnation of an entry.
+type entryBudget interface {
+	// update sets the entry's view of the fleet.
 	update(now time.Time, entries int, settled bool)
 	countRequest(now time.Time)
 	take(now time.Time) bool
 }
 
-// allotted is the budget of the product.
+// allotted is the budget that this package implements.
 type allotted struct {
 	allotment *btretry.Allotment
 	window    *btretry.Window
 }
 
-func newAllotted(now time.Time, _ *modelFleet) lifeBudget {
+func newAllotted(now time.Time, _ *modelFleet) entryBudget {
 	a := btretry.NewAllotment(now, fleetLimits, false)
 	return &allotted{allotment: a, window: a.NewWindow(now)}
 }
@@ -52,7 +52,7 @@
 	b.window.Configure(now, b.allotment.Config())
 }
 
-// join asks another entry for slack and for the number of entries.
+// join receives slack and the number of entries from another entry.
 func (b *allotted) join(now time.Time, other *allotted) {
 	if !other.allotment.Settled() {
 		return
@@ -65,12 +65,11 @@
 func (b *allotted) countRequest(now time.Time) { b.window.CountRequest(now) }
 func (b *allotted) take(now time.Time) bool    { return b.window.Take(now) }
 
-// independent is a naive budget: each life counts its own window, has its share of the slack
-// from its start on, and is paid by all requests of the window before each retry.
+// independent is a naive budget: each incarnation counts its own window, has its share of the
+// slack from its start on, and charges retries to all requests of the window before them.
 type independent struct {
 	fleet *modelFleet
-	// spent is what each step of the life adds to or takes from the budget; start is its
-	// first step.
+	// spent is what each step adds to or takes from the budget; start is its first step.
 	spent   []float64
 	start   int
 	entries int
@@ -78,8 +77,8 @@
 	divisor float64
 }
 
-func newIndependent(divisor float64) func(time.Time, *modelFleet) lifeBudget {
-	return func(_ time.Time, f *modelFleet) lifeBudget {
+func newIndependent(divisor float64) func(time.Time, *modelFleet) entryBudget {
+	return func(_ time.Time, f *modelFleet) entryBudget {
 		return &independent{fleet: f, spent: make([]float64, modelSteps+3*stepsPerWindow), start: f.step, entries: 3, divisor: divisor}
 	}
 }
@@ -105,11 +104,11 @@
 	return true
 }
 
-// exact is the budget of entries that know all counts of the fleet at once: the most that
-// the rule allows.
+// exact is the budget of entries that know all counts of the fleet immediately: the most
+// that the rule allows.
 type exact struct{ fleet *modelFleet }
 
-func newExact(_ time.Time, f *modelFleet) lifeBudget { return exact{f} }
+func newExact(_ time.Time, f *modelFleet) entryBudget { return exact{f} }
 
 func (exact) update(time.Time, int, bool) {}
 func (exact) countRequest(time.Time)      {}
@@ -124,26 +123,26 @@
 
 // modelEntry is one entry of the modelled fleet.
 type modelEntry struct {
-	life lifeBudget
-	// startedAt, frozenUntil and cutUntil are steps; the entry runs if it has a life.
-	startedAt, frozenUntil, cutUntil, settledFrom int
+	budget entryBudget
+	// startedAt, frozenUntil and partitionedUntil are steps; the entry runs if it has a budget.
+	startedAt, frozenUntil, partitionedUntil, settledFrom int
 	// lastSeen is the last step in which others received messages of it.
 	lastSeen int
 	weight   float64
 }
 
 func newModelEntry(start int) *modelEntry {
-	return &modelEntry{startedAt: start, frozenUntil: start, cutUntil: start, lastSeen: start - forgetSteps - 1, weight: 1}
+	return &modelEntry{startedAt: start, frozenUntil: start, partitionedUntil: start, lastSeen: start - expirySteps - 1, weight: 1}
 }
 
-// modelFleet runs one way on one seed.
+// modelFleet runs one variant on one seed.
 type modelFleet struct {
 	random            *rand.Rand
 	entries           []*modelEntry
 	step              int
 	requests, retries []int
 	refused           int
-	newLife           func(time.Time, *modelFleet) lifeBudget
+	newBudget         func(time.Time, *modelFleet) entryBudget
 }
 
 func (f *modelFleet) now() time.Time { return epoch.Add(time.Duration(f.step) * modelStep) }
@@ -169,15 +168,15 @@
 	entries int
 	// perStep is the mean number of requests in a step; failing the share that fails.
 	perStep, failing float64
-	// troubles is the mean number of starts and ends, freezes and cuts in a run.
-	troubles float64
-	// shifts makes callers move, and come and go; bursts makes many requests fail at once.
+	// faults is the mean number of restarts, freezes and partitions in a run.
+	faults float64
+	// shifts makes clients move, arrive and leave; bursts makes many requests fail at once.
 	shifts, bursts bool
 }
 
-// runFleet runs a way and returns the fleet.
-func runFleet(seed uint64, l modelLoad, newLife func(time.Time, *modelFleet) lifeBudget) *modelFleet {
-	f := &modelFleet{random: rand.New(rand.NewPCG(seed, 3)), requests: make([]int, modelSteps), retries: make([]int, modelSteps), newLife: newLife}
+// runFleet runs a variant and returns the fleet.
+func runFleet(seed uint64, l modelLoad, newBudget func(time.Time, *modelFleet) entryBudget) *modelFleet {
+	f := &modelFleet{random: rand.New(rand.NewPCG(seed, 3)), requests: make([]int, modelSteps), retries: make([]int, modelSteps), newBudget: newBudget}
 	for range l.entries {
 		f.entries = append(f.entries, newModelEntry(-2*stepsPerWindow))
 	}
@@ -187,9 +186,9 @@
 		f.updateViews()
 	}
 	for ; f.step < modelSteps; f.step++ {
-		f.disturb(l)
+		f.injectFaults(l)
 		f.updateViews()
-		f.callersAct(l)
+		f.sendRequests(l)
 	}
 	f.step = modelSteps - 1
 	return f
--- a/core/btretry/fleet_test.go
+++ b/core/btretry/fleet_test.go
@@ -22,24 +22,24 @@
 }
 
 // TestFleetStaysWithinRetryBudget guards against entries that together exceed the limits on
-// retries, whatever starts, ends, freezes, is cut off, added or taken away within a window.
-// Budgets that each life counts by itself must exceed them on the same runs, also with a
-// third of the slack.
+// retries, whatever starts, stops, freezes, is partitioned, added or removed within a window.
+// Budgets that each incarnation counts independently must exceed them on the same runs, also
+// with a third of the slack.
 func TestFleetStaysWithinRetryBudget(t *testing.T) {
-	ways := []struct {
-		name  string
-		life  func(time.Time, *modelFleet) lifeBudget
-		holds bool
+	variants := []struct {
+		name   string
+		budget func(time.Time, *modelFleet) entryBudget
+		holds  bool
 	}{
 		{"allotted", newAllotted, true},
-		{"each life its share", newIndependent(1), false},
-		{"each life a third of its share", newIndependent(3), false},
+		{"independent shares", newIndependent(1), false},
+		{"independent thirds of shares", newIndependent(3), false},
 	}
-	for _, w := range ways {
+	for _, w := range variants {
 		worst := 0.0
 		for _, entries := range []int{1, 4, 24, 208} {
 			for _, shifts := range []bool{false, true} {
-				worst = max(worst, worstOfSeeds(t, w.name, modelLoad{entries: entries, perStep: 6, failing: 0.9, troubles: 40, shifts: shifts, bursts: true}, w.life))
+				worst = max(worst, worstOfSeeds(t, w.name, modelLoad{entries: entries, perStep: 6, failing: 0.9, faults: 40, shifts: shifts, bursts: true}, w.budget))
 			}
 		}
 		assert.Equal(t, worst <= 1, w.holds, "%s: %.2f of the limits", w.name, worst)
@@ -47,10 +47,10 @@
 }
 
 // worstOfSeeds returns the worst window of all seeds.
-func worstOfSeeds(t *testing.T, name string, l modelLoad, life func(time.Time, *modelFleet) lifeBudget) float64 {
+func worstOfSeeds(t *testing.T, name string, l modelLoad, budget func(time.Time, *modelFleet) entryBudget) float64 {
 	worst, refused, retried := 0.0, 0, 0
 	for seed := range uint64(*budgetSeeds) {
-		f := runFleet(seed, l, life)
+		f := runFleet(seed, l, budget)
 		worst = max(worst, f.worstWindow())
 		refused += f.refused
 		retried += f.sumAll()
@@ -70,9 +70,9 @@
 
 // TestFleetRefusesFewRetries guards against a budget that refuses the retries of entries that
 // have just started although the service has room for them: while few requests fail, nearly
-// all are retried, whatever starts and ends.
+// all are retried, whatever restarts.
 func TestFleetRefusesFewRetries(t *testing.T) {
-	load := modelLoad{entries: 4, perStep: 6, failing: 0.05, troubles: 8}
+	load := modelLoad{entries: 4, perStep: 6, failing: 0.05, faults: 8}
 	refused, retried := 0, 0
 	for seed := range uint64(*budgetSeeds) {
 		f := runFleet(seed, load, newAllotted)
--- a/core/btretry/slack.go
+++ b/core/btretry/slack.go
@@ -3,8 +3,8 @@
 import "time"
 
 // slackBurst is the part of the slack that may be taken at once. The rest accrues over a
-// window, so that a bucket that starts empty never holds more than its process has waited
-// for.
+// window, so that a bucket that starts empty never holds more than has accrued since its
+// process started.
 const slackBurst = 0.5
 
 // slackBucket is a token bucket for the slack of a window.
@@ -13,8 +13,8 @@
 	updatedAt time.Time
 }
 
-// refill adds the tokens that have accrued. While there is no slack, an empty bucket's time
-// stands: its tokens accrue once the slack is known.
+// refill adds the tokens that have accrued. While there is no slack, the time of an
+// empty bucket doesn't advance: its tokens accrue once the slack is known.
 func (b *slackBucket) refill(now time.Time, c WindowConfig) {
 	if c.Slack == 0 && b.tokens == 0 {
 		return
--- a/core/btretry/window.go
+++ b/core/btretry/window.go
@@ -17,19 +17,19 @@
 // parts is how many parts a window is divided into for counting.
 const parts = 40
 
-// Window is a retry budget over a sliding window, for an entry that may end and start again
-// at any time. In each window the retries of all its lives together are within half of the
+// Window is a retry budget over a sliding window, for an entry that may restart at any
+// time. In each window the retries of all its incarnations together are within half of the
 // share of the requests that they counted in that window and the one before it, plus the
 // slack. So the sum over all entries is within the share of the requests of the larger of
-// the two windows, also if callers move between entries.
+// the two windows, also if clients move between entries.
 //
-// Retries are paid by requests as far as these suffice, and else by the slack: a token
+// Retries are charged to requests as far as these suffice, otherwise to the slack: a token
 // bucket that holds half of the slack, gains the other half over a window, and is empty in
 // a new process until another entry grants some of its own. A Window is not safe for
 // concurrent use.
 type Window struct {
 	config WindowConfig
-	// requests are counted by part; retries are those that requests have paid for, or a
+	// requests are counted by part; retries are those that are charged to requests, or a
 	// part of each.
 	requests counts[int]
 	retries  counts[float64]
@@ -74,11 +74,11 @@
 func (w *Window) Take(now time.Time) bool {
 	w.advance(now)
 	w.slack.refill(now, w.config)
-	paid := min(max(w.requestsLeft(), 0), 1)
-	if !w.slack.take(1 - paid) {
+	charged := min(max(w.requestsLeft(), 0), 1)
+	if !w.slack.take(1 - charged) {
 		return false
 	}
-	*w.retries.at(w.part) += paid
+	*w.retries.at(w.part) += charged
 	return true
 }
 
@@ -98,11 +98,11 @@
 // Usage is how much of a window's budget is taken.
 type Usage struct {
 	// Requests is the number of requests of the last two windows, Retries that of the
-	// retries of the last window that requests have paid for.
+	// retries of the last window that are charged to requests.
 	Requests int
 	Retries  float64
-	// RequestsLeft and SlackLeft are how many retries the requests and the slack still
-	// pay for.
+	// RequestsLeft and SlackLeft are how many more retries can be charged to the requests
+	// and to the slack.
 	RequestsLeft, SlackLeft float64
 }
 
@@ -126,7 +126,7 @@
 	return max(u.RequestsLeft, 0) + u.SlackLeft
 }
 
-// requestsLeft returns how many retries the requests pay for now: the least over all windows
+// requestsLeft returns how many retries can be charged to the requests now: the least over all windows
 // that contain the present time. Requests in the part in which the window before it begins
 // don't count.
 func (w *Window) requestsLeft() float64 {
--- a/core/btretry/window_test.go
+++ b/core/btretry/window_test.go
@@ -91,7 +91,7 @@
 }
 
 // TestSmallerSlackLimitsTokens guards against an entry that exceeds its slack: its part
-// shrinks as the entry learns of others, and what it holds beyond that is lost.
+// shrinks as the entry discovers others, and tokens beyond it are discarded.
 func TestSmallerSlackLimitsTokens(t *testing.T) {
 	now := time.Unix(1000, 0)
 	w := btretry.NewWindow(now, btretry.WindowConfig{Slack: 20, Window: time.Second}, now.Add(-time.Hour))
@@ -103,7 +103,7 @@
 	assert.Assert(t, w.Take(now))
 	assert.Assert(t, !w.Take(now))
 	w.Configure(now, btretry.WindowConfig{Slack: 20, Window: time.Second})
-	assert.Assert(t, !w.Take(now), "a larger slack pays for nothing at once")
+	assert.Assert(t, !w.Take(now), "a larger slack allows no immediate retries")
 }
 
 // TestAllotmentDividesSlack checks an entry's part of the slack: none until it is settled,
@@ -117,7 +117,7 @@
 	part := a.Config().Slack
 	assert.Assert(t, part > 0 && part <= 100.0/5)
 	a.Update(now, 2, true)
-	assert.Equal(t, a.Config().Slack, part, "entries that are out of reach still have theirs")
+	assert.Equal(t, a.Config().Slack, part, "unreachable entries still have theirs")
 	assert.Equal(t, a.NewWindow(now.Add(time.Minute)).Available(now.Add(time.Minute)), part/2, "a service that gets its first request late has accrued its slack")
 	now = now.Add(time.Minute)
 	a.Update(now, 5, false)
