btgate: say in flight, stalled and scheduled

Requests were at work, kept places in the queue and gave silent streams up. They are in flight, keep positions, and streams stall. Tests lose their articles and name the effect that they guard against. The numbers behind the settle time stay.

No change in behaviour.

--- a/core/btgate/btgate.go
+++ b/core/btgate/btgate.go
@@ -1,4 +1,4 @@
-// Package btgate limits how many requests of one service an entry has at work. It
+// Package btgate limits how many requests of one service an entry has in flight. It
 // decides which requests are admitted, which wait and in what order, and what retry
 // delay a refused caller is given.
 //
@@ -6,7 +6,7 @@
 // delays all the others. The limit applies to the whole group; each entry uses a
 // fraction of it that follows its own demand and the last report of the group's load. A
 // request is queued only if it is likely to be admitted before it gives up, otherwise
-// it is refused at once. The limit adapts to the pauses between the events of streams:
+// it is refused immediately. The limit adapts to the pauses between the events of streams:
 // it decreases when they approach the longest pause that the operator allows and
 // increases when they are well below it.
 package btgate
@@ -45,7 +45,7 @@
 	// pauseWeight is the weight of one pause in the moving average.
 	pauseWeight = 0.05
 	// interruptionThreshold is the time without a measured pause after which the group
-	// or this entry is taken to have been interrupted. A step takes a tenth of it at
+	// or this entry is assumed to have been interrupted. A step takes a tenth of it at
 	// most.
 	interruptionThreshold = time.Second
 	// settleTime is how long pauses are ignored after an interruption. A new group has
@@ -81,9 +81,9 @@
 	// retryCredit accumulates retryFraction per admission. One credit admits one
 	// waiting request that is its caller's last attempt.
 	retryCredit float64
-	// bookedUntil is the end of the time already given to refused callers as retry
+	// scheduledUntil is the end of the time already assigned to refused callers as retry
 	// delays.
-	bookedUntil time.Time
+	scheduledUntil time.Time
 	// pausedUntil is until when no request is admitted.
 	pausedUntil time.Time
 }
@@ -106,10 +106,10 @@
 	g.limit = min(max(g.limit, c.MinLimit), c.MaxLimit)
 }
 
-// Limit returns the number of requests that all entries together may have at work.
+// Limit returns the number of requests that all entries together may have in flight.
 func (g *Gate[V]) Limit() int { return int(g.limit) }
 
-// Running returns the number of this entry's requests at work.
+// Running returns the number of this entry's requests in flight.
 func (g *Gate[V]) Running() int { return g.running }
 
 // Waiting returns the number of queued requests.
@@ -127,7 +127,7 @@
 
 // Release returns a slot and returns the queued requests that are admitted. Held is how
 // long an answered request held the slot. It is zero for a request that was not
-// answered, as requests that fail at once say nothing about the service time.
+// answered, as requests that fail immediately don't show the service time.
 func (g *Gate[V]) Release(now time.Time, held time.Duration) []*Waiter[V] {
 	g.running--
 	if held > 0 {
@@ -164,11 +164,11 @@
 // any request has been answered. In a pause it is that of the requests that are admitted
 // at its end.
 func (g *Gate[V]) departureInterval(now time.Time) time.Duration {
-	atWork := g.running
+	inFlight := g.running
 	if g.pauseLeft(now) > 0 {
-		atWork = max(atWork, g.unpausedLimit(now))
+		inFlight = max(inFlight, g.unpausedLimit(now))
 	}
-	return g.serviceTime / time.Duration(max(atWork, 1))
+	return g.serviceTime / time.Duration(max(inFlight, 1))
 }
 
 // ObservePause records a pause between two events of one stream, and the longest
@@ -193,11 +193,10 @@
 	return g.adjustLimit(g.estimatedTotal(now))
 }
 
-// settling reports whether streams have only just resumed after an interruption. The
-// first steps of a group use a map that is replaced shortly. When their pauses counted,
-// an entry that had just started cut its limit from 720 to 137 slots within a second
-// and was still at half of it three seconds later, with pauses at half of the allowed
-// one.
+// settling reports whether streams have just resumed after an interruption. The first
+// steps of a group use a map that is replaced shortly. If their pauses counted, an entry
+// that has just started would cut its limit from 720 to 137 slots within a second and
+// still be at half of it three seconds later, with pauses at half of the allowed one.
 func (g *Gate[V]) settling(now time.Time) bool {
 	if now.Sub(g.lastPause) > interruptionThreshold {
 		g.settleUntil = now.Add(settleTime)
@@ -207,7 +206,7 @@
 }
 
 // adjustLimit changes the limit by the mean pause and the number of requests of all
-// entries at work.
+// entries in flight.
 func (g *Gate[V]) adjustLimit(total float64) bool {
 	before := g.limit
 	switch {
--- a/core/btgate/btgate_test.go
+++ b/core/btgate/btgate_test.go
@@ -15,7 +15,7 @@
 	return btgate.New[int](btgate.Config{MinLimit: 1, MaxLimit: limit, InitialLimit: limit, Entries: 1})
 }
 
-func TestAdmitsUpToTheLimit(t *testing.T) {
+func TestGateAdmitsUpToLimit(t *testing.T) {
 	g := newGate(3)
 	for range 3 {
 		assert.Assert(t, g.TryAcquire(start))
@@ -114,7 +114,7 @@
 	assert.Assert(t, !g.ObservePause(now, time.Second, 0), "without an allowed pause there is no limit to follow")
 }
 
-func TestLimitStaysWithinItsBounds(t *testing.T) {
+func TestLimitStaysWithinBounds(t *testing.T) {
 	g := btgate.New[int](btgate.Config{MinLimit: 4, MaxLimit: 40, InitialLimit: 40, Entries: 1})
 	now := start
 	for range 10000 {
@@ -131,7 +131,7 @@
 // Guards against a slow recovery: after a slow period the whole limit must be in use
 // again within two seconds, as callers are refused until then although there is
 // capacity.
-func TestLimitRecoversAfterASlowPeriod(t *testing.T) {
+func TestLimitRecoversAfterSlowPeriod(t *testing.T) {
 	g := btgate.New[int](btgate.Config{MinLimit: 10, MaxLimit: 40, InitialLimit: 40, Entries: 1})
 	now := start
 	step := func(pause time.Duration) {
--- a/core/btgate/caller.go
+++ b/core/btgate/caller.go
@@ -4,7 +4,7 @@
 
 const (
 	// waitFraction is the fraction of its remaining time that a request waits in the
-	// queue, up to waitCap. Callers give up on a stream that is silent for two seconds.
+	// queue, up to waitCap. Clients abort a stream that is stalled for two seconds.
 	waitFraction = 0.25
 	waitCap      = 1500 * time.Millisecond
 	// lastAttemptWindow is how long before it gives up a last attempt can use a
--- a/core/btgate/deadline.go
+++ b/core/btgate/deadline.go
@@ -17,7 +17,7 @@
 	// defaultShortestFraction is the assumed ratio of the shortest to the longest
 	// first-attempt deadline before there are enough samples. A caller that retries has
 	// used at least a fifth of its deadline: its retry delay is up to a third of it,
-	// and a silent stream is cut off after 1.2 s of 8.
+	// and a stalled stream is cut off after 1.2 s of 8.
 	defaultShortestFraction = 0.8
 	// retryMargin is the fraction of the longest deadline by which a deadline must be
 	// below the shortest one to count as a retry. Network delay is far below it.
@@ -35,7 +35,7 @@
 
 // DeadlineEstimator estimates the range of first-attempt deadlines, which differ
 // between the callers of one route. With only the longest one known, first attempts with
-// shorter deadlines would be taken for retries, and requests that can still be in time
+// shorter deadlines would be treated as retries, and requests that can still be in time
 // would wait behind those that can't. A DeadlineEstimator is not safe for concurrent use.
 type DeadlineEstimator struct {
 	longest   time.Duration
--- a/core/btgate/deadline_test.go
+++ b/core/btgate/deadline_test.go
@@ -27,7 +27,7 @@
 
 // A caller that retries after one second is recognised by its shorter deadline, also if
 // callers set less than the route's timeout and before the range has been estimated.
-func TestRetriesAreRecognisedByTheirDeadline(t *testing.T) {
+func TestRetriesAreRecognisedByDeadline(t *testing.T) {
 	var estimator btgate.DeadlineEstimator
 	for remaining, retry := range map[time.Duration]bool{3 * time.Second: false, 2990 * time.Millisecond: false, 2 * time.Second: true} {
 		estimator.Add(start, 3*time.Second, start)
@@ -38,8 +38,8 @@
 	assert.Equal(t, deadlines.Longest, time.Second, "the old range has expired")
 }
 
-// Guards against first attempts that are taken for retries when callers' deadlines
-// differ. With only the longest deadline known, two of three were.
+// Guards against first attempts that are treated as retries when callers' deadlines
+// differ. With only the longest deadline known, two of three are.
 func TestDeadlineRangeIsEstimated(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	spread := func() time.Duration {
@@ -63,7 +63,7 @@
 
 // Requests that arrive shortly after a refusal may be retries and must not be sampled
 // as first attempts.
-func TestDeadlinesAfterARefusalAreNotSampled(t *testing.T) {
+func TestDeadlinesAfterRefusalAreNotSampled(t *testing.T) {
 	var estimator btgate.DeadlineEstimator
 	lastRefusal := start
 	for i := range 100 {
@@ -158,7 +158,7 @@
 	c.calls = waiting
 }
 
-// process handles a queued or due call and reports whether it is finished or at work.
+// process handles a queued or due call and reports whether it is finished or in flight.
 func (c *overload) process(now time.Time, call *overloadCall) bool {
 	switch {
 	case call.waiter != nil && call.waiter.Admitted():
--- a/core/btgate/entry_limit.go
+++ b/core/btgate/entry_limit.go
@@ -14,7 +14,7 @@
 // loadReport is the last report of the requests of all entries.
 type loadReport struct {
 	at time.Time
-	// total is the number of requests at work, ownReported how many of them were this
+	// total is the number of requests in flight, ownReported how many of them were this
 	// entry's. A report is about one interval old, so ownReported is this entry's
 	// number at the report before.
 	total, ownReported float64
@@ -39,7 +39,7 @@
 	return !g.reported.at.IsZero() && now.Sub(g.reported.at) <= reportTTL
 }
 
-// estimatedTotal returns the estimated number of requests of all entries at work.
+// estimatedTotal returns the estimated number of requests of all entries in flight.
 func (g *Gate[V]) estimatedTotal(now time.Time) float64 {
 	if !g.reportFresh(now) {
 		return float64(g.running) * float64(max(g.config.Entries, 1))
@@ -47,7 +47,7 @@
 	return g.reported.total - g.reported.ownReported + float64(g.running)
 }
 
-// EntryLimit returns the number of requests that this entry may have at work. Each
+// EntryLimit returns the number of requests that this entry may have in flight. Each
 // entry has an equal fraction of the limit. By the last report, free slots beyond that
 // are divided in proportion to the entries' running requests, so that an entry with
 // many callers can use slots that others leave, without a request between entries.
--- a/core/btgate/entry_limit_test.go
+++ b/core/btgate/entry_limit_test.go
@@ -45,7 +45,7 @@
 	random  *rand.Rand
 	gates   []*btgate.Gate[int]
 	ends    [][]time.Time
-	// totals are the requests at work of each tick.
+	// totals are the requests in flight at each tick.
 	totals     []int
 	excessTime time.Duration
 	// next is when the next request arrives.
@@ -172,7 +172,7 @@
 
 // Under overload the entries together don't exceed the group's slots for longer than a
 // few reports take, and never by a third.
-func TestEntryLimitsStayNearCapacityInOverload(t *testing.T) {
+func TestEntryLimitsStayNearCapacityUnderOverload(t *testing.T) {
 	for _, entries := range []int{4, 11, 16} {
 		l := entryLoad{shares: unevenShares(entries), perSecond: 400}
 		r := l.run(3, true)
@@ -182,9 +182,9 @@
 	}
 }
 
-// An entry without a report keeps to its equal fraction of the limit, and so does a new
+// An entry without a report uses its equal fraction of the limit, and so does a new
 // entry when the others use the whole group.
-func TestEntryLimitWithoutReports(t *testing.T) {
+func TestEntryLimitWithoutReportsIsEqualFraction(t *testing.T) {
 	g := btgate.New[int](btgate.Config{MinLimit: 10, MaxLimit: 40, InitialLimit: 40, Entries: 4})
 	assert.Equal(t, g.EntryLimit(start), 10)
 	g.ObserveTotal(start, 40)
--- a/core/btgate/latency.go
+++ b/core/btgate/latency.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// LatencyRatio estimates how close a service's latencies come to the promised ones. The
+// LatencyRatio estimates how close a service's latencies are to the promised ones. The
 // mean alone says little, as the worst pause of a stream makes it late, so the mean
 // deviation is added as in the retransmission timer of RFC 6298.
 type LatencyRatio struct {
@@ -21,8 +21,8 @@
 	// deviationFactor is the number of mean deviations added to the mean. About one in
 	// twenty normally distributed samples is above the sum.
 	deviationFactor = 2.0
-	// maxLatencyRatio caps one sample, as a multiple of the promised time. A group that
-	// waits for a lost member says nothing about its load.
+	// maxLatencyRatio caps one sample, as a multiple of the promised time. The pause of
+	// a group that waits for a lost member isn't caused by its load.
 	maxLatencyRatio = 2.0
 )
 
--- a/core/btgate/latency_test.go
+++ b/core/btgate/latency_test.go
@@ -21,15 +21,15 @@
 	assert.Assert(t, uneven.Value() > 1, "%v", uneven.Value())
 }
 
-func TestLatencyRatioWithoutAPromise(t *testing.T) {
+func TestLatencyRatioIgnoresZeroPromise(t *testing.T) {
 	var s btgate.LatencyRatio
 	s.Add(time.Second, 0)
 	assert.Equal(t, s.Value(), 0.0)
 }
 
-// A single pause of seconds, such as a group waiting for a lost member, is forgotten
+// A single pause of seconds, such as a group waiting for a lost member, has decayed
 // within a hundred samples.
-func TestLatencyRatioForgetsAnOutage(t *testing.T) {
+func TestLatencyRatioRecoversAfterOutage(t *testing.T) {
 	var s btgate.LatencyRatio
 	s.Add(50*time.Millisecond, 100*time.Millisecond)
 	s.Add(time.Minute, 100*time.Millisecond)
--- a/core/btgate/pause.go
+++ b/core/btgate/pause.go
@@ -3,7 +3,7 @@
 import "time"
 
 // PauseUntil keeps requests from being admitted before the time, because no target accepts
-// any. Requests keep their places in the queue; the caller calls Resume at that time. The
+// any. Requests keep their positions in the queue; the caller calls Resume at that time. The
 // zero time ends a pause.
 func (g *Gate[V]) PauseUntil(t time.Time) { g.pausedUntil = t }
 
--- a/core/btgate/pause_test.go
+++ b/core/btgate/pause_test.go
@@ -9,9 +9,9 @@
 	"bilberrytide/core/btgate"
 )
 
-// Guards against requests that are admitted while no target accepts any, lose their places,
+// Guards against requests that are admitted while no target accepts any, lose their positions,
 // or wait although the pause outlasts them.
-func TestPausedGateKeepsPlacesOfRequestsThatCanWait(t *testing.T) {
+func TestPausedGateKeepsQueuePositions(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := btgate.New[string](btgate.Config{MinLimit: 2, MaxLimit: 2, InitialLimit: 2, Entries: 1})
 	assert.Assert(t, g.TryAcquire(now))
--- a/core/btgate/queue_test.go
+++ b/core/btgate/queue_test.go
@@ -51,7 +51,7 @@
 	return order
 }
 
-func TestCallerRequest(t *testing.T) {
+func TestCallerRequestParameters(t *testing.T) {
 	c := btgate.Caller{Remaining: 8 * time.Second, FirstAttempt: btgate.DeadlineRange{Shortest: 8 * time.Second, Longest: 8 * time.Second}, Timeout: 8 * time.Second, Objective: 400 * time.Millisecond}
 	r := c.Request(start, 3, 150*time.Millisecond)
 	assert.DeepEqual(t, r, btgate.Request{Priority: 3, StartBy: start.Add(250 * time.Millisecond), WaitUntil: start.Add(1500 * time.Millisecond)})
@@ -212,17 +212,17 @@
 // outage waits for the group, these requests take its slots when it serves again and
 // make later ones late, although they are late already. Waiting only while in time
 // costs a few of them their last attempt, as they retry at full load.
-func TestRequestsAfterAnOutageAreInTime(t *testing.T) {
+func TestBacklogOfOutageDoesNotDelayLaterRequests(t *testing.T) {
 	o := outage{slots: 48, perSecond: 28, downtime: 1500 * time.Millisecond, serviceTime: 1200 * time.Millisecond}
-	var patient, onTime outageRun
+	var waitAll, onTime outageRun
 	for seed := range uint64(20) {
-		patient.add(o.run(seed, waitUntilGivingUp))
+		waitAll.add(o.run(seed, waitUntilGivingUp))
 		onTime.add(o.run(seed, waitWhileOnTime))
 	}
 	t.Logf("wait until giving up: %d in time of %d after the outage, %d lost of %d; wait while on time: %d of %d, %d of %d",
-		patient.recoveryInTime, patient.recovery, patient.arrived-patient.served, patient.arrived, onTime.recoveryInTime, onTime.recovery, onTime.arrived-onTime.served, onTime.arrived)
+		waitAll.recoveryInTime, waitAll.recovery, waitAll.arrived-waitAll.served, waitAll.arrived, onTime.recoveryInTime, onTime.recovery, onTime.arrived-onTime.served, onTime.arrived)
 	assert.Assert(t, onTime.recoveryInTime*100 >= onTime.recovery*98)
-	assert.Assert(t, patient.recoveryInTime*100 < patient.recovery*90)
+	assert.Assert(t, waitAll.recoveryInTime*100 < waitAll.recovery*90)
 	assert.Assert(t, (onTime.arrived-onTime.served)*50 <= onTime.arrived)
 }
 
--- a/core/btgate/retry_test.go
+++ b/core/btgate/retry_test.go
@@ -26,8 +26,8 @@
 	assert.Assert(t, refused >= 8 && refused <= 12, "%d", refused)
 }
 
-// Once the booked time has passed, the next refused caller gets a short delay again.
-func TestBookedTimeExpires(t *testing.T) {
+// Once the scheduled time has passed, the next refused caller gets a short delay again.
+func TestScheduledRetryTimeExpires(t *testing.T) {
 	g := busyGate(60 * time.Millisecond)
 	for range 5 {
 		g.RetryAfter(start, time.Minute)
--- a/core/btgate/settle_test.go
+++ b/core/btgate/settle_test.go
@@ -10,10 +10,10 @@
 )
 
 // Guards against a limit cut by a group's first steps. An entry that has just started
-// meets a new group: steps of 250 ms, of which 150 are allowed, until the first map is
+// serves a new group: steps of 250 ms, of which 150 are allowed, until the first map is
 // in force, then steps of 80 ms. The limit must not follow the first steps, as they end
 // before a lower limit could help.
-func TestFirstStepsOfAGroupDoNotDecreaseTheLimit(t *testing.T) {
+func TestFirstStepsOfGroupDoNotDecreaseLimit(t *testing.T) {
 	const allowed = 150 * time.Millisecond
 	g := btgate.New[int](btgate.Config{MinLimit: 180, MaxLimit: 720, InitialLimit: 720, Entries: 15})
 	now := start
