btlimit: say scheduled retries and replies

Retry times were booked and promised; they are scheduled. The lease protocol speaks of replies, and two tests name what they check. The term ask stays, as exported names and messages use it.

No change in behaviour.

--- a/core/btlimit/account.go
+++ b/core/btlimit/account.go
@@ -76,10 +76,10 @@
 // retryEstimate is the basis of RetryAfter.
 type retryEstimate struct {
 	// next is the expected time until a unit is free, interval the time between two
-	// promised retries, bookedUntil the time up to which retries are promised.
-	next        time.Duration
-	interval    time.Duration
-	bookedUntil *time.Time
+	// scheduled retries, scheduledUntil the time up to which retries are scheduled.
+	next           time.Duration
+	interval       time.Duration
+	scheduledUntil *time.Time
 }
 
 // account returns the state of an account, creating it if needed, or nil if the
@@ -138,7 +138,7 @@
 	a.tokens.lent = 0
 }
 
-// applyLimits applies the limits in force. Lent units are given up if the shape
+// applyLimits applies the limits in force. Lent units are dropped if the shape
 // changed.
 func (h *Holder) applyLimits(a *account) {
 	a.limits = h.limits
@@ -229,16 +229,16 @@
 func (a *account) slotRetry() retryEstimate {
 	slots := max(a.running, 1)
 	next := a.meanDuration / time.Duration(slots)
-	return retryEstimate{next: next, interval: time.Duration(float64(next) / retryShare), bookedUntil: &a.slotRetriesUntil}
+	return retryEstimate{next: next, interval: time.Duration(float64(next) / retryShare), scheduledUntil: &a.slotRetriesUntil}
 }
 
 // tokenRetry estimates when the next token is available.
 func (a *account) tokenRetry(now time.Time) retryEstimate {
 	if a.bucket.burst == 0 || a.bucket.rate <= 0 {
 		interval := time.Duration(float64(time.Second) / a.limit.Rate / retryShare)
-		return retryEstimate{interval: interval, bookedUntil: &a.tokenRetriesUntil}
+		return retryEstimate{interval: interval, scheduledUntil: &a.tokenRetriesUntil}
 	}
 	next := time.Duration(a.bucket.waitSeconds(now) * float64(time.Second))
 	interval := time.Duration(float64(time.Second) / a.bucket.rate / retryShare)
-	return retryEstimate{next: next, interval: interval, bookedUntil: &a.tokenRetriesUntil}
+	return retryEstimate{next: next, interval: interval, scheduledUntil: &a.tokenRetriesUntil}
 }
--- a/core/btlimit/ask.go
+++ b/core/btlimit/ask.go
@@ -43,17 +43,17 @@
 		Number:      a.askNumber,
 		SentAt:      h.now,
 		Shape:       a.shape,
-		Slots:       Need{Held: a.slots.heldAboveFixed(a.running), Want: slots},
+		Slots:       Need{Held: a.slots.inUseAboveFixed(a.running), Want: slots},
 		Tokens:      Need{Held: a.tokens.lent, Want: tokens},
 		HeldFor:     max(0, a.leaseEnd.Sub(h.now)),
 	}})
 }
 
-// heldAboveFixed returns the units above the fixed share that may be in use until the
+// inUseAboveFixed returns the units above the fixed share that may be in use until the
 // next answer.
-func (q quota) heldAboveFixed(running int) int { return max(q.lent, running-q.fixed, 0) }
+func (q quota) inUseAboveFixed(running int) int { return max(q.lent, running-q.fixed, 0) }
 
-// askDue reports whether to ask: at once if more units are wanted than the last ask
+// askDue reports whether to ask: immediately if more units are wanted than the last ask
 // asked for, otherwise several times per lease while units are lent or wanted.
 func (h *Holder) askDue(a *account, slots, tokens int, since time.Duration) bool {
 	if slots > max(a.slots.lent, a.wantedSlots) || tokens > max(a.tokens.lent, a.wantedTokens) {
--- a/core/btlimit/btlimit.go
+++ b/core/btlimit/btlimit.go
@@ -3,14 +3,14 @@
 //
 // A limit is counted in units: slots are requests running at once; tokens are
 // requests of the burst, each with its part of the rate. A fraction of the units is
-// divided into fixed shares, which every entry computes alike from the bundle and may
+// divided into fixed shares, which every entry computes identically from the bundle and may
 // use without communicating. The account's home entry lends the rest in short leases
 // to the entries that need it. An entry that cannot reach the home keeps its fixed
 // share, which cannot exceed the limit. If there are fewer units than entries, the
 // rendezvous order decides which entries have one.
 //
 // Leases need no common clock. The holder counts a lease from when it sent the ask,
-// and accepts only the answer to its last ask. The home counts from when it answered,
+// and accepts only the reply to its last ask. The home counts from when it replied,
 // which is later, so the holder always stops first. A lent slot runs only requests
 // that end within Settings.LentSlotMax, and the home reserves the slot for that much
 // longer. After a restart, a home lends no new units until all loans of its earlier
@@ -160,11 +160,11 @@
 }
 
 // refuse refuses a request and sets RetryAfter, with jitter. Retries are spread out:
-// each is scheduled after the ones that were promised before it.
+// each is scheduled after the earlier ones.
 func (h *Holder) refuse(id btid.Request, reason btrequest.Reason, e retryEstimate) {
 	at := h.now.Add(max(e.next, h.settings.AskInterval))
-	at = later(at, *e.bookedUntil)
-	*e.bookedUntil = at.Add(e.interval)
+	at = later(at, *e.scheduledUntil)
+	*e.scheduledUntil = at.Add(e.interval)
 	after := at.Sub(h.now)
 	after += time.Duration(h.random.Float64() * retryJitter * float64(after))
 	h.effects = append(h.effects, Refused{ID: id, Reason: reason, RetryAfter: after})
--- a/core/btlimit/btlimit_test.go
+++ b/core/btlimit/btlimit_test.go
@@ -186,9 +186,9 @@
 	assert.Check(t, sm.messages > 20, "%d messages", sm.messages)
 }
 
-// TestRetryAfterIsReliable guards against refused requests being refused again when
-// they return after RetryAfter.
-func TestRetryAfterIsReliable(t *testing.T) {
+// TestRequestIsAdmittedAfterRetryAfter guards against refused requests being refused again
+// when they are retried after RetryAfter.
+func TestRequestIsAdmittedAfterRetryAfter(t *testing.T) {
 	h := btlimit.NewHolder(shortSettings(), "e1", 1, start, rand.New(rand.NewPCG(1, 1)))
 	h.Step(start, btlimit.Limits{Entries: []btid.Entry{"e1"}, Accounts: []btlimit.Limit{{Account: "a", Rate: 10, Burst: 4}}})
 	now := start.Add(time.Minute)
--- a/core/btlimit/capacity_test.go
+++ b/core/btlimit/capacity_test.go
@@ -174,7 +174,7 @@
 	for tick := range 10 * (seconds + 5) {
 		now := begin.Add(time.Duration(tick) * 100 * time.Millisecond)
 		for i := range used {
-			// Four requests of each account end and start anew once a second.
+			// Four requests of each account end and are replaced once a second.
 			if (tick+i)%10 != 0 {
 				continue
 			}
--- a/core/btlimit/event.go
+++ b/core/btlimit/event.go
@@ -38,7 +38,7 @@
 // Admitted admits the request. A Release must follow when it ends.
 type Admitted struct{ ID btid.Request }
 
-// Refused refuses the request, which is answered with not_run at once.
+// Refused refuses the request, which is answered with not_run immediately.
 type Refused struct {
 	ID     btid.Request
 	Reason btrequest.Reason
--- a/core/btlimit/home.go
+++ b/core/btlimit/home.go
@@ -16,7 +16,7 @@
 	// the limit that is not fixed shares.
 	InvariantShareSum btassert.Name = "limit_share_sum"
 	// InvariantShareKnown: once the loans of its earlier incarnation have expired, the
-	// home knows of all lent tokens that entries use.
+	// home has a loan of all lent tokens that entries use.
 	InvariantShareKnown btassert.Name = "limit_share_known"
 )
 
@@ -55,7 +55,7 @@
 	incarnation btid.Incarnation
 }
 
-// loan is what one holder has borrowed. It is kept for one lease longer than its
+// loan is what one holder has borrowed. It is stored for one lease longer than its
 // units, so that an ask that arrives out of order is recognised.
 type loan struct {
 	number  uint64
--- a/core/btlimit/message.go
+++ b/core/btlimit/message.go
@@ -43,7 +43,7 @@
 	// answer to its last ask.
 	Number uint64 `cbor:"number" json:"number"`
 	// SentAt is the time of sending by the entry's clock. The home ignores asks older
-	// than a lease, as their answers would be useless; safety does not depend on the
+	// than a lease, as their replies would be useless; safety does not depend on the
 	// clock.
 	SentAt time.Time `cbor:"sent_at" json:"sent_at"`
 	// Shape is the digest of the inputs of the shares: the entries and the burst.
--- a/core/btlimit/share.go
+++ b/core/btlimit/share.go
@@ -56,7 +56,7 @@
 	AskRate float64
 	// FixedFraction is the part of a limit that is divided evenly into fixed shares,
 	// 0 to 1; the home lends the rest. A higher value leaves more to an entry that
-	// cannot reach the home, a lower one lets more units gather at one entry.
+	// cannot reach the home, a lower one lets one entry use more of the units.
 	FixedFraction float64
 }
 
