--- a/core/btround/backoff_test.go
+++ b/core/btround/backoff_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// settle has the lead receive reports for more than a second, and then places a hold.
+// settle makes the lead receive reports for more than a second, and then places a hold.
 func (w *takeoverGroup) settle() {
 	for range 80 {
 		w.advance()
@@ -88,9 +88,9 @@
 	assert.Assert(t, took >= s.DeferredTakeoverDelay && took < s.DeferredTakeoverDelay+100*time.Millisecond, "%s", took)
 }
 
-// TestOutrankedLeadBacksOffExponentially guards against two leads that preempt each
+// TestPreemptedLeadBacksOffExponentially guards against two leads that preempt each
 // other in turn, each before the other's takeover is complete.
-func TestOutrankedLeadBacksOffExponentially(t *testing.T) {
+func TestPreemptedLeadBacksOffExponentially(t *testing.T) {
 	w := newTakeoverGroup()
 	w.settle()
 	w.takeoverDelay()
