--- a/core/btinventory/btinventory_test.go
+++ b/core/btinventory/btinventory_test.go
@@ -161,7 +161,7 @@
 
 // One registry reads that a target was removed; a peer, whose watch was interrupted
 // meanwhile, still holds it in grace and must not bring it back. Otherwise
-// requests reach the target seconds after its removal is listed.
+// requests reach the target three seconds after its removal is listed.
 func TestPeerListDoesNotRestoreDroppedRecord(t *testing.T) {
 	gone := target("gone")
 	gone.Created = 7
--- a/core/btinventory/from_peer.go
+++ b/core/btinventory/from_peer.go
@@ -58,7 +58,7 @@
 
 // putFromPeer stores a peer's record. If the same record is missing here, it keeps its
 // deadline, as the peer may hold it in grace too: two peers that cleared each other's
-// deadlines would keep a removed target for good.
+// deadlines would keep a removed target indefinitely.
 func (r *Registry) putFromPeer(t Target, graceEnds time.Time) []Change {
 	var until time.Time
 	if t.InGrace {
--- a/core/btinventory/from_peer_test.go
+++ b/core/btinventory/from_peer_test.go
@@ -18,8 +18,9 @@
 	return btinventory.PeerList{ReadAt: readAt, Targets: []btinventory.Target{t}, GraceEnds: readAt.Add(grace)}
 }
 
-// TestPeerGracePeriodIsIgnoredWithoutLocalOutage guards against requests to a removed target at a process
-// that could read the list throughout, because the peer that sent its list could not.
+// TestPeerGracePeriodIsIgnoredWithoutLocalOutage guards against requests to a removed
+// target at a process that could read the list throughout, because the peer that sent its
+// list could not.
 func TestPeerGracePeriodIsIgnoredWithoutLocalOutage(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
@@ -64,8 +65,9 @@
 	assert.Assert(t, string(btinventory.NewCellDigests(listed)) != string(btinventory.NewCellDigests(r.List())))
 }
 
-// TestReadAfterPeerListsGrantsNoGracePeriod guards against a grace period for a removed target at an
-// entry that couldn't read the list itself but received it from others.
+// TestReadAfterPeerListsGrantsNoGracePeriod guards against a grace period for a
+// removed target at an entry that couldn't read the list itself but received it from
+// others.
 func TestReadAfterPeerListsGrantsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
@@ -77,9 +79,9 @@
 	assert.Equal(t, r.Remove(now, "a")[0].What, btinventory.Gone)
 }
 
-// TestGracePeriodEndsWithinRecovery guards against a grace period that starts late, because the first
-// read came late after the outage, and so extends beyond the recovery time, after which
-// requests to a removed target violate the platform's bounds.
+// TestGracePeriodEndsWithinRecovery guards against a grace period that starts late,
+// because the first read came late after the outage, and so extends beyond the recovery
+// time, after which requests to a removed target violate the platform's bounds.
 func TestGracePeriodEndsWithinRecovery(t *testing.T) {
 	r := btinventory.NewRegistry(btinventory.LapsePolicy{Grace: grace, MinLapse: minLapse, Recovery: 3 * time.Second})
 	r.Resumed(start)
--- a/core/btinventory/lapse.go
+++ b/core/btinventory/lapse.go
@@ -25,7 +25,8 @@
 	return end
 }
 
-// Interrupted records that a read sent at the given time failed because the platform was unavailable.
+// Interrupted records that a read sent at the given time failed because the platform was
+// unavailable.
 func (r *Registry) Interrupted(sentAt time.Time) {
 	if sentAt.After(r.unavailableAt) {
 		r.unavailableAt = sentAt
--- a/core/btinventory/outage_test.go
+++ b/core/btinventory/outage_test.go
@@ -9,8 +9,9 @@
 	"bilberrytide/core/btinventory"
 )
 
-// TestRemovalAfterOutageGetsNoGracePeriod guards against requests to a target whose removal was
-// written after the list could be read again: only records that lapsed during the outage may be written again.
+// TestRemovalAfterOutageGetsNoGracePeriod guards against requests to a target whose
+// removal was written after the list could be read again: only records that lapsed during
+// the outage may be written again.
 func TestRemovalAfterOutageGetsNoGracePeriod(t *testing.T) {
 	r := newRegistry()
 	r.Resumed(start)
--- a/core/btinventory/reads_test.go
+++ b/core/btinventory/reads_test.go
@@ -155,9 +155,9 @@
 	return ""
 }
 
-// TestLapsedTargetStaysUsableUntilRelisted guards against dropping live targets whose records lapsed while
-// the store was unavailable: they are listed again within two seconds of its return, and in use until
-// then.
+// TestLapsedTargetStaysUsableUntilRelisted guards against dropping live targets whose
+// records lapsed while the store was unavailable: they are listed again within two
+// seconds of its return, and in use until then.
 func TestLapsedTargetStaysUsableUntilRelisted(t *testing.T) {
 	for seed := range uint64(*readSeeds) {
 		assert.Equal(t, lapsedTarget(seed, asBuilt), "", "seed %d", seed)
--- a/core/btinventory/restored_test.go
+++ b/core/btinventory/restored_test.go
@@ -132,7 +132,7 @@
 	known    bool
 	reads    bool
 	listedAt time.Time
-	// leavingSince is when the entry learned that an instance drains or is gone.
+	// leavingSince is when the entry was notified that an instance drains or is gone.
 	leavingSince map[btinventory.Instance]time.Time
 	// ignoreEras makes the entry treat a list of another era like any other.
 	ignoreEras bool
@@ -146,7 +146,7 @@
 	e.position = p
 }
 
-// recordLeaving records which instances the entry has learned to drain or to be gone.
+// recordLeaving records which instances the entry knows to drain or to be gone.
 func (e *eraEntry) recordLeaving(now time.Time, changes []btinventory.Change) {
 	for _, c := range changes {
 		if c.What == btinventory.Gone || c.What == btinventory.Drained {
@@ -320,7 +320,7 @@
 	return ""
 }
 
-// violation describes the violation in what an entry knows of a target; empty if there is none.
+// violation describes the violation in an entry's record of a target; empty if there is none.
 func (w *eraModel) violation(now time.Time, e *eraEntry, t *eraTarget, listed btinventory.Target, found bool) string {
 	instance := btinventory.Instance{ID: t.id, Start: t.start}
 	knownAt, leaving := e.leavingSince[listed.Instance()]
--- a/core/btinventory/schedule.go
+++ b/core/btinventory/schedule.go
@@ -44,8 +44,8 @@
 }
 
 // Schedule decides when an entry reads the platform's list and how. A poll follows a watch that
-// failed or is late, which may have been interrupted or whose connection may be dead. It is not safe for
-// concurrent use.
+// failed or is late, which may have been interrupted or whose connection may be dead. It is not
+// safe for concurrent use.
 type Schedule struct {
 	policy   SchedulePolicy
 	inFlight []Read
