btclaim: rewrap comments and name two test cases

A case called word is a cached reply, and a later life is a later incarnation. No change in behaviour.

--- a/core/btclaim/home_test.go
+++ b/core/btclaim/home_test.go
@@ -97,8 +97,9 @@
 	assert.Assert(t, again.Grant == nil)
 }
 
-// TestKeysOutsideRetentionOrClockErrorAreRefused: a key older than the retention never runs again, although its record
-// is gone, and a key with a time in the future isn't treated as newer than any lease.
+// TestKeysOutsideRetentionOrClockErrorAreRefused: a key older than the retention never
+// runs again, although its record is gone, and a key with a time in the future isn't
+// treated as newer than any lease.
 func TestKeysOutsideRetentionOrClockErrorAreRefused(t *testing.T) {
 	const retention = 5 * time.Second
 	home := newSingleHome(t, startTime, retention, 10)
--- a/core/btclaim/ledger_test.go
+++ b/core/btclaim/ledger_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// TestLedgerSealsOnlyGrantsThatNeverRun lists which refusals are sealed, that is, prove that the grant
-// never runs.
+// TestLedgerSealsOnlyGrantsThatNeverRun lists which refusals are sealed, that is,
+// prove that the grant never runs.
 func TestLedgerSealsOnlyGrantsThatNeverRun(t *testing.T) {
 	now := startTime.Add(time.Minute)
 	cases := map[string]struct {
@@ -51,11 +51,11 @@
 	}{
 		"another target": {func(g *btclaim.Grant) { g.Executor.Target = "t2" }, now, btclaim.WrongExecutor, false},
 		"earlier incarnation, exited before grant": {func(g *btclaim.Grant) { g.Executor.Incarnation = 99 }, now, btclaim.WrongIncarnation, true},
-		"later life":                          {func(g *btclaim.Grant) { g.Executor.Incarnation = 101 }, now, btclaim.WrongIncarnation, false},
-		"late":                                {func(*btclaim.Grant) {}, now.Add(31 * time.Second), btclaim.GrantExpired, true},
-		"older than the retention":            {func(*btclaim.Grant) {}, now.Add(2 * time.Hour), btclaim.GrantForgotten, false},
-		"issued in the future":                {func(*btclaim.Grant) {}, now.Add(-time.Second), btclaim.GrantInFuture, false},
-		"earlier incarnation, alive at grant": {func(g *btclaim.Grant) { g.Executor.Incarnation, g.IssuedAt = 99, startTime }, now, btclaim.WrongIncarnation, false},
+		"later incarnation":                        {func(g *btclaim.Grant) { g.Executor.Incarnation = 101 }, now, btclaim.WrongIncarnation, false},
+		"late":                                     {func(*btclaim.Grant) {}, now.Add(31 * time.Second), btclaim.GrantExpired, true},
+		"older than the retention":                 {func(*btclaim.Grant) {}, now.Add(2 * time.Hour), btclaim.GrantForgotten, false},
+		"issued in the future":                     {func(*btclaim.Grant) {}, now.Add(-time.Second), btclaim.GrantInFuture, false},
+		"earlier incarnation, alive at grant":      {func(g *btclaim.Grant) { g.Executor.Incarnation, g.IssuedAt = 99, startTime }, now, btclaim.WrongIncarnation, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/btclaim/naive_test.go
+++ b/core/btclaim/naive_test.go
@@ -8,8 +8,9 @@
 	"bilberrytide/core/btrequest"
 )
 
-// naiveHome decides by its hash alone: it grants any key without a record. With
-// replies it caches the replies of earlier homes, "I no longer grant in this range", and grants only keys newer than its start and than these replies.
+// naiveHome decides by its hash only: it grants any key without a record. With replies it
+// caches the replies of earlier homes, "I no longer grant in this range", and grants only
+// keys newer than its start and than these replies.
 type naiveHome struct {
 	self    btid.Target
 	rules   btclaim.Rules
--- a/core/btclaim/partition_test.go
+++ b/core/btclaim/partition_test.go
@@ -137,10 +137,10 @@
 // in the moved range, then restarts on the stale bundle and grants there
 // again. Homes that cache such replies run a key twice; homes with leases don't.
 func TestCachedReplyWithoutLeaseRunsTwice(t *testing.T) {
-	for name, want := range map[string]int{"word": 2, "lease": 1} {
+	for name, want := range map[string]int{"cached reply": 2, "lease": 1} {
 		t.Run(name, func(t *testing.T) {
 			v := variant{home: realHome}
-			if name == "word" {
+			if name == "cached reply" {
 				v.home = naiveReplyHome
 			}
 			cl := newFaultFree(v)
@@ -162,8 +162,9 @@
 	}
 }
 
-// TestGrantToEarlierIncarnationDoesNotRunAgain: an executor that restarts during a run has no record
-// of it and must not run the grant again. Executors that ignore the incarnation do.
+// TestGrantToEarlierIncarnationDoesNotRunAgain: an executor that restarts during a
+// run has no record of it and must not run the grant again. Executors that ignore the
+// incarnation do.
 func TestGrantToEarlierIncarnationDoesNotRunAgain(t *testing.T) {
 	for _, naive := range []bool{false, true} {
 		cl := newFaultFree(variant{home: realHome, ignoreIncarnation: naive})
@@ -235,9 +236,9 @@
 	assert.Equal(t, cl.violation, "")
 }
 
-// TestReplyOfRestartedHomeDoesNotCoverEarlierIncarnation: "never granted" from a home that restarted
-// after the key was made doesn't cover its previous incarnation, which did grant the
-// key.
+// TestReplyOfRestartedHomeDoesNotCoverEarlierIncarnation: "never granted" from a home
+// that restarted after the key was made doesn't cover its previous incarnation, which
+// did grant the key.
 func TestReplyOfRestartedHomeDoesNotCoverEarlierIncarnation(t *testing.T) {
 	cl := newFaultFree(variant{home: realHome})
 	key := cl.movedKey()
--- a/core/btclaim/random_test.go
+++ b/core/btclaim/random_test.go
@@ -102,7 +102,7 @@
 	cl.schedule(cl.randomBelow(2*cl.faultInterval), cl.injectFaults)
 }
 
-// restart restarts a process without its memory, often on a stale bundle.
+// restart restarts a process without its state, often on a stale bundle.
 func (cl *cluster) restart(p *process) {
 	if p.down {
 		return
--- a/core/btclaim/voter_test.go
+++ b/core/btclaim/voter_test.go
@@ -11,9 +11,9 @@
 	"bilberrytide/core/btrequest"
 )
 
-// TestVoterRefusesConflictingLeases checks one voter at epoch 1 with a lease of a second. A voter that confirmed
-// two epochs, or two incarnations of one home, at the same time would let two homes
-// grant the same key.
+// TestVoterRefusesConflictingLeases checks one voter at epoch 1 with a lease of a
+// second. A voter that confirmed two epochs, or two incarnations of one home, at the
+// same time would let two homes grant the same key.
 func TestVoterRefusesConflictingLeases(t *testing.T) {
 	home := newUnleasedHome(t)
 	conflicting := epochs[0]
