--- a/core/btrelay/direct_read_test.go
+++ b/core/btrelay/direct_read_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// TestSingleUnresponsiveEngineIsReadImmediately covers a single unresponsive agent, whose engine is read
-// twice a second, as in a small group.
+// TestSingleUnresponsiveEngineIsReadImmediately covers a single unresponsive agent,
+// whose engine is read twice a second, as in a small group.
 func TestSingleUnresponsiveEngineIsReadImmediately(t *testing.T) {
 	l := btrelay.NewDirectReader()
 	one := addresses(1)
--- a/core/btrelay/simulation_test.go
+++ b/core/btrelay/simulation_test.go
@@ -298,8 +298,8 @@
 	assert.Assert(t, len(w.leads) > 1, "only one member led")
 }
 
-// TestLeadIsKeptDuringBurstOnItsLink guards against skipping a lead whose link is full for a quarter
-// of a second, as when it sends a map to all ranks.
+// TestLeadIsKeptDuringBurstOnItsLink guards against skipping a lead whose link is full
+// for a quarter of a second, as when it sends a map to all ranks.
 func TestLeadIsKeptDuringBurstOnItsLink(t *testing.T) {
 	w := newSimulation(3, 192, false)
 	w.run(2 * time.Second)
