--- a/core/btretry/window.go
+++ b/core/btretry/window.go
@@ -126,9 +126,9 @@
 	return max(u.RequestsLeft, 0) + u.SlackLeft
 }
 
-// requestsLeft returns how many retries can be charged to the requests now: the least over all windows
-// that contain the present time. Requests in the part in which the window before it begins
-// don't count.
+// requestsLeft returns how many retries can be charged to the requests now: the least over
+// all windows that contain the present time. Requests in the part in which the window
+// before it begins don't count.
 func (w *Window) requestsLeft() float64 {
 	retries, requests := 0.0, 0
 	for i := range int64(parts) {
