--- a/core/btexpert/decider_test.go
+++ b/core/btexpert/decider_test.go
@@ -316,7 +316,7 @@
 	corrupt func(m btexpert.Map) btexpert.Map
 }
 
-func (faultyPlanner) Name() string { return "liar" }
+func (faultyPlanner) Name() string { return "faulty" }
 
 func (y faultyPlanner) Plan(p btexpert.Problem) btexpert.Plan {
 	plan := btexpert.Static{}.Plan(p)
--- a/core/btexpert/price_factor_test.go
+++ b/core/btexpert/price_factor_test.go
@@ -34,7 +34,7 @@
 type fluctuationResult struct {
 	transfers int
 	// late is the number of planning intervals in which steps took longer than
-	// promised to callers.
+	// promised to clients.
 	late int
 }
 
@@ -68,7 +68,7 @@
 
 func constantFactor(float64) float64 { return 1 }
 
-// Guards against moving several times the experts that callers benefit from: with a
+// Guards against moving several times the experts that clients benefit from: with a
 // price factor of 1, maps follow each shift of the load even where answers are
 // early on an unbalanced group.
 func TestPriceFactorAvoidsTransfersAtLowLatencyRatio(t *testing.T) {
@@ -83,7 +83,7 @@
 }
 
 // Guards against a price factor that delays the maps where steps are as long as
-// promised to callers: no more intervals may be late than without it, within 5%.
+// promised to clients: no more intervals may be late than without it, within 5%.
 func TestPriceFactorAllowsTransfersAtHighLatencyRatio(t *testing.T) {
 	d := fluctuatingLoad{shape: btexpert.Shape{Ranks: 16, Layers: 4, Experts: 64, Slots: 5, ExpertBytes: 1}, balancedLatencyRatio: 0.85, expertShare: 0.85}
 	for seed := range uint64(5) {
--- a/core/btexpert/stall_budget_test.go
+++ b/core/btexpert/stall_budget_test.go
@@ -36,7 +36,7 @@
 	without, _ := stallShare(slow, func(time.Time) bool { return true }, func(time.Time, time.Duration) {})
 	var b btexpert.StallBudget
 	with, _ := stallShare(slow, b.Allows, b.Record)
-	t.Logf("held for %.3f of the time without a budget, %.3f with one", without, with)
+	t.Logf("stalled for %.3f of the time without a budget, %.3f with one", without, with)
 	assert.Assert(t, without > 0.3)
 	assert.Assert(t, with < 0.08)
 }
