--- a/core/btclaim/random_test.go
+++ b/core/btclaim/random_test.go
@@ -13,7 +13,7 @@
 )
 
 var (
-	seeds     = flag.Uint64("claim.seeds", 6, "random runs of the at-most-once world")
+	seeds     = flag.Uint64("claim.seeds", 6, "random runs of the at-most-once simulation")
 	firstSeed = flag.Uint64("claim.first", 0, "seed of the first run")
 )
 
@@ -102,7 +102,7 @@
 	cl.schedule(cl.randomBelow(2*cl.faultInterval), cl.injectFaults)
 }
 
-// restart restarts a process without its memory, often on a stale bundle.
+// restart restarts a process without its state, often on a stale bundle.
 func (cl *cluster) restart(p *process) {
 	if p.down {
 		return
@@ -221,10 +221,10 @@
 // variant fails in one of them.
 func TestRandomFaultsExposeNaiveVariants(t *testing.T) {
 	naive := map[string]variant{
-		"home by hash alone":    {home: naiveHashHome},
-		"cached word, no lease": {home: naiveReplyHome},
-		"no incarnation":        {home: realHome, ignoreIncarnation: true},
-		"lost as not sent":      {home: realHome, lostAsNotSent: true},
+		"home by hash only":           {home: naiveHashHome},
+		"cached reply, no lease":      {home: naiveReplyHome},
+		"incarnation ignored":         {home: realHome, ignoreIncarnation: true},
+		"lost run sealed as not sent": {home: realHome, lostAsNotSent: true},
 	}
 	for name, v := range naive {
 		t.Run(name, func(t *testing.T) {
--- a/core/btexpert/stall_budget_test.go
+++ b/core/btexpert/stall_budget_test.go
@@ -36,7 +36,7 @@
 	without, _ := stallShare(slow, func(time.Time) bool { return true }, func(time.Time, time.Duration) {})
 	var b btexpert.StallBudget
 	with, _ := stallShare(slow, b.Allows, b.Record)
-	t.Logf("held for %.3f of the time without a budget, %.3f with one", without, with)
+	t.Logf("stalled for %.3f of the time without a budget, %.3f with one", without, with)
 	assert.Assert(t, without > 0.3)
 	assert.Assert(t, with < 0.08)
 }
@@ -50,7 +50,7 @@
 	assert.Equal(t, with, without)
 }
 
-// One stall of seconds, as by a host that stood still, must block changes for a
+// One stall of seconds, as by a frozen host, must block changes for a
 // short time only, and no longer once stalls have their usual length again.
 func TestStallBudgetRecoversFromOneLongStall(t *testing.T) {
 	begin := time.Unix(1000, 0)
--- a/core/btinventory/from_peer.go
+++ b/core/btinventory/from_peer.go
@@ -14,7 +14,7 @@
 
 // ReplaceFromPeer applies the list of another process. Targets that it lacks are dropped. Those in
 // its grace period are kept until the end of that, unless this registry has dropped the record or
-// its own list is too recent for a lapse: it may have had a list all the while.
+// its own list is too recent for a lapse: unlike the peer, it may have had no outage.
 func (r *Registry) ReplaceFromPeer(now time.Time, l PeerList) []Change {
 	changes := r.Expire(now)
 	lapsePossible := r.lapsePossible(l.ReadAt)
@@ -58,7 +58,7 @@
 
 // putFromPeer stores a peer's record. If the same record is missing here, it keeps its
 // deadline, as the peer may hold it in grace too: two peers that cleared each other's
-// deadlines would keep a removed target for good.
+// deadlines would keep a removed target indefinitely.
 func (r *Registry) putFromPeer(t Target, graceEnds time.Time) []Change {
 	var until time.Time
 	if t.InGrace {
