bttarget: refuse answers whose status is below 200

A status line such as "HTTP/1.1 007 OK" was passed on, and writing that status to the caller panics, so that its connection was closed without an answer. It is lost contact now, like a protocol switch: an idempotent request goes to another target, any other gets 502.

Before the change TestStatusOfNoAnswerIsLost failed: the answer was accepted.

--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -37,8 +37,9 @@
 	// ErrInformational means that there were more than MaxInformational answers with a
 	// status 1xx.
 	ErrInformational = errors.New("too many informational answers")
-	// ErrSwitched means that the answer switches to another protocol.
-	ErrSwitched = errors.New("answer switches protocols")
+	// ErrStatus means that the answer has a status below 200, which none may end with: it
+	// switches to another protocol, or is malformed.
+	ErrStatus = errors.New("status of no answer")
 	// ErrTooLarge means that a body is larger than the limit of its reader.
 	ErrTooLarge = errors.New("answer too large")
 )
@@ -53,7 +54,7 @@
 }
 
 // Transport is an http.Transport with these bounds. Its errors wrap ErrSlowHead,
-// ErrInformational or ErrSwitched where one of them was exceeded. It is safe for
+// ErrInformational or ErrStatus where one of them was exceeded. It is safe for
 // concurrent use.
 type Transport struct {
 	transport *http.Transport
@@ -92,10 +93,10 @@
 		cancel(nil)
 		return nil, err
 	}
-	if answer.StatusCode == http.StatusSwitchingProtocols {
+	if answer.StatusCode < http.StatusOK {
 		closeErr := answer.Body.Close()
 		cancel(nil)
-		return nil, errors.Join(ErrSwitched, closeErr)
+		return nil, errors.Join(fmt.Errorf("%w: %d", ErrStatus, answer.StatusCode), closeErr)
 	}
 	answer.Body = &body{ReadCloser: answer.Body, cancel: cancel}
 	return answer, nil
--- a/io/bttarget/endless_test.go
+++ b/io/bttarget/endless_test.go
@@ -98,6 +98,19 @@
 	s.CheckClosed(t, btbound.HeadTimeout, headBytes)
 }
 
+// TestStatusOfNoAnswerIsLost guards against a status that can't be passed on: writing it
+// would panic.
+func TestStatusOfNoAnswerIsLost(t *testing.T) {
+	s := btendless.New(t, loopback, func(w io.Writer) error {
+		_, err := io.WriteString(w, "HTTP/1.1 007 OK\r\nContent-Length: 2\r\n\r\nok")
+		return err
+	})
+	c := bttarget.New(bttarget.Options{Endpoint: s.Address})
+	_, err := c.Do(t.Context(), bttarget.Request{Method: http.MethodPost, URI: "/", Body: []byte("x")})
+	assert.ErrorIs(t, err, bttarget.ErrLost)
+	s.CheckClosed(t, btbound.HeadTimeout, headBytes)
+}
+
 // TestEndlessBodies guards against a body without end that ends after the request's
 // deadline or looks complete.
 func TestEndlessBodies(t *testing.T) {
