btdirect: leave a target that doesn't finish a plain answer

A body without end, dripped or broken off without a close, kept an idempotent request at its target until the deadline, and the caller got 504 although another target could have served it.

Half of the time left when the body begins (at least 0.5 s) is the target's now. Then the request leaves it, if nothing of the answer has been passed on, the route allows another run, an attempt and the retry budget are left and another target accepts requests; otherwise it stays until the deadline as before. Arriving bytes don't extend the time. An unsafe request never leaves.

Ruled out: a fixed time, since answers may take as long as their routes allow; a time that each byte restarts, which a drip defeats.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -213,7 +213,7 @@
 	if x.route.Kind == btcatalog.Stream && success(answer.Status) && isEvents(answer.Header) {
 		return x.relayStream(ctx, cancel, t, answer, tokens)
 	}
-	return x.relayWhole(answer)
+	return x.relayWhole(cancel, t, answer)
 }
 
 func success(status int) bool { return status >= 200 && status < 300 }
@@ -224,7 +224,7 @@
 
 // relayWhole reads an answer to its end before relaying it. An answer larger than the
 // buffer is relayed as it arrives.
-func (x *exchange) relayWhole(answer *bttarget.Response) attemptResult {
+func (x *exchange) relayWhole(cancel context.CancelFunc, t *target, answer *bttarget.Response) attemptResult {
 	if promisesNotRun(answer.Status) && !x.route.Repeatable() {
 		// Callers would take the status to mean that the request did not run, which the
 		// target has not said.
@@ -233,7 +233,12 @@
 	if !x.reserveAnswer(answer) {
 		return x.relayLarge(answer, &bufferedAnswer{status: answer.Status, header: answer.Header})
 	}
+	unfinished := x.newBodyTimer(t, cancel)
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
+	unfinished.stop()
+	if unfinished.expired() {
+		return attemptResult{reason: ReasonUnfinished, retryTaken: true, err: err}
+	}
 	if err != nil {
 		return attemptResult{reason: ReasonAnswerCut, err: err}
 	}
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -64,6 +64,8 @@
 	ReasonMalformedAnswer btrequest.Reason = "malformed_answer"
 	// ReasonSilent: the stream's target sent nothing for too long.
 	ReasonSilent btrequest.Reason = "target_silent"
+	// ReasonUnfinished: the target didn't finish the body of a plain answer in time.
+	ReasonUnfinished btrequest.Reason = "target_unfinished"
 	// ReasonTargetSlow: the request moved away from a group member that had become
 	// slow.
 	ReasonTargetSlow btrequest.Reason = "target_slow"
--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -49,7 +49,12 @@
 }
 
 func newSilenceTimer(maxGap time.Duration, clock func() time.Time, leave func(since time.Time) bool, cancel context.CancelFunc) *silenceTimer {
-	s := &silenceTimer{limit: max(silencePauses*maxGap, minSilenceTimeout), clock: clock, leave: leave, cancel: cancel}
+	return startSilenceTimer(max(silencePauses*maxGap, minSilenceTimeout), clock, leave, cancel)
+}
+
+// startSilenceTimer starts a timer with the limit.
+func startSilenceTimer(limit time.Duration, clock func() time.Time, leave func(since time.Time) bool, cancel context.CancelFunc) *silenceTimer {
+	s := &silenceTimer{limit: limit, clock: clock, leave: leave, cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock()
