btinprocess: print the nodes' log and the counters of a failed test

Tests of entries and agents that failed once on a busy host left only the one wrong status: whether a connection was lost, and which reason was counted, was discarded. Now a failed test prints what its nodes logged, such as failed dials and lost connections, and all counters of each process that are not zero.

--- a/io/btstandin/btinprocess/btinprocess.go
+++ b/io/btstandin/btinprocess/btinprocess.go
@@ -65,6 +65,7 @@
 
 	authority       *btkeys.Authority
 	approver        ed25519.PrivateKey
+	nodeLog         *slog.Logger
 	platformAddress netip.AddrPort
 	seed            uint64
 }
@@ -87,6 +88,7 @@
 		authority: authority,
 		approver:  private,
 	}
+	f.printOnFailure()
 	f.platformAddress = f.Listen(store)
 	return f
 }
