btinprocess: keep a busy host from ending connections between processes

Evidence: in 24 processes at once on one core, at load 53, it failed 19 of 24 times, 16 of them with agent_unreachable and 3 with route_no_live_target. The nodes' logs have "dial failed" with "context deadline exceeded" for the entry's dial of p1, and connections lost to "no recent network activity" while every process was running.

Cause: a node takes a peer for lost that doesn't complete a handshake within 2 s, or sends nothing for 2.5 s. All nodes of a fixture share one process. If that gets no CPU time, each of them finds the others lost, and no target is left for the retry, which is what the product is meant to report then. The test is about a target whose answer breaks off, not about lost agents.

Change: the nodes of a fixture wait 8 s for each other. The checks are unchanged. A killed process still closes its connections at once, and a dial of one that is gone fails within the deadline of a request, as TestUnreachableAgent shows.

Measured: TestRetriedElsewhere, TestStreamThatCannotBeResumed, TestUnreachableAgent, TestNoTarget and TestKeyedAgentRestart passed 24 of 24 times in 24 processes at once on one core, at load 49.

--- a/io/btstandin/btinprocess/btinprocess.go
+++ b/io/btstandin/btinprocess/btinprocess.go
@@ -39,6 +39,10 @@
 	// awaitTimeout is how long Await waits, and awaitInterval how often it checks.
 	awaitTimeout  = time.Minute
 	awaitInterval = 5 * time.Millisecond
+	// peerTimeout limits dialling and the silence of a peer. It is longer than the
+	// product's: all processes of a fleet share a host that may be busy for seconds, and
+	// none of them has failed then.
+	peerTimeout = 8 * time.Second
 	// certificateValidity is the validity of the CA and of issued certificates.
 	certificateValidity = time.Hour
 )
--- a/io/btstandin/btinprocess/process.go
+++ b/io/btstandin/btinprocess/process.go
@@ -53,7 +53,10 @@
 	assert.NilError(f.TB, err)
 	meter := btmetric.New(nil)
 	f.Meters[id.Name] = meter
-	node, err := btpeer.New(btpeer.Options{Listen: listen, Keys: keys, Registry: meter.Registry(), Log: f.nodeLog.With("node", id.Name)})
+	node, err := btpeer.New(btpeer.Options{
+		Listen: listen, Keys: keys, Registry: meter.Registry(), Log: f.nodeLog.With("node", id.Name),
+		DialTimeout: peerTimeout, IdleTimeout: peerTimeout,
+	})
 	assert.NilError(f.TB, err)
 	return node
 }
