btentry: measure a target's rate limit over requests, not only over time

Evidence: in 8 processes at once on 2 cores, at load 24, repeatable failed 5 of 8 times and keyed 8 of 8. In the 5 runs the entries served 115 to 135 requests in all, more than half of them before the rate was advertised, and every one was served; the agent refused 2 to 4 for the rate. Each of the refusals of the keyed runs, 47 to 62 of them, is unknown lease_missing. A failed test now prints its refusals by reason.

Cause: two assumptions about time. The target can only get 4 requests in 8 s if the callers send enough of them: those of a busy host sent about 3 a second, of which a quarter is the target's with or without a limit. And the fixture's key homes hold leases of 0.5 s, which a busy host renews too late; the other targets could not have served these requests either.

Change: the test lasts 8 s and until 160 requests have ended since the rate must be kept, of which the target would get 40 without a limit. Its key homes hold leases of 3 s. The bounds are unchanged: at most 11 requests in any 4 s, at least 4 requests, at most one refusal per 20 served. On an idle host the test is the same.

--- a/io/btentry/fixture_test.go
+++ b/io/btentry/fixture_test.go
@@ -150,6 +150,14 @@
 	bodyErr error
 }
 
+// refusal returns the outcome and reason of a request that was not served.
+func (r reply) refusal(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return r.outcome() + " " + r.reason()
+}
+
 func (r reply) reason() string { return r.Header.Get(bthttp.HeaderReason) }
 func (r reply) outcome() string {
 	return r.Header.Get(bthttp.HeaderOutcome) + r.Trailer.Get(bthttp.HeaderOutcome)
--- a/io/btentry/rate_limited_test.go
+++ b/io/btentry/rate_limited_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/io/btstandin/btinprocess"
 	"bilberrytide/io/bttarget"
@@ -78,6 +79,12 @@
 	// maxRequestsPerWindow is how many requests a target that advertises one per second
 	// may receive in a window: one and a half times as many, and five more.
 	maxRequestsPerWindow = 11
+	// minRequests is how many requests the entries must have sent from rateSettleTime on.
+	// Without a limit the target would get a quarter of them.
+	minRequests = 160
+	// leaseTime is longer than the fixture's: a lease that a busy host renews too late has
+	// nothing to do with rates.
+	leaseTime = 3 * time.Second
 )
 
 // TestTargetRateLimitIsRespected: when a target advertised a rate of one request per
@@ -106,7 +113,10 @@
 		}
 		targets = append(targets, p)
 	}
-	w := newSystemWithEntries(t, 2, targets, unlimitedRetries)
+	w := newSystemWithEntries(t, 2, targets, func(b *btbundle.Bundle) {
+		unlimitedRetries(b)
+		b.Idempotency.Lease.Duration = leaseTime
+	})
 	if keyed {
 		w.awaitGrants(http.MethodPost, "/services/pages/x", "")
 	}
@@ -114,6 +124,7 @@
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	served, refused := 0, 0
+	refusals := map[string]int{}
 	for i := range 4 {
 		to := []*btinprocess.Entry{w.entry, w.other}[i%2]
 		callers.Go(func() {
@@ -134,6 +145,7 @@
 					served++
 				} else {
 					refused++
+					refusals[r.refusal(err)]++
 				}
 				mu.Unlock()
 			}
@@ -141,11 +153,21 @@
 	}
 	w.await(limited.inUse)
 	limited.setRate("1")
-	time.Sleep(rateSettleTime + 2*rateWindow)
+	time.Sleep(rateSettleTime)
+	ended := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return served + refused
+	}
+	before := ended()
+	time.Sleep(2 * rateWindow)
+	// A busy host may take longer to send as many requests as the target needs to get its
+	// share.
+	w.await(func() bool { return ended() >= before+minRequests })
 	close(stop)
 	callers.Wait()
 	inWindow, total := limited.maxInWindow(rateSettleTime, rateWindow)
-	t.Logf("%d requests from %s on, at most %d in %s; %d served, %d not", total, rateSettleTime, inWindow, rateWindow, served, refused)
+	t.Logf("%d requests from %s on, at most %d in %s; %d served, %d not: %v", total, rateSettleTime, inWindow, rateWindow, served, refused, refusals)
 	assert.Check(t, inWindow <= maxRequestsPerWindow, "%d requests in %s, allowed %d", inWindow, rateWindow, maxRequestsPerWindow)
 	assert.Check(t, total >= 4, "the target gets fewer requests than its rate allows")
 	assert.Check(t, refused*20 <= served, "the other targets could have served them")
