btentry: let the writes to a caller that reads nothing block at once

Cause: the test takes the writes to the caller to block long before the deadline of 6 s. The entry buffers the first MB of an answer, and the buffer of its socket grows with the segment size, to megabytes with the 64 KB of the loopback; the caller set its own small buffer only after the connection had advertised a larger one. A busy host doesn't relay as much within 6 s. The request then ends by its deadline, which is right for one whose writes have not blocked.

Change: the target sends events, which are passed on at once, and the caller limits its buffer and its segments before it connects. Some tens of kilobytes block the writes. Deadline, grace and checks are unchanged.

--- a/io/btentry/outcome_test.go
+++ b/io/btentry/outcome_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -114,9 +116,12 @@
 // only for a limited time after the deadline.
 func TestCallerThatReadsNothing(t *testing.T) {
 	t.Parallel()
+	event := []byte("data: " + strings.Repeat("x", 1<<10) + "\n\n")
+	// Events are passed on at once, so that the writes block after few of them.
 	endless := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		for data := make([]byte, 1<<20); ; {
-			if _, err := w.Write(data); err != nil {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for {
+			if _, err := w.Write(event); err != nil {
 				return
 			}
 		}
@@ -124,17 +129,31 @@
 	w := newSystem(t, []testTarget{{name: "p1", service: plain, handler: endless}}, func(b *btbundle.Bundle) {
 		b.Timeouts.Request.Duration, b.Timeouts.RequestMax.Duration = 6*time.Second, 6*time.Second
 	})
-	caller, err := net.Dial("tcp", strings.TrimPrefix(w.entry.URL, "http://"))
+	dialler := net.Dialer{Control: setSmallBuffers}
+	caller, err := dialler.Dial("tcp", strings.TrimPrefix(w.entry.URL, "http://"))
 	assert.NilError(t, err)
 	defer caller.Close()
-	// The small buffer makes the writes to it block long before the deadline.
-	assert.NilError(t, caller.(*net.TCPConn).SetReadBuffer(4<<10))
 	_, err = io.WriteString(caller, "GET /services/pages/x HTTP/1.1\r\nHost: e1\r\nAuthorization: Bearer "+btinprocess.CallerKey+"\r\n\r\n")
 	assert.NilError(t, err)
 	w.await(func() bool { return w.Meters["e1"].Counter("outcome.unknown").Count() == 1 })
 	assert.Equal(t, w.refusals("e1", "caller_gone"), int64(1), "counted: %v", w.refusalCounts("e1"))
 }
 
+// setSmallBuffers makes writes to the socket block after some tens of kilobytes, long before
+// the deadline even on a busy host: the other side's buffer grows with the segment size, to
+// megabytes with that of the loopback.
+func setSmallBuffers(_, _ string, c syscall.RawConn) error {
+	const receiveBytes, segmentBytes = 4 << 10, 536
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes),
+		)
+	})
+	return errors.Join(err, failed)
+}
+
 // TestOverLimit: a client account over its limit is refused at once with a Retry-After.
 func TestOverLimit(t *testing.T) {
 	t.Parallel()
