--- a/core/btqueue/rate_limiter_test.go
+++ b/core/btqueue/rate_limiter_test.go
@@ -68,3 +68,36 @@
 		assert.Equal(t, delays[i]-delays[i-1], 500*time.Millisecond)
 	}
 }
+
+// Guards against a target that gets a fraction of the rate that it advertises: of the
+// requests that an entry sends at once, one is served, but the delay of each refused one
+// books a token, and the entry skips the target until the last of them.
+func TestRateLimitIsUsedByEntriesThatSendSeveralAtOnce(t *testing.T) {
+	const atOnce, duration = 4, time.Minute
+	q := newLimitedQueue(t)
+	begin := time.Unix(1000, 0)
+	q.Step(begin, btqueue.RateLimit{PerSecond: 1, Active: true})
+	skippedUntil := map[btid.Entry]time.Time{}
+	starts, number := 0, uint64(0)
+	for now := begin; now.Before(begin.Add(duration)); now = now.Add(10 * time.Millisecond) {
+		for _, entry := range []btid.Entry{"e1", "e2"} {
+			if now.Before(skippedUntil[entry]) {
+				continue
+			}
+			for range atOnce {
+				number++
+				id := btid.Request{Entry: entry, Number: number}
+				for _, effect := range q.Step(now, btqueue.Arrived{ID: id, Account: "acme", Deadline: now.Add(time.Minute), Cost: 1}) {
+					switch e := effect.(type) {
+					case btqueue.Start:
+						starts++
+						q.Step(now, btqueue.Finished{ID: e.ID, Took: time.Millisecond})
+					case btqueue.Refuse:
+						skippedUntil[entry] = now.Add(e.RetryAfter)
+					}
+				}
+			}
+		}
+	}
+	assert.Assert(t, starts >= 50, "%d of 60 requests", starts)
+}
