btagent: start a voter's clock before its heartbeats are ignored

In 36 processes at once on one core, with the product's timeouts between the nodes, TestKeyedRequestsSkipLostHomesAndDownTarget failed 9 of 36 times, 2 of them as the targets were not eligible within a minute. The counters of such a run have heartbeat_late=199 at the entry and voter_starting=58 at t1.

Cause: the test lets the clock of t1 stand still until t1 has refused a vote, and looks for the refusal only once all targets are eligible. If the first heartbeat takes longer than a lease, here because a dial failed after 2 s, the entry ignores all heartbeats of the clock that stands still.

Change: the test waits for the refusal first, starts the clock and then waits for the targets. Its checks are unchanged.

--- a/io/btagent/fleet_test.go
+++ b/io/btagent/fleet_test.go
@@ -62,6 +62,12 @@
 // start publishes the bundle, starts every process that it lists, and waits until each
 // entry has every target as eligible.
 func (f *fleet) start() {
+	f.startProcesses()
+	f.awaitEligible()
+}
+
+// startProcesses publishes the bundle and starts every process that it lists.
+func (f *fleet) startProcesses() {
 	f.Publish(1)
 	for _, e := range f.Bundle.Entries {
 		f.entries[e.Name] = f.StartEntry(f.nodes[btprocess.EntryIdentity(e.Name)])
@@ -69,6 +75,10 @@
 	for _, t := range f.Bundle.Targets {
 		f.agents[t.Name] = f.startAgent(f.nodes[btprocess.AgentIdentity(t.Name)])
 	}
+}
+
+// awaitEligible waits until each entry has every target as eligible.
+func (f *fleet) awaitEligible() {
 	for _, e := range f.Bundle.Entries {
 		for _, t := range f.Bundle.Targets {
 			f.Await("eligible", func() bool { return f.target(e.Name, t.Name).Eligible })
--- a/io/btagent/keyed_test.go
+++ b/io/btagent/keyed_test.go
@@ -70,10 +70,14 @@
 			return began
 		})
 	}
-	f.start()
-	f.Await("a starting voter refuses", func() bool { return f.counter("t1", "refused.voter_starting") > 0 })
+	f.startProcesses()
+	f.Await("a starting voter refuses", func() bool {
+		return f.agents["t0"].Status().Home != nil && f.counter("t1", "refused.voter_starting") > 0
+	})
 	assert.Assert(t, !f.agents["t0"].Status().Home.Leased, "a lease without the vote of t1")
 	asked.Store(true)
+	// An entry ignores the heartbeats of a clock that has stood still for long.
+	f.awaitEligible()
 	f.Await("leased", func() bool {
 		s := f.agents["t0"].Status().Home
 		return s != nil && s.Leased && time.Since(s.Since) > 3*f.Bundle.Idempotency.ClockError.Duration
