btrank: end the round in progress before a planned stop of the agent

What callers saw: a pause of all streams of a group. SIGTERM cancelled the agent that leads at once, also between ordering a hold and releasing the group, which then stayed held until another agent led.

Change: an agent that is stopped begins no further round and exits when the one in progress has ended, 4 s or half of the grace period later at most. The log says whether it was in a round.

Ruled out: agents that don't lead. The lead sends their orders to their engines directly.

--- a/commands/btdirectcmd/btdirectcmd.go
+++ b/commands/btdirectcmd/btdirectcmd.go
@@ -26,8 +26,8 @@
 const agentHelp = `Run the agent beside a model engine that is a rank of a group, on the users'
 platform.
 
-The settings file is named by the environment. SIGTERM ends the process; SIGHUP
-reads the settings again, as does a change of the file. Metrics are served as text
+The settings file is named by the environment. SIGTERM stops the process after the
+round that it leads, if any; SIGHUP reads the settings again, as does a change of the file. Metrics are served as text
 on port 9190 at /metrics.
 
 Exit codes: 0 stopped as planned, 1 could not start or failed, 2 wrong usage.`
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r.serveMetrics(ctx)
-	r.watch(ctx, cancel, agent.Reload)
+	r.watch(ctx, agent.Stop, agent.Reload)
 	if err := agent.Run(ctx); err != nil {
 		r.log.Error("ended", "error", err)
 		return err
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -64,6 +64,9 @@
 	// readCount numbers these reads.
 	reader    uint64
 	readCount atomic.Uint64
+	// stopRequested is closed by Stop.
+	stopRequested chan struct{}
+	stopOnce      sync.Once
 	// readNow has the state read at once.
 	readNow chan struct{}
 
@@ -111,8 +114,10 @@
 		calls:   calls,
 		reader:  rand.Uint64(),
 		readNow: make(chan struct{}, 1),
-		maps:    btround.NewMapCache(),
-		tree:    btrelay.New(o.Address),
+
+		stopRequested: make(chan struct{}),
+		maps:          btround.NewMapCache(),
+		tree:          btrelay.New(o.Address),
 	}
 	a.directory = newDirectory(o, calls, func() string { return a.ownState().Group })
 	a.lead = newLead(o, a, calls)
@@ -123,7 +128,39 @@
 // Reload applies changed settings. Only the seeds can change while the agent runs.
 func (a *Agent) Reload(s btdirect.Settings) { a.directory.setSeeds(s.Seeds) }
 
-// Run serves and reports until the context ends. It returns an error if the agent can't
+// stopTimeout is how long a planned stop waits for the end of a round, and
+// stopCheckInterval how often it checks.
+const (
+	stopTimeout       = 4 * time.Second
+	stopCheckInterval = 10 * time.Millisecond
+)
+
+// Stop begins a planned stop: Run returns as soon as this agent leads no round, after
+// some seconds at the latest. Further calls do nothing.
+func (a *Agent) Stop() {
+	a.stopOnce.Do(func() {
+		a.log.Info("stop begun", "in_round", !a.lead.endRounds())
+		close(a.stopRequested)
+	})
+}
+
+// awaitStop returns when a planned stop is complete or the context ends. An agent that
+// ended between ordering a hold and releasing the group would pause all streams of the
+// group until another agent leads.
+func (a *Agent) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.stopRequested:
+	}
+	bounded, cancel := context.WithTimeout(ctx, min(stopTimeout, a.options.Settings.StopGrace/2))
+	defer cancel()
+	for bounded.Err() == nil && !a.lead.endRounds() {
+		sleep(bounded, stopCheckInterval)
+	}
+}
+
+// Run serves and reports until a planned stop is complete or the context ends. It returns an error if the agent can't
 // listen or serve.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := btcall.AwaitListen(ctx, a.options.Listen, a.options.Address)
@@ -136,7 +173,10 @@
 	mux.Handle("POST "+pathCommand, btcall.Handle(a.handleInstruction))
 	mux.Handle("POST "+pathBatch, btcall.Handle(a.relay.handleBatch))
 	mux.Handle("POST "+pathLoadNotice, btcall.Handle(a.relay.handleLoadNotice))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { a.awaitStop(ctx); cancel(); return nil })
 	group.Go(func() error { return btcall.Serve(ctx, listener, mux) })
 	group.Go(func() error { a.directory.run(ctx); return nil })
 	group.Go(func() error { a.runReports(ctx); return nil })
--- a/io/btrank/lead.go
+++ b/io/btrank/lead.go
@@ -60,6 +60,8 @@
 	sending       map[btexpert.Rank]btround.Version
 	remoteEngines map[netip.AddrPort]Engine
 	leading       bool
+	// stopping is set by a planned stop: no further round begins.
+	stopping bool
 	// open is whether all ranks were open at the last step. The load is sent to the
 	// entries at once when it changes.
 	open         bool
@@ -208,7 +210,7 @@
 		l.loadSentAt = time.Time{}
 	}
 	l.sendLoad(ctx, now)
-	if l.machine.Phase() == btround.Idle {
+	if l.machine.Phase() == btround.Idle && !l.stopping {
 		l.plan(now)
 	}
 	l.dispatch(ctx, l.machine.Poll(now))
@@ -220,6 +222,14 @@
 	return roundInterval
 }
 
+// endRounds prevents further rounds, and reports whether none is in progress.
+func (l *lead) endRounds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	return !l.leading || l.machine.Phase() == btround.Idle
+}
+
 // plan begins a round if a better map is worth its price.
 func (l *lead) plan(now time.Time) {
 	group, found := l.agent.directory.shape()
