btdirectcmd: keep running when nobody reads the log

What callers would see: all open answers of a process cut at once. The Go runtime ends a process that writes to a closed pipe at stdout or stderr, and the log goes there; it does so at the next line after the reader has gone.

Change: the processes ignore SIGPIPE; the write fails, and the line is lost.

Evidence: TestProcessOutlivesTheReaderOfItsLog starts a process and failed before (connection refused). TestFurtherSignalsDoNotShortenAStop passed before: SIGTERM, SIGINT and SIGHUP during a stop change nothing, and the exit code is 0.

--- a/commands/btdirectcmd/runtime.go
+++ b/commands/btdirectcmd/runtime.go
@@ -59,6 +59,8 @@
 // newRuntime loads the settings from the file that the environment names and
 // creates the log, the metrics and the clock.
 func newRuntime(logs io.Writer) (*runtime, error) {
+	// Without it, a write to a log that nobody reads any more would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	path := os.Getenv(btadapter.SettingsVariable)
 	if path == "" {
 		return nil, fmt.Errorf("%w: %s is not set", ErrStart, btadapter.SettingsVariable)
