btdirect: give no success to a caller that half-closes while its request waits

What callers saw: 200 without a body, which no target gave. A caller that closes its half of the connection is taken for gone; a request that waited for a group or a slot then ended without an answer, and the server writes 200 for a handler that wrote nothing.

Change: the connection of a request that has no outcome is closed.

--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -210,18 +210,23 @@
 
 // handle handles a caller's request and logs a panic, which cuts only that request.
 func (e *Entry) handle(w http.ResponseWriter, r *http.Request) {
+	c, _ := r.Context().Value(connectionKey{}).(net.Conn)
 	defer func() {
 		cause := recover()
 		if cause == nil {
 			return
 		}
 		if cause != http.ErrAbortHandler {
-			c, _ := r.Context().Value(connectionKey{}).(net.Conn)
 			e.log.Error("request panicked", "request", e.open.fail(c, ReasonPanic), "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
 		}
 		panic(http.ErrAbortHandler)
 	}()
 	e.serveHTTP(w, r)
+	if !e.open.decided(c) {
+		// The caller has disconnected, or closed its half of the connection only. Without
+		// this the server would answer 200.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // serveFront serves callers until the shutdown closes the listener.
--- a/io/btdirect/open_requests.go
+++ b/io/btdirect/open_requests.go
@@ -198,6 +198,20 @@
 	return r.id
 }
 
+// decided reports whether the handling of a connection's request has an outcome.
+func (o *openRequests) decided(c net.Conn) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, found := o.requests[c]
+	if !found {
+		// A stop has cut it.
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outcome != outcome{}
+}
+
 // connectionDone removes the request of a connection that is idle or closed.
 func (o *openRequests) connectionDone(c net.Conn) {
 	o.mu.Lock()
