btentry: announce the close in answers during a planned stop

What callers saw: a kept connection that is closed without an answer, if its next request crossed the closing of the listener. While the balancer still sent connections, answers didn't announce the close.

Change: an answer that begins after SIGTERM has Connection: close.

Ruled out: http.Server.SetKeepAlivesEnabled, which announces the close too, but closes the idle connections at once, with requests on the way.

--- a/io/btentry/fixture_test.go
+++ b/io/btentry/fixture_test.go
@@ -27,6 +27,9 @@
 	model btid.Service = "drafting"
 )
 
+// balancerLag is how long entries in a planned stop still accept connections.
+const balancerLag = 500 * time.Millisecond
+
 // testTarget is one target of a system: a handler that its agent reaches over HTTP.
 type testTarget struct {
 	name    btid.Target
@@ -57,6 +60,7 @@
 func newSystemWithEntries(tb testing.TB, entries int, targets []testTarget, change func(*btbundle.Bundle)) *system {
 	tb.Helper()
 	w := &system{Fleet: btinprocess.New(tb), agents: map[btid.Target]*btinprocess.Agent{}, client: &http.Client{Transport: &http.Transport{}}}
+	w.BalancerLag = balancerLag
 	w.draftBundle()
 	entryNode := w.Node(btprocess.EntryIdentity("e1"))
 	w.AddEntry("e1", entryNode.Address())
--- a/io/btentry/http.go
+++ b/io/btentry/http.go
@@ -16,6 +16,7 @@
 
 // serveHTTP serves one request of a caller.
 func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	w = closingWriter{ResponseWriter: w, stopping: e.stop.Stopping}
 	x := &exchange{
 		id:       e.nextID(),
 		caller:   r,
--- a/io/btstandin/btinprocess/btinprocess.go
+++ b/io/btstandin/btinprocess/btinprocess.go
@@ -51,6 +51,9 @@
 
 // Fleet holds the platform, the signing keys and the bundle that processes share.
 type Fleet struct {
+	// BalancerLag is that of the entries that are started from now on.
+	BalancerLag time.Duration
+
 	TB       testing.TB
 	Platform *btstandin.Platform
 	// Approvers holds the public key of the fleet's approver.
--- a/io/btstandin/btinprocess/process.go
+++ b/io/btstandin/btinprocess/process.go
@@ -112,6 +112,7 @@
 		Name:             btid.Entry(node.Identity().Name),
 		DataCentre:       DataCentre,
 		HostListInterval: hostListInterval,
+		BalancerLag:      f.BalancerLag,
 		Listener:         listener,
 		Node:             node,
 		Bundles:          p.Bundles,
