--- a/commands/btdirectcmd/btdirectcmd.go
+++ b/commands/btdirectcmd/btdirectcmd.go
@@ -27,8 +27,8 @@
 platform.
 
 The settings file is named by the environment. SIGTERM stops the process after the
-round that it leads, if any; SIGHUP reads the settings again, as does a change of the file. Metrics are served as text
-on port 9190 at /metrics.
+round that it leads, if any; SIGHUP reads the settings again, as does a change of the
+file. Metrics are served as text on port 9190 at /metrics.
 
 Exit codes: 0 stopped as planned, 1 could not start or failed, 2 wrong usage.`
 
--- a/io/btrank/agent.go
+++ b/io/btrank/agent.go
@@ -160,8 +160,8 @@
 	}
 }
 
-// Run serves and reports until a planned stop is complete or the context ends. It returns an error if the agent can't
-// listen or serve.
+// Run serves and reports until a planned stop is complete or the context ends. It returns
+// an error if the agent can't listen or serve.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := btcall.AwaitListen(ctx, a.options.Listen, a.options.Address)
 	if err != nil {
