btsoak: overlapping stops, long streams, slow readers and group pauses

No run of the soak had a stream that outlasts a planned stop: callers waited 3 s, the route's timeout was 4 s and streams lasted 1.5 s. And no run had a group that is silent without a fault. Streams that entries close around stops, as users saw, couldn't be found.

Flags of the soak program add, each with a random sequence of its own, series of stops that overlap beside reloads, configurations and restarts of agents (--stops), pauses of the group (--pauses), streams of 0.5 to 8 s with a deadline and timeout of 8 s (--long-streams), callers that read slowly (--slow-readers) and callers that use an entry until its process is gone (--stayers).

--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -45,6 +45,11 @@
 	retrySlack := app.Flag("retry-slack", "How many retries the entries may make beyond that share in 10 s.").Default("100").Float64()
 	removals := app.Flag("removals", "How many records of living targets are removed.").Default("2").Int()
 	watchCuts := app.Flag("watch-cuts", "How often waiting watches of the store are cut in series.").Default("1").Int()
+	stops := app.Flag("stops", "How often several entries stop as planned at once, beside reloads, configurations and restarts of agents.").Default("0").Int()
+	pauses := app.Flag("pauses", "How often the group makes no steps for a while, without a fault.").Default("0").Int()
+	longStreams := app.Flag("long-streams", "Let streams last up to the deadline of 8 s.").Bool()
+	slowReaders := app.Flag("slow-readers", "How many further callers read streams slowly.").Default("0").Int()
+	stayers := app.Flag("stayers", "How many further callers use an entry until its process is gone.").Default("0").Int()
 	onlySeries := app.Flag("only-series", "Inject no random faults beside the series that the other flags ask for.").Bool()
 	logDir := app.Flag("logs", "Where logs of failed runs are kept.").Default("run/soak").String()
 	verbose := app.Flag("verbose", "Print each fault.").Bool()
@@ -57,6 +62,7 @@
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
 			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals, WatchCuts: *watchCuts, OnlySeries: *onlySeries,
+			Stops: *stops, Pauses: *pauses, LongStreams: *longStreams, SlowReaders: *slowReaders, Stayers: *stayers,
 			RetryBudget: btmock.RetryBudget{Ratio: *retryRatio, Slack: *retrySlack, Window: 10 * time.Second},
 			Dir:         filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
 		}
