--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,4 +12,5 @@
 	names=$(cut -d, -f1 KNOWN-RED.txt | sed 's|/|$/^|g; s|.*|^&$|' | paste -sd'|')
 	skip=(-skip "$names")
 fi
-exec go test -race -count=1 "${skip[@]}" ./...
+# The default limit of ten minutes a package is for a machine that does nothing else.
+exec go test -race -count=1 -timeout 1h "${skip[@]}" ./...
