btdirect, btstop: leave an unfinished plain answer only if a rerun fits

A sound target whose body takes longer than half of the time left was left for another one, which then had less time than it needs: a body of 5 s of 8 s ended as 504. The attempt stays now if the route's answers are known to take longer than what is left. And a stopping entry accepts requests of routes without known durations if they may run twice, as it does streams: refusing them for their deadline alone refused all requests of a rarely used route for the whole stop.

--- a/core/btstop/durations.go
+++ b/core/btstop/durations.go
@@ -48,19 +48,20 @@
 
 // Request is a request that a stopping entry may accept.
 type Request struct {
-	Route  string
-	Stream bool
+	Route string
+	// Stream and Repeatable tell of the route: a stream, a request that may run twice.
+	Stream, Repeatable bool
 	// Left is the time until its deadline.
 	Left time.Duration
 }
 
 // Expected returns how long a request is expected to last at most. Until a request of the
-// route has been answered that is its deadline, or zero for a stream, as most streams end
-// long before theirs.
+// route has been answered that is zero, as most end long before their deadline, or the deadline
+// if the request must not run twice.
 func (d *Durations) Expected(r Request) time.Duration {
 	e, found := d.routes[r.Route]
 	switch {
-	case !found && r.Stream:
+	case !found && (r.Stream || r.Repeatable):
 		return 0
 	case !found:
 		return r.Left
--- a/io/btdirect/acceptance.go
+++ b/io/btdirect/acceptance.go
@@ -35,6 +35,13 @@
 	a.durations.Record(route, took)
 }
 
+// expected returns how long a request is expected to last at most.
+func (a *acceptance) expected(r btstop.Request) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.durations.Expected(r)
+}
+
 // finishes reports whether a request is expected to be answered before the end of the stop;
 // true without a stop.
 func (a *acceptance) finishes(now time.Time, r btstop.Request) bool {
@@ -58,13 +65,17 @@
 // expected before the end of the stop, and reports whether it did.
 func (x *exchange) refuseUnfinished() bool {
 	now := x.entry.options.Clock()
-	r := btstop.Request{Route: x.route.Name, Stream: x.streams(), Left: x.deadline.Sub(now)}
-	if x.mayHaveRun || x.entry.acceptance.finishes(now, r) {
+	if x.mayHaveRun || x.entry.acceptance.finishes(now, x.stopRequest(x.deadline.Sub(now))) {
 		return false
 	}
 	x.endUnserved(ReasonStopping, x.otherEntryRetryAfter())
 	return true
 }
 
+// stopRequest describes the request to the estimates of durations.
+func (x *exchange) stopRequest(left time.Duration) btstop.Request {
+	return btstop.Request{Route: x.route.Name, Stream: x.streams(), Repeatable: x.route.Repeatable(), Left: left}
+}
+
 // streams reports whether the route's answers are streams.
 func (x *exchange) streams() bool { return x.route.Kind == btcatalog.Stream }
--- a/io/btdirect/body_timer.go
+++ b/io/btdirect/body_timer.go
@@ -15,10 +15,14 @@
 )
 
 // newBodyTimer returns a timer that cancels an attempt whose body isn't complete in time, if
-// another target can serve the request. Arriving bytes don't extend it: a body that drips
+// another target can serve the request in the rest of it. Arriving bytes don't extend it: a body that drips
 // without end has them too.
 func (x *exchange) newBodyTimer(t *target, cancel context.CancelFunc) *silenceTimer {
 	clock := x.entry.options.Clock
 	limit := max(scaleDuration(x.deadline.Sub(clock()), bodyShare), minBodyTime)
-	return startSilenceTimer(limit, clock, x.leavesSilent(t), cancel)
+	leaves := x.leavesSilent(t)
+	return startSilenceTimer(limit, clock, func(since time.Time) bool {
+		left := x.deadline.Sub(clock())
+		return x.entry.acceptance.expected(x.stopRequest(left)) < left && leaves(since)
+	}, cancel)
 }
