btstall, btdirect: keep streams of a group that resumes, and know a successor

When a paused group resumed, the event of its first member showed the others as silent: a stream that was checked before its own first event left. A group counts as paused until twice the longest usual pause after it has resumed. A timer that expires late, as this host has stood still itself, gives the relay 300 ms to read what has arrived. And a target that is known as silent, failing or full is no successor: a stream left its target for one that refused connections and was cut.

--- a/core/btstall/btstall.go
+++ b/core/btstall/btstall.go
@@ -29,17 +29,31 @@
 type Watch struct {
 	// lastEvent is when the latest event of any member arrived.
 	lastEvent time.Time
+	// resumedAt is when an event arrived after none had for longer than usual.
+	resumedAt time.Time
 	// meanPause is the mean time between two events of a stream, deviation the mean
 	// distance from it, both in nanoseconds. meanPause is zero before the first pause.
 	meanPause, deviation float64
 }
 
 // StreamStarted records the first event of a stream.
-func (w *Watch) StreamStarted(now time.Time) { w.lastEvent = now }
+func (w *Watch) StreamStarted(now time.Time) { w.arrived(now) }
+
+func (w *Watch) arrived(now time.Time) {
+	if now.Sub(w.lastEvent) > w.longestPause() {
+		w.resumedAt = now
+	}
+	w.lastEvent = now
+}
+
+// longestPause is the longest usual time between two events of a stream.
+func (w *Watch) longestPause() time.Duration {
+	return max(time.Duration(w.meanPause+stallDeviations*w.deviation), minStall)
+}
 
 // Event records another event of a stream and the pause before it.
 func (w *Watch) Event(now time.Time, pause time.Duration) {
-	w.lastEvent = now
+	w.arrived(now)
 	if w.meanPause == 0 {
 		w.meanPause = float64(pause)
 		w.deviation = w.meanPause / 2
@@ -56,6 +70,5 @@
 	if w.meanPause == 0 {
 		return false
 	}
-	usual := time.Duration(w.meanPause + stallDeviations*w.deviation)
-	return w.lastEvent.Sub(memberLastEvent) > max(usual, minStall)
+	return w.lastEvent.Sub(memberLastEvent) > w.longestPause()
 }
--- a/core/btstall/silence.go
+++ b/core/btstall/silence.go
@@ -6,6 +6,8 @@
 type Silence struct {
 	// Since is when the target last sent something of the stream, or its header.
 	Since time.Time
+	// Now is the present time.
+	Now time.Time
 	// OtherStreams is the number of observed streams at other members of the target's
 	// group; zero for a target that is in no group.
 	OtherStreams int
@@ -23,7 +25,12 @@
 	return s.AttemptsLeft > 0 && s.Alternative && !w.paused(s)
 }
 
-// paused reports whether no member of the group has sent anything since the silence began.
+// paused reports whether no member of the group has sent anything since the silence began, or
+// the group has only just resumed, so that not all of its streams have sent an event.
 func (w *Watch) paused(s Silence) bool {
-	return s.OtherStreams > 0 && w.lastEvent.Sub(s.Since) <= minStall
+	if s.OtherStreams == 0 {
+		return false
+	}
+	resuming := w.resumedAt.After(s.Since) && s.Now.Sub(w.resumedAt) <= 2*w.longestPause()
+	return resuming || w.lastEvent.Sub(s.Since) <= minStall
 }
--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"bilberrytide/core/btpick"
 	"bilberrytide/core/btstall"
 )
 
@@ -70,19 +72,30 @@
 	if !s.running || s.left {
 		return
 	}
-	if s.clock().Sub(s.since) < s.limit {
+	now := s.clock()
+	if now.Sub(s.since) < s.limit {
 		// The timer was reset after it had fired.
 		return
 	}
+	if now.Sub(s.due) > silenceRecheck {
+		// This host has stood still itself: the relay hasn't read what has arrived.
+		s.recheck(now)
+		return
+	}
 	if !s.leave(s.since) {
-		s.due = s.clock().Add(silenceRecheck)
-		s.timer.Reset(silenceRecheck)
+		s.recheck(now)
 		return
 	}
 	s.left = true
 	s.cancel()
 }
 
+// recheck has the timer expire again. s.mu must be held.
+func (s *silenceTimer) recheck(now time.Time) {
+	s.due = now.Add(silenceRecheck)
+	s.timer.Reset(silenceRecheck)
+}
+
 // resetAfter begins to wait for the target's next event after it has sent events, or only
 // comments. Comments count for one more limit after the last event: a target that sends
 // nothing else for longer may be in trouble.
@@ -125,7 +138,7 @@
 	}
 	r := pickRequest{service: x.service.Name, residency: x.residency, tried: maps.Clone(x.tried)}
 	return func(since time.Time) bool {
-		silence.Since = since
+		silence.Since, silence.Now = since, e.options.Clock()
 		if !e.fleet.leaves(t, silence, r) || x.quarantined() || !e.budget(x.service.Name).take(e.options.Clock()) {
 			e.meter.Counter(metricSilenceStayed).Inc(1)
 			return false
@@ -158,14 +171,19 @@
 	return f.hasAlternative(f.service(r.service), r)
 }
 
-// hasAlternative reports whether a request can be sent to a target that it hasn't tried, in a
-// group that isn't broken. f.mu must be held.
+// hasAlternative reports whether a request can be sent to a target that it hasn't tried, that
+// is known neither as silent nor as failing nor as full, and whose group isn't broken. f.mu must
+// be held.
 func (f *fleet) hasAlternative(s *service, r pickRequest) bool {
 	now := f.clock()
 	if open, _ := f.groupUsable(s, now); !open {
 		return false
 	}
-	return len(f.candidates(s, r, now).best) > 0
+	found := f.candidates(s, r, now)
+	if found.preference >= btpick.Silent {
+		return false
+	}
+	return slices.ContainsFunc(found.best, func(t *target) bool { return t.info.Member != nil || t.requests < t.slots })
 }
 
 // streamsBeside returns the number of this entry's streams at the other members of a target's
