btdirect: never append an answer that is no stream to a begun one

A target that was asked to continue a stream and answered 404 had its text written after the events that the caller had, and the stream ended as complete: status 200, 2 of 6 events and the error's text. Such an answer is a failed attempt now. A body that is complete as its timer expires is relayed and no longer requested again.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -215,6 +215,10 @@
 	if x.route.Kind == btcatalog.Stream && success(answer.Status) && isEvents(answer.Header) {
 		return x.relayStream(ctx, cancel, t, answer, tokens)
 	}
+	if x.streamStarted() {
+		// It can't be appended to the events that the caller has.
+		return attemptResult{reason: ReasonTargetError}
+	}
 	return x.relayWhole(cancel, t, answer)
 }
 
@@ -238,7 +242,7 @@
 	unfinished := x.newBodyTimer(t, cancel)
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
 	unfinished.stop()
-	if unfinished.expired() {
+	if err != nil && unfinished.expired() {
 		return attemptResult{reason: ReasonUnfinished, retryTaken: true, err: err}
 	}
 	if err != nil {
