btdirect: ask a successor before a silent stream leaves its target

A stream that left its silent target was lost if the target that should continue it refused, failed, broke off or never answered, although the first would have finished it: status 200 and 2 of 6 events after 1.2 s, in each of those cases.

Cause: the same as of the streams that nothing could continue: the attempt was cancelled before its successor was certain. That a target accepts requests isn't yet that it accepts this one.

Change: the other target is asked while the first stays connected, and the first is left only when the head of the other's answer begins the rest of the stream. If the first goes on meanwhile, the other is cancelled. A target that was asked counts as an attempt unless it refused; the retry is taken from the budget before it is asked, as before. The stream is never relayed from two targets.

Ruled out: the first event of either wins, which keeps two runs for as long as both are silent.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -34,6 +34,9 @@
 	moved bool
 	// retryTaken reports that the next attempt has been taken from the retry budget.
 	retryTaken bool
+	// successor has begun to continue the stream; nil if the next attempt has to choose a
+	// target.
+	successor *successor
 	// groupBroken reports that the whole group can't serve, so that its other members
 	// need not be tried.
 	groupBroken bool
@@ -57,13 +60,17 @@
 // that breaks off within it can be requested again from another target.
 const bufferBytes = 256 << 10
 
-// attempt sends the request to one target and relays the answer.
-func (x *exchange) attempt(ctx context.Context, t *target) attemptResult {
+// attempt sends the request to one target and relays the answer. A successor that has begun
+// to answer is at that target.
+func (x *exchange) attempt(ctx context.Context, t *target, begun *successor) attemptResult {
 	e := x.entry
-	if result, withheld := x.withhold(t); withheld {
+	tokens := &promptTokens{fleet: e.fleet, target: t, count: x.info.PromptTokens}
+	if begun != nil {
+		ctx, tokens = begun.ctx, begun.tokens
+		defer begun.cancel()
+	} else if result, withheld := x.withhold(t); withheld {
 		return result
 	}
-	tokens := &promptTokens{fleet: e.fleet, target: t, count: x.info.PromptTokens}
 	defer e.fleet.requestDone(t)
 	defer tokens.markRead()
 	x.tried[t.info.Instance()] = true
@@ -71,12 +78,21 @@
 	defer func() { x.open.attemptEnded(x.mayHaveRun) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if begun != nil {
+		cancel = begun.cancel
+	}
 	defer e.quarantine.trackAttempt(x, cancel)()
 	moveState := x.startMove(t, cancel)
 	defer moveState.remove()
 	x.move = moveState.move
 	sentAt := e.options.Clock()
-	answer, err := x.send(ctx, t)
+	var answer *bttarget.Response
+	var err error
+	if begun != nil {
+		answer, sentAt = begun.answer, begun.sentAt
+	} else {
+		answer, err = x.send(ctx, t)
+	}
 	if err != nil {
 		result := x.detectCrash(ctx, t, moveState.result(x.sendFailed(t, err)))
 		if !x.callerGone() {
@@ -149,15 +165,22 @@
 
 // send sends the request to the target and waits for the header of the answer.
 func (x *exchange) send(ctx context.Context, t *target) (*bttarget.Response, error) {
+	lastEvent := ""
+	if x.stream != nil {
+		lastEvent = x.stream.lastEventID()
+	}
+	return x.sendFrom(ctx, t, lastEvent)
+}
+
+// sendFrom sends the request, to be answered after the event with that ID if there is one.
+func (x *exchange) sendFrom(ctx context.Context, t *target, lastEvent string) (*bttarget.Response, error) {
 	header := x.request.Header.Clone()
 	forward := ForwardInfo{
 		Account:   x.account,
 		Target:    t.info.ID,
 		Remaining: x.deadline.Sub(x.entry.options.Clock()),
 		Priority:  x.priority,
-	}
-	if x.stream != nil {
-		forward.LastEvent = x.stream.lastEventID()
+		LastEvent: lastEvent,
 	}
 	x.entry.options.Headers.SetForward(header, forward)
 	client := t.pooled
--- a/io/btdirect/body_timer.go
+++ b/io/btdirect/body_timer.go
@@ -20,9 +20,10 @@
 func (x *exchange) newBodyTimer(t *target, cancel context.CancelFunc) *silenceTimer {
 	clock := x.entry.options.Clock
 	limit := max(scaleDuration(x.deadline.Sub(clock()), bodyShare), minBodyTime)
-	leaves := x.leavesSilent(t)
-	return startSilenceTimer(limit, clock, func(since time.Time) bool {
+	leaves := x.leavesSilent(t, x.newSuccessors())
+	timer := &silenceTimer{limit: limit, clock: clock, cancel: cancel, leave: func(since time.Time) bool {
 		left := x.deadline.Sub(clock())
 		return x.entry.acceptance.expected(x.stopRequest(left)) < left && leaves(since)
-	}, cancel)
+	}}
+	return timer.start()
 }
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -45,6 +45,8 @@
 	stages stages
 	// queueing controls how long the request waits for a serving group and for a slot.
 	queueing btgate.Request
+	// ctx ends at the deadline, and when the caller disconnects.
+	ctx context.Context
 
 	tried map[btinventory.Instance]bool
 	// attempts counts the attempts that a target may have run. notRunAttempts counts
@@ -165,6 +167,7 @@
 // serve admits the request and makes attempts until it has an answer.
 func (x *exchange) serve(ctx context.Context) {
 	e := x.entry
+	x.ctx = ctx
 	if x.refuseStopping() {
 		return
 	}
@@ -185,6 +188,9 @@
 // if the request should wait for a group to serve instead.
 func (x *exchange) makeAttempts(ctx context.Context) (again bool) {
 	e := x.entry
+	// next is a successor that has begun to continue the stream.
+	var next *successor
+	defer func() { next.discard() }()
 	for {
 		// Checked before each attempt: while the request waited, another copy of it may
 		// have crashed targets.
@@ -194,29 +200,16 @@
 		if x.refuseOverdue() {
 			return false
 		}
-		c := e.fleet.pick(pickRequest{
-			service: x.service.Name, residency: x.residency, tokens: x.info.PromptTokens,
-			tried: x.tried, maxWait: x.queueing.WaitUntil.Sub(e.options.Clock()),
-		})
-		if c.exhausted > 0 {
-			e.meter.Counter(metricRatesSkipped).Inc(int64(c.exhausted))
+		begun := next
+		next = nil
+		var t *target
+		if begun != nil {
+			t = begun.target
+		} else if t, again = x.chooseTarget(ctx); t == nil {
+			return again
 		}
-		x.noteSkipped(c.skipped)
-		if c.target == nil && c.wait > 0 {
-			x.endUnserved(ReasonTargetLimited, min(c.wait, x.defaultRetryAfter()))
-			return false
-		}
-		if resting := withExclusion(c.skipped, btpick.Resting); c.target == nil && len(resting) > 0 {
-			return x.endOrAwaitRest(resting)
-		}
-		if c.target == nil {
-			x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: noTargetReason(c), retryAfter: x.defaultRetryAfter()})
-			return false
-		}
-		if !x.awaitRate(ctx, c) {
-			return false
-		}
-		result := x.attempt(ctx, c.target)
+		result := x.attempt(ctx, t, begun)
+		next = result.successor
 		if result.complete {
 			x.answered = true
 			x.recordServed(result)
@@ -235,6 +228,35 @@
 	}
 }
 
+// chooseTarget chooses a target and waits for its rate. If there is none it has ended the
+// request, or again tells to wait for one.
+func (x *exchange) chooseTarget(ctx context.Context) (t *target, again bool) {
+	e := x.entry
+	c := e.fleet.pick(pickRequest{
+		service: x.service.Name, residency: x.residency, tokens: x.info.PromptTokens,
+		tried: x.tried, maxWait: x.queueing.WaitUntil.Sub(e.options.Clock()),
+	})
+	if c.exhausted > 0 {
+		e.meter.Counter(metricRatesSkipped).Inc(int64(c.exhausted))
+	}
+	x.noteSkipped(c.skipped)
+	if c.target == nil && c.wait > 0 {
+		x.endUnserved(ReasonTargetLimited, min(c.wait, x.defaultRetryAfter()))
+		return nil, false
+	}
+	if resting := withExclusion(c.skipped, btpick.Resting); c.target == nil && len(resting) > 0 {
+		return nil, x.endOrAwaitRest(resting)
+	}
+	if c.target == nil {
+		x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: noTargetReason(c), retryAfter: x.defaultRetryAfter()})
+		return nil, false
+	}
+	if !x.awaitRate(ctx, c) {
+		return nil, false
+	}
+	return c.target, false
+}
+
 // noTargetReason returns the reason for which no target was chosen.
 func noTargetReason(c choice) btrequest.Reason {
 	for _, e := range []btpick.Exclusion{btpick.Leaving, btpick.Drained} {
--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -37,6 +36,9 @@
 	// leave reports whether to leave a target that has been silent since the given time.
 	leave  func(since time.Time) bool
 	cancel context.CancelFunc
+	// successors asks for a target that continues the stream, before the attempt is
+	// cancelled; nil if it is cancelled at once.
+	successors *successors
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -48,18 +50,28 @@
 	lastEvent time.Time
 	// due is when the timer expires next.
 	due time.Time
+	// lastEventID is the ID of the last event that was relayed.
+	lastEventID string
+	// withdraw is set while a successor is asked, and ends that.
+	withdraw context.CancelFunc
+	// successor continues the stream once the attempt is cancelled.
+	successor *successor
 }
 
-func newSilenceTimer(maxGap time.Duration, clock func() time.Time, leave func(since time.Time) bool, cancel context.CancelFunc) *silenceTimer {
-	return startSilenceTimer(max(silencePauses*maxGap, minSilenceTimeout), clock, leave, cancel)
+// newSilenceTimer returns the running timer of an attempt at a stream.
+func (x *exchange) newSilenceTimer(t *target, cancel context.CancelFunc) *silenceTimer {
+	s := &silenceTimer{
+		limit: max(silencePauses*x.route.MaxGap, minSilenceTimeout), clock: x.entry.options.Clock, cancel: cancel,
+		successors: x.newSuccessors(), lastEventID: x.stream.lastEventID(),
+	}
+	s.leave = x.leavesSilent(t, s.successors)
+	return s.start()
 }
 
-// startSilenceTimer starts a timer with the limit.
-func startSilenceTimer(limit time.Duration, clock func() time.Time, leave func(since time.Time) bool, cancel context.CancelFunc) *silenceTimer {
-	s := &silenceTimer{limit: limit, clock: clock, leave: leave, cancel: cancel}
+func (s *silenceTimer) start() *silenceTimer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := clock()
+	now := s.clock()
 	s.running, s.since, s.lastEvent, s.due = true, now, now, now.Add(s.limit)
 	s.timer = time.AfterFunc(s.limit, s.expire)
 	return s
@@ -69,7 +81,7 @@
 func (s *silenceTimer) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.running || s.left {
+	if !s.running || s.left || s.withdraw != nil {
 		return
 	}
 	now := s.clock()
@@ -86,8 +98,49 @@
 		s.recheck(now)
 		return
 	}
-	s.left = true
-	s.cancel()
+	if s.successors == nil {
+		s.left = true
+		s.cancel()
+		return
+	}
+	ctx, withdraw := context.WithCancel(s.successors.ctx)
+	s.withdraw = withdraw
+	go s.ask(ctx, s.lastEventID)
+}
+
+// ask asks for a successor and leaves the target if there is one and the target hasn't gone
+// on meanwhile.
+func (s *silenceTimer) ask(ctx context.Context, lastEvent string) {
+	next := s.successors.ask(ctx, lastEvent)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdraw()
+	s.withdraw = nil
+	switch {
+	case next == nil:
+		s.successors.x.entry.meter.Counter(metricSuccessorsRefused).Inc(1)
+		if s.running {
+			s.recheck(s.clock())
+		}
+	case !s.running || s.lastEventID != lastEvent:
+		next.discard()
+	default:
+		// The attempt at the successor counts it.
+		s.successors.ran.Add(-1)
+		s.successor = next
+		s.left = true
+		s.cancel()
+	}
+}
+
+// takeSuccessor returns the successor, which the caller has to use or discard; nil without
+// one.
+func (s *silenceTimer) takeSuccessor() *successor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.successor
+	s.successor = nil
+	return next
 }
 
 // recheck has the timer expire again. s.mu must be held.
@@ -99,10 +152,11 @@
 // resetAfter begins to wait for the target's next event after it has sent events, or only
 // comments. Comments count for one more limit after the last event: a target that sends
 // nothing else for longer may be in trouble.
-func (s *silenceTimer) resetAfter(hasEvents bool) {
+func (s *silenceTimer) resetAfter(hasEvents bool, lastEventID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.lastEventID = lastEventID
 	if hasEvents {
 		s.lastEvent = now
 	}
@@ -118,6 +172,16 @@
 	defer s.mu.Unlock()
 	s.running = false
 	s.timer.Stop()
+	if s.withdraw != nil {
+		s.withdraw()
+	}
+}
+
+// close stops the timer at the end of the attempt, and discards a successor that wasn't
+// taken.
+func (s *silenceTimer) close() {
+	s.stop()
+	s.takeSuccessor().discard()
 }
 
 // expired reports whether the attempt was cancelled.
@@ -130,15 +194,15 @@
 // leavesSilent returns a function that decides whether the stream leaves its target, and
 // takes the retry from the budget if it does. The function is called while the attempt waits
 // for the target.
-func (x *exchange) leavesSilent(t *target) func(since time.Time) bool {
+func (x *exchange) leavesSilent(t *target, others *successors) func(since time.Time) bool {
 	e := x.entry
-	silence := btstall.Silence{AttemptsLeft: x.route.Attempts - x.attempts}
+	attempts := x.route.Attempts - x.attempts
 	if !x.route.Repeatable() {
-		silence.AttemptsLeft = 0
+		attempts = 0
 	}
-	r := pickRequest{service: x.service.Name, residency: x.residency, tried: maps.Clone(x.tried)}
+	r := pickRequest{service: x.service.Name, residency: x.residency, tried: others.tried}
 	return func(since time.Time) bool {
-		silence.Since, silence.Now = since, e.options.Clock()
+		silence := btstall.Silence{Since: since, Now: e.options.Clock(), AttemptsLeft: attempts - int(others.ran.Load())}
 		if !e.fleet.leaves(t, silence, r) || x.quarantined() || !e.budget(x.service.Name).take(e.options.Clock()) {
 			e.meter.Counter(metricSilenceStayed).Inc(1)
 			return false
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -71,8 +71,11 @@
 	} else {
 		x.stream.resume()
 	}
-	silence := newSilenceTimer(x.route.MaxGap, x.entry.options.Clock, x.leavesSilent(t), cancel)
-	defer silence.stop()
+	silence := x.newSilenceTimer(t, cancel)
+	defer func() {
+		silence.close()
+		x.attempts += int(silence.successors.ran.Load())
+	}()
 	x.stream.observer = &streamObserver{fleet: x.entry.fleet, target: t}
 	defer x.stream.observer.close()
 	buffer := make([]byte, readBufferBytes)
@@ -115,7 +118,7 @@
 	if err := x.stream.write(out, answer); err != nil {
 		return writeFailed(err), true
 	}
-	silence.resetAfter(hasEvents)
+	silence.resetAfter(hasEvents, x.stream.lastEventID())
 	return attemptResult{}, false
 }
 
@@ -160,6 +163,7 @@
 	case silence.expired():
 		result.reason = ReasonSilent
 		result.retryTaken = true
+		result.successor = silence.takeSuccessor()
 	case ctx.Err() != nil:
 		result.reason = ReasonTimeout
 	}
