--- a/commands/btdirectcmd/signal_test.go
+++ b/commands/btdirectcmd/signal_test.go
@@ -1,10 +1,10 @@
 package btdirectcmd_test
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +17,7 @@
 
 	"bilberrytide/commands/btdirectcmd"
 	btadapter "bilberrytide/platform"
+	"bilberrytide/platform/btmock"
 )
 
 // childVariable makes the test's own program run an entry.
@@ -37,21 +38,21 @@
 const host = "127.0.9.1"
 
 // freeAddress returns an address with a port that was free just now.
-func freeAddress(t *testing.T) string {
+func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", host+":0")
 	assert.NilError(t, err)
 	defer l.Close()
-	return l.Addr().String()
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 // startEntry starts an entry as a process and returns the address of its readiness check.
 func startEntry(t *testing.T, output io.Writer) (process *exec.Cmd, ready string) {
 	t.Helper()
-	ready = freeAddress(t)
+	readyAddress := freeAddress(t)
+	ready = readyAddress.String()
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	settings := fmt.Sprintf("node = \"e\"\nip = %q\nzone = \"z\"\nport_range = [20000, 20010]\n[listen]\nfront = %q\nready_addr = %q\ncontrol = %q\n[bounds]\ngrace_s = 8\n[platform]\naddr = %q\n",
-		host, freeAddress(t), ready, freeAddress(t), freeAddress(t))
+	settings := btmock.EntryAddresses{Front: freeAddress(t), Ready: readyAddress, Peer: freeAddress(t), Store: freeAddress(t)}.SettingsFile()
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	process = exec.Command(os.Args[0])
 	process.Env = append(os.Environ(), childVariable+"=1", btadapter.SettingsVariable+"="+path)
