btdirect: exit when the last accepted request is answered

Entries came back from a planned stop 0.2 s later than before, with their listener closed: requests on open connections were refused for that long after the last answer.

Change: no wait after the last accepted request. While one is open, requests on open connections are answered as before; one that crosses the close isn't passed on.

TestRequestAfterAStreamIsAnsweredUntilTheEndOfTheStop and the other tests of stops pass.

--- a/io/btdirect/stop.go
+++ b/io/btdirect/stop.go
@@ -10,14 +10,8 @@
 	"bilberrytide/core/btstop"
 )
 
-const (
-	// stopPollInterval is how often the phase of a shutdown is updated.
-	stopPollInterval = 20 * time.Millisecond
-	// lastRefusals is how long requests on open connections are still refused after the
-	// last answer. The caller of a stream that began before the stop may send its next
-	// request on the same connection.
-	lastRefusals = 200 * time.Millisecond
-)
+// stopPollInterval is how often the phase of a shutdown is updated.
+const stopPollInterval = 20 * time.Millisecond
 
 // Stop begins the graceful shutdown. Further calls do nothing.
 func (e *Entry) Stop() {
@@ -62,10 +56,8 @@
 		}
 		sleep(ctx, stopPollInterval)
 	}
-	left := func() time.Duration { return max(plan.End-e.options.Clock().Sub(began), 0) }
 	_ = front.Close()
-	sleep(ctx, min(lastRefusals, left()))
-	bounded, cancel := context.WithTimeout(ctx, left())
+	bounded, cancel := context.WithTimeout(ctx, max(plan.End-e.options.Clock().Sub(began), 0))
 	defer cancel()
 	if err := e.closeServer(bounded, server); err != nil {
 		reason := ReasonStopTimeout
