btcall: bound the server's receive buffers in the test of endless calls

The count is of what the kernel has taken, and its receive buffer grows to megabytes on a busy host.

--- a/io/btcall/endless_test.go
+++ b/io/btcall/endless_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	headBytes = (btbound.MaxInformational + 1) * btbound.MaxHeaderBytes
 	// messageBytes is the size limit of a message.
 	messageBytes = 4 << 20
+	// receiveBytes is the size of the server's receive buffers.
+	receiveBytes = 64 << 10
 )
 
 // TestEndlessAnswers guards against a peer whose answer has no end: it would fill the
@@ -104,6 +107,13 @@
 	t.Helper()
 	listener, err := btcall.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	assert.NilError(t, err)
+	// The kernel's buffer grows to megabytes on a busy host, which a caller fills unread.
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+	}))
+	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	echo := btcall.Handle(func(_ context.Context, n note) (note, error) { return n, nil })
