btdirect: ask a successor also while comments arrive

Cause: each comment stopped the silence timer and so withdrew the request to the successor, every 20 ms, before its answer had begun on a busy host. Only events withdraw it now. And a member of a group that is listed as broken is asked too, as the list may be out of date and asking first loses nothing.

The tests of endless answers, successors, silent streams and paused groups pass under the race detector.

--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -42,6 +42,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// closed reports that the attempt has ended.
+	closed bool
 	// running reports that the target's next bytes are awaited, since the given time.
 	running bool
 	since   time.Time
@@ -122,7 +124,7 @@
 		if s.running {
 			s.recheck(s.clock())
 		}
-	case !s.running || s.lastEventID != lastEvent:
+	case s.closed || s.lastEventID != lastEvent:
 		next.discard()
 	default:
 		// The attempt at the successor counts it.
@@ -159,6 +161,10 @@
 	s.lastEventID = lastEventID
 	if hasEvents {
 		s.lastEvent = now
+		if s.withdraw != nil {
+			// The target goes on. After comments alone it may not.
+			s.withdraw()
+		}
 	}
 	s.running = true
 	if now.Sub(s.lastEvent) <= s.limit {
@@ -172,15 +178,18 @@
 	defer s.mu.Unlock()
 	s.running = false
 	s.timer.Stop()
-	if s.withdraw != nil {
-		s.withdraw()
-	}
 }
 
 // close stops the timer at the end of the attempt, and discards a successor that wasn't
 // taken.
 func (s *silenceTimer) close() {
 	s.stop()
+	s.mu.Lock()
+	s.closed = true
+	if s.withdraw != nil {
+		s.withdraw()
+	}
+	s.mu.Unlock()
 	s.takeSuccessor().discard()
 }
 
@@ -224,7 +233,7 @@
 	defer f.mu.Unlock()
 	s := f.service(r.service)
 	silence.OtherStreams = s.streamsBeside(t)
-	silence.Alternative = f.hasAlternative(s, r)
+	silence.Alternative = f.hasAlternative(s, r, true)
 	return s.watch(t.groupName()).Leave(silence)
 }
 
@@ -232,19 +241,19 @@
 func (f *fleet) offersAlternative(r pickRequest) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.hasAlternative(f.service(r.service), r)
+	return f.hasAlternative(f.service(r.service), r, false)
 }
 
-// hasAlternative reports whether a request can be sent to a target that it hasn't tried, that
-// is known neither as silent nor as failing nor as full, and whose group isn't broken. f.mu must
-// be held.
-func (f *fleet) hasAlternative(s *service, r pickRequest) bool {
+// hasAlternative reports whether a request can be sent to a target that it hasn't tried and
+// that is known neither as silent nor as failing nor as full. One of a group that is listed as
+// broken counts only if it is asked first, as it may be open again. f.mu must be held.
+func (f *fleet) hasAlternative(s *service, r pickRequest, asked bool) bool {
 	now := f.clock()
 	if open, _ := f.groupUsable(s, now); !open {
 		return false
 	}
 	found := f.candidates(s, r, now)
-	if found.preference >= btpick.Silent {
+	if found.preference >= btpick.Silent && !(asked && found.preference == btpick.Broken) {
 		return false
 	}
 	return slices.ContainsFunc(found.best, func(t *target) bool { return t.info.Member != nil || t.requests < t.slots })
