--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -92,7 +92,7 @@
 		return
 	}
 	if now.Sub(s.due) > silenceRecheck {
-		// This host has stood still itself: the relay hasn't read what has arrived.
+		// This host was suspended or starved: the relay hasn't read what has arrived.
 		s.recheck(now)
 		return
 	}
