--- a/review/standin-2/ballots.go
+++ b/review/standin-2/ballots.go
@@ -18,6 +18,8 @@
 	measureTime = 8 * time.Second
 	// stopGap is the least time between two planned stops, as on the site.
 	stopGap = 1300 * time.Millisecond
+	// downTime is how long all processes stay down after the kill, as on the site.
+	downTime = 800 * time.Millisecond
 	// rankMask selects the lead's rank in a fencing token, counterShift its counter.
 	rankMask     = 1<<13 - 1
 	counterShift = 29
@@ -161,7 +163,7 @@
 	for _, p := range d.processes() {
 		p.wait(time.Second)
 	}
-	time.Sleep(restartDelay)
+	time.Sleep(downTime)
 	for _, p := range d.processes() {
 		if err := d.start(p); err != nil {
 			return err
