--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -134,7 +134,7 @@
 	for i := range s.plainTargets {
 		t := btmock.NewTarget(fmt.Sprintf("i-plain-%d", i), plainService, d.ledger, btmock.Settings{Slots: 6, Work: 30 * time.Millisecond})
 		d.plain = append(d.plain, t)
-		if err := d.serve(netip.AddrPortFrom(d.host(kindPlain, i), d.ports.engine), t); err != nil {
+		if err := d.serve(netip.AddrPortFrom(d.host(kindPlain, i), d.ports.engine), d.observed(i, t)); err != nil {
 			return d, err
 		}
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,8 +7,12 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
+// limit bounds a case. The processes that it has started end with this one.
+const limit = 118 * time.Second
+
 // cases are the cases by name.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"ballots": ballots,
@@ -24,6 +28,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	time.AfterFunc(limit, func() {
+		r.say("the case couldn't run: it takes too long")
+		os.Exit(2)
+	})
 	broken, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/standin-2/observe.go
+++ b/review/standin-2/observe.go
@@ -54,9 +54,13 @@
 
 func (d *deployment) setOrderHook(h orderHook) { d.onOrder.Store(&h) }
 
-// observed records the orders that an engine receives, with its answers.
+// observed records the requests and orders that a target receives, and its answers to
+// orders.
 func (d *deployment) observed(rank int, t *btmock.Target) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(names.RequestID); id != "" {
+			d.record.line("target %s receives %s", t.ID, id)
+		}
 		if r.URL.Path != names.Order {
 			t.ServeHTTP(w, r)
 			return
