review: keep the site's gap between the planned stops of case 4

Cause: the gap was counted from the start of a turn, so that 9 to 16 of 50 stops came less than 1.3 s after the one before, at the least 0.8 s. Change: it is counted from SIGTERM to SIGTERM, and each SIGTERM is recorded.

--- a/review/standin-2/ballots.go
+++ b/review/standin-2/ballots.go
@@ -12,12 +12,12 @@
 const (
 	// buildTime is how long agents are restarted as planned, so that the group's fencing
 	// tokens rise.
-	buildTime = 68 * time.Second
+	buildTime = 75 * time.Second
 	// recoverTime is recover_s of the site; measureTime is how long requests are counted.
 	recoverTime = 12 * time.Second
 	measureTime = 8 * time.Second
 	// stopGap is the least time between two planned stops, as on the site.
-	stopGap = 1300 * time.Millisecond
+	stopGap = 1310 * time.Millisecond
 	// downTime is how long all processes stay down after the kill, as on the site.
 	downTime = 800 * time.Millisecond
 	// rankMask selects the lead's rank in a fencing token, counterShift its counter.
@@ -117,8 +117,8 @@
 // rollLeads stops and starts the agent that leads, one after the other.
 func (d *deployment) rollLeads(o *orders) error {
 	end := time.Now().Add(buildTime)
+	var stoppedAt time.Time
 	for n := 0; time.Now().Before(end); n++ {
-		began := time.Now()
 		before, _, _ := o.state()
 		for wait := 0; wait < 40; wait++ {
 			if rounds, _, _ := o.state(); rounds != before {
@@ -128,7 +128,10 @@
 		}
 		_, lead, counter := o.state()
 		p := d.agents[lead]
+		time.Sleep(stopGap - time.Since(stoppedAt))
+		stoppedAt = time.Now()
 		p.signal(syscall.SIGTERM)
+		d.record.line("SIGTERM to %s", p.name)
 		if !p.wait(graceSeconds * time.Second) {
 			return errors.New("an agent doesn't stop")
 		}
@@ -137,7 +140,6 @@
 			return err
 		}
 		d.record.line("planned restart %d, of %s, counter %d", n, p.name, counter)
-		time.Sleep(stopGap - time.Since(began))
 	}
 	return nil
 }
