platform, btdirect: log the prompt's parts of requests at a crashed target

The logs of the incident show that each crash had another request, and can't show what these requests share: the header with the parts of a prompt wasn't read.

Ruled out: logging the parts of all requests, which costs CPU time for lines that nobody reads.

--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -120,7 +120,7 @@
 		a = append(a, "target_ended", true, "began", result.began)
 	}
 	if result.crashed || result.reason == ReasonQuarantined {
-		a = append(a, "fingerprint", x.fingerprint())
+		a = append(a, "fingerprint", x.fingerprint(), "parts", x.info.PromptParts)
 	}
 	a = append(a, x.skippedAttributes()...)
 	return append(append(a, x.stageAttributes()...), more...)
--- a/io/btdirect/source.go
+++ b/io/btdirect/source.go
@@ -10,6 +10,7 @@
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btnotice"
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrate"
 )
 
@@ -93,6 +94,8 @@
 	LastEvent string
 	// PromptTokens and OutputTokens are the caller's estimates; zero if absent.
 	PromptTokens, OutputTokens int
+	// PromptParts are the parts of the prompt that other requests may share.
+	PromptParts []btquarantine.PartID
 }
 
 // ForwardInfo holds the platform's header fields of a request to a target.
