btquarantine, btdirect: quarantine parts of prompts that crash targets

Cause: a request was identified by its whole content, so that requests which share only a part of their prompts each were a new one, and no count ever reached two. The class of fault: evidence kept by an identity that the next request doesn't share.

Change: btquarantine.PartRegister weighs what a crash says against the parts of the requests that the target had begun without output, by how likely each part was there by chance, and what any output says for them. It restricts the narrowest set of parts that explains each crash, for the account that crashed targets or, after two accounts, for all. A hold ends by probes: one request at a time, first where rendezvous hashing says, at a time that weighs another outage against the requests refused. Waiting requests and attempts are withdrawn. Entries exchange crashes and outputs with quarantine notices and hellos.

--- /dev/null
+++ b/core/btquarantine/evidence.go
@@ -0,0 +1,164 @@
+package btquarantine
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// sameOutageWithin is the time within which crashes count as one: the targets of a
+	// group, or of a rack, that crash together share many parts.
+	sameOutageWithin = 2 * time.Second
+	// unknownPrior and knownPrior are the log odds, before any crash, that a part is at
+	// fault: one that has not been served lately is so more often.
+	unknownPrior = -2.0
+	knownPrior   = -3.5
+	// unknownShare is the share of the requests that is assumed to have an unknown part.
+	unknownShare = 0.001
+	// knownCrashes is the least number of crashes for which a known part is restricted.
+	knownCrashes = 2
+)
+
+// evidence is what speaks against a part.
+type evidence struct {
+	// crashes is the number of outages at the beginning of which a request with the part
+	// was at a target that crashed, and since which no output of the part is known.
+	crashes int
+	last    time.Time
+	// logOdds are those that the part is at fault, if one part is.
+	logOdds float64
+	// known reports that the part was served shortly before the first crash.
+	known bool
+	// excess is how many more crashes there are than restrict the part; -1 if there are
+	// too few.
+	excess int
+}
+
+// addCrash adds a crash at which the target had begun that many requests, of which a share
+// of all requests with the part would have been one by chance.
+func (e *evidence) addCrash(at time.Time, requests int, share float64) {
+	if e.crashes > 0 && at.Sub(e.last) < sameOutageWithin {
+		return
+	}
+	e.crashes++
+	e.last = at
+	e.logOdds -= math.Log(1 - math.Pow(1-min(share, 1), float64(requests)))
+	if e.excess >= 0 || e.logOdds >= 0 && (!e.known || e.crashes >= knownCrashes) {
+		e.excess++
+	}
+}
+
+// candidate is a request that may be at fault for the crash of a target.
+type candidate struct {
+	partCrash
+	// remaining are the parts that may be at fault.
+	remaining []partKey
+	// requests is the number of requests with which the target had come as far.
+	requests int
+}
+
+// mayBe reports whether all of the parts may be at fault.
+func (c candidate) mayBe(parts []PartID) bool {
+	for _, id := range parts {
+		if !slices.Contains(c.remaining, partKey{service: c.service, id: id}) {
+			return false
+		}
+	}
+	return true
+}
+
+// blame returns the restriction on the parts of the request that are most likely at fault.
+// It has no parts if there is too little evidence. Its scope isn't set.
+func (c candidate) blame(weighed map[partKey]evidence) Restriction {
+	r := Restriction{Account: c.account, Service: c.service, LogOdds: math.Inf(-1)}
+	for _, k := range c.remaining {
+		e := weighed[k]
+		if e.excess < 0 || !c.begun && e.crashes < knownCrashes {
+			continue
+		}
+		if e.logOdds > r.LogOdds {
+			r.Parts = nil
+			r.Crashes, r.Excess, r.LogOdds = e.crashes, e.excess, e.logOdds
+		}
+		if e.logOdds == r.LogOdds {
+			r.Parts = append(r.Parts, k.id)
+		}
+	}
+	return r
+}
+
+// weigh returns the evidence about each part of the candidates, which are in the order of
+// time.
+func weigh(candidates []candidate) map[partKey]evidence {
+	shares := make(map[partKey]byte)
+	for _, c := range candidates {
+		for i, k := range c.keys() {
+			shares[k] = max(shares[k], c.shares[i])
+		}
+	}
+	weighed := make(map[partKey]evidence)
+	for _, c := range candidates {
+		for _, k := range c.remaining {
+			share := float64(shares[k]) / maxShare
+			e, found := weighed[k]
+			if !found {
+				e = evidence{known: shares[k] > 0, logOdds: unknownPrior, excess: -1}
+				if e.known {
+					e.logOdds = knownPrior
+				}
+			}
+			e.addCrash(c.at, c.requests, max(share, unknownShare))
+			weighed[k] = e
+		}
+	}
+	return weighed
+}
+
+// selectCandidates returns the requests that may be at fault, by the crash of a target. One
+// that the target had not begun to answer may be only if it had begun none of the others
+// that may be.
+func selectCandidates(crashes []partCrash, outputs map[partKey]time.Time) [][]candidate {
+	var groups [][]candidate
+	for _, together := range byTarget(crashes) {
+		begunCount := 0
+		for _, c := range together {
+			if c.begun {
+				begunCount++
+			}
+		}
+		var begun, waiting []candidate
+		for _, c := range together {
+			remaining := c.remaining(outputs)
+			switch {
+			case len(remaining) == 0:
+			case c.begun:
+				begun = append(begun, candidate{partCrash: c, remaining: remaining, requests: begunCount})
+			default:
+				waiting = append(waiting, candidate{partCrash: c, remaining: remaining, requests: len(together) - begunCount})
+			}
+		}
+		if len(begun) == 0 {
+			begun = waiting
+		}
+		groups = append(groups, begun)
+	}
+	return groups
+}
+
+// byTarget groups the requests by the crash of a target, whose reports are in the order of
+// time.
+func byTarget(crashes []partCrash) [][]partCrash {
+	var groups [][]partCrash
+	latest := make(map[uint64]int)
+	for _, c := range crashes {
+		i, found := latest[c.target]
+		if !found || c.at.Sub(groups[i][0].at) >= sameCrashWithin {
+			latest[c.target] = len(groups)
+			groups = append(groups, []partCrash{c})
+			continue
+		}
+		groups[i] = append(groups[i], c)
+	}
+	return groups
+}
--- a/core/btquarantine/part.go
+++ b/core/btquarantine/part.go
@@ -1,7 +1,6 @@
 package btquarantine
 
 import (
-	"encoding/binary"
 	"slices"
 	"strconv"
 
@@ -20,31 +19,49 @@
 // MarshalText returns the identifier in hexadecimal.
 func (p PartID) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
 
-// Part identifies a part of prompts at a service. Targets of another service may run
-// other software, so what one of them does with a part says nothing about the other.
-type Part uint64
-
 // MaxParts limits the parts of a request. Of a request with more, those with the lowest
-// values are used, so that a part is used in each request or hidden by the same others.
+// values are used: a part is then used in most requests or in few, wherever it stands.
 const MaxParts = 64
 
-// PartsOf returns the parts of a prompt at a service in ascending order, each once.
-func PartsOf(service btid.Service, ids []PartID) []Part {
-	if len(ids) == 0 {
-		return nil
+// Prompt identifies what requests may share: their client account, their service and the
+// parts of their prompts. Services are distinguished because their targets may run other
+// software, so that what one crashes on another may serve.
+type Prompt struct {
+	Account, Service uint64
+	// Parts are in ascending order, each once.
+	Parts []PartID
+}
+
+// NewPrompt returns a prompt with the parts in any order.
+func NewPrompt(account btid.Account, service btid.Service, parts []PartID) Prompt {
+	if len(parts) == 0 {
+		return Prompt{}
 	}
-	var d xxhash.Digest
-	var data [8]byte
-	parts := make([]Part, len(ids))
-	for i, id := range ids {
-		d.Reset()
-		// Writing to a hash returns no error.
-		_, _ = d.WriteString(string(service))
-		binary.BigEndian.PutUint64(data[:], uint64(id))
-		_, _ = d.Write(data[:])
-		parts[i] = Part(d.Sum64())
+	sorted := slices.Clone(parts)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	return Prompt{
+		Account: xxhash.Sum64String(string(account)),
+		Service: xxhash.Sum64String(string(service)),
+		Parts:   sorted[:min(len(sorted), MaxParts)],
 	}
-	slices.Sort(parts)
-	parts = slices.Compact(parts)
-	return parts[:min(len(parts), MaxParts)]
+}
+
+// has reports whether the prompt has all of the parts, which are in ascending order.
+func (p Prompt) has(parts []PartID) bool {
+	if len(parts) > len(p.Parts) {
+		return false
+	}
+	for _, id := range parts {
+		if _, found := slices.BinarySearch(p.Parts, id); !found {
+			return false
+		}
+	}
+	return true
+}
+
+// partKey is a part at a service.
+type partKey struct {
+	service uint64
+	id      PartID
 }
--- /dev/null
+++ b/core/btquarantine/recent_parts.go
@@ -0,0 +1,66 @@
+package btquarantine
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// KnownFor is how long a part counts as served after an output, while its service has
+	// output at all.
+	KnownFor = time.Minute
+	// maxPartGeneration limits the parts of a generation. At a higher rate of new parts a
+	// generation is shorter. Two generations take some 400 KB of heap.
+	maxPartGeneration = 4096
+	// anyPart stands for all parts of a service.
+	anyPart PartID = 0
+)
+
+// partCount is the requests of a generation that had output.
+type partCount struct {
+	requests int
+	last     time.Time
+}
+
+// recentParts counts this process's requests with output by part, in two generations: all
+// of the last KnownFor with output, unless there are more than maxPartGeneration parts.
+type recentParts struct {
+	startedAt         time.Time
+	current, previous map[partKey]partCount
+}
+
+// add counts a request with output.
+func (s *recentParts) add(now time.Time, p Prompt) {
+	if s.current == nil || now.Sub(s.startedAt) >= KnownFor || len(s.current) >= maxPartGeneration {
+		s.previous = s.current
+		s.current = make(map[partKey]partCount)
+		s.startedAt = now
+	}
+	s.count(now, partKey{service: p.Service, id: anyPart})
+	for _, id := range p.Parts {
+		s.count(now, partKey{service: p.Service, id: id})
+	}
+}
+
+func (s *recentParts) count(now time.Time, k partKey) {
+	s.current[k] = partCount{requests: s.current[k].requests + 1, last: now}
+}
+
+// get returns the requests and the last output of both generations.
+func (s *recentParts) get(k partKey) partCount {
+	c, previous := s.current[k], s.previous[k]
+	return partCount{requests: c.requests + previous.requests, last: maxTime(c.last, previous.last)}
+}
+
+// maxShare is the share of all requests in a PartCrash.
+const maxShare = math.MaxUint8
+
+// share returns the share of the service's requests that had the part, as in a PartCrash.
+// An outage of the service doesn't make a part unknown.
+func (s *recentParts) share(k partKey) byte {
+	part, all := s.get(k), s.get(partKey{service: k.service, id: anyPart})
+	if part.requests == 0 || all.last.Sub(part.last) >= KnownFor {
+		return 0
+	}
+	return byte(math.Ceil(maxShare * float64(part.requests) / float64(all.requests)))
+}
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -114,8 +114,8 @@
 // broke off. A withdrawn attempt was cancelled by this entry and says nothing about the
 // target.
 func (x *exchange) detectCrash(ctx context.Context, t *target, result attemptResult) attemptResult {
-	if x.withdrawn.Load() && !result.complete {
-		result.reason = ReasonQuarantined
+	if reason := x.withdrawnReason(); reason != "" && !result.complete {
+		result.reason = reason
 		return result
 	}
 	// A connection to a caller that has disconnected breaks off in the same way.
@@ -128,9 +128,7 @@
 	}
 	if crashed {
 		x.entry.memberCrashed(t)
-	}
-	if crashed {
-		x.entry.quarantine.RecordCrash(x.fingerprint(), t.info.Instance().String(), x.progress(t, result), "account", x.account, "path", x.request.RequestURI)
+		x.recordCrash(t, result)
 	}
 	result.crashed = crashed
 	return result
@@ -342,7 +340,7 @@
 		}
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
-	case callerLost(result.reason), result.reason == ReasonTimeout, result.reason == ReasonQuarantined, result.moved:
+	case callerLost(result.reason), result.reason == ReasonTimeout, isQuarantined(result.reason), result.moved:
 	case result.withheld:
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -87,7 +87,6 @@
 		fleet:         newFleet(o),
 		crashes:       newCrashDetector(o.Clock),
 		bodies:        newBodyMemory(o.Settings.Memory),
-		quarantine:    newQuarantine(o),
 		acceptance:    newAcceptance(),
 		stopRequested: make(chan struct{}),
 		budgets:       make(map[btid.Service]*budget),
@@ -96,6 +95,7 @@
 	e.stopGrace.Store(int64(o.Settings.StopGrace))
 	e.cache = newSourceCache(o, e.configure)
 	e.peers = newPeers(e)
+	e.quarantine = newQuarantine(o, e.peers)
 	e.cache.reading = e.peers.reading
 	e.admission = newAdmission(o, e.fleet, e.estimatedEntries)
 	return e
@@ -192,6 +192,7 @@
 	group.Go(func() error { return e.stopOnError("peer", e.peers.serve(ctx, l.peer)) })
 	group.Go(func() error { e.peers.run(ctx); return nil })
 	group.Go(func() error { e.quarantine.Run(ctx, e.peers.sendQuarantine); return nil })
+	group.Go(func() error { e.quarantine.parts.Run(ctx, e.peers.sendParts); return nil })
 	group.Go(func() error {
 		defer cancel()
 		defer ready.Close()
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -63,8 +63,15 @@
 	answered bool
 	// fingerprint returns the fingerprint of the content, computed on the first call.
 	fingerprint func() btquarantine.Fingerprint
-	// withdrawn is set when an attempt is cancelled because the request is quarantined.
-	withdrawn atomic.Bool
+	// withdrawn is the reason, once an attempt or a wait is cancelled because the request is
+	// quarantined.
+	withdrawn atomic.Pointer[btrequest.Reason]
+	// prompt has the parts of the prompt that other requests may share.
+	prompt btquarantine.Prompt
+	// probe permits the request in spite of a restriction; nil for nearly all requests.
+	probe *btquarantine.Probe
+	// restriction is the one that last refused the request, for the log.
+	restriction *btquarantine.Restriction
 	// partlySent is set once a part of a streamed answer has been sent.
 	partlySent atomic.Bool
 	// skipped holds the targets that were skipped last though they are listed as ready.
@@ -141,6 +148,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonNoTarget, retryAfter: x.defaultRetryAfter()}
 	}
 	x.service = service
+	x.prompt = btquarantine.NewPrompt(x.account, service.Name, x.info.PromptParts)
 	return x.readBody()
 }
 
@@ -167,6 +175,8 @@
 // serve admits the request and makes attempts until it has an answer.
 func (x *exchange) serve(ctx context.Context) {
 	e := x.entry
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	x.ctx = ctx
 	if x.refuseStopping() {
 		return
@@ -178,6 +188,11 @@
 	}
 	x.queueing = e.admission.queueParams(x)
 	e.budget(x.service.Name).countRequest(e.options.Clock())
+	defer e.quarantine.trackPrompt(x, cancel)()
+	if x.refuseOnArrival() {
+		return
+	}
+	defer e.quarantine.parts.Release(x.probe)
 	again := true
 	for again {
 		again = x.serveOnce(ctx)
@@ -291,6 +306,10 @@
 		x.abort()
 		return false
 	}
+	if reason := x.withdrawnReason(); reason != "" {
+		x.answerFailure(result, reason)
+		return false
+	}
 	if ctx.Err() != nil || !now.Before(x.deadline) {
 		e.logFailure(x, ReasonTimeout, result)
 		x.refuseOrAbort(&refusal{status: http.StatusGatewayTimeout, reason: ReasonTimeout})
@@ -312,8 +331,8 @@
 
 // retryDenied returns the reason for which the request must not be retried, or "".
 func (x *exchange) retryDenied(result attemptResult, now time.Time) btrequest.Reason {
-	if _, held := x.entry.quarantine.Remaining(x.fingerprint); held {
-		return ReasonQuarantined
+	if reason := x.quarantineReason(); reason != "" {
+		return reason
 	}
 	if result.moved || result.retryTaken {
 		return ""
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
 )
 
@@ -33,6 +34,9 @@
 	x.open.setOutcome(outcome{answered: true})
 	took := e.options.Clock().Sub(x.receivedAt)
 	e.quarantine.RecordServed(x.fingerprint())
+	if x.stream == nil {
+		x.recordOutput()
+	}
 	e.meter.Ended(btrequest.Done)
 	e.meter.Duration(metricAnswer, took)
 	e.acceptance.record(x.route.Name, took)
@@ -119,9 +123,10 @@
 	if result.crashed {
 		a = append(a, "target_ended", true, "began", result.began)
 	}
-	if result.crashed || result.reason == ReasonQuarantined {
+	if result.crashed || isQuarantined(result.reason) {
 		a = append(a, "fingerprint", x.fingerprint(), "parts", x.info.PromptParts)
 	}
+	a = append(a, x.restrictionAttributes(x.entry.options.Clock())...)
 	a = append(a, x.skippedAttributes()...)
 	return append(append(a, x.stageAttributes()...), more...)
 }
@@ -131,7 +136,7 @@
 // fingerprints.
 func (e *Entry) logCrash(t *target) {
 	e.meter.Counter(metricTargetCrashes).Inc(1)
-	e.log.Warn("target ended", "target", t.info.Instance(), "service", t.info.Service, "address", t.info.Address)
+	e.log.Warn("target ended", "target", t.info.Instance(), "target_id", btquarantine.TargetID(t.info.Instance().String()), "service", t.info.Service, "address", t.info.Address)
 }
 
 // logTargetFailure logs that a target failed a request.
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -133,6 +133,7 @@
 		Targets:    targets,
 		Cells:      cells,
 		Quarantine: p.entry.quarantine.Digest(),
+		Parts:      p.entry.quarantine.parts.Digest(),
 		Rates:      rates.Digest,
 		RateCells:  rates.Cells,
 		News:       p.entry.recentRates(),
@@ -187,6 +188,7 @@
 		Quarantine: p.entry.quarantine.ExportIfChanged(h.Quarantine),
 		KnowsAll:   p.entry.quarantine.hasFullHistory(),
 		Suspects:   p.entry.quarantine.ExportSuspects(),
+		Parts:      p.entry.quarantine.parts.ExportIfChanged(h.Parts),
 		Rates:      p.entry.ratesFor(btrate.Summary{Digest: h.Rates, Cells: h.RateCells}),
 	}, nil
 }
--- a/io/btdirect/peer_message.go
+++ b/io/btdirect/peer_message.go
@@ -114,6 +114,8 @@
 	Cells btinventory.CellDigests `cbor:"cells,omitempty"`
 	// Quarantine is the digest of the sender's quarantine records.
 	Quarantine uint64 `cbor:"quarantine"`
+	// Parts is the digest of what the sender knows about parts that crash targets.
+	Parts uint64 `cbor:"parts,omitempty"`
 	// Rates is the digest of the rate limits that the sender knows, RateCells the
 	// digests of their partitions.
 	Rates     uint64       `cbor:"rates,omitempty"`
@@ -156,6 +158,8 @@
 	KnowsAll   bool                 `cbor:"knows_all,omitempty"`
 	// Suspects are the requests that are quarantined for a while after a single crash.
 	Suspects btquarantine.Suspects `cbor:"suspects,omitempty"`
+	// Parts is omitted if both know the same about parts that crash targets.
+	Parts btquarantine.PartUpdate `cbor:"parts,omitzero"`
 	// Rates is omitted if both know the same limits.
 	Rates btrate.Records `cbor:"rates,omitempty"`
 	// Slack is empty if the hello doesn't ask for it or the entry doesn't know its part
@@ -202,6 +206,9 @@
 	if err := r.Suspects.Validate(); err != nil {
 		return err
 	}
+	if err := r.Parts.Validate(); err != nil {
+		return err
+	}
 	if err := r.Rates.Validate(); err != nil {
 		return err
 	}
--- a/io/btdirect/quarantine.go
+++ b/io/btdirect/quarantine.go
@@ -30,6 +30,8 @@
 // attempts in progress so that they can be withdrawn.
 type quarantine struct {
 	*btisolation.Isolation
+	// parts is the same for parts of prompts.
+	parts *btisolation.Parts
 	clock btloop.Clock
 	log   *slog.Logger
 	// started is the start of the process. historyComplete reports that the records
@@ -40,19 +42,25 @@
 	mu sync.Mutex
 	// attempts holds the cancel function of each attempt in progress.
 	attempts map[*exchange]context.CancelFunc
+	// prompts holds that of each request in progress that has parts of a prompt.
+	prompts map[*exchange]context.CancelFunc
 }
 
 // newQuarantine returns a quarantine with the conservative policy, which applies until
 // the records of the other entries are known. When the fleet starts for the first time
 // there are none.
-func newQuarantine(o Options) *quarantine {
+func newQuarantine(o Options, f btisolation.Fleet) *quarantine {
 	q := &quarantine{
 		Isolation: btisolation.New(btquarantine.ConservativePolicy(), o.Clock, o.Log),
 		clock:     o.Clock,
 		log:       o.Log,
 		started:   o.Clock(),
 		attempts:  make(map[*exchange]context.CancelFunc),
+		prompts:   make(map[*exchange]context.CancelFunc),
 	}
+	q.parts = btisolation.NewParts(btisolation.PartOptions{
+		Clock: o.Clock, Log: o.Log, Gauge: o.Meter.Gauge(metricPartRestrictions), Fleet: f, Withdraw: q.withdrawPrompts,
+	})
 	q.OnQuarantine(q.withdraw)
 	if o.Settings.FirstStart {
 		q.markComplete("first start")
@@ -74,6 +82,7 @@
 // does this one now.
 func (q *quarantine) mergeReply(reply helloReply, from netip.AddrPort) {
 	q.Merge(btquarantine.Update{Records: reply.Quarantine, Suspects: reply.Suspects}, from.String())
+	q.parts.Merge(reply.Parts, from.String())
 	if reply.KnowsAll && !q.historyComplete.Load() {
 		q.markComplete(from.String())
 	}
@@ -107,7 +116,7 @@
 	withdrawn := 0
 	for x, cancel := range q.attempts {
 		if x.fingerprint() == f && !(suspected && x.partlySent.Load()) {
-			x.withdrawn.Store(true)
+			x.withdraw(ReasonQuarantined)
 			cancel()
 			withdrawn++
 		}
@@ -126,6 +135,8 @@
 	From     netip.AddrPort        `cbor:"from"`
 	Records  btquarantine.Records  `cbor:"records"`
 	Suspects btquarantine.Suspects `cbor:"suspects,omitempty"`
+	// Parts are sent without records and suspects.
+	Parts btquarantine.PartUpdate `cbor:"parts,omitzero"`
 }
 
 // update returns the update in the notice.
@@ -138,13 +149,26 @@
 	if !n.From.IsValid() {
 		return errNoSender
 	}
+	if err := n.Parts.Validate(); err != nil {
+		return err
+	}
 	return n.update().Validate()
 }
 
 // sendQuarantine sends an update to other entries at once: a request that crashes
 // targets is sent again within a second, to any entry.
 func (p *peers) sendQuarantine(ctx context.Context, update btquarantine.Update) {
-	message := quarantineNotice{From: p.entry.options.Settings.Peer, Records: update.Records, Suspects: update.Suspects}
+	p.notifyQuarantine(ctx, quarantineNotice{Records: update.Records, Suspects: update.Suspects})
+}
+
+// sendParts sends what is known about parts that crash targets to other entries at once.
+func (p *peers) sendParts(ctx context.Context, update btquarantine.PartUpdate) {
+	p.notifyQuarantine(ctx, quarantineNotice{Parts: update})
+}
+
+// notifyQuarantine sends a notice to other entries, at most maxNotified.
+func (p *peers) notifyQuarantine(ctx context.Context, message quarantineNotice) {
+	message.From = p.entry.options.Settings.Peer
 	others := p.list()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, to := range others[:min(len(others), maxNotified)] {
@@ -169,16 +193,10 @@
 	if q.Merge(notice.update(), notice.From.String()) && p.count() > maxNotified {
 		q.Forward(notice.update())
 	}
-	return emptyReply{}, nil
-}
-
-// refuseQuarantined refuses a request that is quarantined, and reports whether it did.
-func (x *exchange) refuseQuarantined() bool {
-	left, held := x.entry.quarantine.Remaining(x.fingerprint)
-	if held {
-		x.endUnserved(ReasonQuarantined, left)
+	if q.parts.Merge(notice.Parts, notice.From.String()) && p.count() > maxNotified {
+		q.parts.Announce()
 	}
-	return held
+	return emptyReply{}, nil
 }
 
 // computeFingerprint returns the fingerprint of the request's content, by which a
--- a/io/btdirect/rate.go
+++ b/io/btdirect/rate.go
@@ -132,11 +132,13 @@
 	e := x.entry
 	e.meter.Counter(metricRateWaits).Inc(1)
 	sleep(ctx, c.wait)
-	if ctx.Err() == nil && !x.refuseQuarantined() && !x.refuseOverdue() {
+	cancelled := ctx.Err() != nil
+	if !cancelled && !x.refuseQuarantined() && !x.refuseOverdue() {
 		return true
 	}
 	e.fleet.unassign(c.target, x.info.PromptTokens)
 	switch {
+	case cancelled && x.withdrawnReason() != "" && x.refuseQuarantined():
 	case x.callerGone():
 		e.logFailure(x, ReasonCallerGone, attemptResult{reason: ReasonCallerGone})
 		x.abort()
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -37,6 +37,9 @@
 	ReasonGroupIncomplete btrequest.Reason = "group_incomplete"
 	// ReasonQuarantined: targets crashed recently while running the request.
 	ReasonQuarantined btrequest.Reason = "quarantined"
+	// ReasonPartQuarantined: targets crashed recently as they began requests with a part of
+	// the prompt.
+	ReasonPartQuarantined btrequest.Reason = "part_quarantined"
 	// ReasonNoTarget: no target is known, or none is left to try.
 	ReasonNoTarget btrequest.Reason = "no_target"
 	// ReasonTargetLimited: all targets that are left advertise a rate, and this entry's
@@ -89,3 +92,8 @@
 	// ReasonBudget: the retry budget is used up.
 	ReasonBudget btrequest.Reason = "retry_budget"
 )
+
+// isQuarantined reports whether the reason is a quarantine.
+func isQuarantined(r btrequest.Reason) bool {
+	return r == ReasonQuarantined || r == ReasonPartQuarantined
+}
--- a/io/btdirect/silence.go
+++ b/io/btdirect/silence.go
@@ -212,7 +212,7 @@
 	r := pickRequest{service: x.service.Name, residency: x.residency, tried: others.tried}
 	return func(since time.Time) bool {
 		silence := btstall.Silence{Since: since, Now: e.options.Clock(), AttemptsLeft: attempts - int(others.ran.Load())}
-		if !e.fleet.leaves(t, silence, r) || x.quarantined() || !e.budget(x.service.Name).take(e.options.Clock()) {
+		if !e.fleet.leaves(t, silence, r) || x.quarantineReason() != "" || !e.budget(x.service.Name).take(e.options.Clock()) {
 			e.meter.Counter(metricSilenceStayed).Inc(1)
 			return false
 		}
@@ -221,12 +221,6 @@
 	}
 }
 
-// quarantined reports whether the request is quarantined.
-func (x *exchange) quarantined() bool {
-	_, held := x.entry.quarantine.Remaining(x.fingerprint)
-	return held
-}
-
 // leaves reports whether a stream should leave its silent target for another one.
 func (f *fleet) leaves(t *target, silence btstall.Silence, r pickRequest) bool {
 	f.mu.Lock()
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -23,6 +23,8 @@
 	lastWrite time.Time
 	// observer records the events of the present attempt.
 	observer *streamObserver
+	// hasOutput is set once the present attempt has had an event.
+	hasOutput bool
 }
 
 // lastEventID returns the ID of the last event sent, or "".
@@ -78,6 +80,7 @@
 	}()
 	x.stream.observer = &streamObserver{fleet: x.entry.fleet, target: t}
 	defer x.stream.observer.close()
+	x.stream.hasOutput = false
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -114,6 +117,10 @@
 	hasEvents := splitter.Events() > events
 	if hasEvents {
 		x.recordEvents(t)
+		if !x.stream.hasOutput {
+			x.stream.hasOutput = true
+			x.recordOutput()
+		}
 	}
 	if err := x.stream.write(out, answer); err != nil {
 		return writeFailed(err), true
--- a/io/btdirect/wait.go
+++ b/io/btdirect/wait.go
@@ -42,7 +42,11 @@
 		x.endUnserved(ReasonOutsideHome, x.defaultRetryAfter())
 		return false
 	}
-	switch x.awaitGroup(ctx) {
+	waited := x.awaitGroup(ctx)
+	if x.withdrawnReason() != "" && x.refuseQuarantined() {
+		return false
+	}
+	switch waited {
 	case ReasonGroupBroken:
 		if !x.callerGone() {
 			x.endUnserved(ReasonGroupBroken, x.defaultRetryAfter())
@@ -57,6 +61,9 @@
 	admitted := e.admission.acquire(ctx, x.service, x.queueing)
 	x.recordWait(&x.stages.slotWait, metricSlotWait, queuedAt)
 	if !admitted {
+		if x.withdrawnReason() != "" && x.refuseQuarantined() {
+			return false
+		}
 		if !x.callerGone() {
 			x.endUnadmitted()
 		}
