btdirect: an answer that ends with its connection isn't whole if the target is gone

What callers saw: half an answer of a target that crashed, as a success, where the answer had neither a length nor chunks.

Cause: the end of the connection was taken for the end of the answer. The kernel closes the connections of a process that crashes in the same way.

Change: at such an end the entry opens a connection to the target; if its host refuses one, the answer is broken off. Ruled out: the result of another check within 20 ms, which may be older than the crash, and the limit of eight checks a second, which would let answers through unchecked.

TestUnframedAnswerOfACrashedTargetIsIncomplete failed on safe, unsafe and stream requests (122 of 244 bytes, 352 of 722 taken for whole) and passes. TestAnswersThatEndWithTheirConnection and TestUnframedStreamThatEndsInsideAnEventGoesOnElsewhere passed before.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -258,11 +259,14 @@
 		return attemptResult{reason: ReasonTargetError}
 	}
 	if !x.reserveAnswer(answer) {
-		return x.relayLarge(answer, &bufferedAnswer{status: answer.Status, header: answer.Header})
+		return x.relayLarge(t, answer, &bufferedAnswer{status: answer.Status, header: answer.Header})
 	}
 	unfinished := x.newBodyTimer(t, cancel)
 	body, err := io.ReadAll(io.LimitReader(answer.Body, bufferBytes))
 	unfinished.stop()
+	if err == nil && len(body) < bufferBytes {
+		err = x.checkEnd(t, answer)
+	}
 	if err != nil && unfinished.expired() {
 		return attemptResult{reason: ReasonUnfinished, retryTaken: true, err: err}
 	}
@@ -271,7 +275,7 @@
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if len(body) == bufferBytes {
-		return x.relayLarge(answer, buffered)
+		return x.relayLarge(t, answer, buffered)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		return attemptResult{reason: ReasonTargetError, buffered: buffered}
@@ -303,11 +307,14 @@
 }
 
 // relayLarge relays an answer that is larger than the buffer.
-func (x *exchange) relayLarge(answer *bttarget.Response, buffered *bufferedAnswer) attemptResult {
+func (x *exchange) relayLarge(t *target, answer *bttarget.Response, buffered *bufferedAnswer) attemptResult {
 	if err := x.relayBuffered(buffered); err != nil {
 		return writeFailed(err)
 	}
 	_, err := io.Copy(newCallerWriter(x.writer), answer.Body)
+	if err == nil {
+		err = x.checkEnd(t, answer)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return writeFailed(err)
 	}
@@ -318,6 +325,20 @@
 	return attemptResult{complete: true}
 }
 
+// errEndedWithTarget means that an answer without length and chunks ended, and the target's
+// process is gone. The connections of a process that crashes end in the same way as a whole
+// answer.
+var errEndedWithTarget = fmt.Errorf("the target's process is gone: %w", io.ErrUnexpectedEOF)
+
+// checkEnd returns an error if an answer that ended with its connection may not be whole.
+func (x *exchange) checkEnd(t *target, answer *bttarget.Response) error {
+	// A check of another answer may be older than the crash.
+	if answer.Delimited || !t.pooled.RefusesConnections(context.WithoutCancel(x.ctx)) {
+		return nil
+	}
+	return errEndedWithTarget
+}
+
 // copyHeader copies the header of a target's answer, whose Connection field is the
 // target's own.
 func (x *exchange) copyHeader(header http.Header) {
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -94,7 +94,11 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) && !x.stream.events.Partial() {
-			return x.endStream(answer)
+			gone := x.checkEnd(t, answer)
+			if gone == nil {
+				return x.endStream(answer)
+			}
+			err = gone
 		}
 		return x.streamBroken(ctx, silence, err)
 	}
