btagent: an answer that ends with its connection is whole if the target is there

What callers saw: on the guarded path every answer without a length or chunks was cut off, as the agent marked it incomplete.

Change: it is whole if the connection ends without a reset, its target still accepts connections and, for a stream of events, the last event is complete.

TestUnframedAnswersOnTheGuardedPath failed for each whole answer before.

--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -58,10 +58,12 @@
 	defer relayBuffers.Put(pooled)
 	buffer := pooled[:]
 	hasOutput := false
+	ends := newAnswerEnd(response)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			hasOutput = true
+			ends.add(buffer[:n])
 			recorder.add(buffer[:n])
 			if sendErr == nil {
 				sendErr = btpeer.Send(v.stream, cutter.Next(buffer[:n]))
@@ -71,7 +73,7 @@
 			return sendErr
 		}
 		if err != nil {
-			complete := errors.Is(err, io.EOF) && response.Delimited
+			complete := errors.Is(err, io.EOF) && (response.Delimited || ends.whole() && !v.deps.client.RefusesConnections(context.WithoutCancel(ctx)))
 			v.recordEnd(ctx, response.Status, hasOutput, complete, err)
 			return v.finish(cutter, complete, recorder, sendErr)
 		}
