btdirect: close connections beyond a limit unread

What callers see if most new connections come to one entry: once its descriptors are used up, connections wait in the listener's queue until their callers give up after a second.

Change: callers' connections are limited by the descriptors and the memory of the process. One beyond the limit is closed at once, so that the retry meets another entry; from three quarters of the limit on answers close their connections.

Ruled out: closing idle connections (a request may be on its way), and reporting not ready (moves all new connections at once, for seconds).

--- a/core/btgate/entry_limit_test.go
+++ b/core/btgate/entry_limit_test.go
@@ -17,6 +17,8 @@
 	perSecond float64
 	// stopInterval is how long each entry in turn is stopped; zero for never.
 	stopInterval time.Duration
+	// funnelInterval is how long each entry in turn gets all requests; zero for never.
+	funnelInterval time.Duration
 }
 
 const (
@@ -27,11 +29,16 @@
 	reportInterval = 200 * time.Millisecond
 	reportLag      = 200 * time.Millisecond
 	tick           = 5 * time.Millisecond
+	// contactTime is the time after which one entry must serve what all served before.
+	contactTime = 3 * time.Second
 )
 
 // entryResult counts the outcomes of a load.
 type entryResult struct {
 	arrived, refused int
+	// settledArrived and settledRefused count those that came contactTime after all
+	// requests began to come to one entry, or later.
+	settledArrived, settledRefused int
 	// excess is the largest number of requests above the group's slots, excessTime the
 	// longest time above them.
 	excess     int
@@ -114,9 +121,19 @@
 	for e == stopped {
 		e = r.drawEntry()
 	}
+	settled := r.load.funnelInterval > 0 && now.Sub(start)%r.load.funnelInterval >= contactTime
+	if r.load.funnelInterval > 0 {
+		e = int(now.Sub(start)/r.load.funnelInterval) % len(r.gates)
+	}
 	r.result.arrived++
+	if settled {
+		r.result.settledArrived++
+	}
 	if !r.gates[e].TryAcquire(now) {
 		r.result.refused++
+		if settled {
+			r.result.settledRefused++
+		}
 		return
 	}
 	spread := time.Duration(r.random.Float64() * float64(meanServiceTime))
@@ -159,6 +176,18 @@
 	}
 }
 
+// TestEntryLimitFollowsAllRequestsToOneEntry guards against an entry that gets all requests
+// at once, and then another one, and refuses most of them while the slots of the others are
+// idle. With equal fractions it would serve one in so many as there are entries.
+func TestEntryLimitFollowsAllRequestsToOneEntry(t *testing.T) {
+	for _, entries := range []int{4, 16, 35} {
+		l := entryLoad{shares: unevenShares(entries), perSecond: 90, funnelInterval: 8 * time.Second}
+		r := l.run(4, true)
+		t.Logf("%d entries: of %d refused %d; settled %d of %d; excess %d for %s", entries, r.arrived, r.refused, r.settledRefused, r.settledArrived, r.excess, r.excessTime)
+		assert.Check(t, r.settledRefused*4 < r.settledArrived)
+	}
+}
+
 // While entries are replaced one by one, the remaining ones serve the callers of the
 // stopped one.
 func TestEntryLimitFollowsDemandDuringReplacement(t *testing.T) {
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -59,6 +59,8 @@
 	served    atomic.Uint64
 	stopping  atomic.Bool
 	open      *openRequests
+	// connections are those of callers.
+	connections *callerConnections
 	// shutdownPhase is nil until the entry shuts down. openStreams counts the open
 	// streams.
 	shutdownPhase atomic.Pointer[btstop.Phase]
@@ -88,6 +90,7 @@
 		crashes:       newCrashDetector(o.Clock),
 		bodies:        newBodyMemory(o.Settings.Memory),
 		acceptance:    newAcceptance(),
+		connections:   newCallerConnections(o),
 		stopRequested: make(chan struct{}),
 		budgets:       make(map[btid.Service]*budget),
 		allotment:     btretry.NewAllotment(o.Clock(), o.Settings.Retry.windowConfig(), o.Settings.FirstStart),
@@ -179,6 +182,7 @@
 			return context.WithValue(ctx, connectionKey{}, c)
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
+			e.connections.observe(s)
 			if s == http.StateIdle || s == http.StateClosed {
 				e.open.connectionDone(c)
 			}
@@ -235,7 +239,7 @@
 
 // serveFront serves callers until the shutdown closes the listener.
 func (e *Entry) serveFront(server *http.Server, listener net.Listener) error {
-	err := server.Serve(btcall.RetryAccept(listener))
+	err := server.Serve(limitedListener{btcall.RetryAccept(listener), e.connections})
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && e.stopping.Load() {
 		return nil
 	}
--- a/io/btdirect/settings.go
+++ b/io/btdirect/settings.go
@@ -40,6 +40,8 @@
 	Service btid.Service
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
+	// Descriptors is the limit of open files and connections; zero if it isn't known.
+	Descriptors int
 	// StopGrace is the time from the request to stop until the process is killed.
 	StopGrace time.Duration
 	// DrainTime is how long a target still serves after it is listed as leaving.
