btsoak: requests with a part that crashes engines

Three callers send requests that share a part and differ in all else, to any entry; another one sends sound requests with the same account and the other parts.

--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -39,6 +39,7 @@
 	leavings := app.Flag("leavings", "How many targets announce that they are leaving.").Default("1").Int()
 	drains := app.Flag("drains", "How often the operator drains a data centre.").Default("1").Int()
 	fatal := app.Flag("fatal", "How many requests come that end the targets which run them.").Default("1").Int()
+	parts := app.Flag("parts", "How many parts of prompts come that end the engines which begin to answer them.").Default("0").Int()
 	restarts := app.Flag("restarts", "How many targets start again under their IDs, and how many records of other writers come.").Default("3").Int()
 	killSeries := app.Flag("kill-series", "How often entries are killed in series while answers are lost.").Default("1").Int()
 	retryRatio := app.Flag("retry-ratio", "The share of requests that the entries may retry.").Default("0.2").Float64()
@@ -61,7 +62,7 @@
 	for i := range *seeds {
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
-			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals, WatchCuts: *watchCuts, OnlySeries: *onlySeries,
+			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, CrashingParts: *parts, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals, WatchCuts: *watchCuts, OnlySeries: *onlySeries,
 			Stops: *stops, Pauses: *pauses, LongStreams: *longStreams, SlowReaders: *slowReaders, Stayers: *stayers,
 			RetryBudget: btmock.RetryBudget{Ratio: *retryRatio, Slack: *retrySlack, Window: 10 * time.Second},
 			Dir:         filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
