btround: pass an unknown fencing token in few attempts

Cause: an engine that refuses a lower token doesn't tell the one that it has seen. The new lead raised its ballot by 3 with each refused claim and waited up to 1.6 s between two.

Change: a result says that the token is unknown, and the lead then raises its ballot by 0, 3, 15, 63 and so on with each refusal in a row, so that the number of refusals grows with the logarithm of the token.

Ruled out: no wait between claims, which two leads would use against each other; ballots from the time of day, which may go back.

--- a/core/btround/backoff.go
+++ b/core/btround/backoff.go
@@ -16,6 +16,22 @@
 	l.backoffUntil = now.Add(l.nextBackoff() + time.Duration(l.self)*l.settings.BackoffPerRank)
 }
 
+const (
+	// fenceGrowthBits is by how many bits the ballot is raised further with each refusal in a
+	// row of an engine that doesn't tell which ballot it has seen: the number of refusals
+	// then grows with the logarithm of that ballot.
+	fenceGrowthBits = 2
+	// maxFenceBits bounds one raise.
+	maxFenceBits = 24
+)
+
+// aboveFence returns a ballot by which the engine's unknown one may be passed.
+func (l *Lead) aboveFence(known Ballot) Ballot {
+	raise := uint64(1)<<min(fenceGrowthBits*l.fencedInRow, maxFenceBits) - 1
+	l.fencedInRow++
+	return known.plus(raise)
+}
+
 // nextBackoff returns how long the preempted lead starts no round. The time doubles with
 // each call while the group hasn't begun another step.
 func (l *Lead) nextBackoff() time.Duration {
--- a/core/btround/lead.go
+++ b/core/btround/lead.go
@@ -153,6 +153,8 @@
 	backoffUntil    time.Time
 	preemptions     int
 	preemptedAtStep int64
+	// fencedInRow counts the refusals in a row by engines that have seen an unknown ballot.
+	fencedInRow int
 	// deferred is set when the agent reports to another lead. foreignSince is when this
 	// lead first saw a hold or armed ranks of another lead's round.
 	deferred     bool
--- a/core/btround/message.go
+++ b/core/btround/message.go
@@ -62,6 +62,9 @@
 	return counter<<(rankBits+instanceBits) | Ballot(instance)<<rankBits | Ballot(r)&(1<<rankBits-1)
 }
 
+// plus returns the ballot whose counter is higher by n.
+func (b Ballot) plus(n uint64) Ballot { return b + Ballot(n)<<(rankBits+instanceBits) }
+
 // State is what an engine reports about itself.
 type State struct {
 	_     struct{}      `cbor:",toarray"`
@@ -183,8 +186,10 @@
 	Round   uint64  `cbor:"round"`
 	Kind    Kind    `cbor:"kind"`
 	Verdict Verdict `cbor:"verdict"`
-	// Ballot is the highest that the rank has seen.
+	// Ballot is the highest that the rank has seen. Fenced reports that its engine has seen a
+	// higher one and doesn't tell which.
 	Ballot Ballot `cbor:"ballot"`
+	Fenced bool   `cbor:"fenced,omitempty"`
 	State  State  `cbor:"state"`
 	// Record is set in the answer to a claim: the agent's record of the round that
 	// holds its rank.
--- a/core/btround/simulation_test.go
+++ b/core/btround/simulation_test.go
@@ -287,7 +287,7 @@
 	switch {
 	case fenced:
 		result.Verdict = btround.Outranked
-		result.Ballot = c.Ballot.Next(0, 0)
+		result.Ballot, result.Fenced = c.Ballot.Next(0, 0), true
 	case c.Satisfied(result.State):
 		result.Verdict = btround.Reached
 	case !accepted:
--- a/core/btround/step.go
+++ b/core/btround/step.go
@@ -117,6 +117,9 @@
 
 // HandleResult processes the answer to a command.
 func (l *Lead) HandleResult(now time.Time, r Result) {
+	if r.Fenced && r.Round == l.round && l.phase != Idle {
+		r.Ballot = l.aboveFence(r.Ballot)
+	}
 	l.HandleReport(now, r.State, r.Ballot)
 	if r.Round != l.round || l.phase == Idle || r.State.Epoch != l.epoch {
 		return
@@ -128,6 +131,7 @@
 	switch r.Verdict {
 	case Reached:
 		m.acknowledged = true
+		l.fencedInRow = 0
 		l.storeConfirmed(m, r)
 	case Refused:
 		m.refused = true
--- a/io/btrank/engine.go
+++ b/io/btrank/engine.go
@@ -131,7 +131,7 @@
 		return x.handleAccepted(s, result)
 	case OrderFenced:
 		result.Verdict = btround.Outranked
-		result.Ballot = c.Ballot.Next(0, 0)
+		result.Ballot, result.Fenced = c.Ballot.Next(0, 0), true
 		return true
 	case OrderRefused:
 		return handleRefusal(ctx, x.engine, c, result)
--- a/io/btrank/send.go
+++ b/io/btrank/send.go
@@ -68,7 +68,7 @@
 		case OrderFenced:
 			result.State = s
 			result.Verdict = btround.Outranked
-			result.Ballot = c.Ballot.Next(0, 0)
+			result.Ballot, result.Fenced = c.Ballot.Next(0, 0), true
 			return result
 		case OrderRefused:
 			return l.readAfterRefusal(ctx, c, engine)
