--- a/core/btquarantine/part_replay_test.go
+++ b/core/btquarantine/part_replay_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"time"
 
@@ -32,6 +34,7 @@
 	events   eventQueue
 	deciders []partDecider
 	running  map[*partRequest]bool
+	number   int
 	waiting  []*partRequest
 	closed   bool
 	crashes  []time.Time
@@ -60,6 +63,7 @@
 
 // partRequest is a request.
 type partRequest struct {
+	number    int
 	account   btid.Account
 	prompt    btquarantine.Prompt
 	entry     int
@@ -229,7 +233,8 @@
 // request returns a request of a random account with the parts and one of the account.
 func (r *partReplay) request(parts ...btquarantine.PartID) *partRequest {
 	account := r.random.IntN(accountsPerReplay)
-	q := &partRequest{account: btid.Account(fmt.Sprint("account-", account)), entry: r.random.IntN(r.entries), arrivedAt: r.now}
+	r.number++
+	q := &partRequest{number: r.number, account: btid.Account(fmt.Sprint("account-", account)), entry: r.random.IntN(r.entries), arrivedAt: r.now}
 	parts = append(parts, btquarantine.PartID(100+account))
 	q.prompt = btquarantine.NewPrompt(q.account, "llm", parts)
 	return q
@@ -327,7 +332,8 @@
 	}
 	r.closed = true
 	r.crashes = append(r.crashes, r.now)
-	for q := range r.running {
+	running := slices.SortedFunc(maps.Keys(r.running), func(a, b *partRequest) int { return a.number - b.number })
+	for _, q := range running {
 		if q.rank != rank {
 			continue
 		}
@@ -337,7 +343,7 @@
 		}
 		r.deciders[q.entry].crash(r.now, q, uint64(len(r.crashes)), p)
 	}
-	for q := range r.running {
+	for _, q := range running {
 		delete(r.running, q)
 		r.deciders[q.entry].release(r.now, q)
 	}
