btstop, btdirect: serve requests on connections accepted before the listener closed

What callers saw: around a planned stop a request that may be repeated got 503 entry_stopping although its connection had been accepted.

Cause: when the last stream ended, the entry refused every request before it closed the listener, so a connection accepted in between was refused.

Change: a phase of its own, in which the listener is closed and plain requests on open connections are still served if they are expected to end in time; each connection closes after its answer. Streams are refused as before, and so is everything in the last 2 s.

The unit test of the phases expected a refusal after the balancer's lag; it now checks the new phase up to the cutoff and the refusal from there on.

--- a/core/btstop/btstop.go
+++ b/core/btstop/btstop.go
@@ -31,6 +31,10 @@
 	// NoStreams: streams are refused with the time after which to retry; other
 	// requests are served.
 	NoStreams Phase = "no_streams"
+	// Closing: no connection is accepted any more. What comes on those that are open is
+	// treated as in NoStreams: each connection is closed after its answer, so that this
+	// ends soon.
+	Closing Phase = "closing"
 	// Refusing: every request is refused as not run, with the time after which to
 	// retry. Accepted ones are still answered.
 	Refusing Phase = "refusing"
@@ -58,8 +62,8 @@
 }
 
 // Phase returns the phase at a time since the start of the shutdown. streams tells
-// whether any stream is open: without one, the entry refuses all requests as soon
-// as the load balancer has stopped sending connections.
+// whether any stream is open: without one, the entry accepts no connections as soon
+// as the load balancer has stopped sending them.
 func (p Plan) Phase(elapsed time.Duration, streams bool) Phase {
 	switch {
 	case elapsed >= p.End:
@@ -71,5 +75,5 @@
 	case streams:
 		return NoStreams
 	}
-	return Refusing
+	return Closing
 }
--- a/core/btstop/btstop_test.go
+++ b/core/btstop/btstop_test.go
@@ -12,11 +12,13 @@
 
 const grace = 8 * time.Second
 
-func TestPhaseWithoutStreamsRefusesAfterBalancerLag(t *testing.T) {
+func TestPhaseWithoutStreamsClosesAfterBalancerLag(t *testing.T) {
 	p := btstop.New(grace)
 	assert.Equal(t, p.Phase(0, false), btstop.Serving)
 	assert.Equal(t, p.Phase(btstop.BalancerLag-1, false), btstop.Serving)
-	assert.Equal(t, p.Phase(btstop.BalancerLag, false), btstop.Refusing)
+	assert.Equal(t, p.Phase(btstop.BalancerLag, false), btstop.Closing)
+	assert.Equal(t, p.Phase(p.RequestCutoff-1, false), btstop.Closing)
+	assert.Equal(t, p.Phase(p.RequestCutoff, false), btstop.Refusing)
 }
 
 // While streams outlast the grace period, a request that was just read must still
--- a/io/btdirect/acceptance.go
+++ b/io/btdirect/acceptance.go
@@ -53,9 +53,13 @@
 // refuseStopping refuses a request that the entry doesn't accept because it is stopping, and
 // reports whether it did.
 func (x *exchange) refuseStopping() bool {
-	phase := x.entry.currentPhase()
-	if phase == btstop.Serving || phase == btstop.NoStreams && !x.streams() {
+	switch x.entry.currentPhase() {
+	case btstop.Serving:
 		return x.refuseUnfinished()
+	case btstop.NoStreams, btstop.Closing:
+		if !x.streams() {
+			return x.refuseUnfinished()
+		}
 	}
 	x.endUnserved(ReasonStopping, x.otherEntryRetryAfter())
 	return true
--- a/io/btdirect/stop.go
+++ b/io/btdirect/stop.go
@@ -44,14 +44,13 @@
 	began := e.options.Clock()
 	plan := btstop.New(e.grace())
 	for ctx.Err() == nil {
-		elapsed := e.options.Clock().Sub(began)
-		phase := plan.Phase(elapsed, e.openStreams.Load() > 0)
+		phase := plan.Phase(e.options.Clock().Sub(began), e.openStreams.Load() > 0)
 		e.shutdownPhase.Store(&phase)
-		if phase == btstop.Refusing && elapsed < plan.RequestCutoff {
+		if phase == btstop.Closing {
 			// Nothing delays the exit: new connections are better opened elsewhere.
 			_ = front.Close()
 		}
-		if phase == btstop.Ended || phase == btstop.Refusing && !e.open.anyAccepted() {
+		if phase == btstop.Ended || (phase == btstop.Closing || phase == btstop.Refusing) && !e.open.anyAccepted() {
 			break
 		}
 		sleep(ctx, stopPollInterval)
