--- a/core/btbench/btbench.go
+++ b/core/btbench/btbench.go
@@ -86,7 +86,7 @@
 	Name   string
 	Load   Workload
 	Faults Faults
-	// RetryTiming makes refused callers retry once, at the time that they were told.
+	// RetryTiming makes refused callers retry once, after the retry time in the refusal.
 	RetryTiming RetryTiming
 	// RetryAnyEntry makes them retry at a random entry instead of the one that refused
 	// them.
--- a/core/btbench/entry.go
+++ b/core/btbench/entry.go
@@ -171,8 +171,8 @@
 	s.result.addFailure(c)
 }
 
-// refuse ends the call at once. The caller is told to retry after a time in whole seconds,
-// as in the Retry-After header.
+// refuse ends the call at once. The caller is to retry after a time in whole seconds, as in
+// the Retry-After header.
 func (s *simulation) refuse(now time.Time, c *call) {
 	s.result.addRefusal(c)
 	if s.retryTiming == NoRetry || c.retried {
--- a/core/btbench/result.go
+++ b/core/btbench/result.go
@@ -24,10 +24,10 @@
 	Failed, Truncated int
 	Retries           int
 	// Retried counts refused callers that retried while the trace ran, RetriedServed those
-	// of them that were answered. Unreserved counts callers that were told the longest wait
-	// and got no reservation.
+	// of them that were answered. Unreserved counts callers that were refused with the longest
+	// retry time and without a reservation.
 	Retried, RetriedServed, Unreserved int
-	// MeanWait is the mean time after which refused callers were told to retry.
+	// MeanWait is the mean time after which refused callers were to retry.
 	MeanWait  time.Duration
 	Ejections int
 	// P50 and P99 are the 50th and 99th percentiles of the time to the first token over all
--- a/core/btquarantine/probe.go
+++ b/core/btquarantine/probe.go
@@ -107,7 +107,7 @@
 	return v
 }
 
-// Release ends a probe. If it has told nothing, the next one may follow soon.
+// Release ends a probe. If it was inconclusive, the next one may follow soon.
 func (r *PartRegister) Release(now time.Time, probe *Probe) {
 	state, found := r.probes[probe.Restriction]
 	if !found || state.crashes != probe.crashes {
--- a/core/btquarantine/restriction.go
+++ b/core/btquarantine/restriction.go
@@ -35,8 +35,8 @@
 func (i RestrictionID) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
 
 // Restriction keeps requests away from targets that have all of its parts. As long as the
-// evidence doesn't tell which of several parts is at fault, requests with some of them are
-// still sent, and their outcome tells.
+// evidence doesn't distinguish several parts, requests with only some of them are still
+// sent, and their outcome distinguishes them.
 type Restriction struct {
 	ID RestrictionID
 	// Account limits the restriction to a client account; AnyAccount reports that requests
--- a/core/btround/backoff.go
+++ b/core/btround/backoff.go
@@ -18,7 +18,7 @@
 
 const (
 	// fenceGrowthBits is by how many bits the ballot is raised further with each refusal in a
-	// row of an engine that doesn't tell which ballot it has seen: the number of refusals
+	// row of an engine that doesn't report which ballot it has seen: the number of refusals
 	// then grows with the logarithm of that ballot.
 	fenceGrowthBits = 2
 	// maxFenceBits bounds one raise.
--- a/core/btround/message.go
+++ b/core/btround/message.go
@@ -187,7 +187,7 @@
 	Kind    Kind    `cbor:"kind"`
 	Verdict Verdict `cbor:"verdict"`
 	// Ballot is the highest that the rank has seen. Fenced reports that its engine has seen a
-	// higher one and doesn't tell which.
+	// higher one and doesn't report which.
 	Ballot Ballot `cbor:"ballot"`
 	Fenced bool   `cbor:"fenced,omitempty"`
 	State  State  `cbor:"state"`
--- a/core/btstage/btstage.go
+++ b/core/btstage/btstage.go
@@ -67,7 +67,7 @@
 )
 
 // endMessages are the messages of lines that are counted. A failed request whose
-// caller was told so has two lines, "request failed" and "request refused", which
+// caller got an answer has two lines, "request failed" and "request refused", which
 // count as one end.
 var endMessages = []string{served, failed, refused}
 
--- a/core/btstop/durations.go
+++ b/core/btstop/durations.go
@@ -49,7 +49,8 @@
 // Request is a request that a stopping entry may accept.
 type Request struct {
 	Route string
-	// Stream and Repeatable tell of the route: a stream, a request that may run twice.
+	// Stream and Repeatable describe the route: its answers are streams, its requests may run
+	// twice.
 	Stream, Repeatable bool
 	// Left is the time until its deadline.
 	Left time.Duration
--- a/io/btagent/admission.go
+++ b/io/btagent/admission.go
@@ -108,7 +108,7 @@
 
 // finish releases a slot that was used for the duration.
 func (a *admission) finish(id btid.Request, duration time.Duration) {
-	// The queue is told before the channel is removed. In the other order, a new
+	// The queue is notified before the channel is removed. In the other order, a new
 	// arrival of this identity could register while the queue still counts the old
 	// run, and would get no answer.
 	a.loop.Post(btqueue.Finished{ID: id, Took: duration})
--- a/io/btagent/key_home.go
+++ b/io/btagent/key_home.go
@@ -113,7 +113,7 @@
 
 // serviceOf returns the service whose keys this home stores: the first service of the
 // target. If a later bundle no longer lists the target, or lists it under another
-// service, the home still follows the rules of the first service. They tell it that it
+// service, the home still follows the rules of the first service. By these it
 // grants no more.
 func (h *keyHome) serviceOf(a *btbundle.Approved) (*btbundle.Service, bool) {
 	h.mu.Lock()
--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -3,7 +3,7 @@
 // answers before it. It also refuses an answer that switches to another protocol, whose
 // body net/http reads without regard to the request's context.
 //
-// A server that sends nothing is not bounded here: it may be at work. The body is bounded
+// A server that sends nothing is not bounded here: it may still run the request. The body is bounded
 // by the request's context, and in size by its reader; ReadAll is one.
 package btbound
 
@@ -164,8 +164,8 @@
 	}
 }
 
-// informational handles an answer with a status 1xx. The server may be at work for any time
-// until the next one.
+// informational handles an answer with a status 1xx. The server may run the request for any
+// time until the next one.
 func (h *headTimer) informational(status int, _ textproto.MIMEHeader) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/io/btdirect/admission.go
+++ b/io/btdirect/admission.go
@@ -242,7 +242,7 @@
 // gateLoad is the state of a service's gate, for logs.
 type gateLoad struct {
 	// running and waiting count this entry's requests. entryLimit is the number that
-	// this entry may have at work, limit the number for all entries together.
+	// this entry may have in flight, limit the number for all entries together.
 	running, waiting, entryLimit, limit int
 	// pauseRatio is the mean pause between events as a fraction of the allowed one.
 	pauseRatio float64
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -14,7 +14,7 @@
 	metricFirstEvent     = "first_event_us"
 	metricAnswer         = "answer_us"
 	metricTargetFailures = "target_failures"
-	// metricTargetCrashes counts targets that crashed with requests at work.
+	// metricTargetCrashes counts targets that crashed with requests in flight.
 	metricTargetCrashes = "target_ends"
 	metricGroupWaits    = "group_waits"
 	// metricCatalogWaits counts requests that arrived before the first catalog.
@@ -132,7 +132,7 @@
 }
 
 // logCrash logs that a target's process is gone although it was not listed as leaving.
-// The lines of the requests that were at work there have the target's name and their
+// The lines of the requests that were in flight there have the target's name and their
 // fingerprints.
 func (e *Entry) logCrash(t *target) {
 	e.meter.Counter(metricTargetCrashes).Inc(1)
--- a/io/btdirect/peer.go
+++ b/io/btdirect/peer.go
@@ -142,7 +142,7 @@
 	askedAt := p.entry.options.Clock()
 	reply, err := btcall.Call[helloReply](ctx, p.calls, to, pathHello, h)
 	if err != nil {
-		// An entry that is gone is forgotten once no one has heard from it for a while.
+		// An entry that is gone expires once nobody has received a hello from it for a while.
 		p.entry.meter.Counter(metricHellos + "failed").Inc(1)
 		p.observeReply(to, false)
 		return
@@ -219,7 +219,7 @@
 	p.membership.ObserveReply(from, hasList)
 }
 
-// expire forgets entries that no one has heard from recently. p.mu must be held.
+// expire removes entries that nobody has received a hello from recently. p.mu must be held.
 func (p *peers) expire() { p.logChanges(p.membership.Expire(p.entry.options.Clock())) }
 
 // logChanges logs which entries became known or were forgotten.
--- a/io/btdirect/retry_after.go
+++ b/io/btdirect/retry_after.go
@@ -4,7 +4,7 @@
 
 const (
 	// maxRetryFraction is the largest fraction of its remaining time that a refused
-	// caller is told to wait, and the default. Callers follow a retry time of up to a
+	// caller is asked to wait, and the default. Callers follow a retry time of up to a
 	// third.
 	maxRetryFraction = 0.32
 	// reconnectDelay is the retry time if another entry can serve the caller at once.
--- a/io/btentry/fleet.go
+++ b/io/btentry/fleet.go
@@ -175,7 +175,7 @@
 }
 
 // agentStopped reports whether the agent of a target announced its stop and no new
-// incarnation has been heard since.
+// incarnation has reported since.
 func (f *fleet) agentStopped(target btid.Target) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/btrank/command.go
+++ b/io/btrank/command.go
@@ -25,8 +25,8 @@
 
 // runCommand carries out a lead's command at the own engine, or updates the agent's record.
 func (a *Agent) runCommand(ctx context.Context, c btround.Command) (btround.Result, error) {
-	if heard, accepted := a.accept(c); !accepted {
-		return btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Outranked, Ballot: heard, State: a.ownState()}, nil
+	if promised, accepted := a.accept(c); !accepted {
+		return btround.Result{Round: c.Round, Kind: c.Kind, Verdict: btround.Outranked, Ballot: promised, State: a.ownState()}, nil
 	}
 	if c.Kind == btround.StoreRecord || c.Kind == btround.Commit {
 		return a.updateRecord(ctx, c), nil
