btquarantine: take no part for unknown before a service has had output

Found by reading: after a start of all processes no part has been served, so each counted as unknown. Two crashes of other causes, before the first output of any request, then restricted what nearly all requests share, for ten minutes.

Change: a crash that a process sees before it has seen output of the service has no shares. Processes that have seen some add theirs; until one does, a part is weighed as a known one with a share of 0.3.

Ruled out: a share from arrivals, which retries and held requests distort.

TestFreshFleetHoldsNoSharedPart fails on the code before (held after 2 crashes).

--- a/core/btquarantine/evidence.go
+++ b/core/btquarantine/evidence.go
@@ -14,8 +14,11 @@
 	// fault: one that has not been served lately is so more often.
 	unknownPrior = -2.0
 	knownPrior   = -3.5
-	// unknownShare is the share of the requests that is assumed to have an unknown part.
+	// unknownShare is the share of the requests that is assumed to have an unknown part, and
+	// assumedShare that of a part where no process has seen output of the service: it may be
+	// one that nearly all requests have.
 	unknownShare = 0.001
+	assumedShare = 0.3
 	// knownCrashes is the least number of crashes for which a known part is restricted.
 	knownCrashes = 2
 )
@@ -28,7 +31,8 @@
 	last    time.Time
 	// logOdds are those that the part is at fault, if one part is.
 	logOdds float64
-	// known reports that the part was served shortly before the first crash.
+	// known reports that the part was served shortly before the first crash, or may have
+	// been.
 	known bool
 	// excess is how many more crashes there are than restrict the part; -1 if there are
 	// too few.
@@ -91,19 +95,17 @@
 // weigh returns the evidence about each part of the candidates, which are in the order of
 // time.
 func weigh(candidates []candidate) map[partKey]evidence {
-	shares := make(map[partKey]byte)
-	for _, c := range candidates {
-		for i, k := range c.keys() {
-			shares[k] = max(shares[k], c.shares[i])
-		}
-	}
+	shares := knownShares(candidates)
 	weighed := make(map[partKey]evidence)
 	for _, c := range candidates {
 		for _, k := range c.remaining {
-			share := float64(shares[k]) / maxShare
+			share, found := shares[k]
+			if !found {
+				share = assumedShare
+			}
 			e, found := weighed[k]
 			if !found {
-				e = evidence{known: shares[k] > 0, logOdds: unknownPrior, excess: -1}
+				e = evidence{known: share > 0, logOdds: unknownPrior, excess: -1}
 				if e.known {
 					e.logOdds = knownPrior
 				}
@@ -115,6 +117,18 @@
 	return weighed
 }
 
+// knownShares returns the largest share of each part that a process has reported.
+func knownShares(candidates []candidate) map[partKey]float64 {
+	shares := make(map[partKey]float64)
+	for _, c := range candidates {
+		for i, share := range c.shares {
+			k := partKey{service: c.service, id: c.parts[i]}
+			shares[k] = max(shares[k], float64(share)/maxShare)
+		}
+	}
+	return shares
+}
+
 // selectCandidates returns the requests that may be at fault, by the crash of a target. One
 // that the target had not begun to answer may be only if it had begun none of the others
 // that may be.
--- a/core/btquarantine/part_crash.go
+++ b/core/btquarantine/part_crash.go
@@ -9,7 +9,7 @@
 type partCrash struct {
 	target, account, service uint64
 	parts                    []PartID
-	// shares are those of the parts; see PartCrash.
+	// shares are those of the parts; see PartCrash. They are empty if no process has them.
 	shares []byte
 	// begun reports that the target had begun to answer, without output.
 	begun bool
@@ -42,7 +42,7 @@
 }
 
 // keys returns the parts with their service.
-func (c partCrash) keys() []partKey { return (Prompt{Service: c.service, Parts: c.parts}).keys() }
+func (c partCrash) keys() []partKey { return c.prompt().keys() }
 
 // keys returns the parts with their service.
 func (p Prompt) keys() []partKey {
@@ -61,15 +61,27 @@
 	}
 }
 
-// raiseShares sets the shares of parts that were unknown, and reports whether there were
-// any.
-func (c *partCrash) raiseShares(share func(i int) byte) bool {
+// raiseShares sets the shares of parts that were unknown, or all if there were none, and
+// reports whether it changed any.
+func (c *partCrash) raiseShares(shares []byte) bool {
+	if len(shares) != len(c.parts) {
+		return false
+	}
+	if len(c.shares) == 0 {
+		c.shares = slices.Clone(shares)
+		return true
+	}
 	raised := false
 	for i, known := range c.shares {
-		if s := share(i); known == 0 && s > 0 {
-			c.shares[i] = s
+		if known == 0 && shares[i] > 0 {
+			c.shares[i] = shares[i]
 			raised = true
 		}
 	}
 	return raised
 }
+
+// prompt returns the prompt of the request.
+func (c partCrash) prompt() Prompt {
+	return Prompt{Account: c.account, Service: c.service, Parts: c.parts}
+}
--- a/core/btquarantine/part_message.go
+++ b/core/btquarantine/part_message.go
@@ -27,7 +27,8 @@
 	Service uint64   `cbor:"service"`
 	Parts   []PartID `cbor:"parts"`
 	// Shares are, for each part, the share of the service's requests with output that had
-	// it, as a fraction of 255 rounded up; zero if none had it for KnownFor.
+	// it, as a fraction of 255 rounded up; zero if none had it for KnownFor. They are empty
+	// if the process has seen no output of the service.
 	Shares []byte `cbor:"shares"`
 	// Begun reports that the target had begun to answer the request, without output.
 	Begun bool `cbor:"begun"`
@@ -44,7 +45,7 @@
 	if c.Parts[0] == anyPart || !slices.IsSorted(c.Parts) || len(slices.Compact(slices.Clone(c.Parts))) != len(c.Parts) {
 		return fmt.Errorf("%w: parts that aren't in ascending order, or zero", ErrRecord)
 	}
-	if len(c.Shares) != len(c.Parts) {
+	if len(c.Shares) != 0 && len(c.Shares) != len(c.Parts) {
 		return fmt.Errorf("%w: %d shares of %d parts", ErrRecord, len(c.Shares), len(c.Parts))
 	}
 	return validateAge(c.AgeMillis)
--- a/core/btquarantine/part_register.go
+++ b/core/btquarantine/part_register.go
@@ -60,20 +60,13 @@
 		return PartChanges{}
 	}
 	c.observation = r.newObservation(c)
-	c.shares = make([]byte, len(c.parts))
-	c.raiseShares(r.ownShares(c))
+	c.shares = r.recent.shares(p)
 	r.add(c)
 	changes := r.update(now)
 	changes.Changed = true
 	return changes
 }
 
-// ownShares returns the shares that the parts of a crash had at this process.
-func (r *PartRegister) ownShares(c partCrash) func(i int) byte {
-	keys := c.keys()
-	return func(i int) byte { return r.recent.share(keys[i]) }
-}
-
 // hasOwn reports whether a request with the same parts is already known at that crash.
 func (r *PartRegister) hasOwn(c partCrash) bool {
 	return slices.ContainsFunc(r.crashes, func(known partCrash) bool {
@@ -144,7 +137,7 @@
 	changes.Changed = r.digest != before
 	for _, c := range r.crashes {
 		c.shares = slices.Clone(c.shares)
-		changes.CanAdd = changes.CanAdd || c.raiseShares(r.ownShares(c))
+		changes.CanAdd = changes.CanAdd || c.raiseShares(r.recent.shares(c.prompt()))
 	}
 	return changes
 }
@@ -154,7 +147,7 @@
 func (r *PartRegister) AddOwnOutputs(now time.Time) PartChanges {
 	raised := false
 	for i := range r.crashes {
-		if r.crashes[i].raiseShares(r.ownShares(r.crashes[i])) {
+		if r.crashes[i].raiseShares(r.recent.shares(r.crashes[i].prompt())) {
 			raised = true
 		}
 	}
@@ -175,9 +168,7 @@
 		return
 	}
 	known := &r.crashes[i]
-	if len(c.shares) == len(known.shares) {
-		known.raiseShares(func(part int) byte { return c.shares[part] })
-	}
+	known.raiseShares(c.shares)
 	if c.at.Before(known.at) {
 		known.at = c.at
 		r.sort()
@@ -296,6 +287,8 @@
 			state := byte(0)
 			if at, found := r.outputs[k]; found && !at.Before(c.at) {
 				state = 2
+			} else if len(c.shares) == 0 {
+				state = 3
 			} else if c.shares[i] > 0 {
 				state = 1
 			}
--- a/core/btquarantine/part_register_test.go
+++ b/core/btquarantine/part_register_test.go
@@ -20,8 +20,19 @@
 	return btquarantine.NewPrompt(account, "llm", parts)
 }
 
-// newPartRegister returns an empty register of a process.
+// newPartRegister returns a register without crashes, of a process that has seen output of
+// the service.
 func newPartRegister(observer uint64) *btquarantine.PartRegister {
+	r := newFreshRegister(observer)
+	r.RecordOutput(start, prompt(unrelated))
+	return r
+}
+
+// unrelated is a part that no other request has.
+const unrelated = btquarantine.PartID(0xffff)
+
+// newFreshRegister returns the register of a process that has just started.
+func newFreshRegister(observer uint64) *btquarantine.PartRegister {
 	r := btquarantine.NewPartRegister()
 	r.SetObserver(observer)
 	return r
@@ -133,6 +144,57 @@
 	assert.Assert(t, !held(r, after(20*time.Second), btquarantine.NewPrompt("liar", "another", []btquarantine.PartID{1})))
 }
 
+// TestFreshFleetHoldsNoSharedPart guards against processes that have all just started and
+// hold what nearly all requests share, because targets crash for other reasons before any
+// request has had output.
+func TestFreshFleetHoldsNoSharedPart(t *testing.T) {
+	r := newFreshRegister(1)
+	for i := range 3 {
+		at := after(time.Duration(5*i) * time.Second)
+		own := btquarantine.PartID(10 + i)
+		r.RecordCrash(at, prompt(1, own), uint64(i), btquarantine.BegunWithoutOutput)
+		if i < 2 {
+			assert.Assert(t, !held(r, at, prompt(1, 99)), "held after %d crashes", i+1)
+		}
+	}
+	// If it is held after more, then no longer than two outages take.
+	for i := range 40 {
+		r.Arrive(after(11*time.Second), prompt(1, btquarantine.PartID(100+i)), last)
+	}
+	v := r.Arrive(after(18*time.Second), prompt(1, 99), first)
+	assert.Assert(t, !v.Held(), "held until %s", v.Until)
+}
+
+// TestFreshFleetHoldsCrashingPart checks that a crashing part is found without any output:
+// together with a part that all of its requests have, until a sibling is served.
+func TestFreshFleetHoldsCrashingPart(t *testing.T) {
+	r := newFreshRegister(1)
+	for i := range 4 {
+		r.RecordCrash(after(time.Duration(5*i)*time.Second), prompt(1, deadly, btquarantine.PartID(10+i)), uint64(i), btquarantine.BegunWithoutOutput)
+	}
+	now := after(16 * time.Second)
+	assert.Assert(t, held(r, now, prompt(1, deadly, 99)))
+	assert.Assert(t, !held(r, now, prompt(1, 99)))
+	r.RecordOutput(now, prompt(1, 99))
+	assert.Assert(t, held(r, now, prompt(2, deadly)))
+}
+
+// TestFreshProcessLearnsShares guards against a process that has just started and sees a
+// crash: what others have served lately tells them, and then it, which part is unknown.
+func TestFreshProcessLearnsShares(t *testing.T) {
+	fresh, other := newFreshRegister(1), newPartRegister(2)
+	other.RecordOutput(start, prompt(1))
+	fresh.RecordCrash(after(time.Second), prompt(1, deadly), 1, btquarantine.BegunWithoutOutput)
+	assert.Assert(t, !held(fresh, after(time.Second), prompt(deadly)))
+	assert.Assert(t, other.Merge(after(time.Second), fresh.Export(after(time.Second))).CanAdd)
+	other.AddOwnOutputs(after(time.Second))
+	fresh.Merge(after(time.Second), other.Export(after(time.Second)))
+	for _, r := range []*btquarantine.PartRegister{fresh, other} {
+		assert.Assert(t, held(r, after(time.Second), prompt(deadly)))
+		assert.Assert(t, !held(r, after(time.Second), prompt(1)))
+	}
+}
+
 // TestSeveralCrashingPartsAreHeld guards against two parts at once of which one hides the
 // other.
 func TestSeveralCrashingPartsAreHeld(t *testing.T) {
@@ -282,7 +344,7 @@
 		"order":      func(c *btquarantine.PartCrash) { c.Parts = []btquarantine.PartID{2, 1} },
 		"repetition": func(c *btquarantine.PartCrash) { c.Parts = []btquarantine.PartID{2, 2} },
 		"zero":       func(c *btquarantine.PartCrash) { c.Parts = []btquarantine.PartID{0, 2} },
-		"shares":     func(c *btquarantine.PartCrash) { c.Shares = nil },
+		"shares":     func(c *btquarantine.PartCrash) { c.Shares = []byte{1} },
 		"age":        func(c *btquarantine.PartCrash) { c.AgeMillis = -1 },
 		"old":        func(c *btquarantine.PartCrash) { c.AgeMillis = btquarantine.PartTTL.Milliseconds() + 1 },
 		"many": func(c *btquarantine.PartCrash) {
--- a/core/btquarantine/recent_parts.go
+++ b/core/btquarantine/recent_parts.go
@@ -55,10 +55,23 @@
 // maxShare is the share of all requests in a PartCrash.
 const maxShare = math.MaxUint8
 
-// share returns the share of the service's requests that had the part, as in a PartCrash.
-// An outage of the service doesn't make a part unknown.
-func (s *recentParts) share(k partKey) byte {
-	part, all := s.get(k), s.get(partKey{service: k.service, id: anyPart})
+// shares returns the shares of the parts in the service's requests, as in a PartCrash; nil
+// if no output of the service is known.
+func (s *recentParts) shares(p Prompt) []byte {
+	all := s.get(partKey{service: p.Service, id: anyPart})
+	if all.requests == 0 {
+		return nil
+	}
+	shares := make([]byte, len(p.Parts))
+	for i, k := range p.keys() {
+		shares[i] = s.share(k, all)
+	}
+	return shares
+}
+
+// share returns the share of a part. An outage of the service doesn't make a part unknown.
+func (s *recentParts) share(k partKey, all partCount) byte {
+	part := s.get(k)
 	if part.requests == 0 || all.last.Sub(part.last) >= KnownFor {
 		return 0
 	}
--- a/io/btisolation/parts_test.go
+++ b/io/btisolation/parts_test.go
@@ -28,6 +28,8 @@
 		Clock: func() time.Time { return start }, Log: slog.New(slog.NewTextHandler(lines, nil)), Gauge: gauge, Fleet: alone{},
 		Withdraw: func(btquarantine.Restriction) int { *withdrawn++; return 3 },
 	})
+	// A process that has seen no output of the service can't tell rare parts.
+	p.RecordOutput(prompt(0xffff))
 	return p, lines, gauge
 }
 
