--- a/core/btquarantine/recent_parts.go
+++ b/core/btquarantine/recent_parts.go
@@ -10,7 +10,7 @@
 	// output at all.
 	KnownFor = time.Minute
 	// maxPartGeneration limits the parts of a generation. At a higher rate of new parts a
-	// generation is shorter. Two generations take some 400 KB of heap.
+	// generation is shorter. TestPartRegisterIsBounded limits the heap of two generations.
 	maxPartGeneration = 4096
 	// anyPart stands for all parts of a service.
 	anyPart PartID = 0
--- a/core/btround/fence_test.go
+++ b/core/btround/fence_test.go
@@ -14,8 +14,7 @@
 
 // TestLeadPassesAnUnknownFence guards against a group that stays paused for as long as its
 // fencing token is high: when all processes were lost, nobody knows the token, and an engine
-// that refuses a lower one doesn't tell it. A lead that raised its ballot by a few for each
-// refusal took 24 s at a token of 46.
+// that refuses a lower one doesn't report it.
 func TestLeadPassesAnUnknownFence(t *testing.T) {
 	const recoveryTime = 12 * time.Second
 	for _, counter := range []int{1, 2, 58, 1000} {
