btquarantine: restricted and refused in place of held

The code and tests of the quarantine of parts said that a part is held, and that an indistinct one can't be told. They use the terms of their own types now: a part is restricted, a verdict refuses a request, a probe is inconclusive.

--- a/core/btquarantine/part_policy_test.go
+++ b/core/btquarantine/part_policy_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// TestReplayOfCrashesOfOtherCauses guards against holding parts that nearly all requests
+// TestReplayOfCrashesOfOtherCauses guards against restricting parts that nearly all requests
 // share because their group is closed for seconds.
 func TestReplayOfCrashesOfOtherCauses(t *testing.T) {
 	for _, every := range []time.Duration{10 * time.Second, 4100 * time.Millisecond, 5 * time.Second} {
--- a/core/btquarantine/part_register.go
+++ b/core/btquarantine/part_register.go
@@ -13,7 +13,7 @@
 const clearedFor = 2 * time.Minute
 
 // PartRegister finds the parts of prompts that crash targets as they begin to answer,
-// whatever else a request holds. A crash speaks against all parts of the requests that the
+// whatever else a request contains. A crash speaks against all parts of the requests that the
 // target had begun to answer without output; output of any request with a part, at any
 // process, speaks for it. It is not safe for concurrent use.
 type PartRegister struct {
--- a/core/btquarantine/part_register_test.go
+++ b/core/btquarantine/part_register_test.go
@@ -44,9 +44,9 @@
 // first is the rank of the process that probes first.
 func first(btquarantine.RestrictionID) int { return 0 }
 
-// held returns whether a register holds requests with the prompt.
-func held(r *btquarantine.PartRegister, now time.Time, p btquarantine.Prompt) bool {
-	return r.Check(now, p, nil, last).Held()
+// restricted returns whether a register refuses requests with the prompt.
+func restricted(r *btquarantine.PartRegister, now time.Time, p btquarantine.Prompt) bool {
+	return r.Check(now, p, nil, last).Refused()
 }
 
 // exchangeParts lets two registers exchange what they know.
@@ -55,35 +55,35 @@
 	a.Merge(now, b.Export(now))
 }
 
-// TestUnknownPartIsHeldAfterOneCrash checks that the part that was not served lately is held
+// TestUnknownPartIsRestrictedAfterOneCrash checks that the part that was not served lately is restricted
 // after one crash, and that requests with the others are not.
-func TestUnknownPartIsHeldAfterOneCrash(t *testing.T) {
+func TestUnknownPartIsRestrictedAfterOneCrash(t *testing.T) {
 	r := newPartRegister(1)
 	r.RecordOutput(start, prompt(1, 2))
 	changes := r.RecordCrash(after(time.Second), prompt(1, 2, deadly), 7, btquarantine.BegunWithoutOutput)
 	assert.Equal(t, len(changes.Restricted), 1)
 	assert.DeepEqual(t, changes.Restricted[0].Parts, []btquarantine.PartID{deadly})
-	assert.Assert(t, held(r, after(2*time.Second), prompt(9, deadly)))
-	assert.Assert(t, !held(r, after(2*time.Second), prompt(1, 2)))
-	assert.Assert(t, !held(r, after(2*time.Second), prompt(1, 2, 3)))
+	assert.Assert(t, restricted(r, after(2*time.Second), prompt(9, deadly)))
+	assert.Assert(t, !restricted(r, after(2*time.Second), prompt(1, 2)))
+	assert.Assert(t, !restricted(r, after(2*time.Second), prompt(1, 2, 3)))
 }
 
-// TestPartsThatCantBeToldApartAreHeldTogether checks that requests with only some of the
+// TestIndistinguishablePartsAreRestrictedTogether checks that requests with only some of the
 // parts that may be at fault are still sent, and that their outcome tells which one is.
-func TestPartsThatCantBeToldApartAreHeldTogether(t *testing.T) {
+func TestIndistinguishablePartsAreRestrictedTogether(t *testing.T) {
 	r := newPartRegister(1)
 	r.RecordCrash(start, prompt(1, 2, deadly), 1, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, held(r, after(time.Second), prompt(1, 2, deadly, 4)))
-	assert.Assert(t, !held(r, after(time.Second), prompt(1, 2)))
-	assert.Assert(t, !held(r, after(time.Second), prompt(2, deadly)))
+	assert.Assert(t, restricted(r, after(time.Second), prompt(1, 2, deadly, 4)))
+	assert.Assert(t, !restricted(r, after(time.Second), prompt(1, 2)))
+	assert.Assert(t, !restricted(r, after(time.Second), prompt(2, deadly)))
 	r.RecordCrash(after(5*time.Second), prompt(2, 5, deadly), 2, btquarantine.BegunWithoutOutput)
 	changes := r.RecordOutput(after(10*time.Second), prompt(2, 6))
 	assert.Equal(t, len(changes.Restricted), 1)
 	assert.DeepEqual(t, changes.Restricted[0].Parts, []btquarantine.PartID{deadly})
-	assert.Assert(t, held(r, after(10*time.Second), prompt(deadly)))
+	assert.Assert(t, restricted(r, after(10*time.Second), prompt(deadly)))
 }
 
-// TestKnownPartNeedsTwoCrashes guards against holding a part that has just been served
+// TestKnownPartNeedsTwoCrashes guards against restricting a part that has just been served
 // because one target crashed for another reason.
 func TestKnownPartNeedsTwoCrashes(t *testing.T) {
 	r := newPartRegister(1)
@@ -91,92 +91,92 @@
 		r.RecordOutput(after(time.Duration(i)*time.Millisecond), prompt(btquarantine.PartID(1+i%50)))
 	}
 	r.RecordCrash(after(time.Second), prompt(1), 1, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, !held(r, after(time.Second), prompt(1)))
+	assert.Assert(t, !restricted(r, after(time.Second), prompt(1)))
 	r.RecordCrash(after(2*time.Second), prompt(1), 2, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, !held(r, after(2*time.Second), prompt(1)), "targets that crash together count once")
+	assert.Assert(t, !restricted(r, after(2*time.Second), prompt(1)), "targets that crash together count once")
 	r.RecordCrash(after(6*time.Second), prompt(1), 3, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, held(r, after(6*time.Second), prompt(1)))
+	assert.Assert(t, restricted(r, after(6*time.Second), prompt(1)))
 }
 
-// TestOutputAnywhereReleasesPart guards against a part that stays held though another
+// TestOutputAnywhereReleasesPart guards against a part that stays restricted though another
 // process has seen output of a request with it.
 func TestOutputAnywhereReleasesPart(t *testing.T) {
 	a, b := newPartRegister(1), newPartRegister(2)
 	a.RecordCrash(start, prompt(1), 1, btquarantine.BegunWithoutOutput)
 	b.Merge(after(10*time.Millisecond), a.Export(after(10*time.Millisecond)))
-	assert.Assert(t, held(b, after(time.Second), prompt(1)))
+	assert.Assert(t, restricted(b, after(time.Second), prompt(1)))
 	changes := b.RecordOutput(after(time.Second), promptOf("other", 1, 2))
 	assert.Equal(t, len(changes.Released), 1)
 	exchangeParts(after(1010*time.Millisecond), a, b)
-	assert.Assert(t, !held(a, after(2*time.Second), prompt(1)))
+	assert.Assert(t, !restricted(a, after(2*time.Second), prompt(1)))
 	assert.Equal(t, a.Digest(), b.Digest())
 	// A copy of the crash's record that arrives late changes nothing.
 	a.Merge(after(3*time.Second), b.Export(after(time.Second)))
-	assert.Assert(t, !held(a, after(3*time.Second), prompt(1)))
+	assert.Assert(t, !restricted(a, after(3*time.Second), prompt(1)))
 }
 
-// TestEarlierOutputElsewhereReleasesPart guards against holding a part that is unknown to
+// TestEarlierOutputElsewhereReleasesPart guards against restricting a part that is unknown to
 // the process that saw the crash, but was served at another one.
 func TestEarlierOutputElsewhereReleasesPart(t *testing.T) {
 	a, b := newPartRegister(1), newPartRegister(2)
 	b.RecordOutput(start, prompt(1))
 	a.RecordCrash(after(time.Second), prompt(1), 1, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, held(a, after(time.Second), prompt(1)))
+	assert.Assert(t, restricted(a, after(time.Second), prompt(1)))
 	assert.Assert(t, b.Merge(after(time.Second), a.Export(after(time.Second))).CanAdd)
 	assert.Assert(t, b.AddOwnOutputs(after(time.Second)).Changed)
 	a.Merge(after(time.Second), b.Export(after(time.Second)))
-	assert.Assert(t, !held(a, after(time.Second), prompt(1)))
+	assert.Assert(t, !restricted(a, after(time.Second), prompt(1)))
 }
 
-// TestPartIsHeldForItsAccountOnly guards against a client account that has the parts of
-// another one held by listing them in requests that crash targets for another reason.
-func TestPartIsHeldForItsAccountOnly(t *testing.T) {
+// TestPartIsRestrictedForItsAccountOnly guards against a client account that has the parts of
+// another one restricted by listing them in requests that crash targets for another reason.
+func TestPartIsRestrictedForItsAccountOnly(t *testing.T) {
 	r := newPartRegister(1)
 	r.RecordCrash(start, promptOf("liar", 1), 1, btquarantine.BegunWithoutOutput)
 	r.RecordCrash(after(10*time.Second), promptOf("liar", 1), 2, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, held(r, after(10*time.Second), promptOf("liar", 1)))
-	assert.Assert(t, !held(r, after(10*time.Second), promptOf("victim", 1)))
+	assert.Assert(t, restricted(r, after(10*time.Second), promptOf("liar", 1)))
+	assert.Assert(t, !restricted(r, after(10*time.Second), promptOf("victim", 1)))
 	// A request of the victim that only waited at the target proves nothing.
 	r.RecordCrash(after(10*time.Second), promptOf("victim", 1), 2, btquarantine.Sent)
-	assert.Assert(t, !held(r, after(10*time.Second), promptOf("victim", 1)))
+	assert.Assert(t, !restricted(r, after(10*time.Second), promptOf("victim", 1)))
 	r.RecordCrash(after(20*time.Second), promptOf("victim", 1), 3, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, held(r, after(20*time.Second), promptOf("third", 1)))
-	assert.Assert(t, !held(r, after(20*time.Second), btquarantine.NewPrompt("liar", "another", []btquarantine.PartID{1})))
+	assert.Assert(t, restricted(r, after(20*time.Second), promptOf("third", 1)))
+	assert.Assert(t, !restricted(r, after(20*time.Second), btquarantine.NewPrompt("liar", "another", []btquarantine.PartID{1})))
 }
 
-// TestFreshFleetHoldsNoSharedPart guards against processes that have all just started and
-// hold what nearly all requests share, because targets crash for other reasons before any
+// TestFreshFleetRestrictsNoSharedPart guards against processes that have all just started and
+// restrict what nearly all requests share, because targets crash for other reasons before any
 // request has had output.
-func TestFreshFleetHoldsNoSharedPart(t *testing.T) {
+func TestFreshFleetRestrictsNoSharedPart(t *testing.T) {
 	r := newFreshRegister(1)
 	for i := range 3 {
 		at := after(time.Duration(5*i) * time.Second)
 		own := btquarantine.PartID(10 + i)
 		r.RecordCrash(at, prompt(1, own), uint64(i), btquarantine.BegunWithoutOutput)
 		if i < 2 {
-			assert.Assert(t, !held(r, at, prompt(1, 99)), "held after %d crashes", i+1)
+			assert.Assert(t, !restricted(r, at, prompt(1, 99)), "restricted after %d crashes", i+1)
 		}
 	}
-	// If it is held after more, then no longer than two outages take.
+	// If it is restricted after more, then no longer than two outages take.
 	for i := range 40 {
 		r.Arrive(after(11*time.Second), prompt(1, btquarantine.PartID(100+i)), last)
 	}
 	v := r.Arrive(after(18*time.Second), prompt(1, 99), first)
-	assert.Assert(t, !v.Held(), "held until %s", v.Until)
+	assert.Assert(t, !v.Refused(), "refused until %s", v.Until)
 }
 
-// TestFreshFleetHoldsCrashingPart checks that a crashing part is found without any output:
+// TestFreshFleetRestrictsCrashingPart checks that a crashing part is found without any output:
 // together with a part that all of its requests have, until a sibling is served.
-func TestFreshFleetHoldsCrashingPart(t *testing.T) {
+func TestFreshFleetRestrictsCrashingPart(t *testing.T) {
 	r := newFreshRegister(1)
 	for i := range 4 {
 		r.RecordCrash(after(time.Duration(5*i)*time.Second), prompt(1, deadly, btquarantine.PartID(10+i)), uint64(i), btquarantine.BegunWithoutOutput)
 	}
 	now := after(16 * time.Second)
-	assert.Assert(t, held(r, now, prompt(1, deadly, 99)))
-	assert.Assert(t, !held(r, now, prompt(1, 99)))
+	assert.Assert(t, restricted(r, now, prompt(1, deadly, 99)))
+	assert.Assert(t, !restricted(r, now, prompt(1, 99)))
 	r.RecordOutput(now, prompt(1, 99))
-	assert.Assert(t, held(r, now, prompt(2, deadly)))
+	assert.Assert(t, restricted(r, now, prompt(2, deadly)))
 }
 
 // TestFreshProcessLearnsShares guards against a process that has just started and sees a
@@ -185,25 +185,25 @@
 	fresh, other := newFreshRegister(1), newPartRegister(2)
 	other.RecordOutput(start, prompt(1))
 	fresh.RecordCrash(after(time.Second), prompt(1, deadly), 1, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, !held(fresh, after(time.Second), prompt(deadly)))
+	assert.Assert(t, !restricted(fresh, after(time.Second), prompt(deadly)))
 	assert.Assert(t, other.Merge(after(time.Second), fresh.Export(after(time.Second))).CanAdd)
 	other.AddOwnOutputs(after(time.Second))
 	fresh.Merge(after(time.Second), other.Export(after(time.Second)))
 	for _, r := range []*btquarantine.PartRegister{fresh, other} {
-		assert.Assert(t, held(r, after(time.Second), prompt(deadly)))
-		assert.Assert(t, !held(r, after(time.Second), prompt(1)))
+		assert.Assert(t, restricted(r, after(time.Second), prompt(deadly)))
+		assert.Assert(t, !restricted(r, after(time.Second), prompt(1)))
 	}
 }
 
-// TestSeveralCrashingPartsAreHeld guards against two parts at once of which one hides the
+// TestSeveralCrashingPartsAreRestricted guards against two parts at once of which one hides the
 // other.
-func TestSeveralCrashingPartsAreHeld(t *testing.T) {
+func TestSeveralCrashingPartsAreRestricted(t *testing.T) {
 	r := newPartRegister(1)
 	r.RecordOutput(start, prompt(1, 2))
 	r.RecordCrash(after(time.Second), prompt(1, 71), 1, btquarantine.BegunWithoutOutput)
 	r.RecordCrash(after(time.Second), prompt(2, 72), 2, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, held(r, after(2*time.Second), prompt(1, 71)) && held(r, after(2*time.Second), prompt(1, 72)))
-	assert.Assert(t, !held(r, after(2*time.Second), prompt(1, 2)))
+	assert.Assert(t, restricted(r, after(2*time.Second), prompt(1, 71)) && restricted(r, after(2*time.Second), prompt(1, 72)))
+	assert.Assert(t, !restricted(r, after(2*time.Second), prompt(1, 2)))
 }
 
 // TestWhichCrashesSpeakAgainstParts checks each progress of a request: after output none,
@@ -215,18 +215,18 @@
 	}
 	assert.Assert(t, r.Empty())
 	r.RecordCrash(start, prompt(1), 20, btquarantine.Sent)
-	assert.Assert(t, !held(r, start, prompt(1)))
+	assert.Assert(t, !restricted(r, start, prompt(1)))
 	r.RecordCrash(after(10*time.Second), prompt(1), 21, btquarantine.Sent)
-	assert.Assert(t, held(r, after(10*time.Second), prompt(1)))
+	assert.Assert(t, restricted(r, after(10*time.Second), prompt(1)))
 	r.RecordCrash(after(10*time.Second), prompt(2), 21, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, !held(r, after(10*time.Second), prompt(1)))
-	assert.Assert(t, held(r, after(10*time.Second), prompt(2)))
+	assert.Assert(t, !restricted(r, after(10*time.Second), prompt(1)))
+	assert.Assert(t, restricted(r, after(10*time.Second), prompt(2)))
 }
 
-// TestHoldEndsWithOneProbe guards against a hold that ends at all processes at once: of a
+// TestRestrictionEndsWithOneProbe guards against a restriction that ends at all processes at once: of a
 // day's requests with a part that still crashes targets, few are sent, one at a time; and
 // one that has become sound is served by all after the first.
-func TestHoldEndsWithOneProbe(t *testing.T) {
+func TestRestrictionEndsWithOneProbe(t *testing.T) {
 	const processes = 4
 	var registers []*btquarantine.PartRegister
 	for i := range processes {
@@ -244,7 +244,7 @@
 			r := registers[i]
 			r.Arrive(after(at), prompt(1, 2), func(btquarantine.RestrictionID) int { return i })
 			v := r.Arrive(after(at), prompt(1, deadly), func(btquarantine.RestrictionID) int { return i })
-			if v.Held() {
+			if v.Refused() {
 				assert.Assert(t, v.Until.After(after(at)), "a refusal without a time to retry")
 				continue
 			}
@@ -266,26 +266,26 @@
 }
 
 // TestProbeEndsWithItsRestriction checks that at most one request of a process is a probe,
-// that another may follow if the first told nothing, and that a crash ends its permission.
+// that another may follow if the first was inconclusive, and that a crash ends its permission.
 func TestProbeEndsWithItsRestriction(t *testing.T) {
 	r := newPartRegister(1)
 	r.RecordCrash(start, prompt(1), 1, btquarantine.BegunWithoutOutput)
 	now := after(btquarantine.SuspectFor)
 	v := r.Arrive(now, prompt(1), first)
-	assert.Assert(t, v.Probe != nil && !v.Held())
-	assert.Assert(t, r.Arrive(now, prompt(1), first).Held())
-	assert.Assert(t, !r.Check(now, prompt(1), v.Probe, first).Held())
+	assert.Assert(t, v.Probe != nil && !v.Refused())
+	assert.Assert(t, r.Arrive(now, prompt(1), first).Refused())
+	assert.Assert(t, !r.Check(now, prompt(1), v.Probe, first).Refused())
 	r.Release(now, v.Probe)
-	assert.Assert(t, r.Arrive(now, prompt(1), first).Held(), "the next probe waits")
+	assert.Assert(t, r.Arrive(now, prompt(1), first).Refused(), "the next probe waits")
 	v = r.Arrive(now.Add(2*time.Second), prompt(1), first)
-	assert.Assert(t, !v.Held())
+	assert.Assert(t, !v.Refused())
 	r.RecordCrash(now.Add(3*time.Second), prompt(1, 2), 2, btquarantine.BegunWithoutOutput)
-	assert.Assert(t, r.Check(now.Add(3*time.Second), prompt(1), v.Probe, first).Held())
+	assert.Assert(t, r.Check(now.Add(3*time.Second), prompt(1), v.Probe, first).Refused())
 	r.Release(now.Add(3*time.Second), v.Probe)
 }
 
 // TestPartRegisterIsBounded guards against registers, messages and heaps that grow with the
-// crashes, the parts of requests or the parts in use, and against losing what holds a part
+// crashes, the parts of requests or the parts in use, and against losing what restricts a part
 // because of them.
 func TestPartRegisterIsBounded(t *testing.T) {
 	r := newPartRegister(1)
@@ -308,7 +308,7 @@
 	data, err := btwire.Encode(u)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) <= maxPartExportBytes, "%d bytes", len(data))
-	assert.Assert(t, held(r, after(61*time.Second), prompt(deadly)))
+	assert.Assert(t, restricted(r, after(61*time.Second), prompt(deadly)))
 
 	before := heapBytes()
 	for i := range 100_000 {
--- a/core/btquarantine/part_replay_test.go
+++ b/core/btquarantine/part_replay_test.go
@@ -77,8 +77,8 @@
 
 // partDecider is a way to decide on requests, at one entry.
 type partDecider interface {
-	arrive(now time.Time, q *partRequest) (held bool, since time.Time)
-	check(now time.Time, q *partRequest) (held bool, since time.Time)
+	arrive(now time.Time, q *partRequest) (refused bool, since time.Time)
+	check(now time.Time, q *partRequest) (refused bool, since time.Time)
 	release(now time.Time, q *partRequest)
 	crash(now time.Time, q *partRequest, target uint64, p btquarantine.Progress)
 	output(now time.Time, q *partRequest)
@@ -95,15 +95,15 @@
 
 func (d inferring) arrive(now time.Time, q *partRequest) (bool, time.Time) {
 	q.verdict = d.Arrive(now, q.prompt, d.order)
-	return heldBy(q.verdict)
+	return verdictOf(q.verdict)
 }
 
 func (d inferring) check(now time.Time, q *partRequest) (bool, time.Time) {
-	return heldBy(d.Check(now, q.prompt, q.verdict.Probe, d.order))
+	return verdictOf(d.Check(now, q.prompt, q.verdict.Probe, d.order))
 }
 
-func heldBy(v btquarantine.Verdict) (bool, time.Time) {
-	if !v.Held() {
+func verdictOf(v btquarantine.Verdict) (bool, time.Time) {
+	if !v.Refused() {
 		return false, time.Time{}
 	}
 	return true, v.Restriction.LastCrash
@@ -126,7 +126,7 @@
 	d.AddOwnOutputs(now)
 }
 
-// counting holds each part after a number of crashes without output since, for ten minutes.
+// counting restricts each part after a number of crashes without output since, for ten minutes.
 type counting struct {
 	most    int
 	crashed map[btquarantine.PartID]map[uint64]time.Time
@@ -264,11 +264,11 @@
 }
 
 // refuse notes for how long a request has been refused since the crash.
-func (r *partReplay) refuse(held bool, since time.Time) bool {
-	if held {
+func (r *partReplay) refuse(refused bool, since time.Time) bool {
+	if refused {
 		r.lastSince = since
 	}
-	return held
+	return refused
 }
 
 // note counts a refusal; it returns true.
--- a/core/btquarantine/probe.go
+++ b/core/btquarantine/probe.go
@@ -50,8 +50,8 @@
 	Probe *Probe
 }
 
-// Held reports whether the request must not be sent.
-func (v Verdict) Held() bool { return v.Restriction != nil && v.Probe == nil }
+// Refused reports whether the request must not be sent.
+func (v Verdict) Refused() bool { return v.Restriction != nil && v.Probe == nil }
 
 // Arrive decides on a request that has just arrived. rank returns the order in which this
 // process may probe a restriction, from zero for the first one.
--- a/io/btdirect/prompt.go
+++ b/io/btdirect/prompt.go
@@ -85,12 +85,12 @@
 		x.entry.meter.Counter(metricPartProbes).Inc(1)
 		x.entry.log.Info("part probed", "request", x.info.ID, "restriction", v.Restriction.ID, "parts", v.Restriction.Parts, "crashes", v.Restriction.Crashes)
 	}
-	return x.refuseHeld(v)
+	return x.refuseVerdict(v)
 }
 
-// refuseHeld refuses the request if the verdict holds it.
-func (x *exchange) refuseHeld(v btquarantine.Verdict) bool {
-	if !v.Held() {
+// refuseVerdict refuses the request if the verdict does.
+func (x *exchange) refuseVerdict(v btquarantine.Verdict) bool {
+	if !v.Refused() {
 		return false
 	}
 	x.restriction = v.Restriction
@@ -108,11 +108,11 @@
 
 // refuseQuarantined refuses a request that is quarantined, and reports whether it did.
 func (x *exchange) refuseQuarantined() bool {
-	if left, held := x.entry.quarantine.Remaining(x.fingerprint); held {
+	if left, quarantined := x.entry.quarantine.Remaining(x.fingerprint); quarantined {
 		x.endUnserved(ReasonQuarantined, left)
 		return true
 	}
-	if x.refuseHeld(x.checkParts()) {
+	if x.refuseVerdict(x.checkParts()) {
 		return true
 	}
 	if reason := x.withdrawnReason(); reason != "" {
@@ -125,10 +125,10 @@
 
 // quarantineReason returns the reason for which the request is quarantined, or "".
 func (x *exchange) quarantineReason() btrequest.Reason {
-	if _, held := x.entry.quarantine.Remaining(x.fingerprint); held {
+	if _, quarantined := x.entry.quarantine.Remaining(x.fingerprint); quarantined {
 		return ReasonQuarantined
 	}
-	if v := x.checkParts(); v.Held() {
+	if v := x.checkParts(); v.Refused() {
 		x.restriction = v.Restriction
 		return ReasonPartQuarantined
 	}
--- a/io/btisolation/parts_test.go
+++ b/io/btisolation/parts_test.go
@@ -48,11 +48,11 @@
 	assert.Assert(t, !b.Merge(a.ExportIfChanged(0), "a"), "a known update is passed on again")
 	assert.Equal(t, withdrawn, 2)
 	assert.Equal(t, gauge.Value(), int64(1))
-	assert.Assert(t, a.Arrive(prompt(1, 0xdead)).Held() && b.Check(prompt(0xdead), nil).Held())
+	assert.Assert(t, a.Arrive(prompt(1, 0xdead)).Refused() && b.Check(prompt(0xdead), nil).Refused())
 	assert.Assert(t, strings.Contains(lines.String(), `msg="part quarantined"`) && strings.Contains(lines.String(), "parts=[dead]") && strings.Contains(lines.String(), "path=/x"), lines.String())
 	b.RecordOutput(prompt(0xdead))
 	assert.Assert(t, a.Merge(b.ExportIfChanged(a.Digest()), "b"))
-	assert.Assert(t, !a.Arrive(prompt(0xdead)).Held())
+	assert.Assert(t, !a.Arrive(prompt(0xdead)).Refused())
 	assert.Equal(t, gauge.Value(), int64(0))
 	assert.Assert(t, strings.Contains(lines.String(), `msg="part released"`))
 }
