btisolation: one loop for the updates of requests and of parts

Run stood twice, with the same select. runUpdates is the loop of both; what they send stays theirs. Comments of more than three lines in the quarantine of parts are shortened; each keeps its reason. No behaviour changes, the tests of btisolation and btquarantine pass.

--- a/core/btquarantine/part_register.go
+++ b/core/btquarantine/part_register.go
@@ -12,10 +12,9 @@
 // delayed copy of its record isn't taken for another crash.
 const clearedFor = 2 * time.Minute
 
-// PartRegister finds the parts of prompts that crash targets as they begin to answer,
-// whatever else a request contains. A crash speaks against all parts of the requests that the
-// target had begun to answer without output; output of any request with a part, at any
-// process, speaks for it. It is not safe for concurrent use.
+// PartRegister finds the parts of prompts that crash targets as they begin to answer. A
+// crash is evidence against all parts of the requests begun without output, output of any
+// request is evidence for its parts. It is not safe for concurrent use.
 type PartRegister struct {
 	// observer identifies this process in its reports.
 	observer uint64
--- a/core/btquarantine/part_replay_test.go
+++ b/core/btquarantine/part_replay_test.go
@@ -14,11 +14,11 @@
 )
 
 // The replay is modelled on an incident in which one part of prompts crashed the ranks of a
-// group one after the other, with no two requests alike. Requests share a tree of parts:
-// one of three system prompts, one of ten accounts' instructions, one of sixty documents of
-// that system prompt. All that wait while the group is closed begin together when it
-// reopens, and a crash comes before the first output of any of them.
+// group one after the other. All requests that wait while the group is closed begin together
+// when it reopens, and a crash comes before the first output of any of them.
 const (
+	// systemPrompts, documents (of each system prompt) and accountsPerReplay (with
+	// instructions of their own) are the parts that sound requests share.
 	systemPrompts     = 3
 	accountsPerReplay = 10
 	documents         = 60
--- a/core/btquarantine/restriction.go
+++ b/core/btquarantine/restriction.go
@@ -72,10 +72,9 @@
 	return RestrictionID(xxhash.Sum64(data))
 }
 
-// probeAt returns when the first process may probe whether the parts still crash targets,
-// by sending one request. If they do, the probe costs every request of the service an
-// outage; until then, the share of them that has the parts is refused, in vain if they
-// don't.
+// probeAt returns when the first process may probe whether the parts still crash targets.
+// A probe that does costs all requests of the service an outage; no probe costs the share
+// of them that has the parts, if these are sound.
 func (r Restriction) probeAt(share float64) time.Time {
 	longest := min(SuspectFor.Seconds()*math.Pow(waitPerCrash, float64(r.Excess)), PartTTL.Seconds())
 	wait := min(math.Exp(r.LogOdds)*outageTime.Seconds()/share, longest)
--- a/io/btisolation/btisolation.go
+++ b/io/btisolation/btisolation.go
@@ -166,19 +166,27 @@
 
 // Run passes pending updates to send and removes expired records until the context ends.
 func (i *Isolation) Run(ctx context.Context, send func(context.Context, btquarantine.Update)) {
-	expire := time.NewTicker(expireInterval)
-	defer expire.Stop()
+	runUpdates(ctx, i.wake, i.expire, func() {
+		for update := i.nextUpdate(); len(update.Records) > 0; update = i.nextUpdate() {
+			send(ctx, update)
+		}
+	})
+}
+
+// runUpdates calls send a moment after each wake, and expire regularly, until the context
+// ends.
+func runUpdates(ctx context.Context, wake <-chan struct{}, expire, send func()) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-expire.C:
-			i.expire()
-		case <-i.wake:
+		case <-ticker.C:
+			expire()
+		case <-wake:
 			sleep(ctx, batchDelay)
-			for update := i.nextUpdate(); len(update.Records) > 0; update = i.nextUpdate() {
-				send(ctx, update)
-			}
+			send()
 		}
 	}
 }
--- a/io/btisolation/parts.go
+++ b/io/btisolation/parts.go
@@ -157,21 +157,11 @@
 
 // Run passes updates to send and removes expired records until the context ends.
 func (p *Parts) Run(ctx context.Context, send func(context.Context, btquarantine.PartUpdate)) {
-	expire := time.NewTicker(expireInterval)
-	defer expire.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-expire.C:
-			p.expire()
-		case <-p.wake:
-			sleep(ctx, batchDelay)
-			if u := p.ExportIfChanged(0); !u.Empty() {
-				send(ctx, u)
-			}
+	runUpdates(ctx, p.wake, p.expire, func() {
+		if u := p.ExportIfChanged(0); !u.Empty() {
+			send(ctx, u)
 		}
-	}
+	})
 }
 
 func (p *Parts) expire() {
