btquarantine: probe requests to which several restrictions apply

Found by reading: a request to which two restrictions apply was never a probe. Where all requests with a part have another restricted one too, nothing could release it before its crashes expire, ten minutes after a first one. A probe is of all restrictions that apply now, once each is due.

Ruled out: the narrowest restriction only, as the others still refuse it. TestRequestWithSeveralRestrictionsMayProbe failed before (refused at 30 s).

--- a/core/btquarantine/part_register_test.go
+++ b/core/btquarantine/part_register_test.go
@@ -284,6 +284,21 @@
 	r.Release(now.Add(3*time.Second), v.Probe)
 }
 
+// TestRequestWithSeveralRestrictionsMayProbe guards against parts that no probe can release,
+// as another restriction applies to all requests with them.
+func TestRequestWithSeveralRestrictionsMayProbe(t *testing.T) {
+	r := newPartRegister(1)
+	r.RecordCrash(start, prompt(1), 1, btquarantine.BegunWithoutOutput)
+	r.RecordCrash(start, prompt(2), 2, btquarantine.BegunWithoutOutput)
+	now := after(btquarantine.SuspectFor)
+	v := r.Arrive(now, prompt(1, 2), first)
+	assert.Assert(t, !v.Refused())
+	assert.Assert(t, !r.Check(now, prompt(1, 2), v.Probe, first).Refused())
+	assert.Assert(t, r.Arrive(now, prompt(1), first).Refused() && r.Arrive(now, prompt(2), first).Refused(), "a second probe")
+	r.RecordOutput(now, prompt(1, 2))
+	assert.Assert(t, !restricted(r, now, prompt(1)) && !restricted(r, now, prompt(2)))
+}
+
 // TestPartRegisterIsBounded guards against registers, messages and heaps that grow with the
 // crashes, the parts of requests or the parts in use, and against losing what restricts a part
 // because of them.
--- a/core/btquarantine/probe.go
+++ b/core/btquarantine/probe.go
@@ -1,6 +1,9 @@
 package btquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // probing is what this process knows about probes of a restriction.
 type probing struct {
@@ -33,10 +36,20 @@
 	return float64(max(p.matched, 1)) / float64(p.total+assumedRequests)
 }
 
-// Probe permits one request to be sent in spite of a restriction.
+// Probe permits one request to be sent in spite of the restrictions that apply to it.
 type Probe struct {
-	Restriction RestrictionID
-	crashes     int
+	// crashes are those of each of the restrictions.
+	crashes map[RestrictionID]int
+}
+
+// permits reports whether the probe is of all these restrictions, as they are.
+func (p *Probe) permits(applying []Restriction) bool {
+	for _, n := range applying {
+		if p == nil || p.crashes[n.ID] != n.Crashes {
+			return false
+		}
+	}
+	return true
 }
 
 // Verdict is the decision on a request.
@@ -69,16 +82,23 @@
 		return Verdict{}
 	}
 	v := r.latest(now, applying, rank)
-	if len(applying) > 1 || now.Before(v.Until) || r.probes[v.Restriction.ID].inProgress {
+	if now.Before(v.Until) || r.probed(applying) {
 		v.Until = maxTime(v.Until, now.Add(probeSlot))
 		return v
 	}
-	state := r.probes[v.Restriction.ID]
-	state.inProgress = true
-	v.Probe = &Probe{Restriction: v.Restriction.ID, crashes: state.crashes}
+	v.Probe = &Probe{crashes: make(map[RestrictionID]int)}
+	for _, n := range applying {
+		r.probes[n.ID].inProgress = true
+		v.Probe.crashes[n.ID] = n.Crashes
+	}
 	return v
 }
 
+// probed reports whether a request of this process is a probe of any of the restrictions.
+func (r *PartRegister) probed(list []Restriction) bool {
+	return slices.ContainsFunc(list, func(n Restriction) bool { return r.probes[n.ID].inProgress })
+}
+
 // latest returns a verdict with the restriction that ends last.
 func (r *PartRegister) latest(now time.Time, applying []Restriction, rank func(RestrictionID) int) Verdict {
 	var v Verdict
@@ -101,7 +121,7 @@
 	}
 	v := r.latest(now, applying, rank)
 	v.Until = maxTime(v.Until, now.Add(probeSlot))
-	if len(applying) == 1 && probe != nil && probe.Restriction == v.Restriction.ID && probe.crashes == v.Restriction.Crashes {
+	if probe.permits(applying) {
 		v.Probe = probe
 	}
 	return v
@@ -109,12 +129,14 @@
 
 // Release ends a probe. If it was inconclusive, the next one may follow soon.
 func (r *PartRegister) Release(now time.Time, probe *Probe) {
-	state, found := r.probes[probe.Restriction]
-	if !found || state.crashes != probe.crashes {
-		return
+	for id, crashes := range probe.crashes {
+		state, found := r.probes[id]
+		if !found || state.crashes != crashes {
+			continue
+		}
+		state.inProgress = false
+		state.nextAt = now.Add(probeSlot)
 	}
-	state.inProgress = false
-	state.nextAt = now.Add(probeSlot)
 }
 
 // applying returns the restrictions that apply to requests with the prompt.
