--- a/commands/btdirectcmd/runtime.go
+++ b/commands/btdirectcmd/runtime.go
@@ -19,6 +19,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/io/btclock"
 	"bilberrytide/io/btdirect"
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/btlog"
 	"bilberrytide/io/btmetric"
 	btadapter "bilberrytide/platform"
@@ -40,8 +41,6 @@
 	settingsPollInterval = 2 * time.Second
 	// metricsPort is the port that the deploy file names for metrics.
 	metricsPort = 9190
-	// metricsHeaderTimeout limits how long the header of a metrics request is read.
-	metricsHeaderTimeout = 5 * time.Second
 )
 
 // runtime holds the settings and services that entries and agents share.
@@ -101,10 +100,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", r.meter.TextHandler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	front, server := btfront.NewOperatorServer("metrics", mux, r.clock.Now, r.meter, r.log)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := btfront.ServeOperator(front, server, listener); err != nil {
 			r.log.Warn("metrics not served", "address", address, "error", err)
 		}
 	}()
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -20,6 +20,7 @@
 	"bilberrytide/core/btretry"
 	"bilberrytide/core/btstop"
 	"bilberrytide/io/btcall"
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 )
@@ -254,9 +255,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	front, server := btfront.NewOperatorServer("ready", mux, e.options.Clock, e.meter, e.log)
 	go func() {
-		if err := server.Serve(btcall.RetryAccept(listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := btfront.ServeOperator(front, server, listener); err != nil {
 			e.log.Error("readiness check ended", "error", err)
 		}
 	}()
