btdirect: give the places of silent connections to new ones

What callers saw: 800 connections whose bodies lack a byte, or that send nothing, take all 525 places of an entry with 900 descriptors; every other caller's connection is closed unread for as long as they stay, ten tries a second apart.

Cause: a connection beyond the limit was closed whatever those that are there did, and nothing ended one whose body had stopped.

Change: the callers' address has a front. A new connection gets the place of the one that has been without a complete request for longest, if that is over 100 ms; one whose request is being served keeps its place.

TestConnectionsBeyondTheLimitAreClosedUnread filled the entry with idle connections, which now make room. It fills it with requests that are being served, as strictly: the next connection must be closed unread, none of those requests may be cut, and connections are taken again afterwards. TestIdleConnectionsMakeRoom is the other half.

Ruled out: a grace of a second (3,200 connections a second for 525 places leave an ordinary caller one in six tries); none (good callers would evict each other before their requests are read).

--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -51,7 +51,6 @@
 	admission *admission
 	peers     *peers
 	crashes   *crashDetector
-	bodies    *bodyMemory
 	// quarantine keeps requests that crash targets away from targets.
 	quarantine *quarantine
 
@@ -60,8 +59,9 @@
 	served    atomic.Uint64
 	stopping  atomic.Bool
 	open      *openRequests
-	// connections are those of callers.
-	connections *callerConnections
+	// front has the connections of callers.
+	front  *btfront.Front
+	bodies *bodyMemory
 	// shutdownPhase is nil until the entry shuts down. openStreams counts the open
 	// streams.
 	shutdownPhase atomic.Pointer[btstop.Phase]
@@ -86,18 +86,18 @@
 		log:           o.Log,
 		startedAt:     o.Clock(),
 		open:          newOpenRequests(o.Clock),
+		bodies:        newBodyMemory(o.Settings.Memory),
 		meter:         o.Meter,
 		fleet:         newFleet(o),
 		crashes:       newCrashDetector(o.Clock),
-		bodies:        newBodyMemory(o.Settings.Memory),
 		acceptance:    newAcceptance(),
-		connections:   newCallerConnections(o),
 		stopRequested: make(chan struct{}),
 		budgets:       make(map[btid.Service]*budget),
 		allotment:     btretry.NewAllotment(o.Clock(), o.Settings.Retry.windowConfig(), o.Settings.FirstStart),
 	}
 	e.stopGrace.Store(int64(o.Settings.StopGrace))
 	e.cache = newSourceCache(o, e.configure)
+	e.front = newFront(o)
 	e.peers = newPeers(e)
 	e.quarantine = newQuarantine(o, e.peers)
 	e.cache.reading = e.peers.reading
@@ -138,13 +138,9 @@
 	callerIdleTimeout = 75 * time.Second
 )
 
-// connectionKey is the key of a caller's connection in the contexts of its requests.
-type connectionKey struct{}
-
 // openRequest adds a request to the open ones until its connection is idle or closed.
 func (e *Entry) openRequest(x *exchange) *openRequest {
-	c, _ := x.request.Context().Value(connectionKey{}).(net.Conn)
-	return e.open.add(c, x.info.ID, x.receivedAt)
+	return e.open.add(x.connection, x.info.ID, x.receivedAt)
 }
 
 // listeners are those of an entry.
@@ -179,16 +175,13 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       callerIdleTimeout,
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connectionKey{}, c)
-		},
 		ConnState: func(c net.Conn, s http.ConnState) {
-			e.connections.observe(s)
 			if s == http.StateIdle || s == http.StateClosed {
 				e.open.connectionDone(c)
 			}
 		},
 	}
+	e.front.Configure(server)
 	ready := e.serveReady(l.ready)
 	// The group doesn't cancel the context: that would cut all answers.
 	group := &errgroup.Group{}
@@ -219,7 +212,7 @@
 
 // handle handles a caller's request and logs a panic, which cuts only that request.
 func (e *Entry) handle(w http.ResponseWriter, r *http.Request) {
-	c, _ := r.Context().Value(connectionKey{}).(net.Conn)
+	c := btfront.Of(r.Context())
 	defer func() {
 		cause := recover()
 		if cause == nil {
@@ -240,7 +233,7 @@
 
 // serveFront serves callers until the shutdown closes the listener.
 func (e *Entry) serveFront(server *http.Server, listener net.Listener) error {
-	err := server.Serve(limitedListener{btcall.RetryAccept(listener), e.connections})
+	err := e.front.Serve(server, listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && e.stopping.Load() {
 		return nil
 	}
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -16,6 +16,7 @@
 	"bilberrytide/core/btpick"
 	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btfront"
 )
 
 // exchange is the handling of one request of a caller.
@@ -25,6 +26,8 @@
 	request *http.Request
 	info    RequestInfo
 	body    []byte
+	// connection is the caller's.
+	connection *btfront.Conn
 	// reserved is the memory reserved for the request, in bytes.
 	reserved int64
 	index    *btcatalog.Index
@@ -88,6 +91,7 @@
 		entry:      e,
 		writer:     w,
 		request:    r,
+		connection: btfront.Of(r.Context()),
 		info:       e.options.Headers.ParseRequest(r.Header),
 		receivedAt: e.options.Clock(),
 		tried:      make(map[btinventory.Instance]bool),
--- a/io/btdirect/stop.go
+++ b/io/btdirect/stop.go
@@ -106,7 +106,7 @@
 // announceClose announces in the header of an answer that its connection will be closed,
 // if the entry is stopping or has too many connections.
 func (e *Entry) announceClose(h http.Header) {
-	if e.stopping.Load() || e.connections.crowded() {
+	if e.stopping.Load() || e.front.Crowded() {
 		h.Set("Connection", "close")
 	}
 }
