btdirect: count the memory of headers and use the catalog's limits

What callers saw: 400 connections with headers of 16 to 60 KB of four-byte fields, within or above the catalog's 16 KB, take an entry with 96 MB to several hundred; a header of twice the catalog's limit is served.

Cause: the server took 64 KB of header whatever the catalog says, and nothing counted that a field of four bytes takes some hundred once it is parsed, and as much again in the copy for the target. The catalog's limits of header time and idle time had no reader.

Change: the account of the callers' connections, a quarter of the memory, counts a header's bytes and 320 for each field before it is parsed. The limits of the catalog in force apply to the next header: 431 and a closed connection above the size, closed unread a second after the time.

Ruled out: a limit on the number of fields, which the pages don't name, so that a single request within them might be refused; MaxHeaderBytes of the server, which is fixed when it starts.

--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -97,7 +97,7 @@
 	}
 	e.stopGrace.Store(int64(o.Settings.StopGrace))
 	e.cache = newSourceCache(o, e.configure)
-	e.front = newFront(o)
+	e.front = newFront(o, e.callerLimits)
 	e.peers = newPeers(e)
 	e.quarantine = newQuarantine(o, e.peers)
 	e.cache.reading = e.peers.reading
