btdirect: evict stalled bodies instead of refusing ordinary callers

What callers saw: 100 to 450 bodies that stop a byte short make the entry refuse every ordinary request with 503 memory, in ten tries a second apart, until their deadlines.

Cause: a body reserved what it announced and kept it until its request ended, and whoever came when the memory was used up was refused. io.ReadAll grows by copying, which nothing counted.

Change: a body's buffer grows with what arrives, and its memory is reserved as it grows, in the account that the connections' headers use. When that is short, the connections that have held most memory for longest beyond what their bytes take at 1 MB a second are evicted, if they weigh more than the one that needs it: 408 body_late without Retry-After, not run. Reading ends at the request's deadline. Trailers are dropped.

Ruled out: time limits and least rates for each body, which cut slow callers while there is room; shares by account or address, which the load balancer hides.

--- a/io/btdirect/body.go
+++ b/io/btdirect/body.go
@@ -2,57 +2,17 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
-	"sync/atomic"
+	"time"
 
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/bttarget"
 )
 
-const (
-	// bodyMemoryShare is the fraction of the process's memory that bodies of requests and
-	// buffered answers may take; the rest is for connections, lists and garbage.
-	bodyMemoryShare = 0.25
-	// reserveBytes is the amount reserved at a time for a body of unknown size.
-	reserveBytes = 64 << 10
-)
-
-// bodyMemory bounds the bytes that are buffered for slow callers and targets. It is safe for
-// concurrent use.
-type bodyMemory struct {
-	// limit is in bytes; zero means that there is none.
-	limit int64
-	used  atomic.Int64
-}
-
-func newBodyMemory(memory int64) *bodyMemory {
-	return &bodyMemory{limit: int64(float64(memory) * bodyMemoryShare)}
-}
-
-// reserve reserves bytes, and returns false if they are more than are left.
-func (m *bodyMemory) reserve(n int64) bool {
-	if m.used.Add(n) <= m.limit || m.limit <= 0 {
-		return true
-	}
-	m.used.Add(-n)
-	return false
-}
-
-func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
-
-// reserve reserves bytes until the request ends, and returns false if they are more than
-// are left.
-func (x *exchange) reserve(n int64) bool {
-	if !x.entry.bodies.reserve(n) {
-		return false
-	}
-	x.reserved += n
-	return true
-}
-
-// releaseMemory releases what the request has reserved.
-func (x *exchange) releaseMemory() { x.entry.bodies.release(x.reserved) }
+// defaultBodyBytes is the body limit if the catalog sets none.
+const defaultBodyBytes = 4 << 20
 
 // readBody reads the whole body, so that an attempt can be repeated and the server
 // notices a caller that disconnects.
@@ -67,46 +27,34 @@
 	if x.request.ContentLength == 0 {
 		return nil
 	}
-	body, reserved, err := x.readReserved(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, limit)
-	if !reserved {
-		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonMemory, retryAfter: x.otherEntryRetryAfter()}
-	}
-	var tooBig *http.MaxBytesError
-	if errors.As(err, &tooBig) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
+	control := http.NewResponseController(x.writer)
+	err := control.SetReadDeadline(time.Now().Add(x.deadline.Sub(x.entry.options.Clock())))
+	if err == nil {
+		x.body, err = x.connection.ReadBody(x.request.Body, x.request.ContentLength, limit)
 	}
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyCut}
+	if err == nil {
+		x.received = true
+		// Trailers aren't forwarded.
+		x.request.Trailer = nil
+		err = control.SetReadDeadline(time.Time{})
 	}
-	x.body = body
-	return nil
+	return x.refuseBody(err)
 }
 
-// defaultBodyBytes is the body limit if the catalog sets none.
-const defaultBodyBytes = 4 << 20
-
-// readReserved reads a body of at most limit bytes and reserves its size. It returns false
-// if that is more than is left.
-func (x *exchange) readReserved(body io.Reader, size, limit int64) ([]byte, bool, error) {
-	if size >= 0 {
-		if !x.reserve(size) {
-			return nil, false, nil
-		}
-		data, err := io.ReadAll(body)
-		return data, true, err
-	}
-	var data []byte
-	for int64(len(data)) <= limit {
-		if !x.reserve(reserveBytes) {
-			return nil, false, nil
-		}
-		part, err := io.ReadAll(io.LimitReader(body, reserveBytes))
-		data = append(data, part...)
-		if err != nil || len(part) < reserveBytes {
-			return data, true, err
-		}
+// refuseBody returns the refusal of a request whose body wasn't read; nil without an error.
+func (x *exchange) refuseBody(err error) *refusal {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, btfront.ErrTooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooBig}
+	case errors.Is(err, btfront.ErrMemory):
+		return &refusal{status: http.StatusServiceUnavailable, reason: ReasonMemory, retryAfter: x.otherEntryRetryAfter()}
+	case errors.Is(err, btfront.ErrEvicted), errors.Is(err, os.ErrDeadlineExceeded):
+		// A caller that is as slow again would only repeat this.
+		return &refusal{status: http.StatusRequestTimeout, reason: ReasonBodyLate}
 	}
-	return data, true, nil
+	return &refusal{status: http.StatusBadRequest, reason: ReasonBodyCut}
 }
 
 // reserveAnswer reserves the buffer for an answer.
@@ -115,5 +63,5 @@
 	if err != nil || size < 0 || size > bufferBytes {
 		size = bufferBytes
 	}
-	return x.reserve(size)
+	return x.connection.Reserve(size)
 }
--- a/io/btdirect/entry.go
+++ b/io/btdirect/entry.go
@@ -60,8 +60,7 @@
 	stopping  atomic.Bool
 	open      *openRequests
 	// front has the connections of callers.
-	front  *btfront.Front
-	bodies *bodyMemory
+	front *btfront.Front
 	// shutdownPhase is nil until the entry shuts down. openStreams counts the open
 	// streams.
 	shutdownPhase atomic.Pointer[btstop.Phase]
@@ -86,7 +85,6 @@
 		log:           o.Log,
 		startedAt:     o.Clock(),
 		open:          newOpenRequests(o.Clock),
-		bodies:        newBodyMemory(o.Settings.Memory),
 		meter:         o.Meter,
 		fleet:         newFleet(o),
 		crashes:       newCrashDetector(o.Clock),
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -25,11 +25,11 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	info    RequestInfo
-	body    []byte
 	// connection is the caller's.
 	connection *btfront.Conn
-	// reserved is the memory reserved for the request, in bytes.
-	reserved int64
+	body       []byte
+	// received is set once the whole request has been read.
+	received bool
 	index    *btcatalog.Index
 	route    *btcatalog.Route
 	service  *btcatalog.Service
@@ -92,12 +92,12 @@
 		writer:     w,
 		request:    r,
 		connection: btfront.Of(r.Context()),
+		received:   r.ContentLength == 0,
 		info:       e.options.Headers.ParseRequest(r.Header),
 		receivedAt: e.options.Clock(),
 		tried:      make(map[btinventory.Instance]bool),
 	}
 	x.fingerprint = sync.OnceValue(x.computeFingerprint)
-	defer x.releaseMemory()
 	x.open = e.openRequest(x)
 	e.meter.Counter(metricRequests).Inc(1)
 	if refused := x.identify(); refused != nil {
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -16,6 +16,9 @@
 	// ReasonMemory: the entry buffers as many bytes of requests and answers as its memory
 	// allows.
 	ReasonMemory btrequest.Reason = "memory"
+	// ReasonBodyLate: the body wasn't received in time, or took most memory for longest
+	// while others needed it.
+	ReasonBodyLate btrequest.Reason = "body_late"
 	// ReasonBodyCut: the body broke off.
 	ReasonBodyCut btrequest.Reason = "body_cut"
 	// ReasonStopping: the entry is shutting down and accepts no more requests of this
