btdirect: close the connection of a refused request whose rest is unread

What callers saw: a request without a route, or with an unknown key, whose body of up to 256 KB stops short gets no answer for as long as it likes, and keeps its connection and its goroutine.

Cause: before net/http sends an answer on a connection that stays open it reads the rest of the request's body, without a deadline.

Change: an answer before the end of the request closes the connection.

--- a/io/btdirect/refusal.go
+++ b/io/btdirect/refusal.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btfront"
 )
 
 // refusal is an answer that the entry itself gives.
@@ -62,7 +63,19 @@
 	e.options.Headers.SetRefusal(h, x.info.ID, r.retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	e.announceClose(h)
+	if !x.received {
+		x.closeUnread(h)
+	}
 	x.writer.WriteHeader(r.status)
 	// Writing fails only if the caller has disconnected.
 	_, _ = io.WriteString(x.writer, string(r.reason)+"\n")
 }
+
+// closeUnread closes the connection after the answer, as the rest of the request isn't read.
+// The server reads on for a moment, so that the caller gets the answer.
+func (x *exchange) closeUnread(h http.Header) {
+	h.Set("Connection", "close")
+	if err := http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(btfront.LingerTime)); err != nil {
+		x.entry.log.Debug("deadline not set", "request", x.info.ID, "error", err)
+	}
+}
