btentry: bound the memory and connections of callers on the guarded path

Cause: bodies had 64 MB and the collector a limit of 200 MB whatever the host has; headers, connections, receive buffers and buffered answers had none.

Change: settings limits.memory_mb (256) and limits.descriptors (4096), which nothing in ordinary use meets. Callers' connections have a front as those of the direct path; bodies and buffered answers take their memory from it, and an answer without memory is passed on as it arrives. The collector's limit follows the settings. A refusal before the end of the request closes the connection. The status address, with the readiness check, has a front for short requests.

Ruled out: a second implementation beside the direct path's.

--- a/commands/btruncmd/btruncmd.go
+++ b/commands/btruncmd/btruncmd.go
@@ -83,6 +83,8 @@
 		Name:        s.Name,
 		DataCentre:  s.DataCentre,
 		Listener:    listener,
+		Memory:      s.Limits.MemoryMB << 20,
+		Descriptors: s.Limits.Descriptors,
 		BalancerLag: s.BalancerLag.Duration,
 		Node:        runtime.Node,
 		Bundles:     runtime.Bundles,
--- a/io/btentry/btentry.go
+++ b/io/btentry/btentry.go
@@ -18,7 +18,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btmember"
-	"bilberrytide/io/bthttp"
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
 	"bilberrytide/io/btpeer"
@@ -32,6 +32,10 @@
 	DataCentre btid.DataCentre
 	// Listener accepts the connections of callers.
 	Listener net.Listener
+	// Memory is what the process may take, in bytes, and Descriptors how many it may open;
+	// zero if they aren't limited.
+	Memory      int64
+	Descriptors int
 	// BalancerLag is how long the external load balancer may send new connections after
 	// the readiness check has failed.
 	BalancerLag time.Duration
@@ -65,6 +69,7 @@
 	isolation     *btprocess.Isolation
 	handleRequest handler
 	server        *http.Server
+	front         *btfront.Front
 	stop          *btprocess.Stop
 }
 
@@ -102,7 +107,7 @@
 	e.limiter = newLimiter(e)
 	e.reserve = newReserve(o.Clock, o.Meter)
 	e.isolation = btprocess.NewIsolation(o.Bundles)
-	e.handleRequest = chain(dispatcher.handle, &identify{self: o.Name, current: o.Bundles.Current, timerTime: e.timerTime, bodyBudget: bthttp.NewBodyBudget(bthttp.DefaultBodyBudgetBytes)}, quarantine{e.isolation}, e.limiter, e.reserve)
+	e.handleRequest = chain(dispatcher.handle, &identify{self: o.Name, current: o.Bundles.Current, timerTime: e.timerTime}, quarantine{e.isolation}, e.limiter, e.reserve)
 	e.server = &http.Server{
 		Handler:           http.HandlerFunc(e.serveHTTP),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -110,6 +115,8 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 	}
+	e.front = newFront(o)
+	e.front.Configure(e.server)
 	o.Node.Handle(btprocess.KindHeartbeat, e.handleHeartbeats)
 	o.Node.Handle(btprocess.KindCache, e.handleCacheEvents)
 	o.Bundles.OnChange(e.fleet.configure)
@@ -154,7 +161,7 @@
 }
 
 func (e *Entry) serve() error {
-	err := e.server.Serve(e.options.Listener)
+	err := e.front.Serve(e.server, e.options.Listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/io/btentry/exchange.go
+++ b/io/btentry/exchange.go
@@ -8,17 +8,21 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/bthttp"
 )
 
 // exchange is one request of a caller as it passes through the filters.
 type exchange struct {
-	id       btid.Request
-	caller   *http.Request
-	writer   http.ResponseWriter
-	answer   *bthttp.Answer
-	received time.Time
-	deadline time.Time
+	id     btid.Request
+	caller *http.Request
+	writer http.ResponseWriter
+	// connection is the caller's. read is set once the whole request has been read.
+	connection *btfront.Conn
+	read       bool
+	answer     *bthttp.Answer
+	received   time.Time
+	deadline   time.Time
 	// bundle is the bundle in force when the request arrived; it applies to the whole
 	// request.
 	bundle  *btbundle.Approved
--- a/io/btentry/http.go
+++ b/io/btentry/http.go
@@ -11,19 +11,24 @@
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btclaim"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/bthttp"
 )
 
 // serveHTTP serves one request of a caller.
 func (e *Entry) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	w = closingWriter{ResponseWriter: w, stopping: e.stop.Stopping}
+	w = closingWriter{ResponseWriter: w, closing: func() bool { return e.stop.Stopping() || e.front.Crowded() }}
 	x := &exchange{
-		id:       e.nextID(),
-		caller:   r,
-		writer:   w,
-		received: e.options.Elapsed(),
-		answer:   bthttp.NewAnswer(w, r.Method, httpStatuses),
+		id:         e.nextID(),
+		caller:     r,
+		writer:     w,
+		connection: btfront.Of(r.Context()),
+		read:       !hasBody(r),
+		received:   e.options.Elapsed(),
+		answer:     bthttp.NewAnswer(w, r.Method, httpStatuses),
 	}
+	x.answer.LimitMemory(callerMemory{x.connection})
+	defer x.answer.Release()
 	w.Header().Set(bthttp.HeaderRequest, x.id.String())
 	if current := e.options.Bundles.Current(); current != nil {
 		w.Header().Set(bthttp.HeaderBundle, strconv.FormatUint(uint64(current.Bundle.Version), 10))
@@ -51,6 +56,7 @@
 	refusal := handle(x.caller.Context(), x)
 	e.recordOutcome(x, refusal)
 	if refusal != nil {
+		x.closeUnread()
 		x.answer.Fail(refusal)
 	}
 }
--- a/io/btentry/identify.go
+++ b/io/btentry/identify.go
@@ -28,8 +28,7 @@
 	self    btid.Entry
 	current func() *btbundle.Approved
 	// timerTime is Entry.timerTime.
-	timerTime  func(time.Time) time.Time
-	bodyBudget *bthttp.BodyBudget
+	timerTime func(time.Time) time.Time
 }
 
 var _ filter = (*identify)(nil)
@@ -49,7 +48,11 @@
 	}
 	x.deadline = x.received.Add(f.timeout(x))
 	if refusal := f.readBody(x); refusal != nil {
-		return refusal
+		return x.bodyLate(refusal)
+	}
+	x.read = true
+	if x.connection != nil {
+		x.connection.Serve()
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.timerTime(x.deadline.Add(agentReplyGrace)))
 	defer cancel()
@@ -77,9 +80,9 @@
 		if refusal := f.findService(x); refusal != nil {
 			return refusal
 		}
-		return x.call.ReadBody(x.caller, f.bodyBudget, x.service.MaxBody)
+		return x.call.ReadBody(x.caller, callerMemory{x.connection}, x.service.MaxBody)
 	}
-	if refusal := x.call.ReadCompletion(x.caller, f.bodyBudget); refusal != nil {
+	if refusal := x.call.ReadCompletion(x.caller, callerMemory{x.connection}); refusal != nil {
 		return refusal
 	}
 	if refusal := f.findService(x); refusal != nil {
--- a/io/btentry/reason.go
+++ b/io/btentry/reason.go
@@ -32,6 +32,8 @@
 	// ReasonKeyRequired: the service accepts modifying requests only with
 	// Idempotency-Key.
 	ReasonKeyRequired btrequest.Reason = "idempotency_key_required"
+	// ReasonBodyLate: the body took most memory for longest while others needed it.
+	ReasonBodyLate btrequest.Reason = "body_late"
 	// ReasonQuarantined: the request has recently crashed targets.
 	ReasonQuarantined btrequest.Reason = "quarantined"
 	// ReasonAgentUnreachable: the agent received nothing of the request.
@@ -60,6 +62,7 @@
 	ReasonQuarantined:           http.StatusServiceUnavailable,
 	ReasonKeyRequired:           http.StatusBadRequest,
 	ReasonDeadline:              http.StatusGatewayTimeout,
+	ReasonBodyLate:              http.StatusRequestTimeout,
 	btserve.ReasonDeadline:      http.StatusGatewayTimeout,
 	btlimit.ReasonRate:          http.StatusTooManyRequests,
 	btlimit.ReasonConcurrency:   http.StatusTooManyRequests,
--- a/io/bthttp/answer.go
+++ b/io/bthttp/answer.go
@@ -51,6 +51,10 @@
 	scanned    int
 	started    bool
 	eventCount uint64
+	// memory is what the buffer takes its memory from, nil if it isn't limited, and acquired
+	// how much it has taken.
+	memory   Memory
+	acquired int64
 	// partialEvent reports that a part of an event was sent because it was too long to
 	// buffer.
 	partialEvent bool
@@ -72,6 +76,31 @@
 // it can't hold the request for ever.
 func (a *Answer) SetWriteDeadline(t time.Time) { _ = a.control.SetWriteDeadline(t) }
 
+// LimitMemory makes the answer take the memory of its buffer from m. Without memory the
+// answer is passed on as it arrives.
+func (a *Answer) LimitMemory(m Memory) { a.memory = m }
+
+// Release returns the memory of the buffer.
+func (a *Answer) Release() {
+	if a.memory != nil {
+		a.memory.Release(a.acquired)
+		a.acquired = 0
+	}
+}
+
+// mayBuffer reports whether there is memory for what is buffered.
+func (a *Answer) mayBuffer() bool {
+	size := int64(a.buffer.Cap())
+	if a.memory == nil || size <= a.acquired {
+		return true
+	}
+	if !a.memory.Acquire(size - a.acquired) {
+		return false
+	}
+	a.acquired = size
+	return true
+}
+
 // Started reports whether any part of the answer was sent.
 func (a *Answer) Started() bool { return a.started }
 
@@ -135,7 +164,7 @@
 		a.partialEvent = true
 		a.scanned = 0
 	}
-	if a.started || a.buffer.Len() > maxBufferedBytes {
+	if a.started || a.buffer.Len() > maxBufferedBytes || !a.mayBuffer() {
 		return a.flush(a.buffer.Len())
 	}
 	return nil
--- a/io/bthttp/body.go
+++ b/io/bthttp/body.go
@@ -32,6 +32,14 @@
 	bodyRoomRetryAfter = time.Second
 )
 
+// Memory is what request bodies take their memory from.
+type Memory interface {
+	// Acquire takes size bytes, or returns false if too few are left.
+	Acquire(size int64) bool
+	// Release returns bytes that were taken.
+	Release(size int64)
+}
+
 // BodyBudget limits the memory for request bodies in one process. It is safe for
 // concurrent use.
 type BodyBudget struct {
@@ -45,8 +53,8 @@
 // InUse returns how many bytes are in use.
 func (b *BodyBudget) InUse() int64 { return b.inUse.Load() }
 
-// acquire takes size bytes from the budget, or returns false if too few are left.
-func (b *BodyBudget) acquire(size int64) bool {
+// Acquire takes size bytes from the budget, or returns false if too few are left.
+func (b *BodyBudget) Acquire(size int64) bool {
 	for {
 		inUse := b.inUse.Load()
 		if inUse+size > b.limit {
@@ -58,13 +66,14 @@
 	}
 }
 
-func (b *BodyBudget) release(size int64) { b.inUse.Add(-size) }
+// Release returns bytes to the budget.
+func (b *BodyBudget) Release(size int64) { b.inUse.Add(-size) }
 
 // errBodyBudget means that the budget is exhausted.
 var errBodyBudget = errors.New("no room")
 
 // readBody reads a body of up to limit bytes. Release returns its memory to the budget.
-func (c *Call) readBody(r *http.Request, budget *BodyBudget, limit int64) *btrequest.Refusal {
+func (c *Call) readBody(r *http.Request, budget Memory, limit int64) *btrequest.Refusal {
 	if r.ContentLength > limit {
 		return bodyTooBig(limit)
 	}
@@ -112,7 +121,7 @@
 		size = 2 * have
 	}
 	size = min(size, limit+1)
-	if !c.budget.acquire(size - c.bufferBytes) {
+	if !c.budget.Acquire(size - c.bufferBytes) {
 		return errBodyBudget
 	}
 	c.bufferBytes = size
@@ -126,7 +135,7 @@
 // afterwards.
 func (c *Call) Release() {
 	if c.budget != nil {
-		c.budget.release(c.bufferBytes)
+		c.budget.Release(c.bufferBytes)
 		c.bufferBytes = 0
 	}
 }
--- a/io/bthttp/call.go
+++ b/io/bthttp/call.go
@@ -53,7 +53,7 @@
 	// Prompt is the text whose prefixes engines cache; nil for plain services.
 	Prompt []byte
 
-	budget      *BodyBudget
+	budget      Memory
 	bufferBytes int64
 }
 
@@ -80,12 +80,12 @@
 }
 
 // ReadBody reads the body of a request for a plain service, of up to limit bytes.
-func (c *Call) ReadBody(r *http.Request, budget *BodyBudget, limit int64) *btrequest.Refusal {
+func (c *Call) ReadBody(r *http.Request, budget Memory, limit int64) *btrequest.Refusal {
 	return c.readBody(r, budget, min(limit, MaxBodyBytes))
 }
 
 // ReadCompletion reads the body of a chat completion and what routing needs of it.
-func (c *Call) ReadCompletion(r *http.Request, budget *BodyBudget) *btrequest.Refusal {
+func (c *Call) ReadCompletion(r *http.Request, budget Memory) *btrequest.Refusal {
 	if f := c.readBody(r, budget, MaxCompletionBodyBytes); f != nil {
 		return f
 	}
--- a/io/btprocess/memory.go
+++ b/io/btprocess/memory.go
@@ -10,18 +10,18 @@
 	// heaps are a few megabytes; at the default of 100 they are collected so often that
 	// collection takes a fifth of the processor time.
 	gcPercent = 400
-	// memoryLimit, in bytes, makes the collector run more often well before a process
-	// reaches the 256 MB that a node may use.
-	memoryLimit = 200 << 20
+	// heapShare is the share of the process's memory above which the collector runs more
+	// often. The rest is left for the program, stacks and buffers.
+	heapShare = 0.7
 )
 
-// configureGC sets the garbage collector for a process with a small live heap. GOGC and
-// GOMEMLIMIT in the environment take precedence.
-func configureGC() {
+// configureGC sets the garbage collector for a process with a small live heap and so many
+// bytes of memory. GOGC and GOMEMLIMIT in the environment take precedence.
+func configureGC(memory int64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
 	}
 }
--- a/io/btprocess/runtime.go
+++ b/io/btprocess/runtime.go
@@ -16,6 +16,7 @@
 	"bilberrytide/core/btassert"
 	"bilberrytide/core/btid"
 	"bilberrytide/io/btclock"
+	"bilberrytide/io/btfront"
 	"bilberrytide/io/btkeys"
 	"bilberrytide/io/btloop"
 	"bilberrytide/io/btmetric"
@@ -53,7 +54,7 @@
 // NewRuntime builds the runtime of a process with this role from its settings. It writes
 // log lines to logs. The error names the setting that failed.
 func NewRuntime(role btkeys.Role, c CommonSettings, logs io.Writer) (*Runtime, error) {
-	configureGC()
+	configureGC(c.Limits.MemoryMB << 20)
 	log := newLog(c.Log, logs)
 	meter := btmetric.New(nil)
 	keys, err := btkeys.New(btkeys.Options{
@@ -130,23 +131,17 @@
 
 // ServeStatus serves the operators' HTTP endpoints until the context ends.
 func (r *Runtime) ServeStatus(ctx context.Context, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: statusHeaderTimeout}
+	front, server := btfront.NewOperatorServer("status", handler, r.Clock, r.Meter, r.Log)
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
 	}()
-	if err := server.Serve(r.StatusListener); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return btfront.ServeOperator(front, server, r.StatusListener)
 }
 
-const (
-	statusHeaderTimeout = 5 * time.Second
-	// closeTimeout limits how long a process that exits waits for its last messages to be
-	// received.
-	closeTimeout = time.Second
-)
+// closeTimeout limits how long a process that exits waits for its last messages to be
+// received.
+const closeTimeout = time.Second
 
 // Close closes the connections to other processes gracefully, within closeTimeout.
 func (r *Runtime) Close() {
--- a/io/btsettings/btsettings.go
+++ b/io/btsettings/btsettings.go
@@ -46,6 +46,7 @@
 	TLS       TLS                `toml:"tls" json:"tls"`
 	Log       Log                `toml:"log" json:"log"`
 	Status    Status             `toml:"status" json:"status"`
+	Limits    Limits             `toml:"limits" json:"limits"`
 }
 
 // Platform holds the platform's address and the key of the bundle.
@@ -82,6 +83,12 @@
 	Listen netip.AddrPort `toml:"listen" json:"listen" doc:"Where /metrics, /status, /healthz and /readyz answer, on loopback only. Port 0 takes a free one, which the log tells."`
 }
 
+// Limits are what the process may take of its host.
+type Limits struct {
+	MemoryMB    int64 `toml:"memory_mb" json:"memory_mb" doc:"The memory of the process, in MB of 1,048,576 bytes. Callers' requests get a quarter of it, their connections another."`
+	Descriptors int   `toml:"descriptors" json:"descriptors" doc:"How many descriptors the process may open. Callers' connections get three quarters of them."`
+}
+
 // LogFormat is the format of log lines.
 type LogFormat string
 
--- a/io/btsettings/defaults.go
+++ b/io/btsettings/defaults.go
@@ -12,6 +12,8 @@
 const (
 	defaultBundleKey   = "bilberrytide-bundle"
 	defaultBalancerLag = 5 * time.Second
+	defaultMemoryMB    = 256
+	defaultDescriptors = 4096
 )
 
 // DefaultEntry returns an entry's default settings, without the required keys.
@@ -28,5 +30,6 @@
 		Approvers: btbundle.Approvers{Required: 1},
 		Log:       Log{Level: slog.LevelInfo, Format: Text},
 		Status:    Status{Listen: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)},
+		Limits:    Limits{MemoryMB: defaultMemoryMB, Descriptors: defaultDescriptors},
 	}
 }
--- a/io/btsettings/load.go
+++ b/io/btsettings/load.go
@@ -92,6 +92,7 @@
 	checkApprovers(c, t.Approvers.Validate())
 	t.Log.check(c)
 	t.Status.check(c)
+	t.Limits.check(c)
 }
 
 func checkPeers(c *bttoml.Checker, peers []Peer) {
@@ -124,6 +125,17 @@
 	c.Require(known, "log.format", "%q must be %q or %q", l.Format, Text, JSON)
 }
 
+// Limits below these leave a process no room to work.
+const (
+	minMemoryMB    = 32
+	minDescriptors = 64
+)
+
+func (l *Limits) check(c *bttoml.Checker) {
+	c.Require(l.MemoryMB >= minMemoryMB, "limits.memory_mb", "must be at least %d", minMemoryMB)
+	c.Require(l.Descriptors >= minDescriptors, "limits.descriptors", "must be at least %d", minDescriptors)
+}
+
 func (s *Status) check(c *bttoml.Checker) {
 	c.Require(s.Listen.Addr().IsLoopback(), "status.listen", "%s is not on loopback: it tells of client accounts and takes no key", s.Listen)
 }
--- a/io/btstandin/btfleet/btfleet.go
+++ b/io/btstandin/btfleet/btfleet.go
@@ -21,6 +21,7 @@
 
 	"bilberrytide/core/btbundle"
 	"bilberrytide/core/btid"
+	"bilberrytide/io/btsettings"
 )
 
 // Names that are the same in every fleet.
@@ -61,6 +62,8 @@
 	DecodeRate float64
 	// Threads is GOMAXPROCS of each process; zero keeps the default.
 	Threads int
+	// Limits are the limits in the settings of entries; zero keeps the defaults.
+	Limits btsettings.Limits
 }
 
 // Fleet is a set of running processes.
--- a/io/btstandin/btfleet/settings.go
+++ b/io/btstandin/btfleet/settings.go
@@ -149,6 +149,9 @@
 	s.Approvers = f.trust.approvers
 	s.TLS = tls
 	s.Status.Listen = f.status[name]
+	if f.options.Limits != (btsettings.Limits{}) {
+		s.Limits = f.options.Limits
+	}
 	return f.startWith(name, "entry", s)
 }
 
