btquarantine: tell a crashing part from parts of each request's own

What callers saw: where each request has one more part of its own beside one that crashes targets, as a conversation or a new document, 20 of 40 targets crash, 0.1 s apart; the platform allows three requests after the fifth.

Cause: after a crash all parts of the request that weren't served lately are equally likely, so the pair of the crashing part and the request's own one is restricted, which no later request has. Targets that crash within 2 s count as one outage, so that nothing spoke more against the common part until 2 s were over.

Change: whether any part is at fault still goes by outages. Which part of a request it is goes by crashed targets: those that crash together for another cause share no part that few requests have.

Ruled out: counting each target as an outage, as a rack that fails would then have the parts restricted that most requests share; a time of each request's start in the records, to tell crashes in series from those at once, which changes a message.

--- a/core/btquarantine/evidence.go
+++ b/core/btquarantine/evidence.go
@@ -31,6 +31,10 @@
 	last    time.Time
 	// logOdds are those that the part is at fault, if one part is.
 	logOdds float64
+	// weight is logOdds with each crash of an outage counted by itself. It tells which part
+	// of a request is at fault, if one is: targets that crash together for another cause
+	// share no part that few requests have.
+	weight float64
 	// known reports that the part was served shortly before the first crash, or may have
 	// been.
 	known bool
@@ -53,6 +57,11 @@
 	}
 }
 
+// addTarget adds a crashed target; see addCrash.
+func (e *evidence) addTarget(requests int, share float64) {
+	e.weight -= math.Log(1 - math.Pow(1-min(share, 1), float64(requests)))
+}
+
 // candidate is a request that may be at fault for the crash of a target.
 type candidate struct {
 	partCrash
@@ -60,6 +69,8 @@
 	remaining []partKey
 	// requests is the number of requests with which the target had come as far.
 	requests int
+	// crash is the number of the crash of a target.
+	crash int
 }
 
 // mayBe reports whether all of the parts may be at fault.
@@ -73,23 +84,26 @@
 }
 
 // blame returns the restriction on the parts of the request that are most likely at fault.
-// It has no parts if there is too little evidence. Its scope isn't set.
-func (c candidate) blame(weighed map[partKey]evidence) Restriction {
-	r := Restriction{Account: c.account, Service: c.service, LogOdds: math.Inf(-1)}
+// It has no parts if there is too little evidence. Its scope isn't set. The weight is that
+// of the parts.
+func (c candidate) blame(weighed map[partKey]evidence) (r Restriction, weight float64) {
+	r = Restriction{Account: c.account, Service: c.service, LogOdds: math.Inf(-1)}
+	weight = math.Inf(-1)
 	for _, k := range c.remaining {
 		e := weighed[k]
 		if e.excess < 0 || !c.begun && e.crashes < knownCrashes {
 			continue
 		}
-		if e.logOdds > r.LogOdds {
+		if e.weight > weight {
 			r.Parts = nil
+			weight = e.weight
 			r.Crashes, r.Excess, r.LogOdds = e.crashes, e.excess, e.logOdds
 		}
-		if e.logOdds == r.LogOdds {
+		if e.weight == weight {
 			r.Parts = append(r.Parts, k.id)
 		}
 	}
-	return r
+	return r, weight
 }
 
 // weigh returns the evidence about each part of the candidates, which are in the order of
@@ -97,6 +111,11 @@
 func weigh(candidates []candidate) map[partKey]evidence {
 	shares := knownShares(candidates)
 	weighed := make(map[partKey]evidence)
+	type atCrash struct {
+		part  partKey
+		crash int
+	}
+	counted := make(map[atCrash]bool)
 	for _, c := range candidates {
 		for _, k := range c.remaining {
 			share, found := shares[k]
@@ -105,12 +124,16 @@
 			}
 			e, found := weighed[k]
 			if !found {
-				e = evidence{known: share > 0, logOdds: unknownPrior, excess: -1}
+				e = evidence{known: share > 0, logOdds: unknownPrior, weight: unknownPrior, excess: -1}
 				if e.known {
-					e.logOdds = knownPrior
+					e.logOdds, e.weight = knownPrior, knownPrior
 				}
 			}
 			e.addCrash(c.at, c.requests, max(share, unknownShare))
+			if !counted[atCrash{k, c.crash}] {
+				counted[atCrash{k, c.crash}] = true
+				e.addTarget(c.requests, max(share, unknownShare))
+			}
 			weighed[k] = e
 		}
 	}
@@ -134,7 +157,7 @@
 // that may be.
 func selectCandidates(crashes []partCrash, outputs map[partKey]time.Time) [][]candidate {
 	var groups [][]candidate
-	for _, together := range byTarget(crashes) {
+	for i, together := range byTarget(crashes) {
 		begunCount := 0
 		for _, c := range together {
 			if c.begun {
@@ -147,9 +170,9 @@
 			switch {
 			case len(remaining) == 0:
 			case c.begun:
-				begun = append(begun, candidate{partCrash: c, remaining: remaining, requests: begunCount})
+				begun = append(begun, candidate{partCrash: c, remaining: remaining, requests: begunCount, crash: i})
 			default:
-				waiting = append(waiting, candidate{partCrash: c, remaining: remaining, requests: len(together) - begunCount})
+				waiting = append(waiting, candidate{partCrash: c, remaining: remaining, requests: len(together) - begunCount, crash: i})
 			}
 		}
 		if len(begun) == 0 {
--- a/core/btquarantine/restriction.go
+++ b/core/btquarantine/restriction.go
@@ -109,11 +109,11 @@
 	var blamed []Restriction
 	most := math.Inf(-1)
 	for _, c := range together {
-		r := c.blame(weighed)
-		if r.LogOdds > most {
-			most, blamed = r.LogOdds, nil
+		r, weight := c.blame(weighed)
+		if weight > most {
+			most, blamed = weight, nil
 		}
-		if r.LogOdds == most && len(r.Parts) > 0 {
+		if weight == most && len(r.Parts) > 0 {
 			blamed = append(blamed, r)
 		}
 	}
