--- a/cmd/bilberrytide-soak/main.go
+++ b/cmd/bilberrytide-soak/main.go
@@ -49,6 +49,7 @@
 	watchCuts := app.Flag("watch-cuts", "How often waiting watches of the store are cut in series.").Default("1").Int()
 	stops := app.Flag("stops", "How often several entries stop as planned at once, beside reloads, configurations and restarts of agents.").Default("0").Int()
 	pauses := app.Flag("pauses", "How often the group makes no steps for a while, without a fault.").Default("0").Int()
+	crowds := app.Flag("crowds", "How many crowds of clients that don't behave come to the entries.").Default("0").Int()
 	longStreams := app.Flag("long-streams", "Let streams last up to the deadline of 8 s.").Bool()
 	slowReaders := app.Flag("slow-readers", "How many further callers read streams slowly.").Default("0").Int()
 	stayers := app.Flag("stayers", "How many further callers use an entry until its process is gone.").Default("0").Int()
@@ -64,7 +65,7 @@
 		o := btsoak.Options{
 			Program: *program, Seed: *first + uint64(i), Duration: *duration,
 			Entries: *entries, Ranks: *ranks, PlainTargets: *plainTargets, Callers: *callers, CrashingRequests: *fatal, CrashingParts: *parts, PowerLosses: *powerLosses, RateLimits: *rates, Rests: *rests, Leavings: *leavings, Drains: *drains, Restores: *copies, Restarts: *restarts, KillSeries: *killSeries, Removals: *removals, WatchCuts: *watchCuts, OnlySeries: *onlySeries,
-			Stops: *stops, Pauses: *pauses, LongStreams: *longStreams, SlowReaders: *slowReaders, Stayers: *stayers,
+			Stops: *stops, Pauses: *pauses, Crowds: *crowds, LongStreams: *longStreams, SlowReaders: *slowReaders, Stayers: *stayers,
 			RetryBudget: btmock.RetryBudget{Ratio: *retryRatio, Slack: *retrySlack, Window: 10 * time.Second},
 			Dir:         filepath.Join(*logDir, strconv.FormatUint(*first+uint64(i), 10)),
 		}
