btentry: use a target's whole rate when entries send several requests at once

Cause: each refusal books a place of its own for its caller, and the entry skipped the target until the last of these, though requests that go elsewhere never use them.

Change: a refusal says in free_after when the target's rate allows the next request, whosever it is, and the entry skips the target until then. The caller's delay stays that of its own place. The field is left out for other reasons, so that processes of both versions understand each other.

The example of btqueue prints one more field.

--- a/core/btqueue/btqueue.go
+++ b/core/btqueue/btqueue.go
@@ -147,11 +147,11 @@
 		return
 	}
 	if reason, ok := q.refused.reason(a.ID); ok {
-		q.refuse(a.ID, reason, q.retryDelay(now, reason, a.Cost))
+		q.refuseArrived(now, a, reason)
 		return
 	}
 	if reason, ok := q.admit(now, a); !ok {
-		q.refuse(a.ID, reason, q.retryDelay(now, reason, a.Cost))
+		q.refuseArrived(now, a, reason)
 		return
 	}
 	q.serial++
@@ -327,6 +327,16 @@
 	q.effects = append(q.effects, Refuse{ID: id, Reason: reason, RetryAfter: retryAfter})
 }
 
+// refuseArrived refuses a request that has just arrived.
+func (q *Queue) refuseArrived(now time.Time, a Arrived, reason btrequest.Reason) {
+	q.refused.add(a.ID, reason)
+	effect := Refuse{ID: a.ID, Reason: reason, RetryAfter: q.retryDelay(now, reason, a.Cost)}
+	if reason == ReasonRateLimited {
+		effect.FreeAfter = q.limiter.wait(now)
+	}
+	q.effects = append(q.effects, effect)
+}
+
 // retryDelay returns the retry delay of a refusal for the reason.
 func (q *Queue) retryDelay(now time.Time, reason btrequest.Reason, cost float64) time.Duration {
 	switch reason {
--- a/core/btqueue/btqueue_test.go
+++ b/core/btqueue/btqueue_test.go
@@ -190,7 +190,7 @@
 	// Output:
 	// [{e1-1-1}]
 	// []
-	// [{e1-1-2 draining 0s}]
+	// [{e1-1-2 draining 0s 0s}]
 	// [{}]
 }
 
--- a/core/btqueue/event.go
+++ b/core/btqueue/event.go
@@ -108,6 +108,9 @@
 	// is zero for ReasonDraining, ReasonLeaving and ReasonCancelled, where waiting for this target is
 	// of no use and another should be tried at once.
 	RetryAfter time.Duration
+	// FreeAfter is the time until the target's rate allows another request, whosever it is;
+	// zero for reasons other than ReasonRateLimited.
+	FreeAfter time.Duration
 }
 
 // Drained reports once that a draining target has no requests left.
--- a/core/btqueue/rate_limiter_test.go
+++ b/core/btqueue/rate_limiter_test.go
@@ -93,7 +93,7 @@
 						starts++
 						q.Step(now, btqueue.Finished{ID: e.ID, Took: time.Millisecond})
 					case btqueue.Refuse:
-						skippedUntil[entry] = now.Add(e.RetryAfter)
+						skippedUntil[entry] = now.Add(e.FreeAfter)
 					}
 				}
 			}
--- a/core/btserve/btserve.go
+++ b/core/btserve/btserve.go
@@ -161,6 +161,9 @@
 	// RetryAfter is how long a refused caller without a reservation should wait before
 	// it retries.
 	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
+	// FreeAfter is the time until the target's rate allows another request, whosever it is;
+	// zero if that isn't why the request is refused.
+	FreeAfter time.Duration `cbor:"free_after,omitempty"`
 	// Drained is the time in which a refusing agent expects to have started all requests
 	// of its queue. An entry that reserves capacity for the caller counts from its end.
 	Drained time.Duration `cbor:"drained,omitempty"`
@@ -182,8 +185,8 @@
 	if err := h.Executor.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", ErrMessage, err)
 	}
-	if h.RetryAfter < 0 {
-		return fmt.Errorf("%w: retry after %v", ErrMessage, h.RetryAfter)
+	if h.RetryAfter < 0 || h.FreeAfter < 0 {
+		return fmt.Errorf("%w: retry after %v, free after %v", ErrMessage, h.RetryAfter, h.FreeAfter)
 	}
 	switch h.Verdict {
 	case Accepted, Replayed:
--- a/core/btserve/fuzz_test.go
+++ b/core/btserve/fuzz_test.go
@@ -93,6 +93,7 @@
 		func(h *btserve.Head) { h.Outcome = btrequest.Done },
 		func(h *btserve.Head) { h.Reason = "" },
 		func(h *btserve.Head) { h.RetryAfter = -1 },
+		func(h *btserve.Head) { h.FreeAfter = -1 },
 	} {
 		invalid := refused
 		invalidate(&invalid)
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -31,6 +31,8 @@
 	grant *btclaim.Grant
 	// release releases the slot, once; it does nothing if there is none.
 	release func()
+	// freeAfter is what the queue's refusal says; see btqueue.Refuse.
+	freeAfter time.Duration
 }
 
 // serve receives one attempt from an entry and answers it.
@@ -126,6 +128,7 @@
 // refuseAdmission answers with a refusal of the queue. A grant is sealed first, so that
 // the request may run elsewhere.
 func (v *attempt) refuseAdmission(refusal *btqueue.Refuse) error {
+	v.freeAfter = refusal.FreeAfter
 	if v.grant == nil {
 		return v.refuse(btrequest.NotRun, refusal.Reason, refusal.RetryAfter, nil)
 	}
@@ -286,6 +289,7 @@
 	head.Outcome = outcome
 	head.Reason = reason
 	head.RetryAfter = retryAfter
+	head.FreeAfter = v.freeAfter
 	head.Drained = v.queueWait()
 	head.Sealed = seal
 	return btpeer.Send(v.stream, head)
--- a/io/btentry/attempt.go
+++ b/io/btentry/attempt.go
@@ -27,6 +27,9 @@
 	outcome    btrequest.Outcome
 	reason     btrequest.Reason
 	retryAfter time.Duration
+	// freeAfter is the time until the target's rate allows another request; zero if the agent
+	// doesn't say.
+	freeAfter time.Duration
 	// queueDrain is how long the agent expects to take to start all requests in its
 	// queue.
 	queueDrain time.Duration
@@ -184,7 +187,7 @@
 }
 
 func (s *sender) refusalResult(head btserve.Head) attemptResult {
-	result := attemptResult{outcome: head.Outcome, reason: head.Reason, retryAfter: head.RetryAfter, queueDrain: head.Drained, load: head.Load}
+	result := attemptResult{outcome: head.Outcome, reason: head.Reason, retryAfter: head.RetryAfter, freeAfter: head.FreeAfter, queueDrain: head.Drained, load: head.Load}
 	if len(head.Sealed) == 0 {
 		result.targetFault = head.Reason == btserve.ReasonTargetUnreachable || head.Reason == btserve.ReasonTargetLost
 		return result
--- a/io/btentry/unavailable.go
+++ b/io/btentry/unavailable.go
@@ -19,6 +19,9 @@
 type unavailable struct {
 	reason btrequest.Reason
 	until  time.Time
+	// retryAt is when a caller that is refused meanwhile should retry. It is later than until
+	// where the places from then on belong to other callers.
+	retryAt time.Time
 }
 
 // unavailableError means that all targets that could run the request take none for some
@@ -40,9 +43,14 @@
 // recordUnavailable records the refusal of an agent whose target takes no requests for
 // some time. The caller holds the lock.
 func (f *fleet) recordUnavailable(now time.Time, target btid.Target, result attemptResult) {
-	if result.reason == btqueue.ReasonRateLimited || result.reason == btqueue.ReasonResting {
-		f.unavailable[target] = unavailable{reason: result.reason, until: now.Add(result.retryAfter)}
+	if result.reason != btqueue.ReasonRateLimited && result.reason != btqueue.ReasonResting {
+		return
 	}
+	u := unavailable{reason: result.reason, until: now.Add(result.retryAfter), retryAt: now.Add(result.retryAfter)}
+	if result.freeAfter > 0 {
+		u.until = now.Add(result.freeAfter)
+	}
+	f.unavailable[target] = u
 }
 
 // unavailableTargets returns the targets that take no requests now, and forgets those for
@@ -70,7 +78,7 @@
 		if pickErr != nil || !found {
 			break
 		}
-		if left := u.until.Sub(now); first == nil || left < first.RetryAfter {
+		if left := u.retryAt.Sub(now); first == nil || left < first.RetryAfter {
 			first = &unavailableError{reason: u.reason, RetryAfter: left, err: err}
 		}
 		request.Tried = append(request.Tried, choice.Target)
