btdirect: leave a target the time to read a large body

What callers saw: 502 target_lost after 3.5 s for a request of 700 KB whose target runs it and reads its body after 8 s (TestLateReaderGetsLargeBody, in KNOWN-RED.txt until now, failed each time).

Cause: TCP_USER_TIMEOUT of 3 s, by which a host that is gone is noticed, also ends a connection whose peer acknowledges only the probes of a full window.

Change: requests with bodies of 64 KB or more, which may fill the buffers of their connection, use connections without that option; their deadline ends them.

Ruled out: a longer timeout for all, by which every request at a host that is gone would wait longer; setting the option for each request, a system call each.

Such a request at a host that is gone now waits for its deadline (docs/OPEN.md).

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -186,6 +186,9 @@
 	if !x.route.Repeatable() {
 		client = t.unpooled
 	}
+	if len(x.body) >= patientBytes {
+		client = t.patient
+	}
 	return client.Do(ctx, bttarget.Request{
 		Method: x.request.Method,
 		Host:   x.request.Host,
