btfront: don't serve a request whose connection was just evicted

Found by reading: a connection could be evicted as the last byte of its request arrived. The request was then sent to a target, and its caller's closed connection cancelled it there: it may have run, without an answer.

Change: the pool decides under its lock which comes first. A request that was evicted before it was complete is refused, 408 body_late or 503, not run; one that is complete is no longer evicted.

The pool's Serve reports it now, which TestStalledRequestsLoseTheirMemory checks; the race on sockets was not provoked, before or after.

--- a/core/btpool/btpool.go
+++ b/core/btpool/btpool.go
@@ -147,8 +147,15 @@
 	m.received += int64(n)
 }
 
-// Serve records that a request has arrived as a whole and is being served.
-func (p *Pool[O]) Serve(now time.Time, m *Member[O]) { m.state, m.since, m.received = serving, now, 0 }
+// Serve records that a request has arrived as a whole and is being served. It returns false
+// if its connection was evicted before.
+func (p *Pool[O]) Serve(now time.Time, m *Member[O]) bool {
+	if m.evicted {
+		return false
+	}
+	m.state, m.since, m.received = serving, now, 0
+	return true
+}
 
 // Finish records that a request has been answered, and releases what it held.
 func (p *Pool[O]) Finish(now time.Time, m *Member[O]) {
--- a/core/btpool/btpool_test.go
+++ b/core/btpool/btpool_test.go
@@ -48,6 +48,7 @@
 	evicted, reserved := p.Reserve(at(3), ordinary, 300_000)
 	assert.Assert(t, reserved)
 	assert.DeepEqual(t, owners(evicted), []string{"stalled"})
+	assert.Assert(t, !p.Serve(at(3), stalled), "an evicted request is served")
 	p.Close(stalled)
 	assert.Equal(t, p.Bytes(), int64(650_000))
 }
--- a/io/btentry/caller_memory.go
+++ b/io/btentry/caller_memory.go
@@ -38,7 +38,12 @@
 	if refusal == nil || x.connection == nil || !x.connection.Evicted() {
 		return refusal
 	}
-	// A caller that is as slow again would only repeat this.
+	return refuseLate()
+}
+
+// refuseLate returns the refusal of a request whose connection was evicted. A caller that is
+// as slow again would only repeat it.
+func refuseLate() *btrequest.Refusal {
 	return btrequest.Refuse(ReasonBodyLate, 0, "the request body came too slowly while memory was short")
 }
 
--- a/io/btentry/identify.go
+++ b/io/btentry/identify.go
@@ -51,8 +51,8 @@
 		return x.bodyLate(refusal)
 	}
 	x.read = true
-	if x.connection != nil {
-		x.connection.Serve()
+	if x.connection != nil && !x.connection.Serve() {
+		return refuseLate()
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.timerTime(x.deadline.Add(agentReplyGrace)))
 	defer cancel()
--- a/io/btfront/body.go
+++ b/io/btfront/body.go
@@ -40,9 +40,10 @@
 		switch {
 		case int64(len(data)) > limit:
 			return nil, ErrTooLarge
-		case err == io.EOF:
-			c.Serve()
+		case err == io.EOF && c.Serve():
 			return data, nil
+		case err == io.EOF:
+			return nil, ErrEvicted
 		case c.Evicted():
 			return nil, ErrEvicted
 		case err != nil:
--- a/io/btfront/conn.go
+++ b/io/btfront/conn.go
@@ -233,8 +233,8 @@
 	return c.evicted
 }
 
-// begin records that a handler has the request. It returns false if there is no memory for
-// one that came together with the request before it.
+// begin records that a handler has the request. It returns false if the connection was
+// evicted, or there is no memory for a request that came together with the one before it.
 func (c *Conn) begin(r *http.Request) bool {
 	c.mu.Lock()
 	counted := c.active
@@ -249,18 +249,16 @@
 			return false
 		}
 	}
-	if r.ContentLength == 0 {
-		c.Serve()
-	}
-	return true
+	return r.ContentLength != 0 || c.Serve()
 }
 
 // Serve records that the request has arrived as a whole. Its connection is no longer evicted.
-func (c *Conn) Serve() {
+// It returns false if it was before.
+func (c *Conn) Serve() bool {
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pool.Serve(f.options.Clock(), c.member)
+	return f.pool.Serve(f.options.Clock(), c.member)
 }
 
 // finish records that the request has been answered and the connection is idle.
