--- a/io/btstandin/btfleet/observe.go
+++ b/io/btstandin/btfleet/observe.go
@@ -55,6 +55,9 @@
 	return nil
 }
 
+// StatusAddress returns the address of a process's operator pages.
+func (f *Fleet) StatusAddress(name string) netip.AddrPort { return f.status[name] }
+
 // Status reads the status of a process of the product.
 func (f *Fleet) Status(name string) (btprocess.Status, error) {
 	return get[btprocess.Status](f, f.status[name], "/status")
