btpool: take places from senders of bodies where none is expected

What callers saw: 100 clients that send the metrics address a body in pieces keep it from answering in ten tries a second apart (TestCrowdAtTheMetricsAddress/bodies_in_pieces).

Cause: lateness gives credit for what arrives, at 1 MB a second. At an address for short requests a client that sends as fast is never late, and 32 of them keep all places.

Change: where requests have no effect and a connection may be closed at any time, lateness is its age alone.

--- a/core/btpool/btpool.go
+++ b/core/btpool/btpool.go
@@ -123,6 +123,10 @@
 	if m.evicted || m.state == serving && !p.config.EvictServed {
 		return -1
 	}
+	if p.config.EvictServed {
+		// What arrives doesn't matter: no body is expected.
+		return now.Sub(m.since)
+	}
 	needed := time.Duration(float64(m.received) / leastRate * float64(time.Second))
 	return now.Sub(m.since) - needed
 }
--- a/core/btpool/btpool_test.go
+++ b/core/btpool/btpool_test.go
@@ -116,6 +116,17 @@
 	assert.Assert(t, m != nil && evicted.Owner == "new")
 }
 
+// TestBodiesKeepNoPlaceWhereNoneIsExpected guards against clients that send bodies at full
+// speed to an address for short requests and keep all others out.
+func TestBodiesKeepNoPlaceWhereNoneIsExpected(t *testing.T) {
+	p := btpool.New[string](btpool.Config{Connections: 1, EvictServed: true})
+	sender := open(t, p, at(0), "sender")
+	p.Receive(at(0), sender, 1)
+	p.Receive(at(1), sender, 2<<20)
+	m, evicted := p.Open(at(1), "check")
+	assert.Assert(t, m != nil && evicted == sender)
+}
+
 // TestAccountsAreExact guards against memory that is never released, or released twice, which
 // would refuse all callers or bound nothing.
 func TestAccountsAreExact(t *testing.T) {
