btpool: count no place for evicted connections at operators' addresses

Cause: net/http waits half a second before it closes a connection whose request it hasn't read to the end. Two of these beside the 32 places were enough to refuse every new connection.

Change: an address for short requests may have 256 connections that are being closed beside its places. Their descriptors are closed at once, and 256 of them bound their memory.

--- a/core/btpool/btpool.go
+++ b/core/btpool/btpool.go
@@ -19,7 +19,7 @@
 	smallBytes   = 64 << 10
 	reserveShare = 0.25
 	// spareShare is the share of the connections that may be open beyond the limit while
-	// evicted ones are being closed.
+	// evicted ones are being closed, unless Config.Closing says more.
 	spareShare = 1.0 / 16
 )
 
@@ -31,6 +31,9 @@
 	Connections int
 	// Grace is how late a connection must be before it loses its place to a new one.
 	Grace time.Duration
+	// Closing is how many evicted connections may be there beyond Connections until their
+	// owners have closed them.
+	Closing int
 	// EvictServed lets a connection lose its place while its request is being answered.
 	EvictServed bool
 }
@@ -91,7 +94,7 @@
 // may lose its place.
 func (p *Pool[O]) Open(now time.Time, owner O) (opened, evicted *Member[O]) {
 	if limit := p.config.Connections; limit > 0 && p.Connections() >= limit {
-		if len(p.members) >= limit+max(int(spareShare*float64(limit)), 1) {
+		if p.evicted >= max(p.config.Closing, int(spareShare*float64(limit)), 1) {
 			return nil, nil
 		}
 		evicted = p.latest(now)
--- a/core/btpool/btpool_test.go
+++ b/core/btpool/btpool_test.go
@@ -127,6 +127,20 @@
 	assert.Assert(t, m != nil && evicted == sender)
 }
 
+// TestClosingConnectionsKeepNoPlace guards against evicted connections that are closed slowly
+// and meanwhile keep new ones out.
+func TestClosingConnectionsKeepNoPlace(t *testing.T) {
+	const closing = 8
+	p := btpool.New[string](btpool.Config{Connections: 1, EvictServed: true, Closing: closing})
+	open(t, p, at(0), "first")
+	for i := range closing {
+		m, evicted := p.Open(at(float64(1+i)), "next")
+		assert.Assert(t, m != nil && evicted != nil, "connection %d", i)
+	}
+	m, _ := p.Open(at(100), "one too many")
+	assert.Assert(t, m == nil, "the connections that are being closed aren't bounded")
+}
+
 // TestAccountsAreExact guards against memory that is never released, or released twice, which
 // would refuse all callers or bound nothing.
 func TestAccountsAreExact(t *testing.T) {
--- a/io/btfront/btfront.go
+++ b/io/btfront/btfront.go
@@ -49,6 +49,9 @@
 	// Grace is how long a connection may be without a request before it loses its place to
 	// a new one.
 	Grace time.Duration
+	// Closing is how many evicted connections may be there beyond Connections until the server
+	// has closed them.
+	Closing int
 	// EvictServed permits closing a connection while its request is answered. It is for
 	// requests that have no effect.
 	EvictServed bool
@@ -120,7 +123,7 @@
 	}
 	return &Front{
 		options:        o,
-		pool:           btpool.New[*Conn](btpool.Config{Bytes: o.Bytes, Connections: o.Connections, Grace: o.Grace, EvictServed: o.EvictServed}),
+		pool:           btpool.New[*Conn](btpool.Config{Bytes: o.Bytes, Connections: o.Connections, Grace: o.Grace, Closing: o.Closing, EvictServed: o.EvictServed}),
 		refused:        o.Meter.Counter(prefix + metricRefused),
 		evicted:        o.Meter.Counter(prefix + metricEvicted),
 		headersRefused: o.Meter.Counter(prefix + metricHeaderRefused),
--- a/io/btfront/operator.go
+++ b/io/btfront/operator.go
@@ -15,6 +15,9 @@
 // effect, so that one may lose its connection to another at any time.
 const (
 	operatorConnections = 32
+	// operatorClosing is how many closed connections the server may still have. It waits
+	// half a second with one whose request it hasn't read to the end.
+	operatorClosing     = 256
 	operatorBytes       = 4 << 20
 	operatorHeaderBytes = 4 << 10
 	operatorTimeout     = 5 * time.Second
@@ -25,7 +28,7 @@
 // expected, and its front.
 func NewOperatorServer(name string, handler http.Handler, clock btloop.Clock, meter *btmetric.Meter, log *slog.Logger) (*Front, *http.Server) {
 	f := New(Options{
-		Name: name, Bytes: operatorBytes, Connections: operatorConnections, EvictServed: true,
+		Name: name, Bytes: operatorBytes, Connections: operatorConnections, Closing: operatorClosing, EvictServed: true,
 		Clock: clock, Meter: meter, Log: log,
 	})
 	server := &http.Server{
