--- a/core/btquarantine/evidence.go
+++ b/core/btquarantine/evidence.go
@@ -31,9 +31,8 @@
 	last    time.Time
 	// logOdds are those that the part is at fault, if one part is.
 	logOdds float64
-	// weight is logOdds with each crash of an outage counted by itself. It tells which part
-	// of a request is at fault, if one is: targets that crash together for another cause
-	// share no part that few requests have.
+	// weight is logOdds with each crashed target of an outage counted. It selects the part of
+	// a request: targets that crash together for another cause share no rare part.
 	weight float64
 	// known reports that the part was served shortly before the first crash, or may have
 	// been.
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -186,8 +186,8 @@
 	if !x.route.Repeatable() {
 		client = t.unpooled
 	}
-	if len(x.body) >= patientBytes {
-		client = t.patient
+	if len(x.body) >= largeBodyBytes {
+		client = t.large
 	}
 	return client.Do(ctx, bttarget.Request{
 		Method: x.request.Method,
--- a/io/btdirect/fleet.go
+++ b/io/btdirect/fleet.go
@@ -24,9 +24,9 @@
 	idleTimeout = 2 * time.Second
 	// silenceTimeout ends connections to hosts that no longer answer.
 	silenceTimeout = 3 * time.Second
-	// patientBytes is the size of bodies from which on a connection isn't ended for silence:
-	// that of a target which reads later looks the same as that of one that is gone.
-	patientBytes = 64 << 10
+	// largeBodyBytes is the size of bodies that are sent without silenceTimeout: a target that
+	// reads such a body late acknowledges no more data than a host that is gone.
+	largeBodyBytes = 64 << 10
 	// minSuspension and maxSuspension limit the time for which a target that failed is
 	// avoided. It doubles with each failure.
 	minSuspension = 150 * time.Millisecond
@@ -38,10 +38,9 @@
 	// info is the record with which the target was first listed. Its state and slots
 	// may change and are kept below.
 	info btinventory.Target
-	// pooled reuses connections; unpooled opens one for each request. patient does too, and
-	// leaves a target as long as the request has to read a body that fills the buffers of the
-	// connection.
-	pooled, unpooled, patient *bttarget.Client
+	// pooled reuses connections; unpooled opens one for each request. large does too, without
+	// the timeout for unacknowledged data: it is for bodies that fill a connection's buffers.
+	pooled, unpooled, large *bttarget.Client
 	// The fields below are guarded by the fleet's mutex.
 	state btinventory.State
 	// drained reports that the target's data centre is drained.
@@ -213,15 +212,15 @@
 	}
 	unpooled := options
 	unpooled.DisableKeepAlives = true
-	patient := unpooled
-	patient.TCPUserTimeout = 0
+	large := unpooled
+	large.TCPUserTimeout = 0
 	t = &target{
 		info:     info,
 		state:    info.State,
 		slots:    info.Slots,
 		pooled:   bttarget.New(options),
 		unpooled: bttarget.New(unpooled),
-		patient:  bttarget.New(patient),
+		large:    bttarget.New(large),
 		moves:    make(map[*move]struct{}),
 	}
 	f.targets[info.Instance()] = t
