btfront: count and log late headers and refused connections

A header that takes longer than its time was closed without a counter or a log line, a connection without a place without a line. Both have them now: headers_refused with reason header_late, and "connection refused".

--- a/io/btfront/btfront.go
+++ b/io/btfront/btfront.go
@@ -233,6 +233,7 @@
 			return c, nil
 		}
 		l.front.refused.Inc(1)
+		l.front.options.Log.Info("connection refused", "front", l.front.options.Name, "reason", "connections", "caller", raw.RemoteAddr())
 		// Nothing was written that closing could lose.
 		_ = raw.Close()
 	}
--- a/io/btfront/btfront_test.go
+++ b/io/btfront/btfront_test.go
@@ -171,6 +171,8 @@
 	slow.send(get)
 	status, _ := slow.answer()
 	assert.Equal(t, status, 0)
+	// One was too big, one too late.
+	assert.Equal(t, s.meter.Counter("headers_refused").Count(), int64(2))
 }
 
 // TestMemoryOfHeadersIsBounded guards against headers of very many short fields, which take
--- a/io/btfront/conn.go
+++ b/io/btfront/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -50,6 +51,8 @@
 	// byte until it is answered.
 	serving, active bool
 	headerDeadline  time.Time
+	// late is set once a header was given up because of its time.
+	late bool
 	// reserved is what was reserved for the header.
 	reserved int64
 	// largeBuffer is set once the receive buffer was enlarged for a body.
@@ -98,6 +101,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	c.limitHeaderTime()
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.endHeader() {
+		c.front.refuseHeader(c, "header_late")
+	}
 	if n > 0 {
 		if refused := c.received(p[:n]); refused != nil {
 			return 0, refused
@@ -106,6 +112,16 @@
 	return n, err
 }
 
+// endHeader gives up a header of which a part has arrived. It returns false if there is none,
+// or it was given up before: net/http may read once more.
+func (c *Conn) endHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := c.active && !c.serving && !c.evicted && !c.late
+	c.late = c.late || begun
+	return begun
+}
+
 // limitHeaderTime sets the deadline of a header that has begun.
 func (c *Conn) limitHeaderTime() {
 	c.mu.Lock()
