btquarantine: count the crashed targets that had a known part

What callers saw: a part that was served until it begins to crash targets, beside new parts of each request's own, crashes 41 targets where 30 in 100 requests had it, 0.1 s apart, and 97 where 50 had; 6 and 62 requests later than 3 s after the fifth crash, 3 allowed.

Cause: targets that crash within 2 s are one outage, and an outage says little against a part that many requests have, however many of its targets had it.

Change: a known part that two outages don't show to be at fault is, if more of the targets that crashed since had it than by chance. Both shares are compared by their likelihood ratio, targets without the part included, so that racks that fail don't have popular parts restricted (TestRacksThatFailRestrictNoKnownPart, which passed before and passes).

--- a/core/btquarantine/evidence.go
+++ b/core/btquarantine/evidence.go
@@ -27,8 +27,10 @@
 type evidence struct {
 	// crashes is the number of outages at the beginning of which a request with the part
 	// was at a target that crashed, and since which no output of the part is known.
-	crashes int
-	last    time.Time
+	crashes     int
+	first, last time.Time
+	// targets is the number of crashed targets with such a request.
+	targets int
 	// logOdds are those that the part is at fault, if one part is.
 	logOdds float64
 	// weight is logOdds with each crashed target of an outage counted. It selects the part of
@@ -48,6 +50,9 @@
 	if e.crashes > 0 && at.Sub(e.last) < sameOutageWithin {
 		return
 	}
+	if e.crashes == 0 {
+		e.first = at
+	}
 	e.crashes++
 	e.last = at
 	e.logOdds -= math.Log(1 - math.Pow(1-min(share, 1), float64(requests)))
@@ -58,6 +63,7 @@
 
 // addTarget adds a crashed target; see addCrash.
 func (e *evidence) addTarget(requests int, share float64) {
+	e.targets++
 	e.weight -= math.Log(1 - math.Pow(1-min(share, 1), float64(requests)))
 }
 
@@ -105,9 +111,48 @@
 	return r, weight
 }
 
+// crashedTarget is the crash of a target with so many requests that may be at fault.
+type crashedTarget struct {
+	service  uint64
+	at       time.Time
+	requests int
+}
+
+// addTargets adds what the targets that crashed since the first crash say about a known part
+// that several outages have not shown to be at fault: more of them had it than by chance.
+func (e *evidence) addTargets(service uint64, share float64, targets []crashedTarget) {
+	if !e.known || e.excess >= 0 || e.crashes < knownCrashes {
+		return
+	}
+	crashed, expected := 0.0, 0.0
+	for _, t := range targets {
+		if t.service == service && !t.at.Before(e.first) {
+			crashed++
+			expected += 1 - math.Pow(1-min(share, 1), float64(t.requests))
+		}
+	}
+	if odds := knownPrior + excessOdds(float64(e.targets), crashed, expected); odds >= 0 {
+		e.excess, e.logOdds = 0, odds
+	}
+}
+
+// excessOdds returns the log likelihood ratio of the observed share of events to the expected
+// one; zero if there are no more than expected.
+func excessOdds(observed, events, expected float64) float64 {
+	if events == 0 || observed <= expected {
+		return 0
+	}
+	q, p := min(observed/events, 1), expected/events
+	odds := observed * math.Log(q/p)
+	if q < 1 {
+		odds += (events - observed) * math.Log((1-q)/(1-p))
+	}
+	return odds
+}
+
 // weigh returns the evidence about each part of the candidates, which are in the order of
 // time.
-func weigh(candidates []candidate) map[partKey]evidence {
+func weigh(candidates []candidate, targets []crashedTarget) map[partKey]evidence {
 	shares := knownShares(candidates)
 	weighed := make(map[partKey]evidence)
 	type atCrash struct {
@@ -136,6 +181,14 @@
 			weighed[k] = e
 		}
 	}
+	for k, e := range weighed {
+		share, found := shares[k]
+		if !found {
+			share = assumedShare
+		}
+		e.addTargets(k.service, share, targets)
+		weighed[k] = e
+	}
 	return weighed
 }
 
@@ -153,9 +206,10 @@
 
 // selectCandidates returns the requests that may be at fault, by the crash of a target. One
 // that the target had not begun to answer may be only if it had begun none of the others
-// that may be.
-func selectCandidates(crashes []partCrash, outputs map[partKey]time.Time) [][]candidate {
+// that may be. It returns all crashed targets too.
+func selectCandidates(crashes []partCrash, outputs map[partKey]time.Time) ([][]candidate, []crashedTarget) {
 	var groups [][]candidate
+	var targets []crashedTarget
 	for i, together := range byTarget(crashes) {
 		begunCount := 0
 		for _, c := range together {
@@ -178,8 +232,13 @@
 			begun = waiting
 		}
 		groups = append(groups, begun)
+		requests := begunCount
+		if requests == 0 {
+			requests = len(together)
+		}
+		targets = append(targets, crashedTarget{service: together[0].service, at: together[0].at, requests: requests})
 	}
-	return groups
+	return groups, targets
 }
 
 // byTarget groups the requests by the crash of a target, whose reports are in the order of
--- a/core/btquarantine/restriction.go
+++ b/core/btquarantine/restriction.go
@@ -89,10 +89,10 @@
 // infer returns the restrictions that explain the crashes, which are in the order of time:
 // for each crash the narrowest ones on the parts that are most likely at fault.
 func infer(crashes []partCrash, outputs map[partKey]time.Time) []Restriction {
-	groups := selectCandidates(crashes, outputs)
+	groups, targets := selectCandidates(crashes, outputs)
 	candidates := slices.Concat(groups...)
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.at.Compare(b.at) })
-	weighed := weigh(candidates)
+	weighed := weigh(candidates, targets)
 	inferred := make(map[RestrictionID]Restriction)
 	for _, together := range groups {
 		for _, r := range explain(together, weighed) {
