btbound: refuse answers that aren't sound before net/http reads them

What callers saw: an answer whose head has a blank in, before or at the end of a field's name was passed on as a whole one. "Transfer-Encoding : chunked" gave them the raw chunks, "Content-Length : 10" a body without regard to its length; the same for chunks in HTTP/1.0, control bytes in the reason, a malformed answer 1xx or trailer. An unsafe request got the statuses 600 and 999, and a 503 with a malformed line as a promise that it had not run.

Cause: net/http reads more than RFC 9112 allows, and each reader of answers relied on it.

Change: btbound, through which all clients of this project read, checks the bytes on the connection: status line, fields, answers 1xx, chunk lines and trailer. What has no or two readings fails the exchange with ErrMalformed or ErrStatus, which quote the line. Such a request may have run: it is served elsewhere as malformed_answer, or 502. Agents log "answer refused". The status command reads through btbound as well.

Handled before: status 000 and below 200, control bytes in a name or a value; the tests stay.

--- a/commands/btstatuscmd/btstatuscmd.go
+++ b/commands/btstatuscmd/btstatuscmd.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"bilberrytide/io/btbound"
 	"bilberrytide/io/btprocess"
 )
 
@@ -39,7 +40,7 @@
 
 // Register adds the command to the application. Its output goes to out.
 func Register(app *kingpin.Application, out io.Writer) {
-	c := &statusCommand{out: out, client: &http.Client{Timeout: requestTimeout}}
+	c := &statusCommand{out: out, client: &http.Client{Timeout: requestTimeout, Transport: btbound.New(new(http.Transport))}}
 	command := app.Command("status", help)
 	command.Arg("address", "Where a process serves its status.").Required().StringsVar(&c.addresses)
 	command.Flag("why", "Show the last decisions and their causes.").BoolVar(&c.why)
--- a/io/btagent/configure.go
+++ b/io/btagent/configure.go
@@ -63,7 +63,7 @@
 const localDialTimeout = 400 * time.Millisecond
 
 func (a *Agent) newClient(endpoint netip.AddrPort) *bttarget.Client {
-	return bttarget.New(bttarget.Options{Endpoint: endpoint, Registry: a.options.Meter.Registry(), DialTimeout: localDialTimeout, OnNotice: a.observeNotice})
+	return bttarget.New(bttarget.Options{Endpoint: endpoint, Registry: a.options.Meter.Registry(), DialTimeout: localDialTimeout, OnNotice: a.observeNotice, Log: a.options.Log})
 }
 
 // initServing creates the queue and the ledger, which need values of the first bundle.
--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -1,7 +1,8 @@
 // Package btbound bounds what an HTTP client reads of an answer's head, whatever the
 // server sends: in bytes, in time from its first byte, and in the number of informational
 // answers before it. It also refuses an answer that switches to another protocol, whose
-// body net/http reads without regard to the request's context.
+// body net/http reads without regard to the request's context, and one that is malformed.
+// net/http accepts more than RFC 9112 does, so the bytes are checked before it reads them.
 //
 // A server that sends nothing is not bounded here: it may still run the request. The body is bounded
 // by the request's context, and in size by its reader; ReadAll is one.
@@ -17,7 +18,6 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -37,13 +37,16 @@
 	// ErrInformational means that there were more than MaxInformational answers with a
 	// status 1xx.
 	ErrInformational = errors.New("too many informational answers")
-	// ErrStatus means that the answer has a status below 200, which none may end with: it
-	// switches to another protocol, or is malformed.
+	// ErrStatus means that the answer has no valid status of three digits, or switches to
+	// another protocol.
 	ErrStatus = errors.New("status of no answer")
 	// ErrTooLarge means that a body is larger than the limit of its reader.
 	ErrTooLarge = errors.New("answer too large")
 )
 
+// Refused reports whether the error is of an answer that was refused because it is malformed.
+func Refused(err error) bool { return errors.Is(err, ErrMalformed) || errors.Is(err, ErrStatus) }
+
 // ReadAll reads a body of at most limit bytes. The error of a larger one is ErrTooLarge.
 func ReadAll(body io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
@@ -53,8 +56,9 @@
 	return data, err
 }
 
-// Transport is an http.Transport with these bounds. Its errors wrap ErrSlowHead,
-// ErrInformational or ErrStatus where one of them was exceeded. It is safe for
+// Transport is an http.Transport with these bounds. Its errors, and those of the bodies of
+// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus or ErrMalformed where an answer
+// was refused. The server may have run the request of a refused answer. It is safe for
 // concurrent use.
 type Transport struct {
 	transport *http.Transport
@@ -86,28 +90,39 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	h := &headTimer{limit: t.timeout, cancel: cancel}
-	trace := &httptrace.ClientTrace{GotConn: h.connected, Got1xxResponse: h.informational}
+	begun := &exchange{bodyless: r.Method == http.MethodHead}
+	trace := &httptrace.ClientTrace{Got1xxResponse: h.informational, GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*conn); ok {
+			c.begun.Store(begun)
+			h.connected(c)
+		}
+	}}
 	answer, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	h.end()
+	c := h.end()
 	if err != nil {
 		cancel(nil)
-		return nil, err
-	}
-	if answer.StatusCode < http.StatusOK {
-		closeErr := answer.Body.Close()
-		cancel(nil)
-		return nil, errors.Join(fmt.Errorf("%w: %d", ErrStatus, answer.StatusCode), closeErr)
+		return nil, c.explain(err)
 	}
-	answer.Body = &body{ReadCloser: answer.Body, cancel: cancel}
+	answer.Body = &body{ReadCloser: answer.Body, conn: c, cancel: cancel}
 	return answer, nil
 }
 
 // body releases the context of its exchange when it is closed.
 type body struct {
 	io.ReadCloser
+	conn   *conn
 	cancel context.CancelCauseFunc
 }
 
+// Read reads from the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		err = b.conn.explain(err)
+	}
+	return n, err
+}
+
 // Close closes the body; before its end this closes the connection.
 func (b *body) Close() error {
 	err := b.ReadCloser.Close()
@@ -115,21 +130,6 @@
 	return err
 }
 
-// conn notifies the timer of the exchange that uses it of arriving bytes.
-type conn struct {
-	net.Conn
-	timer atomic.Pointer[headTimer]
-}
-
-// Read reads from the connection.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if h := c.timer.Load(); n > 0 && h != nil {
-		h.arrived()
-	}
-	return n, err
-}
-
 // headTimer cancels an exchange whose head takes too long.
 type headTimer struct {
 	limit  time.Duration
@@ -144,11 +144,7 @@
 	informationals int
 }
 
-func (h *headTimer) connected(i httptrace.GotConnInfo) {
-	c, ok := i.Conn.(*conn)
-	if !ok {
-		return
-	}
+func (h *headTimer) connected(c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.conn = c
@@ -177,8 +173,8 @@
 	return nil
 }
 
-// end ends the supervision.
-func (h *headTimer) end() {
+// end ends the supervision. It returns the connection, nil if there was none.
+func (h *headTimer) end() *conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ended = true
@@ -187,6 +183,7 @@
 		// Another exchange may use the connection already.
 		h.conn.timer.CompareAndSwap(h, nil)
 	}
+	return h.conn
 }
 
 // stop stops the timer. h.mu must be held.
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -14,6 +14,7 @@
 	"bilberrytide/core/btinventory"
 	"bilberrytide/core/btquarantine"
 	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btbound"
 	"bilberrytide/io/bttarget"
 )
 
@@ -207,6 +208,9 @@
 	} else {
 		x.attempts++
 		x.mayHaveRun = true
+		if btbound.Refused(err) {
+			result.reason = ReasonMalformedAnswer
+		}
 	}
 	return result
 }
--- a/io/btgroup/btgroup.go
+++ b/io/btgroup/btgroup.go
@@ -101,7 +101,7 @@
 // Configure applies a bundle. If the target's group in it is invalid, the previous
 // configuration stays in force and the error is logged.
 func (g *Group) Configure(approved *btbundle.Approved) {
-	next, err := rankConfigOf(approved, g.options.Self.Target, g.options.OnNotice)
+	next, err := rankConfigOf(approved, g.options)
 	if err != nil {
 		g.options.Log.Error("the bundle's group is invalid; the previous configuration stays in force", "error", err)
 		return
@@ -127,12 +127,12 @@
 }
 
 // rankConfigOf returns the rank of the target in a bundle, nil if it is in no group.
-func rankConfigOf(approved *btbundle.Approved, self btid.Target, onNotice func(int, btnotice.Notice)) (*rankConfig, error) {
-	target, found := approved.Index.Target(self)
+func rankConfigOf(approved *btbundle.Approved, o Options) (*rankConfig, error) {
+	target, found := approved.Index.Target(o.Self.Target)
 	if !found {
 		return nil, nil
 	}
-	rank, found := approved.Index.RankOf(self)
+	rank, found := approved.Index.RankOf(o.Self.Target)
 	if !found {
 		return nil, nil
 	}
@@ -152,7 +152,7 @@
 		placement: approved.Bundle.Placement,
 		rank:      rank.Number,
 		endpoint:  target.Endpoint.String(),
-		engine:    bttarget.New(bttarget.Options{Endpoint: target.Endpoint, OnNotice: onNotice}),
+		engine:    bttarget.New(bttarget.Options{Endpoint: target.Endpoint, OnNotice: o.OnNotice, Log: o.Log}),
 	}, nil
 }
 
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -63,6 +64,8 @@
 	// OnNotice is called for each answer that announces something about the target; it may
 	// be nil.
 	OnNotice func(status int, n btnotice.Notice)
+	// Log gets a line for each malformed answer, which the client refuses; it may be nil.
+	Log *slog.Logger
 }
 
 // Client is a client of one target. It is safe for concurrent use.
@@ -154,8 +157,8 @@
 
 // Do sends the request once and returns when the head of the answer has arrived. The
 // context applies to the whole exchange including the body. Redirects are not followed.
-// A head that exceeds the bounds of btbound is lost contact, as nothing shows whether the
-// request ran.
+// A head that exceeds the bounds of btbound, or is malformed, is lost contact, as nothing
+// shows whether the request ran.
 //
 // Errors: ErrRequest (nothing was sent), ErrNotSent, ErrLost.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
@@ -174,6 +177,7 @@
 	}
 	if err != nil {
 		c.lost.Inc(1)
+		c.logRefused(r.URI, err)
 		return nil, fmt.Errorf("%w: %s %s: %w", ErrLost, r.Method, r.URI, err)
 	}
 	notice := btnotice.Parse(answer.StatusCode, answer.Header[headerRetryAfter], answer.Header[HeaderLeaving])
@@ -187,10 +191,17 @@
 		Delimited: delimited(r.Method, answer),
 		Rate:      btrate.ParseAdvertisement(answer.Header[HeaderRate]),
 		Notice:    notice,
-		Body:      &responseBody{source: answer.Body, lost: c.lost},
+		Body:      &responseBody{source: answer.Body, client: c, uri: r.URI},
 	}, nil
 }
 
+// logRefused logs why an answer was refused, if it was.
+func (c *Client) logRefused(uri string, err error) {
+	if c.options.Log != nil && btbound.Refused(err) {
+		c.options.Log.Warn("answer refused", "uri", uri, "error", err)
+	}
+}
+
 func delimited(method string, answer *http.Response) bool {
 	if answer.ContentLength >= 0 || method == http.MethodHead {
 		return true
@@ -265,7 +276,8 @@
 // responseBody maps the errors of an answer's body.
 type responseBody struct {
 	source io.ReadCloser
-	lost   metrics.Counter
+	client *Client
+	uri    string
 }
 
 // Read reads from the target. The error is io.EOF or wraps ErrLost.
@@ -275,7 +287,8 @@
 		return n, err
 	}
 	if !errors.Is(err, context.Canceled) {
-		b.lost.Inc(1)
+		b.client.lost.Inc(1)
+		b.client.logRefused(b.uri, err)
 	}
 	return n, fmt.Errorf("%w: answer: %w", ErrLost, err)
 }
