bthttp: take the memory of a part of an event from the account

What operators of other systems saw: a target that sends an event without end to many requests fills the memory of the process that reads it.

Cause: on the guarded path only plain answers took the memory of their buffer from the account of the callers; a part of an event of up to 1 MB took none.

Change: it does, and without room it is passed on as it arrives, as a plain answer and a longer event are. Such a stream can't be resumed.

--- a/io/bthttp/answer.go
+++ b/io/bthttp/answer.go
@@ -158,7 +158,7 @@
 		if err := a.flushEvents(); err != nil {
 			return err
 		}
-		if a.buffer.Len() <= maxBufferedBytes {
+		if a.buffer.Len() <= maxBufferedBytes && a.mayBuffer() {
 			return nil
 		}
 		a.partialEvent = true
--- a/io/bthttp/bthttp_test.go
+++ b/io/bthttp/bthttp_test.go
@@ -102,3 +102,26 @@
 		})
 	}
 }
+
+// TestPartsOfEventsTakeMemory guards against an event without end that takes memory which no
+// account has: without room it is passed on as it arrives.
+func TestPartsOfEventsTakeMemory(t *testing.T) {
+	const limit = 64 << 10
+	budget := bthttp.NewBodyBudget(limit)
+	w := httptest.NewRecorder()
+	a := bthttp.NewAnswer(w, "GET", nil)
+	a.LimitMemory(budget)
+	a.Begin(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+	sent := "data: "
+	assert.NilError(t, a.Add([]byte(sent)))
+	for range 64 {
+		piece := strings.Repeat("x", 4<<10)
+		sent += piece
+		assert.NilError(t, a.Add([]byte(piece)))
+		assert.Assert(t, len(sent)-w.Body.Len() <= limit, "%d bytes buffered", len(sent)-w.Body.Len())
+	}
+	assert.Assert(t, !a.Resumable())
+	assert.Assert(t, !budget.Acquire(limit), "the buffer takes no memory")
+	a.Release()
+	assert.Assert(t, budget.Acquire(limit))
+}
