btagent: bound the memory of all answers that are recorded for repeats

What would be seen: an agent records up to 1 MB of each answer to a request with an idempotency key. A target with many slots that sends long answers to all of them at once, or keeps them open, fills the agent's memory; kept answers counted without their header of up to 64 KB.

Cause: each recording was bounded, all together were not. A recording that had become too long kept its megabyte until the answer ended.

One without room is dropped, like one that is too long: its caller gets the whole answer, a repeat "answer_dropped". The header counts in the size of a kept answer.

--- a/io/btagent/btagent.go
+++ b/io/btagent/btagent.go
@@ -62,6 +62,8 @@
 	isolation *btprocess.Isolation
 	// rate is the request rate that the target advertises.
 	rate targetRate
+	// recordings is the memory of answers that are being recorded for repeats.
+	recordings recordings
 	// notices is what the target announces about itself.
 	notices *targetNotices
 	stop    *btprocess.Stop
--- a/io/btagent/ledger.go
+++ b/io/btagent/ledger.go
@@ -19,6 +19,23 @@
 	status int
 	header btserve.Header
 	body   []byte
+	// dropped reports that the answer isn't kept.
+	dropped bool
+}
+
+// size returns what the answer takes, in bytes. That of a dropped one is more than any answer
+// may have that is kept.
+func (a keptAnswer) size() int {
+	if a.dropped {
+		return maxKeptAnswerBytes + 1
+	}
+	size := len(a.body)
+	for name, values := range a.header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
 }
 
 // ledger runs the claim ledger and stores the answers that it keeps.
@@ -76,7 +93,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers[claim] = a
-	l.handleLocked(btclaim.RunFinished{Claim: claim, Bytes: len(a.body)})
+	l.handleLocked(btclaim.RunFinished{Claim: claim, Bytes: a.size()})
 }
 
 // loadAnswer returns the stored answer of a claim.
--- a/io/btagent/relay.go
+++ b/io/btagent/relay.go
@@ -13,39 +13,13 @@
 	"bilberrytide/io/bttarget"
 )
 
-const (
-	// relayChunkBytes limits one read of a target's answer.
-	relayChunkBytes = 32 << 10
-	// maxKeptAnswerBytes is the size of the longest answer that is kept for a repeat.
-	maxKeptAnswerBytes = 1 << 20
-)
+// relayChunkBytes limits one read of a target's answer.
+const relayChunkBytes = 32 << 10
 
 // relayBuffers pools buffers: allocating one for each answer would be most of what an
 // agent allocates.
 var relayBuffers = sync.Pool{New: func() any { return new([relayChunkBytes]byte) }}
 
-// answerRecorder collects an answer for repeats of the request. A nil answerRecorder
-// does nothing.
-type answerRecorder struct {
-	limit int
-	data  []byte
-	// done is called with the collected data at the end of the target's answer.
-	done func(data []byte, complete bool)
-}
-
-func (r *answerRecorder) add(data []byte) {
-	if r == nil || len(r.data) > r.limit {
-		return
-	}
-	r.data = append(r.data, data...)
-}
-
-func (r *answerRecorder) finish(complete bool) {
-	if r != nil {
-		r.done(r.data, complete)
-	}
-}
-
 // relay sends the target's answer to the entry. If recorder is set, the answer is read
 // to its end even if the entry disconnects.
 func (v *attempt) relay(ctx context.Context, response *bttarget.Response, recorder *answerRecorder) error {
--- a/io/btagent/serve.go
+++ b/io/btagent/serve.go
@@ -204,15 +204,16 @@
 		return v.refuse(btrequest.Unknown, v.lostReason(ctx), 0, nil)
 	}
 	defer response.Body.Close()
-	return v.relay(ctx, response, &answerRecorder{limit: maxKeptAnswerBytes, done: func(body []byte, complete bool) {
+	return v.relay(ctx, response, &answerRecorder{memory: &v.agent.recordings, done: func(body []byte, dropped, complete bool) {
 		if !complete {
 			v.recordLost()
 			return
 		}
 		v.deps.ledger.storeAnswer(v.grant.Claim, keptAnswer{
-			status: response.Status,
-			header: btserve.HeaderFromHTTP(response.Header),
-			body:   body,
+			status:  response.Status,
+			header:  btserve.HeaderFromHTTP(response.Header),
+			body:    body,
+			dropped: dropped,
 		})
 	}})
 }
