btdirect, btbound: bound the memory of all answers of a target together

What operators of other systems saw: a faulty engine sends bytes that are no answer, without end; the process that reads them runs out of memory, and other clients' requests end with it.

Cause: heads (64 KB) and events (256 KB) were bounded for each request, and in no account for all of them. Short fields take five times their bytes once they are parsed. The kernel's receive buffers of connections to targets grew to megabytes each.

Change: heads and buffered events beyond 8 KB take memory from the account of the callers' requests. Without room the attempt is given up with reason "memory", which doesn't count against the target. Receive buffers of connections to targets are 16 KB. The splitter makes the buffer of its events once.

Ruled out: lower bounds for each request; reading no further without memory (docs/design/endless-answers.md).

Not mended: connections to targets aren't counted in the descriptors (docs/OPEN.md).

--- a/core/btevents/btevents.go
+++ b/core/btevents/btevents.go
@@ -68,6 +68,9 @@
 			s.scanned = max(0, len(s.pending)-len(endCRLF)+1)
 			break
 		}
+		if out == nil {
+			out = make([]byte, 0, len(s.withheld)+len(s.pending))
+		}
 		out = s.addBlock(out, s.pending[:end])
 		s.pending = s.pending[end:]
 		s.scanned = 0
@@ -130,6 +133,9 @@
 // Blocks returns the number of complete events and comments, also of dropped ones.
 func (s *Splitter) Blocks() int { return s.blocks }
 
+// Buffered returns the size of the buffers, in bytes.
+func (s *Splitter) Buffered() int { return cap(s.pending) + cap(s.withheld) }
+
 // Partial reports whether bytes are buffered that are no complete event.
 func (s *Splitter) Partial() bool { return len(s.pending)+len(s.withheld) > 0 }
 
--- a/io/btbound/answer.go
+++ b/io/btbound/answer.go
@@ -65,6 +65,9 @@
 	// trailer reports that the fields are those after a chunked body.
 	trailer bool
 
+	// headBytes and fields are the size of the heads so far, and the number of their fields.
+	headBytes, fields int
+
 	minor  byte
 	status int
 	// chunked and sized report that the head has Transfer-Encoding and Content-Length.
@@ -136,6 +139,9 @@
 		a.line[a.position] = b
 	}
 	a.position++
+	if a.step < stepBody {
+		a.headBytes++
+	}
 	switch {
 	case a.afterCR && b != '\n':
 		return a.refuse("CR without LF")
@@ -243,6 +249,7 @@
 		return a.refuse("empty name of a field")
 	case b == ':':
 		a.nameEnd = a.position - 1
+		a.fields++
 		a.step = stepValue
 	default:
 		return a.refuse("invalid name of a field")
@@ -308,7 +315,7 @@
 	case empty && (a.chunked || a.length > 0):
 		return a.refuse("body after a status that has none")
 	case a.status < http.StatusOK:
-		*a = answer{step: stepStatusLine, bodyless: a.bodyless}
+		*a = answer{step: stepStatusLine, bodyless: a.bodyless, headBytes: a.headBytes, fields: a.fields}
 	case empty, a.bodyless, a.status == http.StatusNotModified:
 		a.step = stepComplete
 	case a.chunked:
--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -40,6 +40,8 @@
 	// ErrStatus means that the answer has no valid status of three digits, or switches to
 	// another protocol.
 	ErrStatus = errors.New("status of no answer")
+	// ErrMemory means that there was no memory for a head.
+	ErrMemory = errors.New("no memory for the answer")
 	// ErrTooLarge means that a body is larger than the limit of its reader.
 	ErrTooLarge = errors.New("answer too large")
 )
@@ -57,8 +59,8 @@
 }
 
 // Transport is an http.Transport with these bounds. Its errors, and those of the bodies of
-// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus or ErrMalformed where an answer
-// was refused. The server may have run the request of a refused answer. It is safe for
+// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus, ErrMalformed or ErrMemory where
+// an answer was refused. The server may have run the request of a refused answer. It is safe for
 // concurrent use.
 type Transport struct {
 	transport *http.Transport
@@ -90,7 +92,7 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	h := &headTimer{limit: t.timeout, cancel: cancel}
-	begun := &exchange{bodyless: r.Method == http.MethodHead}
+	begun := &exchange{bodyless: r.Method == http.MethodHead, memory: memoryOf(r.Context())}
 	trace := &httptrace.ClientTrace{Got1xxResponse: h.informational, GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*conn); ok {
 			c.begun.Store(begun)
--- a/io/btbound/conn.go
+++ b/io/btbound/conn.go
@@ -11,6 +11,8 @@
 type exchange struct {
 	// bodyless reports that the request's method is HEAD.
 	bodyless bool
+	// memory is what heads take their memory from; nil if it isn't limited.
+	memory Memory
 }
 
 // conn checks the bytes of answers, and notifies the timer of the exchange that uses it of
@@ -28,6 +30,8 @@
 	// current is the exchange of the answer.
 	current *exchange
 	answer  answer
+	// reserved is what was reserved for the heads of the exchange, in bytes.
+	reserved int64
 }
 
 // Read reads from the connection. After malformed bytes it returns those before them, and
@@ -60,12 +64,16 @@
 
 func (c *conn) check(p []byte) (int, error) {
 	if begun := c.begun.Load(); begun != c.current {
-		c.current = begun
+		c.current, c.reserved = begun, 0
 		if err := c.answer.begin(begun.bodyless); err != nil {
 			return 0, err
 		}
 	}
-	return c.answer.check(p)
+	n, err := c.answer.check(p)
+	if err == nil && !c.reserve() {
+		return 0, ErrMemory
+	}
+	return n, err
 }
 
 // explain returns the error for which bytes were refused, if there is one, in place of the
--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -190,7 +190,7 @@
 	if len(x.body) >= largeBodyBytes {
 		client = t.large
 	}
-	return client.Do(ctx, bttarget.Request{
+	return client.Do(btbound.WithMemory(ctx, answerMemory{x}), bttarget.Request{
 		Method: x.request.Method,
 		Host:   x.request.Host,
 		URI:    x.request.RequestURI,
@@ -208,8 +208,11 @@
 	} else {
 		x.attempts++
 		x.mayHaveRun = true
-		if btbound.Refused(err) {
+		switch {
+		case btbound.Refused(err):
 			result.reason = ReasonMalformedAnswer
+		case errors.Is(err, btbound.ErrMemory):
+			result.reason = ReasonMemory
 		}
 	}
 	return result
@@ -369,6 +372,7 @@
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
 	case callerLost(result.reason), result.reason == ReasonTimeout, isQuarantined(result.reason), result.moved:
+	case result.reason == ReasonMemory:
 	case result.withheld:
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
--- a/io/btdirect/body.go
+++ b/io/btdirect/body.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"bilberrytide/io/btbound"
 	"bilberrytide/io/btfront"
 	"bilberrytide/io/bttarget"
 )
@@ -57,6 +58,15 @@
 	return &refusal{status: http.StatusBadRequest, reason: ReasonBodyCut}
 }
 
+// answerMemory is the memory of a caller's connection, which answers take until the request has
+// been answered.
+type answerMemory struct{ x *exchange }
+
+var _ btbound.Memory = answerMemory{}
+
+// Reserve takes bytes for the request.
+func (m answerMemory) Reserve(n int64) bool { return m.x.connection.Reserve(n) }
+
 // reserveAnswer reserves the buffer for an answer.
 func (x *exchange) reserveAnswer(answer *bttarget.Response) bool {
 	size, err := strconv.ParseInt(answer.Header.Get("Content-Length"), 10, 64)
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -25,6 +25,28 @@
 	observer *streamObserver
 	// hasOutput is set once the present attempt has had an event.
 	hasOutput bool
+	// reserved is what was reserved for events beyond freeEventBytes, in bytes.
+	reserved int64
+}
+
+// freeEventBytes is the part of the buffered events that isn't reserved: ordinary events are
+// smaller.
+const freeEventBytes = 8 << 10
+
+// errEventMemory means that there was no memory for an event.
+var errEventMemory = errors.New("no memory for an event")
+
+// reserve reserves memory for so many bytes of events until the request has been answered.
+func (s *streamWriter) reserve(size int) bool {
+	needed := int64(size) - freeEventBytes - s.reserved
+	if needed <= 0 {
+		return true
+	}
+	if !s.x.connection.Reserve(needed) {
+		return false
+	}
+	s.reserved += needed
+	return true
 }
 
 // lastEventID returns the ID of the last event sent, or "".
@@ -113,6 +135,9 @@
 	if err != nil {
 		return attemptResult{reason: ReasonMalformedAnswer, err: err}, true
 	}
+	if !x.stream.reserve(splitter.Buffered() + len(out)) {
+		return attemptResult{reason: ReasonMemory, err: errEventMemory}, true
+	}
 	if splitter.Blocks() == blocks {
 		return attemptResult{}, false
 	}
--- a/io/bttarget/client.go
+++ b/io/bttarget/client.go
@@ -90,7 +90,7 @@
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&o.MaxIdleConnections, DefaultMaxIdleConnections)
 	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	dialler := &net.Dialer{Timeout: o.DialTimeout, Control: setUserTimeout(o.TCPUserTimeout)}
+	dialler := &net.Dialer{Timeout: o.DialTimeout, Control: setSocketOptions(o.TCPUserTimeout)}
 	return &Client{
 		options: o,
 		created: time.Now(),
@@ -108,16 +108,20 @@
 	}
 }
 
-// setUserTimeout returns a dialler control function that limits how long written data
-// may stay unacknowledged.
-func setUserTimeout(limit time.Duration) func(network, address string, c syscall.RawConn) error {
-	if limit <= 0 {
-		return nil
-	}
+// unreadBytes is the size of a connection's receive buffer: what a target can send that the
+// process hasn't read. The kernel would let it grow to megabytes.
+const unreadBytes = 16 << 10
+
+// setSocketOptions returns a dialler control function that limits the receive buffer, and how
+// long written data may stay unacknowledged if that limit is positive.
+func setSocketOptions(unacknowledged time.Duration) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optUserTimeout, int(limit.Milliseconds()))
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, unreadBytes)
+			if failed == nil && unacknowledged > 0 {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optUserTimeout, int(unacknowledged.Milliseconds()))
+			}
 		})
 		return errors.Join(err, failed)
 	}
