btdirect: answer the requests that are open at the end of a planned stop

What callers saw: a request whose target was still at work at the end of the grace period had its connection closed, which says nothing: it may have run.

Cause: the end of a stop closed all connections.

Change: accepted requests of whose answer nothing has been sent are ended with 502 and reason stop_timeout, 503 if they were never sent, within 0.2 s of the 0.5 s that are reserved for the exit. This doesn't count against the target. What has begun is cut as before. The guarded path needs nothing: its stop waits for the deadline of each request.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -372,7 +372,7 @@
 	case result.reason == ReasonMisdirected:
 		e.logTargetFailure(t, result, e.fleet.recordMisdirected(t))
 	case callerLost(result.reason), result.reason == ReasonTimeout, isQuarantined(result.reason), result.moved:
-	case result.reason == ReasonMemory:
+	case result.reason == ReasonMemory, result.reason == ReasonStopTimeout:
 	case result.withheld:
 	case result.rests:
 		// The rest that the target asked for takes the place of the entry's own guess.
--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -66,7 +66,7 @@
 	// fingerprint returns the fingerprint of the content, computed on the first call.
 	fingerprint func() btquarantine.Fingerprint
 	// withdrawn is the reason, once an attempt or a wait is cancelled because the request is
-	// quarantined.
+	// quarantined, or a stop ends.
 	withdrawn atomic.Pointer[btrequest.Reason]
 	// prompt has the parts of the prompt that other requests may share.
 	prompt btquarantine.Prompt
@@ -177,7 +177,10 @@
 	if x.refuseStopping() {
 		return
 	}
-	x.open.setAccepted()
+	x.open.setAccepted(func() {
+		x.withdraw(ReasonStopTimeout)
+		cancel()
+	})
 	if x.streams() {
 		e.openStreams.Add(1)
 		defer e.openStreams.Add(-1)
--- a/io/btdirect/open_requests.go
+++ b/io/btdirect/open_requests.go
@@ -40,6 +40,8 @@
 	kind     btcatalog.Kind
 	deadline time.Time
 	accepted bool
+	// end ends the request's handling with an answer; nil before it is accepted.
+	end      func()
 	target   btinventory.ID
 	passedOn bool
 	writing  bool
@@ -66,11 +68,20 @@
 	r.route, r.kind, r.deadline = route.Name, route.Kind, deadline
 }
 
-// setAccepted records that the request isn't refused because of a stop.
-func (r *openRequest) setAccepted() {
+// setAccepted records that the request isn't refused because of a stop, and how it can be
+// ended with an answer.
+func (r *openRequest) setAccepted(end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.accepted = true
+	r.accepted, r.end = true, end
+}
+
+// unanswered reports whether the request is accepted and nothing of an answer has been sent.
+func (r *openRequest) unanswered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stage := r.stage()
+	return stage == stageWaiting || stage == stageSent
 }
 
 func (r *openRequest) isAccepted() bool {
@@ -245,6 +256,19 @@
 	return false
 }
 
+// unanswered returns the accepted requests of whose answer nothing has been sent.
+func (o *openRequests) unanswered() []*openRequest {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var found []*openRequest
+	for _, r := range o.requests {
+		if r.unanswered() {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // count counts a request that has ended. The mutex must be held.
 func (o *openRequests) count(r *openRequest) {
 	r.mu.Lock()
--- a/io/btdirect/prompt.go
+++ b/io/btdirect/prompt.go
@@ -62,7 +62,8 @@
 // Others returns the number of other entries known.
 func (p *peers) Others() int { return p.count() }
 
-// withdraw marks a request whose attempt, or wait, is cancelled as it is quarantined.
+// withdraw marks a request whose attempt, or wait, is cancelled: it is quarantined, or a stop
+// ends.
 func (x *exchange) withdraw(reason btrequest.Reason) { x.withdrawn.CompareAndSwap(nil, &reason) }
 
 // withdrawnReason returns the reason for which the request was withdrawn, or "".
@@ -116,7 +117,7 @@
 		return true
 	}
 	if reason := x.withdrawnReason(); reason != "" {
-		// The quarantine has ended since, but the request's context has too.
+		// A quarantine may have ended since, but the request's context has too.
 		x.endUnserved(reason, x.defaultRetryAfter())
 		return true
 	}
--- a/io/btdirect/reason.go
+++ b/io/btdirect/reason.go
@@ -24,8 +24,8 @@
 	// ReasonStopping: the entry is shutting down and accepts no more requests of this
 	// kind.
 	ReasonStopping btrequest.Reason = "entry_stopping"
-	// ReasonStopTimeout: the request was still open at the end of a planned stop, and its
-	// connection was closed.
+	// ReasonStopTimeout: the request was still open at the end of a planned stop. It was
+	// answered as unknown, or cut if a part of its answer had been sent.
 	ReasonStopTimeout btrequest.Reason = "stop_timeout"
 	// ReasonProcessEnded: the process ended without a planned stop, or before its end.
 	ReasonProcessEnded btrequest.Reason = "process_ended"
--- a/io/btdirect/stop.go
+++ b/io/btdirect/stop.go
@@ -62,8 +62,12 @@
 		reason := ReasonStopTimeout
 		if ctx.Err() != nil {
 			reason = ReasonProcessEnded
+		} else {
+			e.answerOpen(ctx)
+		}
+		if !e.open.none() {
+			e.cutRequests(reason, err)
 		}
-		e.cutRequests(reason, err)
 		_ = server.Close()
 	}
 	e.log.Info("stopped", append([]any{"took_ms", e.options.Clock().Sub(began).Milliseconds()}, e.open.outcomes()...)...)
@@ -91,6 +95,22 @@
 	}
 }
 
+// answerTimeout limits the time in which the requests that are open at the end of a stop get
+// their answers. It is a part of btstop.ExitMargin.
+const answerTimeout = 200 * time.Millisecond
+
+// answerOpen ends the accepted requests of whose answer nothing has been sent: their callers
+// get an answer that promises nothing, where a closed connection could mean anything.
+func (e *Entry) answerOpen(ctx context.Context) {
+	for _, r := range e.open.unanswered() {
+		r.end()
+	}
+	until := e.options.Clock().Add(answerTimeout)
+	for ctx.Err() == nil && len(e.open.unanswered()) > 0 && e.options.Clock().Before(until) {
+		sleep(ctx, stopPollInterval)
+	}
+}
+
 // cutRequests logs each request that is cut when the connections are closed. The logger
 // limits the lines; the count is exact.
 func (e *Entry) cutRequests(reason btrequest.Reason, err error) {
