--- a/io/btdirect/reading.go
+++ b/io/btdirect/reading.go
@@ -136,7 +136,7 @@
 		// The list is valid until it is replaced, and other entries receive it meanwhile.
 		sc.historyGone = true
 		sc.schedule.HistoryGone()
-		sc.log.Info("history gone", "position", sc.position.String(), "outcome", "read in full")
+		sc.log.Info("history gone", "position", sc.position.String(), "outcome", "read in full", "error", r.err)
 		return true
 	}
 	sc.schedule.Failed(r.read)
