--- a/io/btdirect/source_cache.go
+++ b/io/btdirect/source_cache.go
@@ -200,8 +200,12 @@
 	sc.scheduleExpiry(now)
 }
 
-// maxMalformed limits the keys in loggedErrors.
-const maxMalformed = 1024
+const (
+	// maxMalformed limits the keys in loggedErrors.
+	maxMalformed = 1024
+	// maxRefusalBytes limits the text of an error there and in the log.
+	maxRefusalBytes = 300
+)
 
 // recordMalformed counts a malformed record. It logs the record unless the last one of
 // its key had the same error: a record that is written again each second would fill the
@@ -209,6 +213,8 @@
 func (sc *sourceCache) recordMalformed(m MalformedRecord, p btinventory.Position) {
 	sc.meter.Counter(metricMalformed).Inc(1)
 	reason := m.Err.Error()
+	// Errors quote values of any length.
+	reason = reason[:min(len(reason), maxRefusalBytes)]
 	if sc.loggedErrors[m.Key] == reason {
 		return
 	}
@@ -216,7 +222,7 @@
 		clear(sc.loggedErrors)
 	}
 	sc.loggedErrors[m.Key] = reason
-	sc.log.Warn("record refused", "key", m.Key, "position", p.String(), "error", m.Err, "outcome", m.Outcome)
+	sc.log.Warn("record refused", "key", m.Key, "position", p.String(), "error", reason, "outcome", m.Outcome)
 }
 
 // updateTargets applies the update to the register of targets.
