btbound: bound the number of fields of an answer

What would be seen: 60 KB of short fields take some 350 KB once they are parsed, at each reader of answers, also where no account holds them: agents of the guarded path, and the entry to which they are passed on.

Cause: heads were bounded in bytes only.

Change: more than 512 fields in an answer's heads and trailer are refused with ErrFields, as malformed answers are.

--- a/io/btbound/answer.go
+++ b/io/btbound/answer.go
@@ -93,8 +93,8 @@
 }
 
 // check follows the bytes. It returns how many of them precede the first one that is
-// refused. The error wraps ErrMalformed or ErrStatus; it is errSurplus after a complete
-// answer.
+// refused. The error wraps ErrMalformed, ErrStatus or ErrFields; it is errSurplus after a
+// complete answer.
 func (a *answer) check(p []byte) (int, error) {
 	for i := 0; i < len(p); {
 		switch a.step {
@@ -251,6 +251,9 @@
 		a.nameEnd = a.position - 1
 		a.fields++
 		a.step = stepValue
+		if a.fields > MaxFields {
+			return fmt.Errorf("%w: over %d", ErrFields, MaxFields)
+		}
 	default:
 		return a.refuse("invalid name of a field")
 	}
@@ -382,25 +385,3 @@
 	}
 	return strconv.Quote(string(a.line[:])) + " at byte " + strconv.Itoa(a.position)
 }
-
-func isDigit(b byte) bool { return '0' <= b && b <= '9' }
-
-func isLetter(b byte) bool { return 'a' <= b|0x20 && b|0x20 <= 'z' }
-
-// isToken reports whether a name may contain the byte (RFC 9110, 5.6.2).
-func isToken(b byte) bool {
-	return isDigit(b) || isLetter(b) || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) >= 0
-}
-
-// isText reports whether a value, a reason or an extension may contain the byte.
-func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
-
-func hexDigit(b byte) (byte, bool) {
-	switch {
-	case isDigit(b):
-		return b - '0', true
-	case 'a' <= b|0x20 && b|0x20 <= 'f':
-		return b | 0x20 - 'a' + 10, true
-	}
-	return 0, false
-}
--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -1,8 +1,9 @@
 // Package btbound bounds what an HTTP client reads of an answer's head, whatever the
-// server sends: in bytes, in time from its first byte, and in the number of informational
-// answers before it. It also refuses an answer that switches to another protocol, whose
-// body net/http reads without regard to the request's context, and one that is malformed.
-// net/http accepts more than RFC 9112 does, so the bytes are checked before it reads them.
+// server sends: in bytes, in fields, in time from its first byte, and in the number of
+// informational answers before it. It also refuses an answer that switches to another
+// protocol, whose body net/http reads without regard to the request's context, and one that
+// is malformed. net/http accepts more than RFC 9112 does, so the bytes are checked before it
+// reads them.
 //
 // A server that sends nothing is not bounded here: it may still run the request. The body is bounded
 // by the request's context, and in size by its reader; ReadAll is one.
@@ -24,6 +25,8 @@
 const (
 	// MaxHeaderBytes is the size limit of one head: its status line and header.
 	MaxHeaderBytes = 64 << 10
+	// MaxFields is how many fields the heads and the trailer of an answer have together.
+	MaxFields = 512
 	// HeadTimeout is how long a head may take from its first byte to its end. Servers
 	// write it at once, so it is long enough for lost packets to be sent again.
 	HeadTimeout = time.Second
@@ -40,14 +43,18 @@
 	// ErrStatus means that the answer has no valid status of three digits, or switches to
 	// another protocol.
 	ErrStatus = errors.New("status of no answer")
+	// ErrFields means that there were more than MaxFields.
+	ErrFields = errors.New("too many fields")
 	// ErrMemory means that there was no memory for a head.
 	ErrMemory = errors.New("no memory for the answer")
 	// ErrTooLarge means that a body is larger than the limit of its reader.
 	ErrTooLarge = errors.New("answer too large")
 )
 
-// Refused reports whether the error is of an answer that was refused because it is malformed.
-func Refused(err error) bool { return errors.Is(err, ErrMalformed) || errors.Is(err, ErrStatus) }
+// Refused reports whether the error is of an answer that was refused for what it contains.
+func Refused(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrStatus) || errors.Is(err, ErrFields)
+}
 
 // ReadAll reads a body of at most limit bytes. The error of a larger one is ErrTooLarge.
 func ReadAll(body io.Reader, limit int64) ([]byte, error) {
@@ -59,9 +66,9 @@
 }
 
 // Transport is an http.Transport with these bounds. Its errors, and those of the bodies of
-// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus, ErrMalformed or ErrMemory where
-// an answer was refused. The server may have run the request of a refused answer. It is safe for
-// concurrent use.
+// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus, ErrMalformed, ErrFields or
+// ErrMemory where an answer was refused. The server may have run the request of a refused
+// answer. It is safe for concurrent use.
 type Transport struct {
 	transport *http.Transport
 	timeout   time.Duration
