btbound: keep no request at idle connections

What would be seen: an idle connection to a target keeps the last request that used it, with its body, for a minute; 256 of them at each target.

Cause: since the accounting of heads a connection knew the account of its last exchange, which refers to the request.

Change: it is forgotten when the exchange ends.

--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -99,7 +99,8 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	h := &headTimer{limit: t.timeout, cancel: cancel}
-	begun := &exchange{bodyless: r.Method == http.MethodHead, memory: memoryOf(r.Context())}
+	begun := &exchange{bodyless: r.Method == http.MethodHead}
+	begun.memory.Store(memoryOf(r.Context()))
 	trace := &httptrace.ClientTrace{Got1xxResponse: h.informational, GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*conn); ok {
 			c.begun.Store(begun)
@@ -109,18 +110,20 @@
 	answer, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	c := h.end()
 	if err != nil {
+		begun.end()
 		cancel(nil)
 		return nil, c.explain(err)
 	}
-	answer.Body = &body{ReadCloser: answer.Body, conn: c, cancel: cancel}
+	answer.Body = &body{ReadCloser: answer.Body, conn: c, exchange: begun, cancel: cancel}
 	return answer, nil
 }
 
 // body releases the context of its exchange when it is closed.
 type body struct {
 	io.ReadCloser
-	conn   *conn
-	cancel context.CancelCauseFunc
+	conn     *conn
+	exchange *exchange
+	cancel   context.CancelCauseFunc
 }
 
 // Read reads from the body.
@@ -135,6 +138,7 @@
 // Close closes the body; before its end this closes the connection.
 func (b *body) Close() error {
 	err := b.ReadCloser.Close()
+	b.exchange.end()
 	b.cancel(nil)
 	return err
 }
--- a/io/btbound/conn.go
+++ b/io/btbound/conn.go
@@ -11,10 +11,13 @@
 type exchange struct {
 	// bodyless reports that the request's method is HEAD.
 	bodyless bool
-	// memory is what heads take their memory from; nil if it isn't limited.
-	memory Memory
+	// memory is what heads take their memory from; nil if it isn't limited, and after the
+	// end: an idle connection must not keep what belongs to a request.
+	memory atomic.Pointer[Memory]
 }
 
+func (e *exchange) end() { e.memory.Store(nil) }
+
 // conn checks the bytes of answers, and notifies the timer of the exchange that uses it of
 // their arrival.
 type conn struct {
--- a/io/btbound/memory.go
+++ b/io/btbound/memory.go
@@ -28,20 +28,26 @@
 }
 
 // memoryOf returns the context's memory; nil if it has none.
-func memoryOf(ctx context.Context) Memory {
-	m, _ := ctx.Value(memoryKey{}).(Memory)
-	return m
+func memoryOf(ctx context.Context) *Memory {
+	if m, found := ctx.Value(memoryKey{}).(Memory); found {
+		return &m
+	}
+	return nil
 }
 
 // reserve reserves the memory of the heads so far. It returns false if there is too little.
 func (c *conn) reserve() bool {
-	if c.current == nil || c.current.memory == nil {
+	if c.current == nil {
+		return true
+	}
+	memory := c.current.memory.Load()
+	if memory == nil {
 		return true
 	}
 	needed := int64(c.answer.headBytes) + int64(c.answer.fields)*fieldBytes - headBytes
 	for c.reserved < needed {
 		step := max(headStep, needed-c.reserved)
-		if !c.current.memory.Reserve(step) {
+		if !(*memory).Reserve(step) {
 			return false
 		}
 		c.reserved += step
--- a/io/btbound/memory_test.go
+++ b/io/btbound/memory_test.go
@@ -1,19 +1,26 @@
 package btbound_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"bilberrytide/io/btbound"
 )
 
-// limitedMemory has so many bytes.
-type limitedMemory struct{ left int64 }
+// limitedMemory has so many bytes. The pointer keeps it from being allocated together with
+// others, so that its finalizer runs.
+type limitedMemory struct {
+	left  int64
+	owner *int
+}
 
 func (m *limitedMemory) Reserve(n int64) bool {
 	if n > m.left {
@@ -70,3 +77,29 @@
 		assert.Assert(t, btbound.Refused(err))
 	}
 }
+
+// TestIdleConnectionsKeepNoRequest guards against idle connections that keep the requests which
+// used them last, with their bodies.
+func TestIdleConnectionsKeepNoRequest(t *testing.T) {
+	c, connections := client(4096, ok+sized, ok+sized)
+	released := make(chan struct{})
+	func() {
+		m := &limitedMemory{left: 1, owner: new(int)}
+		runtime.SetFinalizer(m, func(*limitedMemory) { close(released) })
+		assert.NilError(t, fetchWithMemory(t, c, m))
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for held := true; held; {
+		runtime.GC()
+		select {
+		case <-released:
+			held = false
+		case <-ctx.Done():
+			t.Fatal("the idle connection keeps the request's memory")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	assert.NilError(t, fetchWithMemory(t, c, &limitedMemory{}))
+	assert.Equal(t, *connections, 1)
+}
