btdirect: send a complete event although memory is short

What callers saw: since events take memory from the account, a stream could lack an event: its target sent a long one, or several in one read, while memory was short, and the stream went on behind it at another target.

Cause: the attempt was given up after the splitter had recorded the event and before it was sent.

Change: what is complete is sent; only a part of an event is given up. 16 KB of events take no memory, which is one read and what is sent of it.

The stand-in for raw answers blocked after 64 connections without closing them; it no longer does.

--- a/io/btbound/btendless/btendless.go
+++ b/io/btbound/btendless/btendless.go
@@ -47,7 +47,7 @@
 	Address netip.AddrPort
 	// requests counts the requests, written the bytes that were accepted.
 	requests, written atomic.Int64
-	// ended receives how long after the request each connection ended.
+	// ended receives how long after the request each of the first connections ended.
 	ended chan time.Duration
 }
 
@@ -88,7 +88,11 @@
 	if err := answer(request)(countingWriter{Writer: c, written: &s.written}); err == nil {
 		_, _ = io.Copy(io.Discard, c)
 	}
-	s.ended <- time.Since(began)
+	select {
+	case s.ended <- time.Since(began):
+	default:
+		// Nobody waits for so many.
+	}
 }
 
 // Requests returns the number of requests so far.
--- a/io/btdirect/stream.go
+++ b/io/btdirect/stream.go
@@ -29,9 +29,9 @@
 	reserved int64
 }
 
-// freeEventBytes is the part of the buffered events that isn't reserved: ordinary events are
-// smaller.
-const freeEventBytes = 8 << 10
+// freeEventBytes is the part of the buffered events that isn't reserved: one read of ordinary
+// events, and what is sent of them.
+const freeEventBytes = 2 * readBufferBytes
 
 // errEventMemory means that there was no memory for an event.
 var errEventMemory = errors.New("no memory for an event")
@@ -135,7 +135,8 @@
 	if err != nil {
 		return attemptResult{reason: ReasonMalformedAnswer, err: err}, true
 	}
-	if !x.stream.reserve(splitter.Buffered() + len(out)) {
+	if !x.stream.reserve(splitter.Buffered()+len(out)) && len(out) == 0 {
+		// What is complete is sent: a resumed stream goes on behind it.
 		return attemptResult{reason: ReasonMemory, err: errEventMemory}, true
 	}
 	if splitter.Blocks() == blocks {
