btfront: wait for the whole buffer in the test of stalled bodies

Cause: the test lets others come when the account has the size of the body. The receive buffer for large bodies counts as well, 128 KB, so that this was reached before the body had its last 76 KB; another body could take them, and the first one was refused instead of evicted. The product does what it should.

Change: the test waits for both. It checks the same: an eviction, and that the stalled body is the one.

The code of btfront is that of before.

--- a/io/btfront/btfront_test.go
+++ b/io/btfront/btfront_test.go
@@ -119,11 +119,16 @@
 // TestStalledBodyMakesRoom guards against a body that stops short and keeps its memory from
 // other callers until its deadline, and against one that is closed without an answer.
 func TestStalledBodyMakesRoom(t *testing.T) {
-	const size = 600_000
+	const (
+		size = 600_000
+		// unread is the receive buffer of a large body, which counts as well.
+		unread = 128 << 10
+	)
 	s := newServer(t, btfront.Options{Bytes: 1 << 20})
 	stalled := s.dial()
 	stalled.send(post(size) + strings.Repeat("x", size-1))
-	for s.front.Bytes() < size {
+	// The body has all of its memory and waits for its last byte.
+	for s.front.Bytes() < size+unread {
 		time.Sleep(time.Millisecond)
 	}
 	for range 100 {
