btdirect: log why a successor's answer was refused

What operators saw: a target that is asked to continue a silent stream and sends a malformed head is logged as "target passed over", reason target_lost.

Cause: the error of that attempt was in no line, and had the reason of a lost connection.

Change: it has the reason of its error, and the line the error.

Result: TestStreamStaysIfItsSuccessorDoesNotServe/sends_a_blank_in_a_name, by which the stream stays at its target, as it did before.

--- a/io/btdirect/attempt.go
+++ b/io/btdirect/attempt.go
@@ -208,12 +208,7 @@
 	} else {
 		x.attempts++
 		x.mayHaveRun = true
-		switch {
-		case btbound.Refused(err):
-			result.reason = ReasonMalformedAnswer
-		case errors.Is(err, btbound.ErrMemory):
-			result.reason = ReasonMemory
-		}
+		result.reason = lostReason(err)
 	}
 	return result
 }
--- a/io/btdirect/log.go
+++ b/io/btdirect/log.go
@@ -142,5 +142,9 @@
 // logTargetFailure logs that a target failed a request.
 func (e *Entry) logTargetFailure(t *target, result attemptResult, wait time.Duration) {
 	e.meter.Counter(metricTargetFailures).Inc(1)
-	e.log.Info("target passed over", "target", t.info.ID, "service", t.info.Service, "address", t.info.Address, "reason", result.reason, "status", result.status, "for_ms", wait.Milliseconds())
+	attributes := []any{"target", t.info.ID, "service", t.info.Service, "address", t.info.Address, "reason", result.reason, "status", result.status, "for_ms", wait.Milliseconds()}
+	if result.err != nil {
+		attributes = append(attributes, "error", result.err)
+	}
+	e.log.Info("target passed over", attributes...)
 }
--- a/io/btdirect/successor.go
+++ b/io/btdirect/successor.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync/atomic"
 	"time"
 
 	"bilberrytide/core/btinventory"
+	"bilberrytide/core/btrequest"
+	"bilberrytide/io/btbound"
 	"bilberrytide/io/bttarget"
 )
 
@@ -80,7 +83,7 @@
 		next.tokens.markRead()
 		e.fleet.requestDone(t)
 		if !withdrawn {
-			result := x.detectCrash(s.ctx, t, attemptResult{target: t.info.ID, reason: ReasonTargetLost, err: err})
+			result := x.detectCrash(s.ctx, t, attemptResult{target: t.info.ID, reason: lostReason(err), err: err})
 			e.recordResult(t, result)
 		}
 		return nil
@@ -124,3 +127,14 @@
 	}
 	return result, false
 }
+
+// lostReason returns the reason of an attempt that was sent and got no header.
+func lostReason(err error) btrequest.Reason {
+	switch {
+	case btbound.Refused(err):
+		return ReasonMalformedAnswer
+	case errors.Is(err, btbound.ErrMemory):
+		return ReasonMemory
+	}
+	return ReasonTargetLost
+}
