--- a/io/btagent/broken_test.go
+++ b/io/btagent/broken_test.go
@@ -29,7 +29,7 @@
 	})
 }
 
-// TestBrokenAnswersOnTheGuardedPath guards against an answer of a target in trouble that a
+// TestBrokenAnswersOnTheGuardedPath guards against an answer of a faulty target that a
 // caller gets as a whole one, now or as the saved answer to a repeat, or that counts as not
 // run.
 func TestBrokenAnswersOnTheGuardedPath(t *testing.T) {
--- a/io/btagent/recorder_test.go
+++ b/io/btagent/recorder_test.go
@@ -16,7 +16,7 @@
 	"bilberrytide/io/btprocess"
 )
 
-// TestAnswersBeingRecordedTakeBoundedMemory guards against a target in trouble whose long
+// TestAnswersBeingRecordedTakeBoundedMemory guards against a faulty target whose long
 // answers, each within the size that is kept for a repeat, fill the agent's memory together.
 // Those that aren't kept still reach their callers.
 func TestAnswersBeingRecordedTakeBoundedMemory(t *testing.T) {
--- a/io/btbound/answer.go
+++ b/io/btbound/answer.go
@@ -51,11 +51,9 @@
 	stepChunkEnd
 )
 
-// answer follows the answers on a connection and refuses bytes that are none. It holds no
-// more of them than the beginning of a line. Where RFC 9112 allows a recipient to be lenient
-// and there is one reading only, it is: a line of a head may end with LF alone, the reason
-// may be missing, and blanks may follow the size of a chunk. It is not safe for concurrent
-// use.
+// answer checks the answers on a connection, and buffers no more than the beginning of a line.
+// It accepts what RFC 9112 lets recipients accept and has one meaning: LF alone at the end of a
+// header line, no reason, blanks after a chunk's size. It is not safe for concurrent use.
 type answer struct {
 	step step
 	// bodyless reports that the request's method is HEAD.
--- a/io/btbound/answer_test.go
+++ b/io/btbound/answer_test.go
@@ -146,7 +146,7 @@
 	"000 x", "001 x", "020 x", "099 x", "600 x", "999 x", "+20 x", "-20 x", "2e2 x", "20 x", "2000 x", " 200 x", "2 0 x", "x", "", "101 x", "200\tx",
 }
 
-// TestMalformedAnswersAreRefused guards against an answer of a server in trouble that is
+// TestMalformedAnswersAreRefused guards against an answer of a faulty server that is
 // taken for a whole one, with a body that isn't the server's, because net/http reads it.
 func TestMalformedAnswersAreRefused(t *testing.T) {
 	for name, answer := range malformed {
@@ -245,7 +245,7 @@
 }
 
 // TestBytesAfterAnAnswerReachNoOtherRequest guards against a request that is answered with
-// what a server in trouble sent after the answer to another one.
+// what a faulty server sent after the answer to another one.
 func TestBytesAfterAnAnswerReachNoOtherRequest(t *testing.T) {
 	for _, surplus := range []string{"garbage", ok + sized, ok + "Content-Length: 5\r\n\r\nother"} {
 		c, connections := client(4096, ok+sized+surplus, ok+sized)
--- a/io/btbound/memory.go
+++ b/io/btbound/memory.go
@@ -22,7 +22,7 @@
 type memoryKey struct{}
 
 // WithMemory returns a context whose exchanges take the memory of large heads from m. Each
-// head is bounded by itself, but those of a server in trouble come together.
+// head is bounded by itself, but those of a faulty server come together.
 func WithMemory(ctx context.Context, m Memory) context.Context {
 	return context.WithValue(ctx, memoryKey{}, m)
 }
--- a/io/btbound/memory_test.go
+++ b/io/btbound/memory_test.go
@@ -90,11 +90,11 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	for held := true; held; {
+	for kept := true; kept; {
 		runtime.GC()
 		select {
 		case <-released:
-			held = false
+			kept = false
 		case <-ctx.Done():
 			t.Fatal("the idle connection keeps the request's memory")
 		case <-time.After(10 * time.Millisecond):
--- a/io/btcall/broken_test.go
+++ b/io/btcall/broken_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestBrokenAnswersAreErrors guards against a message that is read from an answer of a
-// process in trouble.
+// faulty process.
 func TestBrokenAnswersAreErrors(t *testing.T) {
 	message, err := btwire.Encode(note{Text: "a"})
 	assert.NilError(t, err)
--- a/io/btplatform/broken_test.go
+++ b/io/btplatform/broken_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestBrokenAnswersAreErrors guards against a bundle that is read from an answer of a
-// platform in trouble.
+// faulty platform.
 func TestBrokenAnswersAreErrors(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for head, proper := range map[string]bool{
