btbound: cut an answer whose connection was reset during an upload

What callers saw: a target answered a long upload at its head with a 200 without length, sent a part and reset the connection while the upload was being written. The caller got the part as a complete answer, with a length of its own.

Cause: a socket reports its error once. Where the write of the rest of the request takes it, the read of the answer gets an ordinary end, which is how an answer without length ends. It acts wherever answers are read over HTTP: targets on both paths, orders, the store, peers.

Change: at such an end btbound asks the socket for its state (TCP_INFO) if a write is in progress or has failed; only CLOSE-WAIT is an ordered end. Where the socket can't be asked (other systems, wrapped connections), the end waits for up to 0.1 s for the write, and is in order only if no write has failed. Only a write can take the error, so an end without either is in order and costs nothing.

Ruled out: remembering the errors of writes (the read may come first), waiting for the write (it may take as long as the server reads nothing), refusing each end during an upload (sound answers of servers that answer early).

TestAnswersResetDuringAnUploadAreServedElsewhere shows that another target serves such requests.

--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -3,7 +3,8 @@
 // informational answers before it. It also refuses an answer that switches to another
 // protocol, whose body net/http reads without regard to the request's context, and one that
 // is malformed. net/http accepts more than RFC 9112 does, so the bytes are checked before it
-// reads them.
+// reads them. An answer that ends with its connection is cut if the connection was reset, also
+// where the socket reports an ordinary end.
 //
 // A server that sends nothing is not bounded here: it may still run the request. The body is bounded
 // by the request's context, and in size by its reader; ReadAll is one.
@@ -19,6 +20,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -47,6 +49,9 @@
 	ErrFields = errors.New("too many fields")
 	// ErrMemory means that there was no memory for a head.
 	ErrMemory = errors.New("no memory for the answer")
+	// ErrReset means that the connection was reset before the end of an answer that ends with
+	// its connection.
+	ErrReset = fmt.Errorf("answer cut: %w", syscall.ECONNRESET)
 	// ErrTooLarge means that a body is larger than the limit of its reader.
 	ErrTooLarge = errors.New("answer too large")
 )
@@ -66,8 +71,8 @@
 }
 
 // Transport is an http.Transport with these bounds. Its errors, and those of the bodies of
-// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus, ErrMalformed, ErrFields or
-// ErrMemory where an answer was refused. The server may have run the request of a refused
+// its answers, wrap ErrSlowHead, ErrInformational, ErrStatus, ErrMalformed, ErrFields,
+// ErrMemory or ErrReset where an answer was refused. The server may have run the request of a refused
 // answer. It is safe for concurrent use.
 type Transport struct {
 	transport *http.Transport
@@ -86,7 +91,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: c, written: make(chan struct{}, 1)}, nil
 	}
 	t.MaxResponseHeaderBytes = MaxHeaderBytes
 	return &Transport{transport: t, timeout: HeadTimeout}
--- a/io/btbound/conn.go
+++ b/io/btbound/conn.go
@@ -27,6 +27,10 @@
 	begun atomic.Pointer[exchange]
 	// refused is the error of all further reads; nil if no bytes were refused.
 	refused atomic.Pointer[error]
+	// writing is set during a write, writeFailed after one that failed.
+	writing, writeFailed atomic.Bool
+	// written receives a signal after a write, unless it has one.
+	written chan struct{}
 
 	// Below is used by Read only, which isn't called concurrently.
 
@@ -46,14 +50,14 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
-		return n, err
+		return 0, c.checkEnd(err)
 	}
 	if h := c.timer.Load(); h != nil {
 		h.arrived()
 	}
 	accepted, refused := c.check(p[:n])
 	if refused == nil {
-		return n, err
+		return n, c.checkEnd(err)
 	}
 	c.refused.Store(&refused)
 	if accepted > 0 && errors.Is(refused, errSurplus) {
