btfront: reset connections of HTTP/1.0 whose answers are cut

What callers saw: a caller of HTTP/1.0 got a part of a large answer or of a stream and an ordered end of its connection, which is how whole answers end there. It acted on both paths: where the target cuts its answer, where a planned stop or the end of the process does, and wherever the log names a request that was cut.

Cause: an answer to HTTP/1.0 has no chunks, and no length unless it is short; net/http closes the connection of an aborted handler in order, as the kernel does with those of a killed process.

Change: from the begin of a request of HTTP/1.0 until its answer is written, its connection ends with a reset whatever closes it (SO_LINGER of zero seconds). An answer is written once its handler has returned and no write has failed; one that was begun is flushed before.

Ruled out: a reset at the places that give up an answer (misses writes that fail as the server flushes, a closed server, a killed process); refusing HTTP/1.0, or its streams and large answers.

--- a/io/btfront/btfront.go
+++ b/io/btfront/btfront.go
@@ -160,13 +160,17 @@
 		}
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := Of(r.Context()); c != nil && !c.begin(r) {
+		c := Of(r.Context())
+		switch {
+		case c != nil && !c.begin(r):
 			f.refuseHeader(c, "memory")
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+		case c != nil && !r.ProtoAtLeast(1, 1):
+			c.serveHTTP10(w, r, handler)
+		default:
+			handler.ServeHTTP(w, r)
 		}
-		handler.ServeHTTP(w, r)
 	})
 }
 
--- a/io/btfront/btfront_test.go
+++ b/io/btfront/btfront_test.go
@@ -36,6 +36,13 @@
 const maxBody = 1 << 20
 
 func newServer(t *testing.T, o btfront.Options) *server {
+	t.Helper()
+	s, _ := newServerFor(t, o, serveBody)
+	return s
+}
+
+// newServerFor starts a server with the handler.
+func newServerFor(t *testing.T, o btfront.Options, handler http.HandlerFunc) (*server, *http.Server) {
 	t.Helper()
 	s := &server{t: t, meter: btmetric.New(nil)}
 	s.limits.Store(&btfront.Limits{})
@@ -43,7 +50,7 @@
 	o.Clock, o.Meter, o.Log = time.Now, s.meter, slog.New(slog.DiscardHandler)
 	front := btfront.New(o)
 	s.front = front
-	h := &http.Server{Handler: http.HandlerFunc(serveBody), ReadHeaderTimeout: longTime, IdleTimeout: longTime}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: longTime, IdleTimeout: longTime}
 	front.Configure(h)
 	listener, err := btcall.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	assert.NilError(t, err)
@@ -54,7 +61,7 @@
 		assert.Check(t, h.Close())
 		assert.Check(t, errors.Is(<-served, http.ErrServerClosed))
 	})
-	return s
+	return s, h
 }
 
 // serveBody answers with the size of the body, or its error.
--- a/io/btfront/conn.go
+++ b/io/btfront/conn.go
@@ -57,6 +57,8 @@
 	reserved int64
 	// largeBuffer is set once the receive buffer was enlarged for a body.
 	largeBuffer bool
+
+	framing framing
 }
 
 // headerScan counts the bytes and lines of a header as it arrives.
@@ -279,6 +281,7 @@
 
 // finish records that the request has been answered and the connection is idle.
 func (c *Conn) finish() {
+	c.setReset(false)
 	c.mu.Lock()
 	c.serving, c.active, c.headerDeadline = false, false, time.Time{}
 	c.mu.Unlock()
