--- a/io/bttarget/engine.go
+++ b/io/bttarget/engine.go
@@ -184,13 +184,18 @@
 		return nil, err
 	}
 	defer closeBody(response.Body)
+	// A status counts only with the whole answer.
+	data, err := c.read(response, uriGroupMap)
+	if err != nil {
+		return nil, err
+	}
 	if response.Status == http.StatusNotFound {
 		return nil, nil
 	}
 	if err := expectOK(response, uriGroupMap); err != nil {
 		return nil, err
 	}
-	return c.read(response, uriGroupMap)
+	return data, nil
 }
 
 // Fencing reads the highest fencing number that the target has seen. Errors are those of
@@ -214,8 +219,13 @@
 		return err
 	}
 	defer closeBody(response.Body)
+	// A status counts only with the whole answer.
+	data, err = c.read(response, uriOrders)
+	if err != nil {
+		return err
+	}
 	if response.Status == http.StatusConflict {
-		last, err := decode[fencing](c, response, uriOrders)
+		last, err := decode[fencing](data, uriOrders)
 		if err != nil {
 			return err
 		}
@@ -258,7 +268,11 @@
 	if err := expectOK(response, uri); err != nil {
 		return none, err
 	}
-	return decode[T](c, response, uri)
+	data, err := c.read(response, uri)
+	if err != nil {
+		return none, err
+	}
+	return decode[T](data, uri)
 }
 
 func expectOK(response *Response, uri string) error {
@@ -268,12 +282,8 @@
 	return nil
 }
 
-func decode[T interface{ Validate() error }](c *Client, response *Response, uri string) (T, error) {
+func decode[T interface{ Validate() error }](data []byte, uri string) (T, error) {
 	var value T
-	data, err := c.read(response, uri)
-	if err != nil {
-		return value, err
-	}
 	if err := json.Unmarshal(data, &value); err != nil {
 		return value, fmt.Errorf("%w: %s: %w", ErrMalformed, uri, err)
 	}
