--- a/io/btpeer/codec_test.go
+++ b/io/btpeer/codec_test.go
@@ -112,6 +112,17 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// TestCutFrames guards against a message of which only a part was sent that is accepted, or that is
+// reported as the regular end of the stream.
+func TestCutFrames(t *testing.T) {
+	frame, err := btpeer.EncodeFrame(sample, limit)
+	assert.NilError(t, err)
+	for n := 1; n < len(frame); n++ {
+		_, err := btpeer.DecodeFrame[allShapes](bytes.NewReader(frame[:n]), limit)
+		assert.ErrorIs(t, err, btpeer.ErrMalformed, "%d of %d bytes", n, len(frame))
+	}
+}
+
 // FuzzDecode checks that any bytes give a valid message, io.EOF or ErrMalformed, and never
 // a panic.
 func FuzzDecode(f *testing.F) {
