--- a/io/btbound/btbound.go
+++ b/io/btbound/btbound.go
@@ -72,8 +72,8 @@
 
 // Transport is an http.Transport with these bounds. Its errors, and those of the bodies of
 // its answers, wrap ErrSlowHead, ErrInformational, ErrStatus, ErrMalformed, ErrFields,
-// ErrMemory or ErrReset where an answer was refused. The server may have run the request of a refused
-// answer. It is safe for concurrent use.
+// ErrMemory or ErrReset where an answer was refused. The server may have run the request of a
+// refused answer. It is safe for concurrent use.
 type Transport struct {
 	transport *http.Transport
 	timeout   time.Duration
--- a/io/btbound/reset_test.go
+++ b/io/btbound/reset_test.go
@@ -52,18 +52,29 @@
 		"without body": "HTTP/1.1 200 OK\r\n\r\n",
 		"after a 100":  "HTTP/1.1 100 Continue\r\n\r\n" + partOfAnswer,
 	}
+	cuts := []struct {
+		name  string
+		pause time.Duration
+		cut   func(c *net.TCPConn)
+	}{
+		{"at once", 0, btendless.Reset},
+		{"soon", 5 * time.Millisecond, btendless.Reset},
+		{"late", latePause, btendless.Reset},
+		// The rest of the request is unread, which resets the connection.
+		{"closed", 5 * time.Millisecond, func(c *net.TCPConn) { _ = c.Close() }},
+	}
 	for name, head := range heads {
-		for _, pause := range []time.Duration{0, 5 * time.Millisecond, latePause} {
-			t.Run(name+"/"+pause.String(), func(t *testing.T) {
+		for _, cut := range cuts {
+			t.Run(name+"/"+cut.name, func(t *testing.T) {
 				t.Parallel()
 				address := btendless.NewEarly(t, "127.0.0.1", func(_ *http.Request, c *net.TCPConn) {
 					_, _ = io.WriteString(c, head)
-					time.Sleep(pause)
-					btendless.Reset(c)
+					time.Sleep(cut.pause)
+					cut.cut(c)
 				})
 				transport := btbound.New(&http.Transport{DisableKeepAlives: true})
 				plays := resetPlays
-				if pause == latePause {
+				if cut.pause == latePause {
 					plays = latePlays
 				}
 				whole := 0
--- a/io/btfront/conn.go
+++ b/io/btfront/conn.go
@@ -58,6 +58,7 @@
 	// largeBuffer is set once the receive buffer was enlarged for a body.
 	largeBuffer bool
 
+	// framing is that of an answer to HTTP/1.0.
 	framing framing
 }
 
