btdirect: don't refuse a request as not run after it was sent

What callers saw: a request that may be repeated was lost at one target, for example as its answer was cut, and no other target was left. It was refused with 503 and Retry-After, which promises that it has not run.

Cause: with no target left, chooseTarget gave the refusal itself, in place of endUnserved, which answers 502 after an attempt that may have run. Requests that must not be repeated never came there.

Change: it calls endUnserved like all other places.

--- a/io/btdirect/exchange.go
+++ b/io/btdirect/exchange.go
@@ -262,7 +262,7 @@
 		return nil, x.endOrAwaitRest(resting)
 	}
 	if c.target == nil {
-		x.refuseOrAbort(&refusal{status: http.StatusServiceUnavailable, reason: noTargetReason(c), retryAfter: x.defaultRetryAfter()})
+		x.endUnserved(noTargetReason(c), x.defaultRetryAfter())
 		return nil, false
 	}
 	if !x.awaitRate(ctx, c) {
