--- a/io/btagent/reset_test.go
+++ b/io/btagent/reset_test.go
@@ -19,18 +19,18 @@
 // resetRequests is how many requests a target gets whose answers are cut by a reset.
 const resetRequests = 40
 
-// resetting answers uploads at their heads with a part of an answer that has no length, and
-// resets the connection while the request is being written. It counts them.
-func resetting(head string, requests *atomic.Int64) func(*http.Request, *net.TCPConn) {
+// answeringEarly answers uploads at their heads with an answer that has no length, and ends it while
+// the request is being written. It counts them.
+func answeringEarly(answer string, requests *atomic.Int64, end func(*net.TCPConn)) func(*http.Request, *net.TCPConn) {
 	return func(r *http.Request, c *net.TCPConn) {
 		if !strings.Contains(r.URL.Path, "upload") {
 			_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 			return
 		}
 		requests.Add(1)
-		_, _ = io.WriteString(c, head)
+		_, _ = io.WriteString(c, answer)
 		time.Sleep(5 * time.Millisecond)
-		btendless.Reset(c)
+		end(c)
 	}
 }
 
@@ -51,7 +51,7 @@
 			f := newFleet(t)
 			f.Bundle.Ejection.Failures = 2 * resetRequests
 			f.addEntries(1)
-			f.addTarget("t0", "pages", btbundle.Plain, btendless.NewEarly(t, "127.0.0.1", resetting(head, &requests)))
+			f.addTarget("t0", "pages", btbundle.Plain, btendless.NewEarly(t, "127.0.0.1", answeringEarly(head, &requests, btendless.Reset)))
 			f.start()
 			whole := 0
 			for requests.Load() < resetRequests {
@@ -60,13 +60,32 @@
 				request.Header.Set("Authorization", "Bearer "+btinprocess.CallerKey)
 				response, err := http.DefaultClient.Do(request)
 				assert.NilError(t, err)
-				_, err = io.Copy(io.Discard, response.Body)
+				body, err := io.ReadAll(response.Body)
 				if err == nil && response.StatusCode == http.StatusOK {
 					whole++
 				}
+				// A stream of which an event was sent ends with the refusal.
+				assert.Check(t, strings.Contains(string(body), `"outcome":"unknown"`), "%s", body)
 				assert.NilError(t, response.Body.Close())
 			}
 			assert.Equal(t, whole, 0, "of %d", requests.Load())
 		})
 	}
 }
+
+// TestAnswersThatEndDuringAnUploadOnTheGuardedPath guards against an answer that is refused although
+// its target has ended it in order.
+func TestAnswersThatEndDuringAnUploadOnTheGuardedPath(t *testing.T) {
+	t.Parallel()
+	var requests atomic.Int64
+	f := newFleet(t)
+	f.addEntries(1)
+	f.addTarget("t0", "pages", btbundle.Plain, btendless.NewEarly(t, "127.0.0.1", answeringEarly("HTTP/1.1 200 OK\r\n\r\nwhole", &requests, btendless.EndInOrder)))
+	f.start()
+	for range resetRequests {
+		status, body := f.call("e0", "/services/pages/upload", strings.Repeat("u", 900_000))
+		assert.Equal(t, status, http.StatusOK, "%s", body)
+		assert.Equal(t, body, "whole")
+	}
+	assert.Equal(t, requests.Load(), int64(resetRequests))
+}
